Workspace, shared types and the micro-kernel

The ids, records, messages and border traits that all parts build on, and the stakker kernel that carries messages between services found by name.

--- /dev/null
+++ b/crates/shallottide/src/message.rs
@@ -0,0 +1,102 @@
+//! All messages between services and borders.
+
+mod call_messages;
+mod engine_messages;
+mod operator_messages;
+mod peer_messages;
+mod platform_messages;
+
+pub use call_messages::{
+    AttemptEvent, AttemptFailure, CallArrived, CancelAttempt, ClaimDone, ClaimReply, ClaimWanted,
+    Dispatch, Forward, Reply, ReplyTo,
+};
+pub use engine_messages::{EngineOrder, EngineOrdered, EnginePoll, EngineReported, OrderError};
+pub use operator_messages::{StatusReply, StatusWanted};
+pub use peer_messages::{PeerReceived, PeerSend};
+pub use platform_messages::{PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest};
+
+use shallottide_types::id::AttemptId;
+
+/// A message to a service or border.
+#[derive(Debug, Clone)]
+pub enum Message {
+    /// Time has passed; sent to every service ten times a second.
+    Tick,
+    /// The node is stopping: take no new roles, end what runs.
+    Stop,
+    /// A caller's or peer's call, to `CALLS`.
+    CallArrived(CallArrived),
+    /// The receiver of an answer went away, to `CALLS`.
+    CallGone(ReplyTo),
+    /// Part of an answer, from `CALLS` to `FRONT` or `PEERS`.
+    Reply(Reply),
+    /// Run a call on an upstream, from `CALLS` to `UPSTREAMS`.
+    Dispatch(Dispatch),
+    /// Hand a call to another node, from `CALLS` to `PEERS`.
+    Forward(Forward),
+    /// Drop an attempt, from `CALLS` to `UPSTREAMS` or `PEERS`.
+    CancelAttempt(CancelAttempt),
+    /// Progress of an attempt, from `UPSTREAMS` or `PEERS` to `CALLS`.
+    Attempt(AttemptId, AttemptEvent),
+    /// Claim a key, from `CALLS` to `CLAIMS`.
+    ClaimWanted(ClaimWanted),
+    /// Answer to a claim, from `CLAIMS` to `CALLS`.
+    ClaimReply(ClaimReply),
+    /// A claimed call ended, from `CALLS` to `CLAIMS`.
+    ClaimDone(ClaimDone),
+    /// A platform call, to `PLATFORM`.
+    PlatformRequest(PlatformRequest),
+    /// Its result, to the service that asked.
+    PlatformReply(PlatformReply),
+    /// A control message for a peer, to `PEERS`.
+    PeerSend(PeerSend),
+    /// A control message from a peer. `PEERS` sends heartbeats to `MEMBERS`, records to
+    /// `CONFIG`, placements and reports to `GROUPS`, claims to `CLAIMS`.
+    PeerReceived(PeerReceived),
+    /// Send an order, from `GROUPS` to `ENGINES`.
+    EngineOrder(EngineOrder),
+    /// Its result, to `GROUPS`.
+    EngineOrdered(EngineOrdered),
+    /// Read an engine's report, from `GROUPS` to `ENGINES`.
+    EnginePoll(EnginePoll),
+    /// The report, to `GROUPS`.
+    EngineReported(EngineReported),
+    /// An operator asks for the status, to `STATUS`.
+    StatusWanted(StatusWanted),
+    /// The status, to `OPERATORS`.
+    StatusReply(StatusReply),
+}
+
+/// Lets a message's own type be sent without naming the variant.
+macro_rules! from_messages {
+    ($($name:ident),+) => {
+        $(
+            impl From<$name> for Message {
+                fn from(message: $name) -> Self {
+                    Self::$name(message)
+                }
+            }
+        )+
+    };
+}
+
+from_messages!(
+    CallArrived,
+    Reply,
+    Dispatch,
+    Forward,
+    CancelAttempt,
+    ClaimWanted,
+    ClaimReply,
+    ClaimDone,
+    PlatformRequest,
+    PlatformReply,
+    PeerSend,
+    PeerReceived,
+    EngineOrder,
+    EngineOrdered,
+    EnginePoll,
+    EngineReported,
+    StatusWanted,
+    StatusReply
+);
--- /dev/null
+++ b/crates/shallottide/src/message/operator_messages.rs
@@ -0,0 +1,17 @@
+//! Messages between the status service and the operators' port.
+
+/// Asks for this node's status.
+#[derive(Debug, Clone, Copy)]
+pub struct StatusWanted {
+    /// Finds the answer.
+    pub token: u64,
+}
+
+/// This node's status.
+#[derive(Debug, Clone)]
+pub struct StatusReply {
+    /// Token of the request.
+    pub token: u64,
+    /// The status as JSON.
+    pub json: String,
+}
--- /dev/null
+++ b/crates/shallottide/src/view/member_view.rs
@@ -0,0 +1,57 @@
+//! The entry VMs and the loads they report.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use shallottide_types::id::{DomainId, NodeId, StoreIndex};
+use shallottide_types::peer::{LoadSummary, NodeInfo, Slot};
+
+/// What is known of the entry VMs.
+#[derive(Debug, Clone, Default)]
+pub struct MemberView {
+    /// All known nodes, this one included.
+    pub nodes: BTreeMap<NodeId, NodeState>,
+    /// The latest load of each slot, as its dispatcher reported it.
+    pub loads: BTreeMap<Slot, DispatcherLoad>,
+}
+
+/// What is known of one node.
+#[derive(Debug, Clone)]
+pub struct NodeState {
+    /// Where it is.
+    pub info: NodeInfo,
+    /// When it was last alive, by this node's clock.
+    pub heard_at: Instant,
+    /// Whether it counts as alive.
+    pub alive: bool,
+    /// Highest store index it is known to have applied.
+    pub config: StoreIndex,
+}
+
+/// One slot's load as its dispatcher reported it.
+#[derive(Debug, Clone)]
+pub struct DispatcherLoad {
+    /// The dispatcher that reported it.
+    pub node: NodeId,
+    /// The load.
+    pub load: LoadSummary,
+    /// When it was reported, by this node's clock.
+    pub heard_at: Instant,
+}
+
+impl MemberView {
+    /// Returns the nodes of a failure domain that are alive and not stopping, in id order.
+    pub fn alive_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a NodeInfo> {
+        self.nodes
+            .values()
+            .filter(move |node| node.alive && !node.info.stopping && node.info.domain == *domain)
+            .map(|node| &node.info)
+    }
+
+    /// Returns where a node is, when it is alive.
+    #[must_use]
+    pub fn alive(&self, node: &NodeId) -> Option<&NodeInfo> {
+        let state = self.nodes.get(node).filter(|state| state.alive)?;
+        Some(&state.info)
+    }
+}
--- /dev/null
+++ b/crates/shallottide_cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Work in progress.
+
+fn main() {}
--- /dev/null
+++ b/crates/shallottide_types/src/record/document.rs
@@ -0,0 +1,236 @@
+//! A record as stored: JSON with its schema version and unknown fields.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::id::{ChangeId, IdError, OperatorId, Revision};
+
+/// Why a record was refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RecordError {
+    /// The text is neither TOML nor JSON.
+    #[error("record can't be read: {0}")]
+    Syntax(String),
+    /// A field every record needs is missing.
+    #[error("record has no {field:?}: add {example}")]
+    Missing {
+        /// Name of the field.
+        field: &'static str,
+        /// A line that would do.
+        example: &'static str,
+    },
+    /// The kind is not known.
+    #[error("kind {0:?} is not known: use model, upstream, service, domain or team")]
+    Kind(String),
+    /// The schema version is not known to this program.
+    #[error(
+        "{kind} has schema {found}, this program knows up to {newest}: upgrade it or write schema {newest}"
+    )]
+    Schema {
+        /// Kind of the record.
+        kind: RecordKind,
+        /// Version found.
+        found: u64,
+        /// Newest version known.
+        newest: u64,
+    },
+    /// A field has the wrong form.
+    #[error("{kind}: {message}")]
+    Field {
+        /// Kind of the record.
+        kind: RecordKind,
+        /// What is wrong, naming the field.
+        message: String,
+    },
+    /// A value is out of its range.
+    #[error("{kind} field {field:?}: {remedy}")]
+    Range {
+        /// Kind of the record.
+        kind: RecordKind,
+        /// Name of the field.
+        field: &'static str,
+        /// What to write.
+        remedy: String,
+    },
+    /// The id breaks the naming rule.
+    #[error(transparent)]
+    Id(#[from] IdError),
+}
+
+/// The kind of a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RecordKind {
+    /// How a model is served by groups of VMs.
+    Model,
+    /// One server of a plain service.
+    Upstream,
+    /// A plain service.
+    Service,
+    /// A failure domain.
+    Domain,
+    /// A team of callers.
+    Team,
+}
+
+impl RecordKind {
+    /// All kinds in key order.
+    pub const ALL: [Self; 5] = [
+        Self::Model,
+        Self::Upstream,
+        Self::Service,
+        Self::Domain,
+        Self::Team,
+    ];
+}
+
+impl fmt::Display for RecordKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Model => "model",
+            Self::Upstream => "upstream",
+            Self::Service => "service",
+            Self::Domain => "domain",
+            Self::Team => "team",
+        })
+    }
+}
+
+impl FromStr for RecordKind {
+    type Err = RecordError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.to_string() == text)
+            .ok_or_else(|| RecordError::Kind(text.into()))
+    }
+}
+
+/// A record's JSON document, with all fields, known or not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Document {
+    fields: Map<String, Value>,
+}
+
+impl Document {
+    /// Prefix of all record keys in the platform.
+    pub const KEY_PREFIX: &'static str = "records/";
+    /// Field with the schema version.
+    pub const SCHEMA: &'static str = "schema";
+    /// Field with the revision, raised by one with every write.
+    pub const REVISION: &'static str = "revision";
+    /// Field with the id of the change that wrote the document.
+    pub const CHANGE: &'static str = "change";
+    /// Field with the operator who wrote the document.
+    pub const OPERATOR: &'static str = "operator";
+
+    /// Reads an operator's TOML file.
+    ///
+    /// # Errors
+    /// [`RecordError::Syntax`] with the place in the file.
+    pub fn from_toml(text: &str) -> Result<Self, RecordError> {
+        let fields = toml::from_str(text).map_err(|e| RecordError::Syntax(e.to_string()))?;
+        Ok(Self { fields })
+    }
+
+    /// Reads a stored value.
+    ///
+    /// # Errors
+    /// [`RecordError::Syntax`] when it is no JSON object.
+    pub fn from_json(bytes: &[u8]) -> Result<Self, RecordError> {
+        let fields =
+            serde_json::from_slice(bytes).map_err(|e| RecordError::Syntax(e.to_string()))?;
+        Ok(Self { fields })
+    }
+
+    /// Returns the JSON to store.
+    #[must_use]
+    pub fn to_json(&self) -> Vec<u8> {
+        Value::Object(self.fields.clone()).to_string().into_bytes()
+    }
+
+    /// Returns all fields.
+    #[must_use]
+    pub fn fields(&self) -> &Map<String, Value> {
+        &self.fields
+    }
+
+    /// Sets one field.
+    pub fn set(&mut self, field: &str, value: impl Into<Value>) {
+        self.fields.insert(field.into(), value.into());
+    }
+
+    /// Returns the record's kind.
+    ///
+    /// # Errors
+    /// [`RecordError::Missing`] or [`RecordError::Kind`].
+    pub fn kind(&self) -> Result<RecordKind, RecordError> {
+        let missing = RecordError::Missing {
+            field: "kind",
+            example: "kind = \"upstream\"",
+        };
+        self.text("kind").ok_or(missing)?.parse()
+    }
+
+    /// Returns the schema version.
+    ///
+    /// # Errors
+    /// [`RecordError::Missing`].
+    pub fn schema(&self) -> Result<u64, RecordError> {
+        let missing = RecordError::Missing {
+            field: Self::SCHEMA,
+            example: "schema = 2",
+        };
+        self.number(Self::SCHEMA).ok_or(missing)
+    }
+
+    /// Returns the revision; 0 for a document that was never stored.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        Revision(self.number(Self::REVISION).unwrap_or(0))
+    }
+
+    /// Returns the change that wrote the document.
+    #[must_use]
+    pub fn change(&self) -> Option<ChangeId> {
+        self.text(Self::CHANGE)?.parse().ok()
+    }
+
+    /// Returns the operator who wrote the document.
+    #[must_use]
+    pub fn operator(&self) -> Option<OperatorId> {
+        self.text(Self::OPERATOR)?.parse().ok()
+    }
+
+    /// Reads the fields into a typed form of one schema version, ignoring unknown fields.
+    ///
+    /// # Errors
+    /// [`RecordError::Field`] naming the field.
+    pub fn parse<T: DeserializeOwned>(&self) -> Result<T, RecordError> {
+        let kind = self.kind()?;
+        serde_json::from_value(Value::Object(self.fields.clone())).map_err(|e| RecordError::Field {
+            kind,
+            message: e.to_string(),
+        })
+    }
+
+    /// Returns the error for a schema version above `newest` or below 1.
+    pub(crate) fn unknown_schema<T>(&self, newest: u64) -> Result<T, RecordError> {
+        Err(RecordError::Schema {
+            kind: self.kind()?,
+            found: self.schema()?,
+            newest,
+        })
+    }
+
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+
+    fn number(&self, field: &str) -> Option<u64> {
+        self.fields.get(field)?.as_u64()
+    }
+}
--- /dev/null
+++ b/crates/shallottide_types/src/record/upstream_record.rs
@@ -0,0 +1,119 @@
+//! One server of a plain service, in two schema versions.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Document, RecordError, RecordKind};
+use crate::data;
+use crate::id::{DomainId, ServiceId, UpstreamId};
+
+data! {
+    /// One server of a plain service.
+    pub struct UpstreamRecord {
+        /// The upstream.
+        pub id: UpstreamId,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// Its failure domain.
+        pub failure_domain: DomainId,
+        /// The service it belongs to. For an upstream of the old system that serves a model,
+        /// the model's name.
+        pub service: ServiceId,
+        /// Requests in flight it bears when freshly started. At least 1, at most `full_limit`.
+        pub cold_limit: u32,
+        /// Requests in flight it bears when warm.
+        pub full_limit: u32,
+        /// Whether it takes new work.
+        #[serde(default)]
+        pub state: UpstreamState,
+        /// Whether it is of the old system or the new one.
+        #[serde(default)]
+        pub generation: Generation,
+    }
+
+    /// Whether an upstream takes new work.
+    #[serde(rename_all = "snake_case")]
+    #[derive(Copy, Default)]
+    pub enum UpstreamState {
+        /// It takes new work.
+        #[default]
+        Serving,
+        /// It gets no new work; work in flight ends.
+        Leaving,
+    }
+
+    /// Which of two systems that run side by side.
+    #[serde(rename_all = "snake_case")]
+    #[derive(Copy, PartialOrd, Ord, Default)]
+    pub enum Generation {
+        /// The system being replaced.
+        Old,
+        /// The replacement.
+        #[default]
+        New,
+    }
+}
+
+/// Schema 1: one limit for all states, the failure domain called `zone`, a switch for leaving.
+#[derive(Debug, Serialize, Deserialize)]
+struct UpstreamV1 {
+    id: UpstreamId,
+    address: SocketAddr,
+    zone: DomainId,
+    service: ServiceId,
+    limit: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// Schema 1 names no cold limit: the full limit divided by this, rounded up.
+const V1_COLD_DIVISOR: u32 = 8;
+
+impl From<UpstreamV1> for UpstreamRecord {
+    fn from(v1: UpstreamV1) -> Self {
+        Self {
+            id: v1.id,
+            address: v1.address,
+            failure_domain: v1.zone,
+            service: v1.service,
+            cold_limit: v1.limit.div_ceil(V1_COLD_DIVISOR),
+            full_limit: v1.limit,
+            state: if v1.leaving {
+                UpstreamState::Leaving
+            } else {
+                UpstreamState::Serving
+            },
+            generation: Generation::Old,
+        }
+    }
+}
+
+impl UpstreamRecord {
+    /// Newest schema version.
+    pub const NEWEST_SCHEMA: u64 = 2;
+
+    /// Reads a document of any known version.
+    ///
+    /// # Errors
+    /// [`RecordError`] naming the field and the remedy.
+    pub fn lift(document: &Document) -> Result<Self, RecordError> {
+        let record: Self = match document.schema()? {
+            1 => document.parse::<UpstreamV1>()?.into(),
+            2 => document.parse()?,
+            _ => return document.unknown_schema(Self::NEWEST_SCHEMA),
+        };
+        record.check()
+    }
+
+    fn check(self) -> Result<Self, RecordError> {
+        if (1..=self.full_limit).contains(&self.cold_limit) {
+            return Ok(self);
+        }
+        Err(RecordError::Range {
+            kind: RecordKind::Upstream,
+            field: "cold_limit",
+            remedy: format!("write 1 to full_limit ({})", self.full_limit),
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for tests and the demo.
