Settings, telemetry, and the borders towards callers and upstreams

Callers are served by hyper in place of tiny_http. Cause: tiny_http keeps a thread for every silent connection.

--- /dev/null
+++ b/crates/shallottide/src/front.rs
@@ -0,0 +1,10 @@
+//! Border: callers' HTTP connections, on tokio with hyper.
+
+mod call_request;
+mod connection;
+mod front_border;
+mod gone_guard;
+mod reply_body;
+mod stall_guard;
+
+pub use front_border::{FrontBorder, FrontOptions};
--- /dev/null
+++ b/crates/shallottide/src/front/connection.rs
@@ -0,0 +1,171 @@
+//! Serves one caller's connection.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response};
+use shallottide_types::call::{ReplyEvent, ReplyHead};
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+use tokio::sync::mpsc;
+
+use super::call_request::{CallRequest, read_call};
+use super::front_border::Front;
+use super::gone_guard::GoneGuard;
+use super::reply_body::{EventBody, ReplyBody};
+use crate::kernel::names;
+use crate::message::{CallArrived, CallPresented, ReplyTo};
+use crate::telemetry::CallSpan;
+
+/// Events of one answer that wait for a slow caller before the call is dropped.
+const WAITING_EVENTS: usize = 1_024;
+
+/// Header with the caller's own id of its request, given back.
+const REQUEST_ID: &str = "x-request-id";
+
+/// Answers one request.
+pub(super) async fn serve(
+    front: Arc<Front>,
+    request: Request<Incoming>,
+) -> Result<Response<ReplyBody>, Infallible> {
+    let caller_id = request.headers().get(REQUEST_ID).cloned();
+    let mut response = match request.uri().path() {
+        "/livez" => plain(200, "live\n"),
+        "/readyz" => readiness(&front),
+        _ => call(&front, request).await.unwrap_or_else(|e| refuse(&e)),
+    };
+    if let Some(id) = caller_id {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    Ok(response)
+}
+
+fn readiness(front: &Front) -> Response<ReplyBody> {
+    if front.ready.load(Ordering::Acquire) {
+        plain(200, "ready\n")
+    } else {
+        plain(503, "not ready: starting or stopping\n")
+    }
+}
+
+async fn call(
+    front: &Arc<Front>,
+    request: Request<Incoming>,
+) -> Result<Response<ReplyBody>, Refusal> {
+    let (parts, body) = request.into_parts();
+    let body = read_body(front, body).await?;
+    let id = front.next_call_id();
+    let CallRequest { mut head, key } =
+        read_call(&parts, &body, id, front.options.limits.call_timeout)?;
+    let span = CallSpan::start("front", &head.id, head.trace);
+    head.trace = span.trace();
+    let (number, mut events) = front.wait_for_reply(WAITING_EVENTS);
+    let guard = GoneGuard::new(number, front.kernel.clone(), front.waiting.clone());
+    let call = CallArrived {
+        reply_to: ReplyTo::Front(number),
+        head,
+        body,
+        slot: None,
+        resume_from: 0,
+    };
+    front.kernel.send(names::AUTH, CallPresented { key, call });
+    let first = events.recv().await;
+    answer(first, events, guard, span)
+}
+
+fn answer(
+    first: Option<ReplyEvent>,
+    events: mpsc::Receiver<ReplyEvent>,
+    mut guard: GoneGuard,
+    mut span: CallSpan,
+) -> Result<Response<ReplyBody>, Refusal> {
+    match first {
+        Some(ReplyEvent::Head(head)) => Ok(with_events(&head, events, guard, span)),
+        Some(ReplyEvent::Fail(refusal)) => {
+            guard.end();
+            span.set_outcome(refusal.to_string());
+            Err(refusal)
+        }
+        _ => {
+            let message = "the node gave no answer: retry with the same key";
+            Err(Refusal::new(RefusalKind::Internal, Ran::Unknown, message))
+        }
+    }
+}
+
+fn with_events(
+    head: &ReplyHead,
+    events: mpsc::Receiver<ReplyEvent>,
+    guard: GoneGuard,
+    span: CallSpan,
+) -> Response<ReplyBody> {
+    let is_stream = head.content_type.starts_with("text/event-stream");
+    let mut response = Response::new(ReplyBody::Events(Box::new(EventBody {
+        events,
+        is_stream,
+        guard,
+        span,
+        ended: false,
+    })));
+    set_status(&mut response, head.status);
+    if let Ok(value) = HeaderValue::from_str(&head.content_type) {
+        response.headers_mut().insert(CONTENT_TYPE, value);
+    }
+    if is_stream {
+        let headers = response.headers_mut();
+        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    }
+    response
+}
+
+async fn read_body(front: &Front, body: Incoming) -> Result<Bytes, Refusal> {
+    let limits = &front.options.limits;
+    let size = usize::try_from(limits.body_size.0).unwrap_or(usize::MAX);
+    let collect = Limited::new(body, size).collect();
+    let collected = tokio::time::timeout(limits.body_timeout, collect)
+        .await
+        .map_err(|_| {
+            let message = "the body came too slowly: send it faster or in parts";
+            Refusal::new(RefusalKind::BadRequest, Ran::No, message)
+        })?;
+    collected
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(|e| {
+            if e.is::<LengthLimitError>() {
+                let message = format!("the body is larger than {}: send less", limits.body_size);
+                Refusal::new(RefusalKind::TooLarge, Ran::No, message)
+            } else {
+                let message = format!("the body can't be read ({e}): send it again");
+                Refusal::new(RefusalKind::BadRequest, Ran::No, message)
+            }
+        })
+}
+
+/// Builds the response for a refusal.
+fn refuse(refusal: &Refusal) -> Response<ReplyBody> {
+    let mut response = plain(refusal.kind.status(), refusal.to_json());
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(wait) = refusal.retry_after {
+        // Retry-After counts whole seconds; a shorter wait is rounded up.
+        let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+fn plain(status: u16, text: impl Into<Bytes>) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::whole(text));
+    set_status(&mut response, status);
+    response
+}
+
+fn set_status(response: &mut Response<ReplyBody>, status: u16) {
+    if let Ok(status) = hyper::StatusCode::from_u16(status) {
+        *response.status_mut() = status;
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/front/front_border.rs
@@ -0,0 +1,174 @@
+//! Accepts callers' connections and hands answers' events to them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use shallottide_types::call::ReplyEvent;
+use shallottide_types::id::{CallId, Incarnation, NodeId};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+
+use super::connection::serve;
+use super::stall_guard::StallGuard;
+use crate::kernel::KernelHandle;
+use crate::message::{Message, ReplyTo};
+use crate::settings::Limits;
+
+/// Wait after a failed accept, such as one for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Where the events of each awaited answer go.
+pub(super) type Waiting = Arc<Mutex<BTreeMap<u64, mpsc::Sender<ReplyEvent>>>>;
+
+/// What the border needs to know of its node.
+#[derive(Debug, Clone)]
+pub struct FrontOptions {
+    /// The node, part of each call's id.
+    pub node: NodeId,
+    /// The node's start, part of each call's id.
+    pub incarnation: Incarnation,
+    /// Bounds on callers.
+    pub limits: Limits,
+}
+
+/// State shared by all connections.
+pub(super) struct Front {
+    pub(super) options: FrontOptions,
+    pub(super) kernel: KernelHandle,
+    pub(super) waiting: Waiting,
+    pub(super) ready: Arc<AtomicBool>,
+    next: AtomicU64,
+}
+
+impl Front {
+    /// Makes an id unique over all entry VMs and their restarts.
+    pub(super) fn next_call_id(&self) -> CallId {
+        let FrontOptions {
+            node, incarnation, ..
+        } = &self.options;
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let node = &node.as_str()[..node.as_str().len().min(64)];
+        format!("{node}.{incarnation}.{number}")
+            .parse()
+            .expect("a node id and two numbers are a valid id")
+    }
+
+    /// Registers a new answer and returns its number and events.
+    pub(super) fn wait_for_reply(&self, room: usize) -> (u64, mpsc::Receiver<ReplyEvent>) {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = mpsc::channel(room);
+        self.waiting
+            .lock()
+            .expect("waiting lock")
+            .insert(number, tx);
+        (number, rx)
+    }
+}
+
+/// The border towards callers; a cheap cloneable handle.
+#[derive(Clone)]
+pub struct FrontBorder {
+    front: Arc<Front>,
+}
+
+impl FrontBorder {
+    /// Creates the border. Its readiness answers 200 while `ready` is set.
+    #[must_use]
+    pub fn new(options: FrontOptions, kernel: KernelHandle, ready: Arc<AtomicBool>) -> Self {
+        Self {
+            front: Arc::new(Front {
+                options,
+                kernel,
+                waiting: Waiting::default(),
+                ready,
+                next: AtomicU64::new(1),
+            }),
+        }
+    }
+
+    /// Takes a message from the kernel without blocking.
+    ///
+    /// # Panics
+    /// If another thread panicked while holding the border's state.
+    pub fn send(&self, message: Message) {
+        let Message::Reply(reply) = message else {
+            return;
+        };
+        let ReplyTo::Front(number) = reply.reply_to else {
+            return;
+        };
+        let mut waiting = self.front.waiting.lock().expect("waiting lock");
+        let Some(tx) = waiting.get(&number) else {
+            return;
+        };
+        let last = matches!(reply.event, ReplyEvent::End | ReplyEvent::Fail(_));
+        // A caller too slow for the waiting room loses its call: dropping the sender
+        // cuts its body, and its guard then tells the kernel.
+        if tx.try_send(reply.event).is_err() || last {
+            waiting.remove(&number);
+        }
+    }
+
+    /// Accepts connections for ever; run it on a tokio runtime with a `LocalSet` or not.
+    ///
+    /// # Errors
+    /// Those of taking over the listener.
+    pub async fn serve(self, listener: std::net::TcpListener) -> std::io::Result<()> {
+        let listener = TcpListener::from_std(listener)?;
+        let room = Arc::new(Semaphore::new(self.front.options.limits.connections));
+        loop {
+            let (stream, _) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(e) => {
+                    tracing::warn!(error = %e, "accept failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            // Without room the connection is closed at once, which the balancer sees.
+            let Ok(permit) = room.clone().try_acquire_owned() else {
+                tracing::warn!("connection closed: limits.connections reached");
+                continue;
+            };
+            let front = self.front.clone();
+            tokio::spawn(async move {
+                serve_connection(front, stream).await;
+                drop(permit);
+            });
+        }
+    }
+
+    /// Binds a listener that tokio can take over.
+    ///
+    /// # Errors
+    /// Those of binding the address.
+    pub fn bind(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    }
+}
+
+async fn serve_connection(front: Arc<Front>, stream: TcpStream) {
+    let limits = front.options.limits.clone();
+    // Tokens must not wait for a fuller packet.
+    let _ = stream.set_nodelay(true);
+    let header_bytes = usize::try_from(limits.header_size.0).unwrap_or(usize::MAX);
+    let io = TokioIo::new(StallGuard::new(stream, limits.write_timeout));
+    let service = service_fn(move |request| serve(front.clone(), request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(header_bytes)
+        .serve_connection(io, service)
+        .await;
+    if let Err(e) = served {
+        tracing::debug!(error = %e, "connection ended");
+    }
+}
--- a/crates/shallottide/src/kernel/names.rs
+++ b/crates/shallottide/src/kernel/names.rs
@@ -18,6 +18,8 @@
 pub const MEMBERS: Name = Name("members");
 /// Service: groups of VMs, dispatchers, orders to engines.
 pub const GROUPS: Name = Name("groups");
+/// Service: teams of callers' keys.
+pub const AUTH: Name = Name("auth");
 /// Service: callers' requests.
 pub const CALLS: Name = Name("calls");
 /// Service: claims of idempotency keys.
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -6,7 +6,12 @@
 //! the kernel by the same messages.
 
 pub mod admission;
+pub mod auth;
+pub mod front;
 pub mod kernel;
 pub mod message;
 pub mod routing;
+pub mod settings;
+pub mod telemetry;
+pub mod upstreams;
 pub mod view;
--- a/crates/shallottide/src/message.rs
+++ b/crates/shallottide/src/message.rs
@@ -7,8 +7,8 @@
 mod platform_messages;
 
 pub use call_messages::{
-    AttemptEvent, AttemptFailure, CallArrived, CancelAttempt, ClaimDone, ClaimReply, ClaimWanted,
-    Dispatch, Forward, Reply, ReplyTo,
+    AttemptEvent, AttemptFailure, CallArrived, CallPresented, CancelAttempt, ClaimDone, ClaimReply,
+    ClaimWanted, Dispatch, Forward, Reply, ReplyTo,
 };
 pub use engine_messages::{EngineOrder, EngineOrdered, EnginePoll, EngineReported, OrderError};
 pub use operator_messages::{StatusReply, StatusWanted};
@@ -24,7 +24,9 @@
     Tick,
     /// The node is stopping: take no new roles, end what runs.
     Stop,
-    /// A caller's or peer's call, to `CALLS`.
+    /// A caller's call, from `FRONT` to `AUTH`.
+    CallPresented(CallPresented),
+    /// A call whose team is known, from `AUTH` or `PEERS` to `CALLS`.
     CallArrived(CallArrived),
     /// The receiver of an answer went away, to `CALLS`.
     CallGone(ReplyTo),
@@ -81,6 +83,7 @@
 }
 
 from_messages!(
+    CallPresented,
     CallArrived,
     Reply,
     Dispatch,
--- a/crates/shallottide/src/message/call_messages.rs
+++ b/crates/shallottide/src/message/call_messages.rs
@@ -7,6 +7,7 @@
 use shallottide_types::call::{CallHead, ReplyEvent, ReplyHead};
 use shallottide_types::id::{AttemptId, CallId};
 use shallottide_types::peer::{ClaimAnswer, ClaimEnd, ClaimId, ForwardedCall, NodeInfo, Slot};
+use shallottide_types::record::KeyHash;
 use shallottide_types::refusal::Refusal;
 
 /// Where the answer of a call goes: a number that the border handed out.
@@ -33,6 +34,15 @@
     pub resume_from: u64,
 }
 
+/// A caller's call whose key was not looked up yet.
+#[derive(Debug, Clone)]
+pub struct CallPresented {
+    /// Hash of the bearer key.
+    pub key: Option<KeyHash>,
+    /// The call; its team is replaced by the key's.
+    pub call: CallArrived,
+}
+
 /// Part of an answer.
 #[derive(Debug, Clone)]
 pub struct Reply {
--- /dev/null
+++ b/crates/shallottide/src/settings/loader.rs
@@ -0,0 +1,120 @@
+//! Reads and checks a settings file.
+
+use std::path::{Path, PathBuf};
+
+use super::NodeSettings;
+
+/// Least length of `peer_key` in bytes.
+const MIN_PEER_KEY_BYTES: usize = 16;
+
+/// Least `limits.header_size` in bytes, which the HTTP library needs.
+const MIN_HEADER_BYTES: u64 = 8 << 10;
+
+/// Why settings were refused. Every message names the file and the remedy.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("settings {path}: can't be read ({source}): check the path and its permissions")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The file is no valid TOML, or a key is missing, unknown or of the wrong form.
+    #[error(
+        "settings {path}: {message}\nremedy: correct the marked place; docs/OPERATING.md lists all keys"
+    )]
+    Form {
+        /// The file.
+        path: PathBuf,
+        /// The place and what is wrong with it.
+        message: String,
+    },
+    /// A value is outside its range.
+    #[error("settings {path}: key {key:?} has value {value}: {remedy}")]
+    Range {
+        /// The file.
+        path: PathBuf,
+        /// The key.
+        key: &'static str,
+        /// The value found.
+        value: String,
+        /// What to write.
+        remedy: &'static str,
+    },
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// [`SettingsError`] naming the file, the key, the value and the remedy.
+pub fn load(path: &Path) -> Result<NodeSettings, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.into(),
+        source,
+    })?;
+    let settings = toml::from_str(&text).map_err(|e| SettingsError::Form {
+        path: path.into(),
+        message: e.to_string(),
+    })?;
+    check(path, &settings)?;
+    Ok(settings)
+}
+
+fn check(path: &Path, settings: &NodeSettings) -> Result<(), SettingsError> {
+    let refuse = |key, value: String, remedy| {
+        Err(SettingsError::Range {
+            path: path.into(),
+            key,
+            value,
+            remedy,
+        })
+    };
+    if settings.platform.is_empty() {
+        return refuse("platform", "[]".into(), "name at least one base address");
+    }
+    if let Some(base) = settings
+        .platform
+        .iter()
+        .find(|base| !base.starts_with("http://"))
+    {
+        return refuse(
+            "platform",
+            format!("{base:?}"),
+            "begin with http:// and an IP number",
+        );
+    }
+    if settings.peer_key.len() < MIN_PEER_KEY_BYTES {
+        let value = format!("of {} bytes", settings.peer_key.len());
+        return refuse("peer_key", value, "use at least 16 random characters");
+    }
+    if settings.operator_tokens.is_empty() {
+        let remedy = "add one hash, made by `shallottide hash-key`";
+        return refuse("operator_tokens", "[]".into(), remedy);
+    }
+    check_limits(path, settings)
+}
+
+fn check_limits(path: &Path, settings: &NodeSettings) -> Result<(), SettingsError> {
+    let limits = &settings.limits;
+    let refuse = |key, value: String, remedy| {
+        Err(SettingsError::Range {
+            path: path.into(),
+            key,
+            value,
+            remedy,
+        })
+    };
+    if limits.header_size.0 < MIN_HEADER_BYTES {
+        let value = limits.header_size.to_string();
+        return refuse("limits.header_size", value, "write at least 8KiB");
+    }
+    if limits.connections == 0 {
+        return refuse("limits.connections", "0".into(), "write at least 1");
+    }
+    if limits.calls == 0 {
+        return refuse("limits.calls", "0".into(), "write at least 1");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/shallottide/src/telemetry/call_span.rs
@@ -0,0 +1,71 @@
+//! The span of one hop of a call, joined to the others by the trace id.
+
+use std::time::Instant;
+
+use shallottide_types::call::Trace;
+use shallottide_types::id::CallId;
+
+/// One hop of a call; ends and is logged when dropped.
+#[derive(Debug)]
+pub struct CallSpan {
+    hop: &'static str,
+    call: CallId,
+    parent: Trace,
+    trace: Trace,
+    started: Instant,
+    outcome: String,
+}
+
+impl CallSpan {
+    /// Starts the span of a hop below the hop that sent `parent`.
+    #[must_use]
+    pub fn start(hop: &'static str, call: &CallId, parent: Trace) -> Self {
+        let trace = Trace {
+            trace_id: parent.trace_id,
+            span_id: rand::random::<u64>().max(1),
+        };
+        Self {
+            hop,
+            call: call.clone(),
+            parent,
+            trace,
+            started: Instant::now(),
+            outcome: "dropped".into(),
+        }
+    }
+
+    /// Returns the trace to send on to the next hop.
+    #[must_use]
+    pub fn trace(&self) -> Trace {
+        self.trace
+    }
+
+    /// Sets how the hop ended.
+    pub fn set_outcome(&mut self, outcome: impl Into<String>) {
+        self.outcome = outcome.into();
+    }
+}
+
+impl Drop for CallSpan {
+    fn drop(&mut self) {
+        tracing::info!(
+            hop = self.hop,
+            call = %self.call,
+            trace_id = format!("{:032x}", self.trace.trace_id),
+            span_id = format!("{:016x}", self.trace.span_id),
+            parent_span_id = format!("{:016x}", self.parent.span_id),
+            duration_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX),
+            outcome = self.outcome,
+            "span"
+        );
+    }
+}
+
+/// Makes a trace for a call whose caller sent none.
+#[must_use]
+pub fn new_trace() -> Trace {
+    Trace {
+        trace_id: rand::random::<u128>().max(1),
+        span_id: 0,
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/upstreams/upstream_border.rs
@@ -0,0 +1,194 @@
+//! Starts a thread for each dispatched call and reports its progress to the calls service.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use shallottide_types::call::ReplyHead;
+use shallottide_types::id::AttemptId;
+use ureq::http::{Request, Response};
+use ureq::{Agent, Body};
+
+use super::answer_reader::{AnswerError, read_events, read_plain};
+use super::attempt_agent::AttemptAgent;
+use crate::kernel::{KernelHandle, names};
+use crate::message::{AttemptEvent, AttemptFailure, Dispatch, Message};
+use crate::telemetry::CallSpan;
+
+/// Header with the call's own id, echoed by upstreams.
+const REQUEST_ID: &str = "x-request-id";
+
+/// Header by which an upstream says that it refused before running.
+const NOT_RUN: &str = "x-not-run";
+
+type Running = Arc<Mutex<BTreeMap<AttemptId, Agent>>>;
+
+/// The border towards engines and plain services.
+#[derive(Clone)]
+pub struct UpstreamBorder {
+    kernel: KernelHandle,
+    running: Running,
+}
+
+impl UpstreamBorder {
+    /// Creates the border; it reports to the kernel's `calls` service.
+    #[must_use]
+    pub fn new(kernel: KernelHandle) -> Self {
+        Self {
+            kernel,
+            running: Running::default(),
+        }
+    }
+
+    /// Takes a message from the kernel without blocking.
+    pub fn send(&self, message: Message) {
+        match message {
+            Message::Dispatch(dispatch) => self.dispatch(dispatch),
+            Message::CancelAttempt(cancel) => self.cancel(cancel.attempt),
+            _ => {}
+        }
+    }
+
+    fn cancel(&self, attempt: AttemptId) {
+        let agent = self.running.lock().expect("running lock").remove(&attempt);
+        if let Some(agent) = agent {
+            agent.shutdown();
+        }
+    }
+
+    fn dispatch(&self, dispatch: Dispatch) {
+        let attempt = dispatch.attempt;
+        let client = AttemptAgent::new(dispatch.head.time_left, dispatch.idle_timeout);
+        self.running
+            .lock()
+            .expect("running lock")
+            .insert(attempt, client.agent.clone());
+        let border = self.clone();
+        let spawned = std::thread::Builder::new()
+            .name("upstream".into())
+            .spawn(move || border.run(&dispatch, &client));
+        if let Err(e) = spawned {
+            let failure = AttemptFailure::NotSent(format!("no thread for the call: {e}"));
+            self.finish(attempt, AttemptEvent::Failed(failure));
+        }
+    }
+
+    fn run(&self, dispatch: &Dispatch, client: &AttemptAgent) {
+        let mut span = CallSpan::start("upstream", &dispatch.head.id, dispatch.head.trace);
+        let result = self.exchange(dispatch, client, &span);
+        let event = match result {
+            Ok(()) => AttemptEvent::End,
+            Err(failure) => AttemptEvent::Failed(failure),
+        };
+        span.set_outcome(match &event {
+            AttemptEvent::Failed(failure) => format!("{failure:?}"),
+            _ => "complete".into(),
+        });
+        self.finish(dispatch.attempt, event);
+    }
+
+    fn finish(&self, attempt: AttemptId, event: AttemptEvent) {
+        self.running.lock().expect("running lock").remove(&attempt);
+        self.report(attempt, event);
+    }
+
+    fn report(&self, attempt: AttemptId, event: AttemptEvent) {
+        self.kernel
+            .send(names::CALLS, Message::Attempt(attempt, event));
+    }
+
+    fn exchange(
+        &self,
+        dispatch: &Dispatch,
+        client: &AttemptAgent,
+        span: &CallSpan,
+    ) -> Result<(), AttemptFailure> {
+        let request = build_request(dispatch, span)?;
+        let response = client.agent.run(request).map_err(|e| {
+            if client.may_have_sent() {
+                AttemptFailure::Lost(format!("no answer from the upstream: {e}"))
+            } else {
+                AttemptFailure::NotSent(format!("the upstream can't be reached: {e}"))
+            }
+        })?;
+        check_head(dispatch, &response)?;
+        let head = ReplyHead {
+            status: response.status().as_u16(),
+            content_type: header(&response, "content-type").unwrap_or_default().into(),
+        };
+        let is_stream = head.content_type.starts_with("text/event-stream");
+        let framing = Framing::of(&response);
+        self.report(dispatch.attempt, AttemptEvent::Head(head));
+        let pass = |part| self.report(dispatch.attempt, AttemptEvent::Data(part));
+        let body = response.into_body().into_reader();
+        let read = match framing {
+            _ if is_stream => read_events(body, pass),
+            Framing::Length(length) => read_plain(body, Some(length), pass),
+            Framing::Chunks => read_plain(body, None, pass),
+            Framing::None => Err(AnswerError::NoFraming),
+        };
+        read.map_err(|e| AttemptFailure::Lost(e.to_string()))
+    }
+}
+
+/// What tells where a body ends.
+enum Framing {
+    Length(u64),
+    Chunks,
+    None,
+}
+
+impl Framing {
+    fn of(response: &Response<Body>) -> Self {
+        let chunked = header(response, "transfer-encoding")
+            .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
+        let length = header(response, "content-length").and_then(|value| value.parse().ok());
+        match (chunked, length) {
+            (true, _) => Self::Chunks,
+            (false, Some(length)) => Self::Length(length),
+            (false, None) if response.status().as_u16() == 204 => Self::Length(0),
+            (false, None) => Self::None,
+        }
+    }
+}
+
+fn build_request(dispatch: &Dispatch, span: &CallSpan) -> Result<Request<Vec<u8>>, AttemptFailure> {
+    let head = &dispatch.head;
+    let mut builder = Request::builder()
+        .method(head.method.as_str())
+        .uri(format!("http://{}{}", dispatch.address, head.path))
+        .header(REQUEST_ID, head.id.as_str())
+        .header("x-team", head.team.as_str())
+        .header("traceparent", span.trace().to_string());
+    if let Some(content_type) = &head.content_type {
+        builder = builder.header("content-type", content_type.as_str());
+    }
+    if let Some(key) = &head.key {
+        builder = builder.header("idempotency-key", key.as_str());
+    }
+    if dispatch.resume_from > 0 {
+        builder = builder.header("x-resume-from", dispatch.resume_from);
+    }
+    builder
+        .body(dispatch.body.to_vec())
+        .map_err(|e| AttemptFailure::NotSent(format!("the request can't be built: {e}")))
+}
+
+fn check_head(dispatch: &Dispatch, response: &Response<Body>) -> Result<(), AttemptFailure> {
+    let id = header(response, REQUEST_ID);
+    if id.is_some_and(|id| id != dispatch.head.id.as_str()) {
+        return Err(AttemptFailure::Lost(
+            "the upstream answered another call".into(),
+        ));
+    }
+    if header(response, NOT_RUN).is_some() {
+        let status = response.status();
+        return Err(AttemptFailure::NotRun(format!(
+            "the upstream refused before running ({status})"
+        )));
+    }
+    Ok(())
+}
+
+fn header<'a>(response: &'a Response<Body>, name: &str) -> Option<&'a str> {
+    response.headers().get(name)?.to_str().ok()
+}
