--- a/crates/shallottide/src/front.rs
+++ b/crates/shallottide/src/front.rs
@@ -3,7 +3,6 @@
 mod call_request;
 mod connection;
 mod front_border;
-mod gone_guard;
 mod reply_body;
 mod stall_guard;
 
--- a/crates/shallottide/src/front/connection.rs
+++ b/crates/shallottide/src/front/connection.rs
@@ -15,15 +15,12 @@
 
 use super::call_request::{CallRequest, read_call};
 use super::front_border::Front;
-use super::gone_guard::GoneGuard;
 use super::reply_body::{EventBody, ReplyBody};
 use crate::kernel::names;
-use crate::message::{CallArrived, CallPresented, ReplyTo};
+use crate::message::{CallArrived, CallPresented};
+use crate::replies::GoneGuard;
 use crate::telemetry::CallSpan;
 
-/// Events of one answer that wait for a slow caller before the call is dropped.
-const WAITING_EVENTS: usize = 1_024;
-
 /// Header with the caller's own id of its request, given back.
 const REQUEST_ID: &str = "x-request-id";
 
@@ -63,10 +60,9 @@
         read_call(&parts, &body, id, front.options.limits.call_timeout)?;
     let span = CallSpan::start("front", &head.id, head.trace);
     head.trace = span.trace();
-    let (number, mut events) = front.wait_for_reply(WAITING_EVENTS);
-    let guard = GoneGuard::new(number, front.kernel.clone(), front.waiting.clone());
+    let (guard, mut events) = front.desk.wait();
     let call = CallArrived {
-        reply_to: ReplyTo::Front(number),
+        reply_to: guard.reply_to(),
         head,
         body,
         slot: None,
--- a/crates/shallottide/src/front/front_border.rs
+++ b/crates/shallottide/src/front/front_border.rs
@@ -1,31 +1,27 @@
 //! Accepts callers' connections and hands answers' events to them.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use shallottide_types::call::ReplyEvent;
 use shallottide_types::id::{CallId, Incarnation, NodeId};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, watch};
 
 use super::connection::serve;
 use super::stall_guard::StallGuard;
 use crate::kernel::KernelHandle;
 use crate::message::{Message, ReplyTo};
+use crate::replies::ReplyDesk;
 use crate::settings::Limits;
 
 /// Wait after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Where the events of each awaited answer go.
-pub(super) type Waiting = Arc<Mutex<BTreeMap<u64, mpsc::Sender<ReplyEvent>>>>;
-
 /// What the border needs to know of its node.
 #[derive(Debug, Clone)]
 pub struct FrontOptions {
@@ -41,7 +37,7 @@
 pub(super) struct Front {
     pub(super) options: FrontOptions,
     pub(super) kernel: KernelHandle,
-    pub(super) waiting: Waiting,
+    pub(super) desk: ReplyDesk,
     pub(super) ready: Arc<AtomicBool>,
     next: AtomicU64,
 }
@@ -58,17 +54,6 @@
             .parse()
             .expect("a node id and two numbers are a valid id")
     }
-
-    /// Registers a new answer and returns its number and events.
-    pub(super) fn wait_for_reply(&self, room: usize) -> (u64, mpsc::Receiver<ReplyEvent>) {
-        let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = mpsc::channel(room);
-        self.waiting
-            .lock()
-            .expect("waiting lock")
-            .insert(number, tx);
-        (number, rx)
-    }
 }
 
 /// The border towards callers; a cheap cloneable handle.
@@ -84,8 +69,8 @@
         Self {
             front: Arc::new(Front {
                 options,
+                desk: ReplyDesk::new(kernel.clone(), ReplyTo::Front),
                 kernel,
-                waiting: Waiting::default(),
                 ready,
                 next: AtomicU64::new(1),
             }),
@@ -93,38 +78,32 @@
     }
 
     /// Takes a message from the kernel without blocking.
-    ///
-    /// # Panics
-    /// If another thread panicked while holding the border's state.
     pub fn send(&self, message: Message) {
-        let Message::Reply(reply) = message else {
-            return;
-        };
-        let ReplyTo::Front(number) = reply.reply_to else {
-            return;
-        };
-        let mut waiting = self.front.waiting.lock().expect("waiting lock");
-        let Some(tx) = waiting.get(&number) else {
-            return;
-        };
-        let last = matches!(reply.event, ReplyEvent::End | ReplyEvent::Fail(_));
-        // A caller too slow for the waiting room loses its call: dropping the sender
-        // cuts its body, and its guard then tells the kernel.
-        if tx.try_send(reply.event).is_err() || last {
-            waiting.remove(&number);
+        if let Message::Reply(reply) = message
+            && let ReplyTo::Front(number) = reply.reply_to
+        {
+            self.front.desk.deliver(number, reply.event);
         }
     }
 
-    /// Accepts connections for ever; run it on a tokio runtime with a `LocalSet` or not.
+    /// Accepts connections until `closed` turns true; connections that are open go on.
     ///
     /// # Errors
     /// Those of taking over the listener.
-    pub async fn serve(self, listener: std::net::TcpListener) -> std::io::Result<()> {
+    pub async fn serve(
+        self,
+        listener: std::net::TcpListener,
+        mut closed: watch::Receiver<bool>,
+    ) -> std::io::Result<()> {
         let listener = TcpListener::from_std(listener)?;
         let room = Arc::new(Semaphore::new(self.front.options.limits.connections));
         loop {
-            let (stream, _) = match listener.accept().await {
-                Ok(accepted) => accepted,
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = closed.wait_for(|closed| *closed) => return Ok(()),
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
                 Err(e) => {
                     tracing::warn!(error = %e, "accept failed");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/shallottide/src/front/reply_body.rs
+++ b/crates/shallottide/src/front/reply_body.rs
@@ -10,7 +10,7 @@
 use shallottide_types::refusal::Refusal;
 use tokio::sync::mpsc;
 
-use super::gone_guard::GoneGuard;
+use crate::replies::GoneGuard;
 use crate::telemetry::CallSpan;
 
 /// Ends a plain body that can't be completed, so that the caller sees it cut.
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -7,11 +7,16 @@
 
 pub mod admission;
 pub mod auth;
+pub mod engines;
 pub mod front;
 pub mod kernel;
 pub mod message;
+pub mod operators;
+pub mod platform_border;
+pub mod replies;
 pub mod routing;
 pub mod settings;
 pub mod telemetry;
 pub mod upstreams;
 pub mod view;
+pub mod worker_pool;
--- /dev/null
+++ b/crates/shallottide/src/node.rs
@@ -0,0 +1,9 @@
+//! Builds one node from its settings: kernel, services and borders.
+
+mod running_node;
+mod stop_sequence;
+mod wiring;
+
+pub use running_node::{NodeAddresses, RunningNode};
+pub use stop_sequence::StopReport;
+pub use wiring::{NodeError, start};
--- /dev/null
+++ b/crates/shallottide/src/node/running_node.rs
@@ -0,0 +1,95 @@
+//! A handle on a node that runs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+
+use tokio::sync::watch;
+
+use super::stop_sequence::{StopReport, StopSequence};
+use crate::kernel::{KernelHandle, names};
+use crate::message::Message;
+use crate::settings::StopSettings;
+
+/// Where a node listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodeAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other entry VMs.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// A node that runs on threads of its own.
+pub struct RunningNode {
+    pub(super) addresses: NodeAddresses,
+    pub(super) kernel: KernelHandle,
+    pub(super) kernel_thread: JoinHandle<()>,
+    pub(super) flags: NodeFlags,
+    pub(super) stop: StopSettings,
+}
+
+/// State shared between a node's threads.
+#[derive(Clone)]
+pub(super) struct NodeFlags {
+    /// Whether the balancer may send callers here.
+    pub(super) ready: Arc<AtomicBool>,
+    /// Set once the node's threads are to end.
+    pub(super) ended: Arc<AtomicBool>,
+    /// Calls in flight on this node.
+    pub(super) in_flight: Arc<AtomicUsize>,
+    /// Turns true when the callers' listener is to close.
+    pub(super) closed: watch::Sender<bool>,
+}
+
+impl Default for NodeFlags {
+    fn default() -> Self {
+        Self {
+            ready: Arc::default(),
+            ended: Arc::default(),
+            in_flight: Arc::default(),
+            closed: watch::Sender::new(false),
+        }
+    }
+}
+
+impl RunningNode {
+    /// Returns where the node listens.
+    #[must_use]
+    pub fn addresses(&self) -> NodeAddresses {
+        self.addresses
+    }
+
+    /// Stops the node gracefully. Blocks until calls in flight have ended, the deadline
+    /// has passed or `hurry` is set.
+    pub fn stop(self, hurry: &AtomicBool) -> StopReport {
+        let report = StopSequence {
+            kernel: &self.kernel,
+            flags: &self.flags,
+            settings: &self.stop,
+            hurry,
+        }
+        .run();
+        self.end();
+        report
+    }
+
+    /// Ends the node at once, as a crash would for its callers.
+    pub fn kill(self) {
+        self.end();
+    }
+
+    fn end(self) {
+        self.flags.ready.store(false, Ordering::Release);
+        self.flags.closed.send_replace(true);
+        self.flags.ended.store(true, Ordering::Release);
+        // Wakes the kernel so that it sees the flag.
+        self.kernel.send(names::STATUS, Message::Tick);
+        if self.kernel_thread.join().is_err() {
+            tracing::error!("kernel thread panicked");
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/node/stop_sequence.rs
@@ -0,0 +1,62 @@
+//! The steps of a planned stop.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use super::running_node::NodeFlags;
+use crate::kernel::{KernelHandle, names};
+use crate::message::Message;
+use crate::settings::StopSettings;
+
+/// Pause between looks at the calls in flight.
+const POLL: Duration = Duration::from_millis(20);
+
+/// How a stop went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopReport {
+    /// Calls that were still running at the end; 0 after a graceful stop.
+    pub left: usize,
+    /// Whether the wait was cut short by a second signal.
+    pub hurried: bool,
+}
+
+/// Leads a node through its stop.
+pub(super) struct StopSequence<'a> {
+    pub(super) kernel: &'a KernelHandle,
+    pub(super) flags: &'a NodeFlags,
+    pub(super) settings: &'a StopSettings,
+    pub(super) hurry: &'a AtomicBool,
+}
+
+impl StopSequence<'_> {
+    /// Turns readiness off, gives the balancer time to notice, closes the callers' listener
+    /// and waits for calls in flight.
+    pub(super) fn run(&self) -> StopReport {
+        tracing::info!(notice = ?self.settings.notice, "stopping");
+        self.flags.ready.store(false, Ordering::Release);
+        for name in [names::MEMBERS, names::GROUPS, names::CLAIMS, names::CONFIG] {
+            self.kernel.send(name, Message::Stop);
+        }
+        self.wait_until(Instant::now() + self.settings.notice, || false);
+        self.flags.closed.send_replace(true);
+        self.kernel.send(names::CALLS, Message::Stop);
+        let deadline = Instant::now() + self.settings.deadline;
+        self.wait_until(deadline, || self.in_flight() == 0);
+        let report = StopReport {
+            left: self.in_flight(),
+            hurried: self.hurry.load(Ordering::Acquire),
+        };
+        tracing::info!(left = report.left, hurried = report.hurried, "stopped");
+        report
+    }
+
+    fn in_flight(&self) -> usize {
+        self.flags.in_flight.load(Ordering::Acquire)
+    }
+
+    fn wait_until(&self, deadline: Instant, done: impl Fn() -> bool) {
+        while Instant::now() < deadline && !self.hurry.load(Ordering::Acquire) && !done() {
+            std::thread::sleep(POLL);
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/node/wiring.rs
@@ -0,0 +1,250 @@
+//! Starts a node's threads and connects services and borders by name.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Sender, channel};
+use std::thread::JoinHandle;
+
+use shallottide_types::clock::{Clock, SystemClock};
+use shallottide_types::id::Incarnation;
+use shallottide_types::peer::NodeInfo;
+use shallottide_types::platform::Platform;
+use tokio::runtime::Runtime;
+
+use super::running_node::{NodeAddresses, NodeFlags, RunningNode};
+use crate::admission::{AdmissionOptions, SlotAdmission};
+use crate::auth::AuthService;
+use crate::calls::{CallOptions, CallService};
+use crate::claims::{ClaimOptions, ClaimService};
+use crate::config::{ConfigOptions, ConfigService};
+use crate::engines::EngineBorder;
+use crate::front::{FrontBorder, FrontOptions};
+use crate::groups::{GroupOptions, GroupService};
+use crate::kernel::{Context, Kernel, KernelHandle, names};
+use crate::members::{MemberOptions, MemberService};
+use crate::operators::OperatorBorder;
+use crate::peer_codec::{PeerKey, PeerKeyError};
+use crate::peers::{PeerBorder, PeerOptions};
+use crate::platform_border::PlatformBorder;
+use crate::routing::{RoutingOptions, SlotRouter};
+use crate::settings::NodeSettings;
+use crate::status::StatusService;
+use crate::upstreams::UpstreamBorder;
+
+/// Why a node can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// An address can't be bound.
+    #[error("{key} address {address} can't be bound ({source}): choose a free address of this VM")]
+    Bind {
+        /// The settings key.
+        key: &'static str,
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A thread can't be started.
+    #[error("a thread can't be started ({0}): raise the process's limits")]
+    Thread(#[from] std::io::Error),
+    /// The peer key can't be used.
+    #[error("peer_key: {0}")]
+    PeerKey(#[from] PeerKeyError),
+    /// The kernel thread ended before it was up.
+    #[error("the kernel thread ended at its start: see the log")]
+    Kernel,
+}
+
+/// Everything that the kernel's thread needs to build its node.
+struct Parts {
+    settings: NodeSettings,
+    platform: Arc<dyn Platform>,
+    clock: Arc<dyn Clock>,
+    me: NodeInfo,
+    peer_key: PeerKey,
+    callers: TcpListener,
+    peers: TcpListener,
+    flags: NodeFlags,
+}
+
+/// What the kernel's thread reports once it is up.
+struct Started {
+    kernel: KernelHandle,
+    operators: std::net::SocketAddr,
+}
+
+/// Starts a node that runs until it is stopped.
+///
+/// # Errors
+/// [`NodeError`] naming the setting and the remedy.
+pub fn start(
+    settings: NodeSettings,
+    platform: Arc<dyn Platform>,
+) -> Result<RunningNode, NodeError> {
+    let callers = bind("callers", settings.callers)?;
+    let peers = bind("peers", settings.peers)?;
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let me = NodeInfo {
+        node: settings.node.clone(),
+        incarnation: incarnation(&*clock),
+        domain: settings.failure_domain.clone(),
+        address: peers.local_addr()?,
+        stopping: false,
+    };
+    let flags = NodeFlags::default();
+    let stop = settings.stop.clone();
+    let mut addresses = NodeAddresses {
+        callers: callers.local_addr()?,
+        peers: me.address,
+        operators: settings.operators,
+    };
+    let parts = Parts {
+        peer_key: PeerKey::new(settings.peer_key.as_bytes())?,
+        settings,
+        platform,
+        clock,
+        me,
+        callers,
+        peers,
+        flags: flags.clone(),
+    };
+    let (started, kernel_thread) = spawn_kernel(parts)?;
+    addresses.operators = started.operators;
+    Ok(RunningNode {
+        addresses,
+        kernel: started.kernel,
+        kernel_thread,
+        flags,
+        stop,
+    })
+}
+
+/// Numbers this start by the time of day; a later start has a higher number.
+fn incarnation(clock: &dyn Clock) -> Incarnation {
+    Incarnation(u64::try_from(clock.unix_time().as_millis()).unwrap_or(u64::MAX))
+}
+
+fn bind(key: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, NodeError> {
+    FrontBorder::bind(address).map_err(|source| NodeError::Bind {
+        key,
+        address,
+        source,
+    })
+}
+
+/// The kernel's state is bound to its thread, so it is built there.
+fn spawn_kernel(parts: Parts) -> Result<(Started, JoinHandle<()>), NodeError> {
+    let (tx, rx) = channel();
+    let thread = std::thread::Builder::new()
+        .name("kernel".into())
+        .spawn(move || run_kernel(parts, &tx))?;
+    let started = rx.recv().map_err(|_| NodeError::Kernel)??;
+    Ok((started, thread))
+}
+
+fn run_kernel(parts: Parts, tx: &Sender<Result<Started, NodeError>>) {
+    let flags = parts.flags.clone();
+    match build(parts) {
+        Ok((kernel, runtime, started)) => {
+            let _ = tx.send(Ok(started));
+            let ready = flags.ready.clone();
+            let closed = flags.closed.subscribe();
+            kernel.run(move |cx| {
+                // Callers are let in once the records are known, and not again after a stop.
+                if !*closed.borrow() && !cx.me().stopping && !cx.config().teams.is_empty() {
+                    ready.store(true, Ordering::Release);
+                }
+                flags.ended.load(Ordering::Acquire)
+            });
+            runtime.shutdown_background();
+        }
+        Err(e) => drop(tx.send(Err(e))),
+    }
+}
+
+fn build(parts: Parts) -> Result<(Kernel, Runtime, Started), NodeError> {
+    let context = Context::new(parts.clock.clone(), parts.me.clone());
+    let mut kernel = Kernel::new(context);
+    add_services(&mut kernel, &parts);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()?;
+    let operators = add_borders(&mut kernel, parts, &runtime)?;
+    let started = Started {
+        kernel: kernel.handle(),
+        operators,
+    };
+    Ok((kernel, runtime, started))
+}
+
+fn add_services(kernel: &mut Kernel, parts: &Parts) {
+    let in_flight: Arc<AtomicUsize> = parts.flags.in_flight.clone();
+    let call_options = CallOptions {
+        max_in_flight: parts.settings.limits.calls,
+        in_flight,
+        ..CallOptions::default()
+    };
+    let member_options = MemberOptions {
+        seeds: parts.settings.seeds.clone(),
+        ..MemberOptions::default()
+    };
+    let router = Box::new(SlotRouter::new(RoutingOptions::default()));
+    let admission = Box::new(SlotAdmission::new(AdmissionOptions::default()));
+    kernel.add_service(Box::new(ConfigService::new(ConfigOptions::default())));
+    kernel.add_service(Box::new(MemberService::new(member_options)));
+    kernel.add_service(Box::new(GroupService::new(GroupOptions::default())));
+    kernel.add_service(Box::new(ClaimService::new(ClaimOptions::default())));
+    kernel.add_service(Box::new(AuthService));
+    kernel.add_service(Box::new(CallService::new(call_options, router, admission)));
+    kernel.add_service(Box::new(StatusService::default()));
+}
+
+fn add_borders(
+    kernel: &mut Kernel,
+    parts: Parts,
+    runtime: &Runtime,
+) -> Result<std::net::SocketAddr, NodeError> {
+    let handle = kernel.handle();
+    let flags = parts.flags;
+    let front_options = FrontOptions {
+        node: parts.me.node.clone(),
+        incarnation: parts.me.incarnation,
+        limits: parts.settings.limits,
+    };
+    let front = FrontBorder::new(front_options, handle.clone(), flags.ready.clone());
+    let peer_options = PeerOptions {
+        node: parts.me.node,
+        address: parts.me.address,
+        key: parts.peer_key,
+        clock: parts.clock,
+    };
+    let peers = PeerBorder::new(peer_options, handle.clone(), runtime.handle().clone());
+    let upstreams = UpstreamBorder::new(handle.clone());
+    let engines = EngineBorder::new(handle.clone())?;
+    let platform = PlatformBorder::new(handle.clone(), parts.platform)?;
+    let operators = OperatorBorder::new(
+        handle,
+        parts.settings.operator_tokens,
+        flags.ready.clone(),
+    );
+    let operators_address = operators
+        .clone()
+        .start(parts.settings.operators, flags.ended.clone())
+        .map_err(|source| NodeError::Bind {
+            key: "operators",
+            address: parts.settings.operators,
+            source,
+        })?;
+    runtime.spawn(front.clone().serve(parts.callers, flags.closed.subscribe()));
+    runtime.spawn(peers.clone().serve(parts.peers));
+    kernel.add_border(names::FRONT, move |message| front.send(message));
+    kernel.add_border(names::PEERS, move |message| peers.send(message));
+    kernel.add_border(names::UPSTREAMS, move |message| upstreams.send(message));
+    kernel.add_border(names::ENGINES, move |message| engines.send(message));
+    kernel.add_border(names::PLATFORM, move |message| platform.send(message));
+    kernel.add_border(names::OPERATORS, move |message| operators.send(message));
+    Ok(operators_address)
+}
+
--- /dev/null
+++ b/crates/shallottide/src/operators.rs
@@ -0,0 +1,5 @@
+//! Border: the operators' port, with the node's status.
+
+mod operator_border;
+
+pub use operator_border::OperatorBorder;
--- /dev/null
+++ b/crates/shallottide/src/peers/outgoing.rs
@@ -0,0 +1,173 @@
+//! Sends control messages and calls to peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::{Reason, RecvStream};
+use http::{Request, Response, StatusCode};
+use shallottide_types::call::ReplyEvent;
+use shallottide_types::peer::PeerMsg;
+use tokio::time::timeout;
+
+use super::link::Link;
+use super::link_pool::LinkPool;
+use super::proof::{Proof, Prover};
+use crate::message::{AttemptEvent, AttemptFailure, Forward};
+use crate::peer_codec::{FrameReader, decode, encode};
+
+/// Longest wait for the answer to a control message.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Connections to peers and what is needed to use them.
+pub(super) struct Outgoing {
+    pub(super) links: LinkPool,
+    pub(super) prover: Prover,
+}
+
+impl Outgoing {
+    /// Sends a control message; it may be lost.
+    pub(super) async fn control(&self, address: SocketAddr, msg: &PeerMsg) {
+        let body = Bytes::from(encode(msg));
+        let exchange = async {
+            let link = self.links.proven(address).await.map_err(|e| e.to_string())?;
+            let answer = timeout(CONTROL_TIMEOUT, self.exchange(&link, address, "/control", body));
+            let answer = answer.await.map_err(|_| "no answer in time".to_string());
+            let answer = answer.and_then(|answer| answer.map_err(|e| format!("{e:?}")));
+            if answer.is_err() {
+                self.links.drop_link(address, &link).await;
+            }
+            answer.map(drop)
+        };
+        if let Err(e) = exchange.await {
+            tracing::debug!(%address, error = e, "control message lost");
+        }
+    }
+
+    /// Runs a call on a peer and reports its events; ends with `End` or `Failed`.
+    pub(super) async fn call(&self, forward: &Forward, report: impl Fn(AttemptEvent)) {
+        let result = self.run_call(forward, &report).await;
+        report(match result {
+            Ok(()) => AttemptEvent::End,
+            Err(failure) => AttemptEvent::Failed(failure),
+        });
+    }
+
+    async fn run_call(
+        &self,
+        forward: &Forward,
+        report: &impl Fn(AttemptEvent),
+    ) -> Result<(), AttemptFailure> {
+        let address = forward.node.address;
+        let link = self.links.proven(address).await;
+        let link = link.map_err(|e| AttemptFailure::NotSent(e.to_string()))?;
+        let body = Bytes::from(encode(&forward.call));
+        let answer = timeout(
+            forward.idle_timeout,
+            self.exchange(&link, address, "/call", body),
+        );
+        let result = match answer.await {
+            Ok(Ok(response)) => read_answer(&link, response, forward.idle_timeout, report).await,
+            Ok(Err(failure)) => Err(failure),
+            Err(_) => Err(silent()),
+        };
+        if matches!(result, Err(AttemptFailure::Lost(_))) {
+            self.links.drop_link(address, &link).await;
+        }
+        result
+    }
+
+    /// Sends one signed request and checks the response's proof.
+    async fn exchange(
+        &self,
+        link: &Link,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<RecvStream>, AttemptFailure> {
+        let proof = self.prover.sign(address, &body);
+        let request = build_request(address, path, &proof)
+            .map_err(|e| AttemptFailure::NotSent(e.to_string()))?;
+        let (response, mut stream) = link
+            .start(request)
+            .await
+            .map_err(|e| AttemptFailure::NotSent(e.to_string()))?;
+        stream.send_data(body, true).map_err(|e| lost(&e))?;
+        let response = response.await.map_err(|e| lost(&e))?;
+        link.heard();
+        if response.status() != StatusCode::OK {
+            let status = response.status();
+            let reason = format!("the peer refused the request ({status}): compare peer keys");
+            return Err(AttemptFailure::NotRun(reason));
+        }
+        let answered = Proof::from_headers(response.headers());
+        let checked = answered.and_then(|answered| {
+            self.prover
+                .verify(&answered, address, proof.tag.as_bytes())
+        });
+        checked.map_err(|e| AttemptFailure::Lost(e.to_string()))?;
+        Ok(response)
+    }
+}
+
+fn build_request(
+    address: SocketAddr,
+    path: &str,
+    proof: &Proof,
+) -> Result<Request<()>, http::Error> {
+    let mut builder = Request::builder()
+        .method("POST")
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in proof.headers() {
+        builder = builder.header(name, value);
+    }
+    builder.body(())
+}
+
+async fn read_answer(
+    link: &Link,
+    response: Response<RecvStream>,
+    idle_timeout: Duration,
+    report: &impl Fn(AttemptEvent),
+) -> Result<(), AttemptFailure> {
+    let mut body = response.into_body();
+    let mut frames = FrameReader::default();
+    loop {
+        let chunk = timeout(idle_timeout, body.data());
+        let chunk = chunk.await.map_err(|_| silent())?;
+        let Some(chunk) = chunk else {
+            return Err(AttemptFailure::Lost("the peer's answer was cut".into()));
+        };
+        let chunk = chunk.map_err(|e| lost(&e))?;
+        link.heard();
+        // Lets the peer send as much again.
+        let _ = body.flow_control().release_capacity(chunk.len());
+        frames.push(&chunk);
+        let malformed = |e: crate::peer_codec::CodecError| AttemptFailure::Lost(e.to_string());
+        while let Some(frame) = frames.next_message().map_err(malformed)? {
+            match decode::<ReplyEvent>(&frame).map_err(malformed)? {
+                ReplyEvent::Head(head) => report(AttemptEvent::Head(head)),
+                ReplyEvent::Data(data) => report(AttemptEvent::Data(data)),
+                ReplyEvent::End => return Ok(()),
+                ReplyEvent::Fail(refusal) => return Err(AttemptFailure::Refused(refusal)),
+            }
+        }
+    }
+}
+
+fn silent() -> AttemptFailure {
+    AttemptFailure::Lost("the peer went silent".into())
+}
+
+/// Tells a stream that the peer never took from one whose fate is unknown.
+fn lost(e: &h2::Error) -> AttemptFailure {
+    if e.is_remote() && e.reason() == Some(Reason::REFUSED_STREAM) {
+        AttemptFailure::NotRun("the peer refused the stream before taking it".into())
+    } else {
+        AttemptFailure::Lost(format!("the peer's connection failed: {e}"))
+    }
+}
+
+/// Shares the outgoing side between tasks.
+pub(super) type SharedOutgoing = Arc<Outgoing>;
--- /dev/null
+++ b/crates/shallottide/src/platform_border.rs
@@ -0,0 +1,95 @@
+//! Border: calls to the platform's key-value service and VM list.
+
+use std::sync::Arc;
+
+use shallottide_types::platform::{Platform, PlatformError};
+
+use crate::kernel::KernelHandle;
+use crate::message::{Message, PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest};
+use crate::worker_pool::WorkerPool;
+
+/// Threads for calls that don't wait for a change.
+const THREADS: usize = 4;
+
+/// Threads for calls that wait for a change; a node runs at most one watch of the records,
+/// one of the placement, and one spare while an old watch ends.
+const WATCH_THREADS: usize = 3;
+
+/// The border towards the platform.
+#[derive(Clone)]
+pub struct PlatformBorder {
+    kernel: KernelHandle,
+    platform: Arc<dyn Platform>,
+    workers: WorkerPool,
+    watchers: WorkerPool,
+}
+
+impl PlatformBorder {
+    /// Creates the border; results go to the service that asked.
+    ///
+    /// # Errors
+    /// Those of starting threads.
+    pub fn new(kernel: KernelHandle, platform: Arc<dyn Platform>) -> std::io::Result<Self> {
+        Ok(Self {
+            kernel,
+            platform,
+            workers: WorkerPool::new("platform", THREADS)?,
+            watchers: WorkerPool::new("watch", WATCH_THREADS)?,
+        })
+    }
+
+    /// Takes a message from the kernel without blocking.
+    pub fn send(&self, message: Message) {
+        let Message::PlatformRequest(request) = message else {
+            return;
+        };
+        let is_watch = matches!(request.op, PlatformOp::List { after: Some(_), .. });
+        let pool = if is_watch {
+            &self.watchers
+        } else {
+            &self.workers
+        };
+        let border = self.clone();
+        pool.run(move || border.run(request));
+    }
+
+    fn run(&self, request: PlatformRequest) {
+        let result = self.call(request.op);
+        if let Err(e) = &result {
+            tracing::warn!(error = %e, service = %request.reply_to, "platform call failed");
+        }
+        let reply = PlatformReply {
+            token: request.token,
+            result,
+        };
+        self.kernel.send(request.reply_to, reply);
+    }
+
+    fn call(&self, op: PlatformOp) -> Result<PlatformAnswer, PlatformError> {
+        let platform = &*self.platform;
+        Ok(match op {
+            PlatformOp::Get(key) => PlatformAnswer::Entry(platform.get(&key)?),
+            PlatformOp::List {
+                prefix,
+                after,
+                wait,
+            } => PlatformAnswer::Listing(platform.list(&prefix, after, wait)?),
+            PlatformOp::Swap { key, value, expect } => {
+                PlatformAnswer::Swap(platform.swap(&key, &value, expect)?)
+            }
+            PlatformOp::OpenSession(ttl) => PlatformAnswer::Session(platform.open_session(ttl)?),
+            PlatformOp::RenewSession(session) => {
+                PlatformAnswer::Done(platform.renew_session(&session)?)
+            }
+            PlatformOp::Acquire {
+                key,
+                value,
+                session,
+            } => PlatformAnswer::Done(platform.acquire(&key, &value, &session)?),
+            PlatformOp::Release { key, session } => {
+                PlatformAnswer::Done(platform.release(&key, &session)?)
+            }
+            PlatformOp::Vms(domain) => PlatformAnswer::Vms(platform.vms(&domain)?),
+        })
+    }
+}
