Add the in-process platform stand-in and synthetic answers

Tests of every service need a key-value service with compare-and-swap, leases, watches, a lagging VM list, counted calls and faults, without sockets.

A watch wakes only for changes under its own prefix, found by the index of each key and of each deletion; waking on any change of the store would have made every claim wake every watch of the configuration.

Each guard was removed in turn and a test failed: the comparison in swap, the lapse of a session exactly at its TTL, the holder check of acquire, the loss of a write, the recorded deletion. With the last one removed the first form of the watch test still passed after its minute of waiting; it now waits an hour and counts as hung after 20 s, and fails.

--- a/crates/shallottide_types/src/lib.rs
+++ b/crates/shallottide_types/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`call`] and [`refusal`]: one caller's request, its answer, its errors.
 //! - [`placement`]: which VMs form which group, and who dispatches to it.
 //! - [`peer`]: messages between entry VMs.
+//! - [`synthetic`]: answers of stand-in engines, for checks.
 //! - [`platform`] and [`engine`]: traits towards the outside.
 
 mod macros;
@@ -20,3 +21,4 @@
 pub mod quantity;
 pub mod record;
 pub mod refusal;
+pub mod synthetic;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,16 @@
+//! The platform's key-value service and VM list.
+//!
+//! [`MemoryPlatform`] is used in process.
+
+mod call_counts;
+mod memory_platform;
+mod platform_faults;
+mod platform_options;
+mod rate_limiter;
+mod store;
+mod vm_list;
+
+pub use call_counts::{CallCounts, CallKind};
+pub use memory_platform::MemoryPlatform;
+pub use platform_faults::PlatformFaults;
+pub use platform_options::PlatformOptions;
