Add the platform client over HTTP

The library had the Platform trait and nothing that speaks to a platform.

The kind of an I/O error doesn't tell whether bytes were sent: an open connection can fail with "host unreachable" too. Ruled out for that reason; instead the connector marks every failure to open a connection. Only these are Unreachable, and only after these does a write go to the next address. A write answered with something else than true or false counts as lost.

--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod admission;
 pub mod kernel;
 pub mod message;
+pub mod platform_client;
 pub mod routing;
 pub mod view;
--- /dev/null
+++ b/crates/shallottide/src/platform_client/connect_errors.rs
@@ -0,0 +1,39 @@
+//! Tells a connection that was never opened from one that failed later.
+
+use ureq::Error;
+use ureq::unversioned::transport::{ConnectionDetails, Connector, DefaultConnector, Transport};
+
+/// A connection that could not be opened; no byte was sent.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub(super) struct NotConnected(String);
+
+/// Opens connections and marks every failure to do so as [`NotConnected`].
+///
+/// The kinds of I/O errors alone don't tell: an open connection can fail with "host
+/// unreachable" too, after bytes were sent.
+#[derive(Debug, Default)]
+pub(super) struct MarkingConnector(DefaultConnector);
+
+impl Connector for MarkingConnector {
+    type Out = Box<dyn Transport>;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails,
+        chained: Option<()>,
+    ) -> Result<Option<Self::Out>, Error> {
+        self.0
+            .connect(details, chained)
+            .map_err(|e| Error::Other(Box::new(NotConnected(e.to_string()))))
+    }
+}
+
+/// Tells whether a call failed before any byte was sent.
+pub(super) fn is_not_connected(error: &Error) -> bool {
+    match error {
+        Error::Other(source) => source.is::<NotConnected>(),
+        Error::HostNotFound | Error::Timeout(ureq::Timeout::Resolve) => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/platform_client/http_call.rs
@@ -0,0 +1,180 @@
+//! One HTTP call to the platform and what its failures mean.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use shallottide_types::id::StoreIndex;
+use shallottide_types::platform::PlatformError;
+use ureq::Agent;
+use ureq::unversioned::resolver::DefaultResolver;
+
+use super::connect_errors::{MarkingConnector, is_not_connected};
+use super::platform_options::PlatformOptions;
+
+/// Header with the store's index.
+const INDEX_HEADER: &str = "x-consul-index";
+
+/// Most characters of an unexpected answer that are shown in an error.
+const SHOWN_CHARS: usize = 80;
+
+/// A call to send.
+#[derive(Debug)]
+pub(super) struct HttpCall<'a> {
+    pub(super) method: Method,
+    /// Path and query, escaped.
+    pub(super) path: String,
+    pub(super) body: &'a [u8],
+    /// How long the platform may hold the call before it answers.
+    pub(super) wait: Duration,
+}
+
+impl<'a> HttpCall<'a> {
+    pub(super) fn read(path: String) -> Self {
+        Self::new(Method::GET, path, &[])
+    }
+
+    pub(super) fn write(path: String, body: &'a [u8]) -> Self {
+        Self::new(Method::PUT, path, body)
+    }
+
+    pub(super) fn delete(path: String) -> Self {
+        Self::new(Method::DELETE, path, &[])
+    }
+
+    fn new(method: Method, path: String, body: &'a [u8]) -> Self {
+        Self {
+            method,
+            path,
+            body,
+            wait: Duration::ZERO,
+        }
+    }
+
+    /// Sets how long the platform may hold the call.
+    pub(super) fn wait(mut self, wait: Duration) -> Self {
+        self.wait = wait;
+        self
+    }
+
+    pub(super) fn is_read(&self) -> bool {
+        self.method == Method::GET
+    }
+}
+
+/// A whole answer with status 200 or 404.
+#[derive(Debug)]
+pub(super) struct HttpAnswer {
+    /// Whether the status was 200.
+    pub(super) found: bool,
+    /// The store's index, if the answer carries it.
+    pub(super) index: Option<StoreIndex>,
+    pub(super) body: Vec<u8>,
+}
+
+/// Creates an agent that opens a connection for each call and repeats nothing by itself.
+///
+/// A kept connection may have gone silent, and a write sent on one that the platform just
+/// closed would leave open whether it took effect.
+pub(super) fn agent(options: &PlatformOptions) -> Agent {
+    let config = Agent::config_builder()
+        .max_idle_connections(0)
+        .max_idle_connections_per_host(0)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .http_status_as_error(false)
+        .proxy(None)
+        .timeout_connect(Some(options.connect_timeout))
+        .timeout_resolve(Some(options.connect_timeout))
+        .build();
+    Agent::with_parts(
+        config,
+        MarkingConnector::default(),
+        DefaultResolver::default(),
+    )
+}
+
+/// Sends one call to one address.
+pub(super) fn send(
+    agent: &Agent,
+    options: &PlatformOptions,
+    address: &str,
+    call: &HttpCall<'_>,
+) -> Result<HttpAnswer, PlatformError> {
+    let mut response =
+        exchange(agent, options, address, call).map_err(|e| call_error(address, &e))?;
+    let status = response.status();
+    let index = index_of(&response);
+    let body = response
+        .body_mut()
+        .with_config()
+        .limit(options.max_answer_bytes)
+        .read_to_vec()
+        .map_err(|e| PlatformError::AnswerLost(e.to_string()))?;
+    match status {
+        StatusCode::OK | StatusCode::NOT_FOUND => Ok(HttpAnswer {
+            found: status == StatusCode::OK,
+            index,
+            body,
+        }),
+        StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Limited),
+        _ => Err(status_error(status, &body)),
+    }
+}
+
+fn exchange(
+    agent: &Agent,
+    options: &PlatformOptions,
+    address: &str,
+    call: &HttpCall<'_>,
+) -> Result<http::Response<ureq::Body>, ureq::Error> {
+    let request = http::Request::builder()
+        .method(call.method.clone())
+        .uri(format!("{address}{}", call.path));
+    let timeout = options.connect_timeout + options.answer_timeout + call.wait;
+    if call.body.is_empty() && call.method != Method::PUT {
+        let request = agent
+            .configure_request(request.body(())?)
+            .timeout_global(Some(timeout))
+            .build();
+        return agent.run(request);
+    }
+    let request = agent
+        .configure_request(request.body(call.body)?)
+        .timeout_global(Some(timeout))
+        .build();
+    agent.run(request)
+}
+
+fn call_error(address: &str, error: &ureq::Error) -> PlatformError {
+    if is_not_connected(error) {
+        return PlatformError::Unreachable {
+            address: address.into(),
+            reason: error.to_string(),
+        };
+    }
+    PlatformError::AnswerLost(error.to_string())
+}
+
+/// Status 5xx leaves open whether the call took effect; any other status refused it.
+fn status_error(status: StatusCode, body: &[u8]) -> PlatformError {
+    let shown: String = String::from_utf8_lossy(body)
+        .chars()
+        .take(SHOWN_CHARS)
+        .collect();
+    let text = format!("status {}: {shown}", status.as_u16());
+    if status.is_server_error() {
+        PlatformError::AnswerLost(text)
+    } else {
+        PlatformError::Malformed(text)
+    }
+}
+
+fn index_of(response: &http::Response<ureq::Body>) -> Option<StoreIndex> {
+    response
+        .headers()
+        .get(INDEX_HEADER)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
--- /dev/null
+++ b/crates/shallottide/tests/platform_client/main.rs
@@ -0,0 +1,209 @@
+//! The platform client against scripted connections.
+
+mod scripted_server;
+
+use std::time::Duration;
+
+use scripted_server::{ClosedPort, ScriptedServer, Step};
+use shallottide::platform_client::{ConsulPlatform, PlatformOptions};
+use shallottide_types::cases;
+use shallottide_types::id::StoreIndex;
+use shallottide_types::platform::{Expect, Platform, PlatformError, Swap};
+
+const KEY: &str = "records/upstream/tally-1";
+const WAIT: Duration = Duration::from_millis(300);
+const ENTRY: &str = r#"[{"LockIndex":0,"Key":"a/b","Flags":0,"Value":"aGk=","CreateIndex":3,
+    "ModifyIndex":7,"Session":"s-1"}]"#;
+
+fn client<T: Into<String>>(addresses: impl IntoIterator<Item = T>) -> ConsulPlatform {
+    let options = PlatformOptions::default()
+        .addresses(addresses)
+        .answer_timeout(Duration::from_millis(500));
+    ConsulPlatform::new(options).expect("options")
+}
+
+/// Runs one operation against a script and returns its outcome and the requests seen.
+fn run(steps: &[Step], op: impl Fn(&dyn Platform) -> String) -> (String, Vec<String>) {
+    let server = ScriptedServer::start(steps);
+    let outcome = op(&client([server.address.clone()]));
+    (outcome, server.requests())
+}
+
+fn kind<T>(result: &Result<T, PlatformError>) -> &'static str {
+    match result {
+        Ok(_) => "done",
+        Err(PlatformError::Unreachable { .. }) => "unreachable",
+        Err(PlatformError::AnswerLost(_)) => "lost",
+        Err(PlatformError::Limited) => "limited",
+        Err(PlatformError::Malformed(_)) => "malformed",
+    }
+}
+
+#[test]
+fn reads_value_index_and_session() {
+    let (outcome, requests) = run(&[Step::Answer(200, Some(9), ENTRY)], |platform| {
+        let entry = platform.get("a/b").expect("get").expect("entry");
+        format!("{entry:?}")
+    });
+    assert!(
+        outcome.contains("[104, 105]") && outcome.contains("StoreIndex(7)"),
+        "{outcome}"
+    );
+    assert!(outcome.contains("Some(\"s-1\")"), "{outcome}");
+    assert_eq!(requests, ["get /v1/kv/a/b "]);
+}
+
+#[test]
+fn absent_prefix_keeps_the_stores_index() {
+    let (outcome, requests) = run(&[Step::Answer(404, Some(42), "")], |platform| {
+        let listing = platform.list("records/", Some(StoreIndex(41)), WAIT);
+        format!("{:?}", listing.expect("listing"))
+    });
+    assert_eq!(outcome, "Listing { index: StoreIndex(42), entries: [] }");
+    assert_eq!(
+        requests,
+        ["get /v1/kv/records/?recurse=true&index=41&wait=300ms "]
+    );
+}
+
+#[test]
+fn plain_list_never_blocks() {
+    let (_, requests) = run(&[Step::Answer(404, Some(1), "")], |platform| {
+        kind(&platform.list("records/", None, WAIT)).into()
+    });
+    assert_eq!(requests, ["get /v1/kv/records/?recurse=true "]);
+}
+
+fn check_write(step: Step, expected: &str) {
+    let (outcome, requests) = run(&[step], |platform| {
+        match platform.swap(KEY, b"{}", Expect::Index(StoreIndex(7))) {
+            Ok(Swap::Written) => "written".into(),
+            Ok(Swap::Conflict) => "conflict".into(),
+            other => kind(&other).into(),
+        }
+    });
+    assert_eq!(outcome, expected);
+    // One connection, one request: the client repeats no write by itself.
+    assert_eq!(requests, ["put /v1/kv/records/upstream/tally-1?cas=7 {}"]);
+}
+
+cases! { check_write;
+    write_true: Step::Answer(200, None, "true\n"), "written";
+    write_false: Step::Answer(200, None, "false"), "conflict";
+    write_answer_garbled: Step::Answer(200, None, "<html>"), "lost";
+    write_answer_cut: Step::Cut, "lost";
+    write_connection_closed: Step::Close, "lost";
+    write_never_answered: Step::Silent, "lost";
+    write_server_error: Step::Answer(500, None, "no leader"), "lost";
+    write_redirected: Step::Answer(307, None, ""), "malformed";
+    write_refused: Step::Answer(403, None, "denied"), "malformed";
+    write_limited: Step::Answer(429, None, ""), "limited";
+}
+
+fn check_request(op: fn(&dyn Platform) -> bool, step: Step, expected: &str) {
+    let (outcome, requests) = run(&[step], |platform| op(platform).to_string());
+    assert_eq!((outcome.as_str(), requests[0].as_str()), ("true", expected));
+}
+
+cases! { check_request;
+    creates_only_when_absent:
+        |p| p.swap("a", b"x", Expect::Absent) == Ok(Swap::Written),
+        Step::Answer(200, None, "true"), "put /v1/kv/a?cas=0 x";
+    removes_at_an_index:
+        |p| p.remove("a", StoreIndex(3)) == Ok(Swap::Conflict),
+        Step::Answer(200, None, "false"), "delete /v1/kv/a?cas=3 ";
+    acquires_a_lease:
+        |p| p.acquire("a b", b"x", "s-1") == Ok(true),
+        Step::Answer(200, None, "true"), "put /v1/kv/a%20b?acquire=s-1 x";
+    releases_a_lease:
+        |p| p.release("a", "s-1") == Ok(false),
+        Step::Answer(200, None, "false"), "put /v1/kv/a?release=s-1 ";
+    opens_a_session:
+        |p| p.open_session(Duration::from_secs(10)).as_deref() == Ok("s-9"),
+        Step::Answer(200, None, "{\"ID\":\"s-9\"}"),
+        r#"put /v1/session/create {"TTL":"10s","LockDelay":"0s","Behavior":"release"}"#;
+    renews_a_session:
+        |p| p.renew_session("s-9") == Ok(true),
+        Step::Answer(200, None, "[]"), "put /v1/session/renew/s-9 ";
+    learns_that_a_session_lapsed:
+        |p| p.renew_session("s-9") == Ok(false),
+        Step::Answer(404, None, ""), "put /v1/session/renew/s-9 ";
+    reads_the_vm_list:
+        |p| p.vms(&"jkpg".parse().expect("id")).expect("vms")[0].leaving,
+        Step::Answer(200, None, r#"[{"id":"vm-1","address":"127.0.0.1:9","domain":"jkpg",
+            "fabric":"f-1","accelerators":8,"fences_orders":true,"leaving":true}]"#),
+        "get /v1/vms?domain=jkpg ";
+}
+
+#[test]
+fn nothing_listening_is_unreachable() {
+    let closed = ClosedPort::new();
+    let platform = client([closed.address.clone()]);
+    assert_eq!(kind(&platform.get(KEY)), "unreachable");
+    assert_eq!(
+        kind(&platform.swap(KEY, b"", Expect::Absent)),
+        "unreachable"
+    );
+}
+
+#[test]
+fn write_moves_on_when_nothing_was_sent() {
+    let server = ScriptedServer::start(&[Step::Answer(200, None, "true")]);
+    let closed = ClosedPort::new();
+    let platform = client([closed.address.clone(), server.address.clone()]);
+    assert_eq!(platform.swap("a", b"x", Expect::Absent), Ok(Swap::Written));
+    assert_eq!(server.requests().len(), 1);
+}
+
+#[test]
+fn write_with_lost_answer_is_not_sent_elsewhere() {
+    let first = ScriptedServer::start(&[Step::Close]);
+    let second = ScriptedServer::start(&[Step::Answer(200, Some(1), ENTRY)]);
+    let platform = client([first.address.clone(), second.address.clone()]);
+    assert_eq!(kind(&platform.swap("a", b"x", Expect::Absent)), "lost");
+    assert_eq!(first.requests().len(), 1);
+    // The read-back is the only request that the second address sees.
+    assert_eq!(kind(&platform.get("a/b")), "done");
+    assert_eq!(second.requests(), ["get /v1/kv/a/b "]);
+}
+
+#[test]
+fn read_goes_elsewhere_after_a_lost_answer() {
+    let first = ScriptedServer::start(&[Step::Silent]);
+    let second = ScriptedServer::start(&[Step::Answer(200, Some(1), ENTRY)]);
+    let platform = client([first.address.clone(), second.address.clone()]);
+    assert_eq!(kind(&platform.get("a/b")), "done");
+    assert_eq!((first.requests().len(), second.requests().len()), (1, 1));
+}
+
+#[test]
+fn each_call_opens_its_own_connection() {
+    let answer = Step::Answer(200, None, "true");
+    let (outcome, requests) = run(&[answer, answer], |platform| {
+        let first = platform.swap("a", b"x", Expect::Absent);
+        let second = platform.swap("a", b"y", Expect::Absent);
+        format!("{} {}", kind(&first), kind(&second))
+    });
+    assert_eq!((outcome.as_str(), requests.len()), ("done done", 2));
+}
+
+#[test]
+fn answer_without_index_is_malformed() {
+    let (outcome, _) = run(&[Step::Answer(200, None, ENTRY)], |platform| {
+        kind(&platform.list("a/", None, WAIT)).into()
+    });
+    assert_eq!(outcome, "malformed");
+}
+
+fn check_address(address: &str) {
+    let options = PlatformOptions::default().addresses([address]);
+    let error = ConsulPlatform::new(options).expect_err("refused");
+    assert!(error.to_string().contains("http://HOST:PORT"), "{error}");
+}
+
+cases! { check_address;
+    refuses_address_without_scheme: "127.0.0.1:8500";
+    refuses_https: "https://127.0.0.1:8500";
+    refuses_a_path: "http://127.0.0.1:8500/v1";
+    refuses_text: "not an address";
+}
