--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod operators;
 pub mod platform_border;
 pub mod replies;
+pub mod platform_client;
 pub mod routing;
 pub mod settings;
 pub mod telemetry;
