Add the calls service: routes, attempts, retries, claims asked for

One state machine per call, fed by messages. The first node claims, retries and resumes; a node that a call was forwarded to runs it once.

--- /dev/null
+++ b/crates/shallottide/src/calls.rs
@@ -0,0 +1,23 @@
+//! Callers' requests: from arrival over claim, route and attempts to one whole answer or refusal.
+//!
+//! Each call is a state machine fed by messages. The node that a caller reached answers for the
+//! call: it claims the key, retries and resumes. A node that a call was forwarded to runs it once
+//! and reports back.
+
+mod answer;
+mod arrival;
+mod attempt;
+mod attempt_events;
+mod call;
+mod call_counts;
+mod call_options;
+mod call_service;
+mod call_table;
+mod claiming;
+mod dispatching;
+mod refusals;
+mod retry_budget;
+
+pub use call_counts::CallCounts;
+pub use call_options::CallOptions;
+pub use call_service::CallService;
--- /dev/null
+++ b/crates/shallottide/src/calls/arrival.rs
@@ -0,0 +1,143 @@
+//! What happens when a call arrives.
+
+use std::collections::BTreeSet;
+
+use shallottide_types::call::{ReplyEvent, Target};
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+use super::CallService;
+use super::answer::Answer;
+use super::call::{Call, Claim, Repeat};
+use super::call_service::send_reply;
+use super::claiming::{ask_for_claim, claim_id};
+use super::refusals::{not_run, rejected};
+use crate::kernel::{Context, Outbox};
+use crate::message::{CallArrived, ReplyTo};
+
+impl CallService {
+    pub(super) fn on_arrived(&mut self, arrived: CallArrived, cx: &Context, out: &mut Outbox) {
+        if let Some(refusal) = self.refusal_on_arrival(&arrived) {
+            send_reply(arrived.reply_to, ReplyEvent::Fail(refusal), out);
+            return;
+        }
+        let rules = match rules_of(&arrived, cx) {
+            Ok(rules) => rules,
+            Err(refusal) => {
+                send_reply(arrived.reply_to, ReplyEvent::Fail(refusal), out);
+                return;
+            }
+        };
+        let call = self.new_call(arrived, rules, cx);
+        let number = self.calls.next_number();
+        match call.claim {
+            Claim::Waiting(claim) => {
+                ask_for_claim(&call, claim, cx, out);
+                self.calls.put(number, call);
+            }
+            Claim::NotNeeded | Claim::Held(_) => self.advance(number, call, cx, out),
+        }
+    }
+
+    fn refusal_on_arrival(&self, arrived: &CallArrived) -> Option<Refusal> {
+        let wait = self.options.retry_after;
+        let from_caller = matches!(arrived.reply_to, ReplyTo::Front(_));
+        if from_caller && self.stopping {
+            let message = "this node is stopping: retry, another node will answer";
+            return Some(not_run(RefusalKind::Stopping, message, wait));
+        }
+        if self.calls.len() >= self.options.max_in_flight {
+            let message = "this node has too many calls in flight: retry later";
+            return Some(not_run(RefusalKind::Overloaded, message, wait));
+        }
+        if from_caller && self.calls.has_id(&arrived.head.id) {
+            let message = "a call with this request id is in flight: use a new id for each call";
+            return Some(rejected(RefusalKind::BadRequest, message));
+        }
+        None
+    }
+
+    fn new_call(&self, arrived: CallArrived, rules: Rules, cx: &Context) -> Call {
+        let held_back = !arrived.head.stream && matches!(arrived.reply_to, ReplyTo::Front(_));
+        let mut answer = Answer::new(held_back.then_some(self.options.buffer_bytes));
+        if rules.claim != Claim::NotNeeded {
+            answer.keep_body(self.options.kept_body_bytes);
+        }
+        Call {
+            reply_to: arrived.reply_to,
+            deadline: cx.now() + arrived.head.time_left,
+            head: arrived.head,
+            body: arrived.body,
+            chosen: arrived.slot,
+            resume_from: arrived.resume_from,
+            repeat: rules.repeat,
+            claim: rules.claim,
+            listening: true,
+            tried: BTreeSet::new(),
+            tried_domains: BTreeSet::new(),
+            attempts: 0,
+            local_tries: 0,
+            ran: Ran::No,
+            last_refusal: None,
+            answer,
+            attempt: None,
+        }
+    }
+}
+
+/// What a call may do, by the records in force.
+#[derive(Debug, Clone, Copy)]
+struct Rules {
+    repeat: Repeat,
+    claim: Claim,
+}
+
+/// Finds a call's rules. A peer's call is the peer's to claim and to repeat.
+fn rules_of(arrived: &CallArrived, cx: &Context) -> Result<Rules, Refusal> {
+    if matches!(arrived.reply_to, ReplyTo::Peer(_)) {
+        return Ok(Rules {
+            repeat: Repeat::Never,
+            claim: Claim::NotNeeded,
+        });
+    }
+    let repeat = repeat_of(arrived, cx)?;
+    let head = &arrived.head;
+    let is_model = matches!(head.target, Target::Model(_));
+    match &head.key {
+        Some(key) if is_model || repeat == Repeat::Never => Ok(Rules {
+            repeat: Repeat::Never,
+            claim: Claim::Waiting(claim_id(&head.team, key)),
+        }),
+        None if repeat == Repeat::Never => Err(rejected(
+            RefusalKind::KeyRequired,
+            "this call may run at most once: send an Idempotency-Key header",
+        )),
+        _ => Ok(Rules {
+            repeat,
+            claim: Claim::NotNeeded,
+        }),
+    }
+}
+
+fn repeat_of(arrived: &CallArrived, cx: &Context) -> Result<Repeat, Refusal> {
+    let config = cx.config();
+    let head = &arrived.head;
+    match &head.target {
+        Target::Model(model) => {
+            let resumable = config.models.get(model).is_some_and(|r| r.resumable);
+            if resumable && head.stream {
+                return Ok(Repeat::Resume);
+            }
+            Ok(Repeat::BeforeBody)
+        }
+        Target::Service(service) => {
+            let Some(record) = config.services.get(service) else {
+                let message = format!("service {service} does not exist: check its name");
+                return Err(rejected(RefusalKind::NotFound, &message));
+            };
+            if record.may_repeat(&head.method, &head.path) {
+                return Ok(Repeat::BeforeBody);
+            }
+            Ok(Repeat::Never)
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/calls/attempt.rs
@@ -0,0 +1,68 @@
+//! One attempt at running a call, here or at another node.
+
+use std::time::{Duration, Instant};
+
+use shallottide_types::id::AttemptId;
+
+use crate::admission::Finished;
+use crate::kernel::{Name, names};
+use crate::routing::Route;
+
+/// One attempt in flight.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) id: AttemptId,
+    pub(super) route: Route,
+    pub(super) started: Instant,
+    /// When its latest event came.
+    pub(super) heard_at: Instant,
+    pub(super) idle_timeout: Duration,
+    pub(super) first_byte: Option<Duration>,
+    /// Whether the upstream began to answer; from then on the call may have run.
+    pub(super) answering: bool,
+}
+
+impl Attempt {
+    pub(super) fn new(
+        id: AttemptId,
+        route: Route,
+        started: Instant,
+        idle_timeout: Duration,
+    ) -> Self {
+        Self {
+            id,
+            route,
+            started,
+            heard_at: started,
+            idle_timeout,
+            first_byte: None,
+            answering: false,
+        }
+    }
+
+    /// Returns the border that runs it.
+    pub(super) fn border(&self) -> Name {
+        match self.route {
+            Route::Local { .. } => names::UPSTREAMS,
+            Route::Peer { .. } | Route::Domain { .. } => names::PEERS,
+        }
+    }
+
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard_at) >= self.idle_timeout
+    }
+
+    /// Notes an event of the body.
+    pub(super) fn note_data(&mut self, now: Instant) {
+        let since = now.saturating_duration_since(self.started);
+        self.first_byte.get_or_insert(since);
+    }
+
+    pub(super) fn finished(&self, complete: bool) -> Finished {
+        Finished {
+            complete,
+            started: self.started,
+            first_byte: self.first_byte,
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/calls/attempt_events.rs
@@ -0,0 +1,141 @@
+//! What happens when an attempt makes progress, ends or fails.
+
+use shallottide_types::call::ReplyEvent;
+use shallottide_types::id::AttemptId;
+use shallottide_types::refusal::Refusal;
+
+use super::CallService;
+use super::answer::OutOfOrder;
+use super::attempt::Attempt;
+use super::call::Call;
+use super::call_service::{refuse, reply, send_cancel};
+use super::call_table::CallNumber;
+use super::claiming::report_claim_ended;
+use super::refusals;
+use crate::kernel::{Context, Outbox};
+use crate::message::{AttemptEvent, AttemptFailure};
+
+impl CallService {
+    /// Handles an event of an attempt; one that has ended is not found and changes nothing.
+    pub(super) fn on_attempt(
+        &mut self,
+        id: AttemptId,
+        event: AttemptEvent,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let Some((number, mut call)) = self.calls.take_by_attempt(id) else {
+            return;
+        };
+        if let AttemptEvent::Failed(failure) = event {
+            self.on_failure(number, call, failure, cx, out);
+            return;
+        }
+        let is_end = matches!(event, AttemptEvent::End);
+        match take_event(&mut call, event, cx) {
+            Ok(events) => {
+                for event in events {
+                    reply(&mut call, event, out);
+                }
+            }
+            Err(error) => {
+                self.drop_attempt(number, call, &error.to_string(), cx, out);
+                return;
+            }
+        }
+        if is_end {
+            self.complete(call, cx, out);
+        } else {
+            self.calls.put(number, call);
+        }
+    }
+
+    /// Gives up an attempt that went silent.
+    pub(super) fn on_silence(
+        &mut self,
+        number: CallNumber,
+        call: Call,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        self.drop_attempt(number, call, "nothing came within the timeout", cx, out);
+    }
+
+    fn drop_attempt(
+        &mut self,
+        number: CallNumber,
+        call: Call,
+        why: &str,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        send_cancel(&call, out);
+        let failure = AttemptFailure::Lost(why.into());
+        self.on_failure(number, call, failure, cx, out);
+    }
+
+    fn complete(&mut self, mut call: Call, cx: &Context, out: &mut Outbox) {
+        self.close_attempt(&mut call, true, cx);
+        let outcome = call.answer.outcome();
+        report_claim_ended(&call, outcome, out);
+    }
+
+    fn on_failure(
+        &mut self,
+        number: CallNumber,
+        mut call: Call,
+        failure: AttemptFailure,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let Some(attempt) = &call.attempt else {
+            return;
+        };
+        let refusal = refusals::of_failure(failure, attempt);
+        let route = attempt.route.clone();
+        self.close_attempt(&mut call, false, cx);
+        call.exclude(&route);
+        call.ran = call.ran.max(refusal.ran);
+        call.answer.restart();
+        if self.may_retry(&call, &refusal, cx) {
+            call.last_refusal = Some(refusal);
+            self.advance(number, call, cx, out);
+        } else {
+            refuse(call, refusal, out);
+        }
+    }
+
+    fn may_retry(&mut self, call: &Call, refusal: &Refusal, cx: &Context) -> bool {
+        call.may_repeat_after(refusal.ran)
+            && call.chosen.is_none()
+            && refusals::is_about_upstream(refusal.kind)
+            && call.attempts < self.options.max_attempts
+            && call.deadline > cx.now()
+            && self.budget.take()
+    }
+}
+
+fn take_event(
+    call: &mut Call,
+    event: AttemptEvent,
+    cx: &Context,
+) -> Result<Vec<ReplyEvent>, OutOfOrder> {
+    let now = cx.now();
+    if let Some(attempt) = &mut call.attempt {
+        note_event(attempt, &event, now);
+    }
+    match event {
+        AttemptEvent::Head(head) => call.answer.on_head(head),
+        AttemptEvent::Data(data) => call.answer.on_data(data),
+        AttemptEvent::End => call.answer.on_end(),
+        AttemptEvent::Failed(_) => Ok(Vec::new()),
+    }
+}
+
+fn note_event(attempt: &mut Attempt, event: &AttemptEvent, now: std::time::Instant) {
+    attempt.heard_at = now;
+    attempt.answering = true;
+    if matches!(event, AttemptEvent::Data(_)) {
+        attempt.note_data(now);
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/calls/call_service.rs
@@ -0,0 +1,167 @@
+//! The service that answers for calls.
+
+use shallottide_types::call::ReplyEvent;
+use shallottide_types::id::AttemptId;
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+use super::CallOptions;
+use super::call::Call;
+use super::call_table::{CallNumber, CallTable};
+use super::claiming::{goes_on_unheard, report_claim_refused};
+use super::refusals;
+use super::retry_budget::RetryBudget;
+use crate::admission::Admission;
+use crate::kernel::{Context, Name, Outbox, Service, names};
+use crate::message::{CancelAttempt, Message, Reply, ReplyTo};
+use crate::routing::{Route, Router};
+
+/// Answers for callers' and peers' calls.
+///
+/// For each call it sends `Head`, any number of `Data` and one `End` or `Fail`, or one `Fail`
+/// alone. Each place taken from the [`Admission`] is given back once.
+pub struct CallService {
+    pub(super) options: CallOptions,
+    pub(super) router: Box<dyn Router>,
+    pub(super) admission: Box<dyn Admission>,
+    pub(super) calls: CallTable,
+    pub(super) budget: RetryBudget,
+    pub(super) last_attempt: AttemptId,
+    pub(super) stopping: bool,
+}
+
+impl CallService {
+    /// Creates the service.
+    #[must_use]
+    pub fn new(
+        options: CallOptions,
+        router: Box<dyn Router>,
+        admission: Box<dyn Admission>,
+    ) -> Self {
+        Self {
+            calls: CallTable::new(options.counts.clone()),
+            budget: RetryBudget::new(options.retry_ratio, options.retry_burst),
+            last_attempt: AttemptId::default(),
+            stopping: false,
+            options,
+            router,
+            admission,
+        }
+    }
+
+    /// Ends the attempt in flight and gives back what it held.
+    pub(super) fn close_attempt(&mut self, call: &mut Call, complete: bool, cx: &Context) {
+        let Some(attempt) = call.attempt.take() else {
+            return;
+        };
+        let finished = attempt.finished(complete);
+        match &attempt.route {
+            Route::Local { slot, .. } => {
+                self.admission.release(slot, &call.head.team, &finished, cx);
+            }
+            Route::Peer { .. } | Route::Domain { .. } => self.options.counts.forward_ended(),
+        }
+        self.router.finished(&attempt.route, &finished, cx);
+    }
+
+    /// Drops the attempt in flight at its border and ends it here.
+    pub(super) fn cancel_attempt(&mut self, call: &mut Call, cx: &Context, out: &mut Outbox) {
+        send_cancel(call, out);
+        self.close_attempt(call, false, cx);
+    }
+
+    fn on_gone(&mut self, reply_to: ReplyTo, cx: &Context, out: &mut Outbox) {
+        let Some((number, mut call)) = self.calls.take_by_reply(reply_to) else {
+            return;
+        };
+        call.listening = false;
+        if goes_on_unheard(&call) {
+            self.calls.put(number, call);
+            return;
+        }
+        self.cancel_attempt(&mut call, cx, out);
+    }
+
+    fn on_tick(&mut self, cx: &Context, out: &mut Outbox) {
+        self.admission.tick(cx);
+        let now = cx.now();
+        for number in self.calls.select(|call| call.deadline <= now) {
+            if let Some(call) = self.calls.take(number) {
+                self.on_deadline(number, call, cx, out);
+            }
+        }
+        let silent = |call: &Call| call.attempt.as_ref().is_some_and(|a| a.is_silent(now));
+        for number in self.calls.select(silent) {
+            if let Some(call) = self.calls.take(number) {
+                self.on_silence(number, call, cx, out);
+            }
+        }
+    }
+
+    fn on_deadline(&mut self, number: CallNumber, mut call: Call, cx: &Context, out: &mut Outbox) {
+        let message = "the deadline passed: retry with more time";
+        let mut refusal = refusals::rejected(RefusalKind::DeadlineExceeded, message);
+        if call.attempt.is_some() {
+            refusal.ran = Ran::Unknown;
+            self.cancel_attempt(&mut call, cx, out);
+        }
+        if self.waits_for_claim(&call, cx) {
+            reply(&mut call, ReplyEvent::Fail(refusal), out);
+            self.calls.put(number, call);
+            return;
+        }
+        refuse(call, refusal, out);
+    }
+}
+
+/// Tells the border to drop the attempt in flight.
+pub(super) fn send_cancel(call: &Call, out: &mut Outbox) {
+    if let Some(attempt) = &call.attempt {
+        let cancel = CancelAttempt {
+            attempt: attempt.id,
+        };
+        out.send(attempt.border(), cancel);
+    }
+}
+
+/// Ends a call without a whole answer.
+pub(super) fn refuse(mut call: Call, refusal: Refusal, out: &mut Outbox) {
+    let refusal = refusals::last_word(&call, refusal);
+    report_claim_refused(&call, refusal.ran, out);
+    reply(&mut call, ReplyEvent::Fail(refusal), out);
+}
+
+/// Sends one event to whoever waits for the answer; a last event ends the listening.
+pub(super) fn reply(call: &mut Call, event: ReplyEvent, out: &mut Outbox) {
+    if !call.listening {
+        return;
+    }
+    call.listening = !matches!(event, ReplyEvent::End | ReplyEvent::Fail(_));
+    send_reply(call.reply_to, event, out);
+}
+
+/// Sends one event of an answer.
+pub(super) fn send_reply(reply_to: ReplyTo, event: ReplyEvent, out: &mut Outbox) {
+    let to = match reply_to {
+        ReplyTo::Front(_) => names::FRONT,
+        ReplyTo::Peer(_) => names::PEERS,
+    };
+    out.send(to, Reply { reply_to, event });
+}
+
+impl Service for CallService {
+    fn name(&self) -> Name {
+        names::CALLS
+    }
+
+    fn handle(&mut self, message: Message, cx: &Context, out: &mut Outbox) {
+        match message {
+            Message::CallArrived(arrived) => self.on_arrived(arrived, cx, out),
+            Message::CallGone(reply_to) => self.on_gone(reply_to, cx, out),
+            Message::Attempt(id, event) => self.on_attempt(id, event, cx, out),
+            Message::ClaimReply(claim_reply) => self.on_claim_reply(claim_reply, cx, out),
+            Message::Tick => self.on_tick(cx, out),
+            Message::Stop => self.stopping = true,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/calls/claiming.rs
@@ -0,0 +1,146 @@
+//! Claims of idempotency keys, from the call's side.
+
+use bytes::Bytes;
+use sha2::{Digest, Sha256};
+use shallottide_types::call::{ReplyEvent, ReplyHead, Target};
+use shallottide_types::id::{IdempotencyKey, TeamId};
+use shallottide_types::peer::{ClaimAnswer, ClaimEnd, ClaimId};
+use shallottide_types::refusal::{Ran, RefusalKind};
+
+use super::CallService;
+use super::call::{Call, Claim};
+use super::call_service::{refuse, reply};
+use super::refusals::{self, rejected};
+use crate::kernel::{Context, Outbox, names};
+use crate::message::{ClaimDone, ClaimReply, ClaimWanted};
+
+/// Hashes a team and its key. Teams never share keys.
+pub(super) fn claim_id(team: &TeamId, key: &IdempotencyKey) -> ClaimId {
+    let hash = hash_parts(&[team.as_str().as_bytes(), key.as_str().as_bytes()]);
+    let (first, _) = hash.split_first_chunk().expect("SHA-256 has 32 bytes");
+    ClaimId(u128::from_be_bytes(*first))
+}
+
+/// Hashes what makes two calls with one key the same call.
+fn digest(call: &Call) -> u64 {
+    let target = match &call.head.target {
+        Target::Model(model) => model.as_str(),
+        Target::Service(service) => service.as_str(),
+    };
+    let parts = [
+        target.as_bytes(),
+        call.head.method.as_bytes(),
+        call.head.path.as_bytes(),
+        &call.body,
+    ];
+    let hash = hash_parts(&parts);
+    let (first, _) = hash.split_first_chunk().expect("SHA-256 has 32 bytes");
+    u64::from_be_bytes(*first)
+}
+
+/// Hashes parts, each with its length, so that no two lists of parts are mixed up.
+fn hash_parts(parts: &[&[u8]]) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().into()
+}
+
+/// Asks for a call's claim.
+pub(super) fn ask_for_claim(call: &Call, claim: ClaimId, cx: &Context, out: &mut Outbox) {
+    let wanted = ClaimWanted {
+        call: call.head.id.clone(),
+        claim,
+        digest: digest(call),
+        time_left: call.time_left(cx.now()),
+    };
+    out.send(names::CLAIMS, wanted);
+}
+
+/// Reports the end of a claimed call.
+pub(super) fn report_claim_ended(call: &Call, end: ClaimEnd, out: &mut Outbox) {
+    if let Claim::Held(claim) = call.claim {
+        let call = call.head.id.clone();
+        out.send(names::CLAIMS, ClaimDone { call, claim, end });
+    }
+}
+
+/// Reports the end of a claimed call that was refused.
+pub(super) fn report_claim_refused(call: &Call, ran: Ran, out: &mut Outbox) {
+    let end = match ran {
+        Ran::No => ClaimEnd::NotRun,
+        Ran::Unknown | Ran::Yes => ClaimEnd::Unknown,
+    };
+    report_claim_ended(call, end, out);
+}
+
+/// Tells whether a call outlives its receiver.
+///
+/// A claimed call does, so that a retry gets its outcome; an unanswered claim does, so that
+/// it can be given back.
+pub(super) fn goes_on_unheard(call: &Call) -> bool {
+    call.claim != Claim::NotNeeded
+}
+
+impl CallService {
+    pub(super) fn on_claim_reply(
+        &mut self,
+        claim_reply: ClaimReply,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let Some((number, mut call)) = self.calls.take_by_id(&claim_reply.call) else {
+            return;
+        };
+        let Claim::Waiting(claim) = call.claim else {
+            self.calls.put(number, call);
+            return;
+        };
+        if claim_reply.answer != ClaimAnswer::Granted {
+            self.answer_from_claim(call, claim_reply.answer, out);
+            return;
+        }
+        call.claim = Claim::Held(claim);
+        if call.listening && call.deadline > cx.now() {
+            self.advance(number, call, cx, out);
+        } else {
+            let message = "the claim came too late: retry with more time";
+            refuse(call, rejected(RefusalKind::DeadlineExceeded, message), out);
+        }
+    }
+
+    /// Answers a call that was not granted its key: by the recorded answer, or by a refusal.
+    fn answer_from_claim(&self, mut call: Call, answer: ClaimAnswer, out: &mut Outbox) {
+        if let ClaimAnswer::Ended(ClaimEnd::Ran {
+            status,
+            content_type,
+            body: Some(body),
+        }) = answer
+        {
+            let head = ReplyHead {
+                status,
+                content_type,
+            };
+            reply_recorded(&mut call, head, body, out);
+            return;
+        }
+        let refusal = refusals::of_claim(&answer, self.options.retry_after);
+        reply(&mut call, ReplyEvent::Fail(refusal), out);
+    }
+
+    /// Tells whether a call past its deadline still has to wait for its claim's answer.
+    pub(super) fn waits_for_claim(&self, call: &Call, cx: &Context) -> bool {
+        let late = cx.now().saturating_duration_since(call.deadline);
+        matches!(call.claim, Claim::Waiting(_)) && late < self.options.claim_grace
+    }
+}
+
+fn reply_recorded(call: &mut Call, head: ReplyHead, body: Bytes, out: &mut Outbox) {
+    reply(call, ReplyEvent::Head(head), out);
+    if !body.is_empty() {
+        reply(call, ReplyEvent::Data(body), out);
+    }
+    reply(call, ReplyEvent::End, out);
+}
--- /dev/null
+++ b/crates/shallottide/src/calls/dispatching.rs
@@ -0,0 +1,180 @@
+//! Finding a route and sending an attempt along it.
+
+use std::time::Duration;
+
+use shallottide_types::call::CallHead;
+use shallottide_types::peer::{ForwardedCall, NodeInfo, Slot};
+use shallottide_types::refusal::{Refusal, RefusalKind};
+
+use super::CallService;
+use super::attempt::Attempt;
+use super::call::Call;
+use super::call_service::refuse;
+use super::call_table::CallNumber;
+use super::refusals::{self, not_run, rejected};
+use crate::kernel::{Context, Outbox};
+use crate::message::{Dispatch, Forward};
+use crate::routing::{Route, RouteQuery};
+
+impl CallService {
+    /// Sends the next attempt of a call, or ends the call when none is left.
+    pub(super) fn advance(
+        &mut self,
+        number: CallNumber,
+        mut call: Call,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        match self.find_route(&mut call, cx) {
+            Ok(route) => {
+                self.send_attempt(&mut call, route, cx, out);
+                self.calls.put(number, call);
+            }
+            Err(refusal) => {
+                let told = call.last_refusal.take().unwrap_or(refusal);
+                refuse(call, told, out);
+            }
+        }
+    }
+
+    /// Finds a route; a local one comes with a place of its slot taken.
+    fn find_route(&mut self, call: &mut Call, cx: &Context) -> Result<Route, Refusal> {
+        if call.deadline <= cx.now() {
+            let message = "the deadline passed before the call was sent: retry with more time";
+            return Err(rejected(RefusalKind::DeadlineExceeded, message));
+        }
+        while call.local_tries < self.options.max_local_tries {
+            let route = self.ask_router(call, cx)?;
+            let Route::Local { slot, .. } = &route else {
+                return Ok(route);
+            };
+            match self.admission.acquire(slot, &call.head.team, cx) {
+                Ok(()) => return Ok(route),
+                Err(refusal) if is_final(call, &refusal) => return Err(refusal),
+                Err(refusal) => call.last_refusal = Some(refusal),
+            }
+            call.local_tries += 1;
+            call.exclude(&route);
+        }
+        let message = "every upstream tried is full: retry later";
+        Err(not_run(
+            RefusalKind::Overloaded,
+            message,
+            self.options.retry_after,
+        ))
+    }
+
+    fn ask_router(&mut self, call: &Call, cx: &Context) -> Result<Route, Refusal> {
+        let query = RouteQuery {
+            head: &call.head,
+            chosen: call.chosen.as_ref(),
+            tried: &call.tried,
+            tried_domains: &call.tried_domains,
+            own_domain_only: call.is_from_peer(),
+        };
+        let route = self.router.route(&query, cx)?;
+        if fits(&route, call) {
+            return Ok(route);
+        }
+        let message = "this node does not dispatch to the chosen upstream: choose again";
+        Err(rejected(RefusalKind::NoUpstream, message))
+    }
+
+    fn send_attempt(&mut self, call: &mut Call, route: Route, cx: &Context, out: &mut Outbox) {
+        self.last_attempt = self.last_attempt.next();
+        if call.attempts == 0 {
+            self.budget.first_attempt();
+        }
+        call.attempts += 1;
+        self.router.started(&route, cx);
+        let now = cx.now();
+        let idle_timeout = self.idle_timeout(call, &route);
+        let attempt = Attempt::new(self.last_attempt, route, now, idle_timeout);
+        let head = CallHead {
+            time_left: call.time_left(now),
+            ..call.head.clone()
+        };
+        self.send_to_border(call, &attempt, head, out);
+        call.attempt = Some(attempt);
+    }
+
+    fn send_to_border(&self, call: &Call, attempt: &Attempt, head: CallHead, out: &mut Outbox) {
+        let resume_from = call.resume_from + call.answer.sent_parts();
+        match &attempt.route {
+            Route::Local { address, .. } => {
+                let dispatch = Dispatch {
+                    attempt: attempt.id,
+                    address: *address,
+                    head,
+                    body: call.body.clone(),
+                    resume_from,
+                    idle_timeout: attempt.idle_timeout,
+                };
+                out.send(attempt.border(), dispatch);
+            }
+            Route::Peer { slot, node } => {
+                self.options.counts.forward_started();
+                let slot = Some(slot.clone());
+                let forward = forward(call, attempt, node, slot, head, resume_from);
+                out.send(attempt.border(), forward);
+            }
+            Route::Domain { node } => {
+                self.options.counts.forward_started();
+                let forward = forward(call, attempt, node, None, head, resume_from);
+                out.send(attempt.border(), forward);
+            }
+        }
+    }
+
+    fn idle_timeout(&self, call: &Call, route: &Route) -> Duration {
+        let timeout = if call.head.stream {
+            self.options.stream_idle_timeout
+        } else {
+            self.options.answer_idle_timeout
+        };
+        // The nearest node to the upstream times out first: it knows most.
+        let hops = match route {
+            Route::Local { .. } => 0,
+            Route::Peer { .. } => 1,
+            Route::Domain { .. } => 2,
+        };
+        timeout + self.options.hop_margin * hops
+    }
+}
+
+/// Tells whether asking for another slot is pointless.
+fn is_final(call: &Call, refusal: &Refusal) -> bool {
+    call.chosen.is_some() || !refusals::is_about_upstream(refusal.kind)
+}
+
+/// Checks that a peer's choice is kept and that its call doesn't travel on in circles.
+fn fits(route: &Route, call: &Call) -> bool {
+    match (&call.chosen, route) {
+        (Some(chosen), Route::Local { slot, .. }) => slot == chosen,
+        (Some(_), _) => false,
+        (None, Route::Domain { .. }) => !call.is_from_peer(),
+        (None, _) => true,
+    }
+}
+
+fn forward(
+    call: &Call,
+    attempt: &Attempt,
+    node: &NodeInfo,
+    slot: Option<Slot>,
+    head: CallHead,
+    resume_from: u64,
+) -> Forward {
+    let call = ForwardedCall {
+        head,
+        body: call.body.clone(),
+        slot,
+        resume_from,
+    };
+    Forward {
+        attempt: attempt.id,
+        node: node.clone(),
+        call,
+        idle_timeout: attempt.idle_timeout,
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/calls/refusals.rs
@@ -0,0 +1,121 @@
+//! The refusals that the calls service makes.
+
+use std::time::Duration;
+
+use shallottide_types::peer::{ClaimAnswer, ClaimEnd};
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+use super::attempt::Attempt;
+use super::call::{Call, Claim};
+use crate::message::AttemptFailure;
+
+/// Makes a refusal of a call that did not run and may be retried after `wait`.
+pub(super) fn not_run(kind: RefusalKind, message: &str, wait: Duration) -> Refusal {
+    Refusal::new(kind, Ran::No, message).retry_after(wait)
+}
+
+/// Makes a refusal of a call that did not run and won't by a retry.
+pub(super) fn rejected(kind: RefusalKind, message: &str) -> Refusal {
+    Refusal::new(kind, Ran::No, message)
+}
+
+/// Tells whether a refusal speaks of one upstream or node, so that another may do better.
+pub(super) fn is_about_upstream(kind: RefusalKind) -> bool {
+    matches!(
+        kind,
+        RefusalKind::Overloaded
+            | RefusalKind::NoUpstream
+            | RefusalKind::Stopping
+            | RefusalKind::UpstreamFailed
+            | RefusalKind::Internal
+    )
+}
+
+/// Tells why an attempt failed and whether it ran.
+///
+/// Once an upstream has begun to answer, no failure proves that the call did not run.
+pub(super) fn of_failure(failure: AttemptFailure, attempt: &Attempt) -> Refusal {
+    let mut refusal = match failure {
+        AttemptFailure::NotSent(why) => Refusal::new(
+            RefusalKind::NoUpstream,
+            Ran::No,
+            format!("the upstream can't be reached ({why}): retry later"),
+        ),
+        AttemptFailure::NotRun(why) => Refusal::new(
+            RefusalKind::Overloaded,
+            Ran::No,
+            format!("the upstream refused before running ({why}): retry later"),
+        ),
+        AttemptFailure::Lost(why) => Refusal::new(
+            RefusalKind::UpstreamFailed,
+            Ran::Unknown,
+            format!("the answer was lost ({why}): retry if the call may run twice"),
+        ),
+        AttemptFailure::Refused(refusal) => refusal,
+    };
+    if attempt.answering {
+        refusal.ran = refusal.ran.max(Ran::Unknown);
+    }
+    refusal
+}
+
+/// Gives the last word on a call: the refusal with the worst that any attempt came to.
+pub(super) fn last_word(call: &Call, mut refusal: Refusal) -> Refusal {
+    refusal.ran = refusal.ran.max(call.ran);
+    let claimed = !matches!(call.claim, Claim::NotNeeded);
+    if claimed && refusal.ran != Ran::No {
+        refusal.kind = RefusalKind::OutcomeUnknown;
+        refusal.message = format!(
+            "the call was sent once and its outcome was lost; it is not sent again ({})",
+            refusal.message
+        );
+    }
+    refusal
+}
+
+/// Turns a claim that was not granted into a refusal, except for a recorded answer.
+pub(super) fn of_claim(answer: &ClaimAnswer, wait: Duration) -> Refusal {
+    let (kind, ran, message) = match answer {
+        ClaimAnswer::Running => (
+            RefusalKind::Running,
+            Ran::Unknown,
+            "the same call is running: retry with the same key for its outcome",
+        ),
+        ClaimAnswer::Ended(ClaimEnd::Ran { .. }) => (
+            RefusalKind::OutcomeUnknown,
+            Ran::Yes,
+            "the call ran; its answer was too large to be kept",
+        ),
+        ClaimAnswer::Ended(_) => (
+            RefusalKind::OutcomeUnknown,
+            Ran::Unknown,
+            "the call was sent once and its outcome was lost; it is not sent again",
+        ),
+        ClaimAnswer::OtherBody => (
+            RefusalKind::KeyReused,
+            Ran::No,
+            "the key was used for another call: use a new key for each call",
+        ),
+        ClaimAnswer::Expired => (
+            RefusalKind::KeyExpired,
+            Ran::Unknown,
+            "the key was used before and its outcome is no longer kept: use a new key",
+        ),
+        ClaimAnswer::NotClaimed => (
+            RefusalKind::PlatformDown,
+            Ran::No,
+            "the key can't be claimed now, so this request was not run; \
+             retry with the same key, also to learn the outcome of an earlier request",
+        ),
+        ClaimAnswer::Granted | ClaimAnswer::Unknown => (
+            RefusalKind::PlatformDown,
+            Ran::Unknown,
+            "the key's claim is not known: retry with the same key",
+        ),
+    };
+    let refusal = Refusal::new(kind, ran, message);
+    match kind {
+        RefusalKind::Running | RefusalKind::PlatformDown => refusal.retry_after(wait),
+        _ => refusal,
+    }
+}
