--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod auth;
 pub mod engines;
 pub mod front;
+pub mod calls;
 pub mod kernel;
 pub mod message;
 pub mod operators;
