--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -7,15 +7,15 @@
 
 pub mod admission;
 pub mod auth;
+pub mod calls;
 pub mod engines;
 pub mod front;
-pub mod calls;
 pub mod kernel;
 pub mod message;
 pub mod operators;
 pub mod platform_border;
-pub mod replies;
 pub mod platform_client;
+pub mod replies;
 pub mod routing;
 pub mod settings;
 pub mod telemetry;
