--- a/crates/shallottide/src/node/running_node.rs
+++ b/crates/shallottide/src/node/running_node.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 
 use tokio::sync::watch;
 
 use super::stop_sequence::{StopReport, StopSequence};
+use crate::calls::CallCounts;
 use crate::kernel::{KernelHandle, names};
 use crate::message::Message;
 use crate::settings::StopSettings;
@@ -40,7 +41,7 @@
     /// Set once the node's threads are to end.
     pub(super) ended: Arc<AtomicBool>,
     /// Calls in flight on this node.
-    pub(super) in_flight: Arc<AtomicUsize>,
+    pub(super) calls: Arc<CallCounts>,
     /// Turns true when the callers' listener is to close.
     pub(super) closed: watch::Sender<bool>,
 }
@@ -50,7 +51,7 @@
         Self {
             ready: Arc::default(),
             ended: Arc::default(),
-            in_flight: Arc::default(),
+            calls: Arc::default(),
             closed: watch::Sender::new(false),
         }
     }
--- a/crates/shallottide/src/node/stop_sequence.rs
+++ b/crates/shallottide/src/node/stop_sequence.rs
@@ -51,7 +51,7 @@
     }
 
     fn in_flight(&self) -> usize {
-        self.flags.in_flight.load(Ordering::Acquire)
+        self.flags.calls.in_flight()
     }
 
     fn wait_until(&self, deadline: Instant, done: impl Fn() -> bool) {
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -2,7 +2,7 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{Sender, channel};
 use std::thread::JoinHandle;
 
@@ -180,10 +180,9 @@
 }
 
 fn add_services(kernel: &mut Kernel, parts: &Parts) {
-    let in_flight: Arc<AtomicUsize> = parts.flags.in_flight.clone();
     let call_options = CallOptions {
         max_in_flight: parts.settings.limits.calls,
-        in_flight,
+        counts: parts.flags.calls.clone(),
         ..CallOptions::default()
     };
     let member_options = MemberOptions {
