--- /dev/null
+++ b/crates/shallottide/tests/call_support/mod.rs
@@ -0,0 +1,222 @@
+//! Fakes at the borders of the calls service, and one node driven by hand.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallottide::admission::{Admission, Finished};
+use shallottide::calls::{CallOptions, CallService};
+use shallottide::kernel::{Context, Name, Outbox, Service};
+use shallottide::message::{CallArrived, Message, ReplyTo};
+use shallottide::routing::{Route, RouteQuery, Router};
+use shallottide::view::ConfigView;
+use shallottide_types::call::{CallHead, Target, Trace};
+use shallottide_types::clock::ManualClock;
+use shallottide_types::id::{Incarnation, TeamId};
+use shallottide_types::peer::{LoadSummary, NodeInfo, Slot};
+use shallottide_types::record::{CallRule, ModelRecord, Record, ServiceRecord};
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+/// Time that every test call has.
+pub(crate) const TIME_LEFT: Duration = Duration::from_secs(20);
+
+/// What the fakes of one node saw and are told.
+#[derive(Debug, Default)]
+pub(crate) struct Borders {
+    /// Routes in the order of choice.
+    pub(crate) routes: Vec<Route>,
+    /// Slots without a free place.
+    pub(crate) full: BTreeSet<Slot>,
+    /// Places taken and not given back.
+    pub(crate) places: i64,
+    /// Routes started and not finished.
+    pub(crate) open_routes: i64,
+}
+
+#[derive(Clone, Default)]
+pub(crate) struct SharedBorders(pub(crate) Rc<RefCell<Borders>>);
+
+impl Router for SharedBorders {
+    fn route(&mut self, query: &RouteQuery<'_>, _: &Context) -> Result<Route, Refusal> {
+        let fits = |route: &&Route| match route {
+            Route::Domain { node } => {
+                !query.own_domain_only && !query.tried_domains.contains(&node.domain)
+            }
+            Route::Local { slot, .. } | Route::Peer { slot, .. } => {
+                !query.tried.contains(slot) && query.chosen.is_none_or(|chosen| chosen == slot)
+            }
+        };
+        let borders = self.0.borrow();
+        let found = borders.routes.iter().find(fits).cloned();
+        found.ok_or_else(|| Refusal::new(RefusalKind::NoUpstream, Ran::No, "no route"))
+    }
+
+    fn started(&mut self, _: &Route, _: &Context) {
+        self.0.borrow_mut().open_routes += 1;
+    }
+
+    fn finished(&mut self, _: &Route, _: &Finished, _: &Context) {
+        self.0.borrow_mut().open_routes -= 1;
+    }
+}
+
+impl Admission for SharedBorders {
+    fn acquire(&mut self, slot: &Slot, _: &TeamId, _: &Context) -> Result<(), Refusal> {
+        let mut borders = self.0.borrow_mut();
+        if borders.full.contains(slot) {
+            return Err(Refusal::new(RefusalKind::Overloaded, Ran::No, "full"));
+        }
+        borders.places += 1;
+        Ok(())
+    }
+
+    fn release(&mut self, _: &Slot, _: &TeamId, _: &Finished, _: &Context) {
+        self.0.borrow_mut().places -= 1;
+    }
+
+    fn tick(&mut self, _: &Context) {}
+
+    fn loads(&self, _: &Context) -> Vec<LoadSummary> {
+        Vec::new()
+    }
+}
+
+/// A service with its context, driven by hand.
+pub(crate) struct Driven {
+    pub(crate) cx: Context,
+    pub(crate) clock: ManualClock,
+    pub(crate) service: Box<dyn Service>,
+}
+
+impl Driven {
+    pub(crate) fn send(&mut self, message: impl Into<Message>) -> Vec<(Name, Message)> {
+        let mut out = Outbox::default();
+        self.service.handle(message.into(), &self.cx, &mut out);
+        out.take()
+    }
+}
+
+/// Creates a calls service with fakes around it.
+pub(crate) fn calls_node(options: CallOptions, borders: &SharedBorders) -> Driven {
+    let clock = ManualClock::default();
+    let cx = Context::new(Arc::new(clock.clone()), node_info("node-1", "dom-1"));
+    cx.publish_config(records());
+    let (router, admission) = (Box::new(borders.clone()), Box::new(borders.clone()));
+    let service = Box::new(CallService::new(options, router, admission));
+    Driven { cx, clock, service }
+}
+
+pub(crate) fn node_info(node: &str, domain: &str) -> NodeInfo {
+    NodeInfo {
+        node: node.parse().unwrap(),
+        incarnation: Incarnation(1),
+        domain: domain.parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        stopping: false,
+    }
+}
+
+pub(crate) fn slot(name: &str) -> Slot {
+    Slot::Service(name.parse().unwrap())
+}
+
+pub(crate) fn local(name: &str) -> Route {
+    let address = "127.0.0.1:9".parse().unwrap();
+    Route::Local {
+        slot: slot(name),
+        address,
+    }
+}
+
+pub(crate) fn peer(name: &str) -> Route {
+    let node = node_info("node-2", "dom-1");
+    Route::Peer {
+        slot: slot(name),
+        node,
+    }
+}
+
+pub(crate) fn domain(name: &str) -> Route {
+    let node = node_info("node-9", name);
+    Route::Domain { node }
+}
+
+/// `resumable` and `fragile` are models; `depot` is a service whose `/count` may be repeated.
+fn records() -> ConfigView {
+    let mut view = ConfigView::default();
+    for (id, resumable) in [("resumable", true), ("fragile", false)] {
+        view.insert(Record::Model(ModelRecord {
+            id: id.parse().unwrap(),
+            vms_per_group: 1,
+            groups: std::collections::BTreeMap::new(),
+            cold_limit: 1,
+            full_limit: 8,
+            priority: 0,
+            resumable,
+            other_domains: true,
+            split: None,
+        }));
+    }
+    let rule = CallRule {
+        method: "GET".into(),
+        path_prefix: "/count".into(),
+    };
+    view.insert(Record::Service(ServiceRecord {
+        id: "depot".parse().unwrap(),
+        repeatable: vec![rule],
+        other_domains: true,
+        split: None,
+    }));
+    view
+}
+
+/// The kinds of calls that follow different rules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// May run at most once.
+    Booking,
+    /// May be repeated, answered in one piece.
+    Count,
+    /// A stream that may resume.
+    Stream,
+    /// A stream that may not resume.
+    FragileStream,
+}
+
+/// Creates a call of a kind from a caller.
+pub(crate) fn arrived(kind: Kind, reply_to: ReplyTo) -> CallArrived {
+    let model = |name: &str| Target::Model(name.parse().unwrap());
+    let depot = Target::Service("depot".parse().unwrap());
+    let (target, method, path) = match kind {
+        Kind::Booking => (depot, "POST", "/bookings"),
+        Kind::Count => (depot, "GET", "/count"),
+        Kind::Stream => (model("resumable"), "POST", "/v1/completions"),
+        Kind::FragileStream => (model("fragile"), "POST", "/v1/completions"),
+    };
+    let head = CallHead {
+        id: format!("call-{reply_to:?}")
+            .replace(['(', ')'], "-")
+            .parse()
+            .unwrap(),
+        team: "team".parse().unwrap(),
+        target,
+        method: method.into(),
+        path: path.into(),
+        content_type: None,
+        key: (kind == Kind::Booking).then(|| "key-1".parse().unwrap()),
+        stream: matches!(kind, Kind::Stream | Kind::FragileStream),
+        prefix: None,
+        time_left: TIME_LEFT,
+        trace: Trace::default(),
+    };
+    CallArrived {
+        reply_to,
+        head,
+        body: "body".into(),
+        slot: None,
+        resume_from: 0,
+    }
+}
--- /dev/null
+++ b/crates/shallottide/tests/calls_rules.rs
@@ -0,0 +1,382 @@
+//! The rules of the calls service apart from its fault matrix.
+
+mod call_support;
+
+use std::time::Duration;
+
+use call_support::{Driven, Kind, SharedBorders, TIME_LEFT, arrived, calls_node};
+use call_support::{domain, local, peer, slot};
+use shallottide::calls::CallOptions;
+use shallottide::kernel::{Name, names};
+use shallottide::message::{AttemptEvent, AttemptFailure, CallArrived, ClaimReply, ClaimWanted};
+use shallottide::message::{Dispatch, Forward, Message, ReplyTo};
+use shallottide::routing::Route;
+use shallottide_types::call::{ReplyEvent, ReplyHead, Target};
+use shallottide_types::cases;
+use shallottide_types::id::AttemptId;
+use shallottide_types::peer::{ClaimAnswer, ClaimEnd};
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+const FRONT: ReplyTo = ReplyTo::Front(1);
+const PEER: ReplyTo = ReplyTo::Peer(1);
+
+fn node(routes: Vec<Route>, options: CallOptions) -> (Driven, SharedBorders) {
+    let borders = SharedBorders::default();
+    borders.0.borrow_mut().routes = routes;
+    (calls_node(options, &borders), borders)
+}
+
+fn plain_node() -> Driven {
+    node(vec![local("a")], CallOptions::default()).0
+}
+
+fn refusal(sent: &[(Name, Message)]) -> Option<&Refusal> {
+    sent.iter().find_map(|(_, message)| match message {
+        Message::Reply(reply) => match &reply.event {
+            ReplyEvent::Fail(refusal) => Some(refusal),
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+fn kind_and_ran(sent: &[(Name, Message)]) -> Option<(RefusalKind, Ran)> {
+    refusal(sent).map(|refusal| (refusal.kind, refusal.ran))
+}
+
+fn dispatches(sent: &[(Name, Message)]) -> Vec<&Dispatch> {
+    let dispatch = |(_, message): &'_ (Name, Message)| matches!(message, Message::Dispatch(_));
+    let found = sent.iter().filter(|sent| dispatch(sent));
+    found
+        .map(|(_, message)| match message {
+            Message::Dispatch(dispatch) => dispatch,
+            _ => unreachable!("filtered"),
+        })
+        .collect()
+}
+
+fn forward(sent: &[(Name, Message)]) -> Option<&Forward> {
+    sent.iter().find_map(|(_, message)| match message {
+        Message::Forward(forward) => Some(forward),
+        _ => None,
+    })
+}
+
+fn claim_wanted(sent: &[(Name, Message)]) -> Option<&ClaimWanted> {
+    sent.iter().find_map(|(_, message)| match message {
+        Message::ClaimWanted(wanted) => Some(wanted),
+        _ => None,
+    })
+}
+
+fn failed(attempt: u64, failure: AttemptFailure) -> Message {
+    Message::Attempt(AttemptId(attempt), AttemptEvent::Failed(failure))
+}
+
+fn lost(attempt: u64) -> Message {
+    failed(attempt, AttemptFailure::Lost("fake".into()))
+}
+
+fn from_peer(slot_name: Option<&str>) -> CallArrived {
+    let mut call = arrived(Kind::Booking, PEER);
+    call.slot = slot_name.map(slot);
+    call
+}
+
+#[test]
+fn call_without_key_is_refused() {
+    let mut call = arrived(Kind::Booking, FRONT);
+    call.head.key = None;
+    let sent = plain_node().send(call);
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::KeyRequired, Ran::No))
+    );
+}
+
+#[test]
+fn unknown_service_is_refused() {
+    let mut call = arrived(Kind::Booking, FRONT);
+    call.head.target = Target::Service("nowhere".parse().unwrap());
+    let sent = plain_node().send(call);
+    assert_eq!(kind_and_ran(&sent), Some((RefusalKind::NotFound, Ran::No)));
+}
+
+#[test]
+fn completion_with_key_is_claimed() {
+    let mut call = arrived(Kind::Stream, FRONT);
+    call.head.key = Some("key".parse().unwrap());
+    let sent = plain_node().send(call);
+    assert!(claim_wanted(&sent).is_some());
+    assert!(dispatches(&sent).is_empty());
+}
+
+#[test]
+fn claims_differ_by_team_and_digests_by_body() {
+    let wanted = |team: &str, body: &'static str| {
+        let mut call = arrived(Kind::Booking, FRONT);
+        call.head.team = team.parse().unwrap();
+        call.body = body.into();
+        let sent = plain_node().send(call);
+        claim_wanted(&sent)
+            .map(|wanted| (wanted.claim, wanted.digest))
+            .unwrap()
+    };
+    let (first, second) = (wanted("team", "body"), wanted("other", "body"));
+    assert_ne!(first.0, second.0);
+    assert_eq!(first, wanted("team", "body"));
+    assert_ne!(first.1, wanted("team", "other").1);
+}
+
+fn check_claim_answer(answer: ClaimAnswer, kind: RefusalKind, ran: Ran) {
+    let mut node = plain_node();
+    let sent = node.send(arrived(Kind::Booking, FRONT));
+    let call = claim_wanted(&sent).unwrap().call.clone();
+    let sent = node.send(ClaimReply { call, answer });
+    assert_eq!(kind_and_ran(&sent), Some((kind, ran)));
+    assert!(dispatches(&sent).is_empty());
+}
+
+const NO_BODY: ClaimEnd = ClaimEnd::Ran {
+    status: 200,
+    content_type: compact_str::CompactString::const_new("text/plain"),
+    body: None,
+};
+
+cases! {
+    check_claim_answer;
+    claim_running: ClaimAnswer::Running, RefusalKind::Running, Ran::Unknown;
+    claim_ended_unknown: ClaimAnswer::Ended(ClaimEnd::Unknown), RefusalKind::OutcomeUnknown, Ran::Unknown;
+    claim_ended_too_large: ClaimAnswer::Ended(NO_BODY), RefusalKind::OutcomeUnknown, Ran::Yes;
+    claim_for_other_body: ClaimAnswer::OtherBody, RefusalKind::KeyReused, Ran::No;
+    claim_expired: ClaimAnswer::Expired, RefusalKind::KeyExpired, Ran::Unknown;
+    claim_not_written: ClaimAnswer::NotClaimed, RefusalKind::PlatformDown, Ran::No;
+    claim_unknown: ClaimAnswer::Unknown, RefusalKind::PlatformDown, Ran::Unknown;
+}
+
+#[test]
+fn recorded_answer_is_replayed() {
+    let mut node = plain_node();
+    let sent = node.send(arrived(Kind::Booking, FRONT));
+    let call = claim_wanted(&sent).unwrap().call.clone();
+    let end = ClaimEnd::Ran {
+        status: 201,
+        content_type: "text/plain".into(),
+        body: Some("booked".into()),
+    };
+    let answer = ClaimAnswer::Ended(end);
+    let sent = node.send(ClaimReply { call, answer });
+    let events: Vec<_> = sent
+        .iter()
+        .filter_map(|(_, message)| match message {
+            Message::Reply(reply) => Some(reply.event.clone()),
+            _ => None,
+        })
+        .collect();
+    let head = ReplyHead {
+        status: 201,
+        content_type: "text/plain".into(),
+    };
+    let data = ReplyEvent::Data("booked".into());
+    assert_eq!(events, [ReplyEvent::Head(head), data, ReplyEvent::End]);
+}
+
+#[test]
+fn second_grant_dispatches_nothing() {
+    let mut node = plain_node();
+    let sent = node.send(arrived(Kind::Booking, FRONT));
+    let call = claim_wanted(&sent).unwrap().call.clone();
+    let grant = ClaimReply {
+        call,
+        answer: ClaimAnswer::Granted,
+    };
+    assert_eq!(dispatches(&node.send(grant.clone())).len(), 1);
+    assert!(dispatches(&node.send(grant)).is_empty());
+}
+
+#[test]
+fn same_request_id_in_flight_is_refused() {
+    let mut node = plain_node();
+    let first = arrived(Kind::Booking, FRONT);
+    let mut second = first.clone();
+    second.reply_to = ReplyTo::Front(2);
+    node.send(first);
+    let sent = node.send(second);
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::BadRequest, Ran::No))
+    );
+}
+
+#[test]
+fn calls_in_flight_are_bounded() {
+    let options = CallOptions {
+        max_in_flight: 1,
+        ..CallOptions::default()
+    };
+    let counts = options.counts.clone();
+    let (mut node, _) = node(vec![local("a")], options);
+    node.send(arrived(Kind::Count, FRONT));
+    assert_eq!((counts.in_flight(), counts.from_callers()), (1, 1));
+    let sent = node.send(arrived(Kind::Count, ReplyTo::Front(2)));
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::Overloaded, Ran::No))
+    );
+}
+
+#[test]
+fn full_slot_is_passed_over() {
+    let (mut node, borders) = node(vec![local("a"), peer("b")], CallOptions::default());
+    borders.0.borrow_mut().full.insert(slot("a"));
+    let sent = node.send(arrived(Kind::Count, FRONT));
+    assert_eq!(forward(&sent).unwrap().call.slot, Some(slot("b")));
+}
+
+#[test]
+fn domain_that_refused_is_passed_over() {
+    let routes = vec![domain("dom-2"), domain("dom-3")];
+    let (mut node, _) = node(routes, CallOptions::default());
+    let sent = node.send(arrived(Kind::Booking, FRONT));
+    let call = claim_wanted(&sent).unwrap().call.clone();
+    let answer = ClaimAnswer::Granted;
+    let sent = node.send(ClaimReply { call, answer });
+    assert_eq!(forward(&sent).unwrap().node.domain.as_str(), "dom-2");
+    let full = Refusal::new(RefusalKind::Overloaded, Ran::No, "full");
+    let sent = node.send(failed(1, AttemptFailure::Refused(full)));
+    assert_eq!(forward(&sent).unwrap().node.domain.as_str(), "dom-3");
+}
+
+#[test]
+fn hop_gets_the_time_that_is_left() {
+    let (mut node, _) = node(vec![local("a"), peer("b")], CallOptions::default());
+    node.send(arrived(Kind::Count, FRONT));
+    node.clock.advance(Duration::from_secs(3));
+    let sent = node.send(lost(1));
+    let left = forward(&sent).unwrap().call.head.time_left;
+    assert_eq!(left + Duration::from_secs(3), TIME_LEFT);
+}
+
+#[test]
+fn attempts_of_one_call_are_bounded() {
+    let routes = ["a", "b", "c", "d", "e", "f"].map(local).to_vec();
+    let (mut node, _) = node(routes, CallOptions::default());
+    node.send(arrived(Kind::Count, FRONT));
+    for attempt in 1..4 {
+        assert_eq!(dispatches(&node.send(lost(attempt))).len(), 1);
+    }
+    let sent = node.send(lost(4));
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::UpstreamFailed, Ran::Unknown))
+    );
+}
+
+#[test]
+fn retries_stay_a_share_of_first_attempts() {
+    const CALLS: u32 = 1_000;
+    let options = CallOptions::default();
+    let most = options.retry_burst + options.retry_ratio * f64::from(CALLS);
+    let (mut node, _) = node(["a", "b", "c", "d"].map(local).to_vec(), options);
+    let mut sent_in_all = 0;
+    let mut last_attempt = 0;
+    for i in 0..CALLS {
+        let mut sent = node.send(arrived(Kind::Count, ReplyTo::Front(i.into())));
+        while !dispatches(&sent).is_empty() {
+            sent_in_all += 1;
+            last_attempt += 1;
+            sent = node.send(lost(last_attempt));
+        }
+    }
+    let retries = sent_in_all - CALLS;
+    assert!(
+        retries > 0 && f64::from(retries) <= most,
+        "{retries} retries"
+    );
+}
+
+#[test]
+fn large_answer_passes_through() {
+    let options = CallOptions {
+        buffer_bytes: 4,
+        ..CallOptions::default()
+    };
+    let (mut node, _) = node(vec![local("a"), local("b")], options);
+    node.send(arrived(Kind::Count, FRONT));
+    let head = ReplyHead {
+        status: 200,
+        content_type: "text/plain".into(),
+    };
+    assert!(
+        node.send(Message::Attempt(AttemptId(1), AttemptEvent::Head(head)))
+            .is_empty()
+    );
+    let data = AttemptEvent::Data("large".into());
+    assert_eq!(node.send(Message::Attempt(AttemptId(1), data)).len(), 2);
+    let sent = node.send(lost(1));
+    assert!(dispatches(&sent).is_empty());
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::UpstreamFailed, Ran::Unknown))
+    );
+}
+
+#[test]
+fn forwarded_call_runs_at_the_chosen_slot() {
+    let (mut node, _) = node(vec![local("a"), local("b")], CallOptions::default());
+    let sent = node.send(from_peer(Some("b")));
+    assert_eq!(dispatches(&sent).len(), 1);
+    assert!(claim_wanted(&sent).is_none());
+    let sent = node.send(lost(1));
+    assert!(sent.iter().all(|(to, _)| *to == names::PEERS));
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::UpstreamFailed, Ran::Unknown))
+    );
+}
+
+fn check_chosen_slot(routes: Vec<Route>, full: &[&str], kind: RefusalKind) {
+    let (mut node, borders) = node(routes, CallOptions::default());
+    borders.0.borrow_mut().full = full.iter().map(|name| slot(name)).collect();
+    let sent = node.send(from_peer(Some("b")));
+    assert!(dispatches(&sent).is_empty() && forward(&sent).is_none());
+    assert_eq!(kind_and_ran(&sent), Some((kind, Ran::No)));
+}
+
+cases! {
+    check_chosen_slot;
+    chosen_slot_not_here: vec![local("a")], &[], RefusalKind::NoUpstream;
+    chosen_slot_moved_on: vec![peer("b")], &[], RefusalKind::NoUpstream;
+    chosen_slot_full: vec![local("a"), local("b")], &["b"], RefusalKind::Overloaded;
+}
+
+#[test]
+fn call_forwarded_to_the_domain_stays_in_it() {
+    let routes = vec![domain("dom-3"), peer("b")];
+    let (mut node, _) = node(routes, CallOptions::default());
+    let sent = node.send(from_peer(None));
+    assert_eq!(forward(&sent).unwrap().call.slot, Some(slot("b")));
+}
+
+#[test]
+fn call_forwarded_to_the_domain_is_not_sent_again_after_a_loss() {
+    let (mut node, _) = node(["a", "b", "c"].map(local).to_vec(), CallOptions::default());
+    node.send(from_peer(None));
+    let sent = node.send(failed(1, AttemptFailure::NotRun("fake".into())));
+    assert_eq!(dispatches(&sent).len(), 1);
+    let sent = node.send(lost(2));
+    assert!(dispatches(&sent).is_empty());
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::UpstreamFailed, Ran::Unknown))
+    );
+}
+
+#[test]
+fn peers_calls_are_taken_while_stopping() {
+    let mut node = plain_node();
+    node.send(Message::Stop);
+    assert_eq!(dispatches(&node.send(from_peer(Some("a")))).len(), 1);
+    let sent = node.send(arrived(Kind::Count, FRONT));
+    assert!(refusal(&sent).unwrap().retry_after.is_some());
+}
