Add config, members and status services and the peer codec

First working form, not yet tested. Additions to shared types: PeerMsg::RecordsSince, because single copies don't say up to which index everything is held; Heartbeat::sightings, because second-hand news of whole NodeInfos take about 45 bytes a node; PlatformOp::Remove for entries of dead nodes; Message::OwnLoads; ConfigView::invalid.

--- /dev/null
+++ b/crates/shallottide/src/config.rs
@@ -0,0 +1,15 @@
+//! The operators' records: read from the platform, spread between nodes, put in force.
+
+mod backoff;
+mod config_options;
+mod config_service;
+mod live_records;
+mod platform_watch;
+mod record_spread;
+mod record_store;
+
+pub(crate) use backoff::Backoff;
+pub use config_options::ConfigOptions;
+pub use config_service::ConfigService;
+pub use live_records::LiveRecords;
+pub use record_store::{Applied, RecordStore};
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -6,7 +6,11 @@
 //! the kernel by the same messages.
 
 pub mod admission;
+pub mod config;
 pub mod kernel;
+pub mod members;
 pub mod message;
+pub mod peer_codec;
 pub mod routing;
+pub mod status;
 pub mod view;
--- /dev/null
+++ b/crates/shallottide/src/members.rs
@@ -0,0 +1,16 @@
+//! The entry VMs: where they are, which are alive, and the loads of what they dispatch to.
+
+mod gossip;
+mod heartbeat_targets;
+mod member;
+mod member_options;
+mod member_service;
+mod member_table;
+mod own_loads;
+mod registration;
+pub mod ring;
+
+pub use member::Member;
+pub use member_options::MemberOptions;
+pub use member_service::MemberService;
+pub use member_table::MemberTable;
--- /dev/null
+++ b/crates/shallottide/src/members/member_table.rs
@@ -0,0 +1,220 @@
+//! All other entry VMs that are known here.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use shallottide_types::id::{DomainId, NodeId, StoreIndex};
+use shallottide_types::peer::{LoadSummary, NodeInfo, NodeTag};
+
+use super::{Member, MemberOptions};
+use crate::view::{DispatcherLoad, MemberView, NodeState};
+
+/// What happened to a member when something was heard of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing new, or of an older start of the node.
+    Nothing,
+    /// It is alive, as it was before.
+    StillAlive,
+    /// It is alive and was not before.
+    Returned,
+}
+
+/// All other entry VMs that are known here.
+#[derive(Debug)]
+pub struct MemberTable {
+    me: NodeId,
+    domain: DomainId,
+    period: Duration,
+    missed_beats: u32,
+    max_load_age: Duration,
+    members: BTreeMap<NodeId, Member>,
+    /// The member of each tag; `None` when two share it.
+    tags: BTreeMap<NodeTag, Option<NodeId>>,
+}
+
+impl MemberTable {
+    /// Creates a table that knows nobody.
+    #[must_use]
+    pub fn new(me: &NodeInfo, options: &MemberOptions) -> Self {
+        Self {
+            me: me.node.clone(),
+            domain: me.domain.clone(),
+            period: options.period,
+            missed_beats: options.missed_beats,
+            max_load_age: options.max_load_age,
+            members: BTreeMap::new(),
+            tags: BTreeMap::new(),
+        }
+    }
+
+    /// Returns all members.
+    #[must_use]
+    pub fn members(&self) -> &BTreeMap<NodeId, Member> {
+        &self.members
+    }
+
+    /// Returns one member.
+    pub fn get_mut(&mut self, node: &NodeId) -> Option<&mut Member> {
+        self.members.get_mut(node)
+    }
+
+    /// Finds a member by its tag, unless two share it.
+    pub fn by_tag(&mut self, tag: NodeTag) -> Option<&mut Member> {
+        let node = self.tags.get(&tag)?.as_ref()?;
+        self.members.get_mut(node)
+    }
+
+    /// Learns where a node is. Returns `None` for this node and for older starts of a node.
+    pub fn learn(&mut self, info: &NodeInfo, now: Instant) -> Option<&mut Member> {
+        if info.node == self.me {
+            return None;
+        }
+        let held = self
+            .members
+            .get(&info.node)
+            .map(|held| held.info.incarnation);
+        if held.is_some_and(|held| info.incarnation < held) {
+            return None;
+        }
+        if held.is_none_or(|held| info.incarnation > held) {
+            self.forget(&info.node);
+            let member = Member::new(info.clone(), now);
+            self.add_tag(&member);
+            self.members.insert(info.node.clone(), member);
+        }
+        let member = self.members.get_mut(&info.node)?;
+        if info.stopping && !member.info.stopping {
+            member.info.stopping = true;
+            member.news_sent = 0;
+        }
+        Some(member)
+    }
+
+    /// Learns that a node gave a sign of life at `at`.
+    pub fn hear(
+        &mut self,
+        info: &NodeInfo,
+        at: Instant,
+        config: StoreIndex,
+        now: Instant,
+    ) -> Heard {
+        let was_alive = self.is_alive(&info.node, now);
+        let Some(member) = self.learn(info, now) else {
+            return Heard::Nothing;
+        };
+        if !member.hear(at, config) {
+            return Heard::Nothing;
+        }
+        if was_alive {
+            Heard::StillAlive
+        } else {
+            Heard::Returned
+        }
+    }
+
+    /// Forgets a node.
+    pub fn forget(&mut self, node: &NodeId) {
+        if let Some(member) = self.members.remove(node)
+            && self.tags.get(&member.tag) == Some(&Some(node.clone()))
+        {
+            self.tags.remove(&member.tag);
+        }
+    }
+
+    fn add_tag(&mut self, member: &Member) {
+        let taken = self.tags.contains_key(&member.tag);
+        let owner = (!taken).then(|| member.info.node.clone());
+        self.tags.insert(member.tag, owner);
+    }
+
+    /// Tells whether a member counts as alive.
+    #[must_use]
+    pub fn is_alive(&self, node: &NodeId, now: Instant) -> bool {
+        let member = self.members.get(node);
+        member.is_some_and(|member| self.counts_alive(member, now))
+    }
+
+    /// Tells whether a member counts as alive by its latest known sign of life.
+    #[must_use]
+    pub fn counts_alive(&self, member: &Member, now: Instant) -> bool {
+        let bound = self.dead_after(&member.info.domain);
+        member.age(now).is_some_and(|age| age <= bound)
+    }
+
+    /// Returns the age of a sign of life by which a node of a failure domain counts as dead:
+    /// some missed heartbeats, and the beats that news take to spread in a domain this large.
+    #[must_use]
+    pub fn dead_after(&self, domain: &DomainId) -> Duration {
+        let own = self.members_of(&self.domain).count() + 1;
+        let spread = spread_beats(own);
+        let abroad = if *domain == self.domain { 0 } else { 2 };
+        self.period * (self.missed_beats + spread + abroad)
+    }
+
+    /// Returns the known members of a failure domain.
+    pub fn members_of<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a Member> {
+        self.members
+            .values()
+            .filter(move |member| member.info.domain == *domain)
+    }
+
+    /// Returns the members of a failure domain that count as alive.
+    pub fn alive_in<'a>(
+        &'a self,
+        domain: &'a DomainId,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Member> {
+        self.members_of(domain)
+            .filter(move |member| self.counts_alive(member, now))
+    }
+
+    /// Builds the view of all members, without this node.
+    #[must_use]
+    pub fn view(&self, now: Instant) -> MemberView {
+        let mut view = MemberView::default();
+        for member in self.members.values() {
+            let alive = self.counts_alive(member, now);
+            let state = NodeState {
+                info: member.info.clone(),
+                heard_at: member.heard_at.unwrap_or(member.known_at),
+                alive,
+                config: member.config,
+            };
+            view.nodes.insert(member.info.node.clone(), state);
+            if alive && member.info.domain == self.domain {
+                self.add_loads(member, now, &mut view);
+            }
+        }
+        view
+    }
+
+    fn add_loads(&self, member: &Member, now: Instant, view: &mut MemberView) {
+        for (load, at) in member.loads.values() {
+            let fresh = now.saturating_duration_since(*at) <= self.max_load_age;
+            let held = view.loads.get(&load.slot);
+            if fresh && held.is_none_or(|held| held.heard_at < *at) {
+                view.loads.insert(
+                    load.slot.clone(),
+                    dispatcher_load(&member.info.node, load, *at),
+                );
+            }
+        }
+    }
+}
+
+/// Names the dispatcher of a load.
+pub(super) fn dispatcher_load(node: &NodeId, load: &LoadSummary, at: Instant) -> DispatcherLoad {
+    DispatcherLoad {
+        node: node.clone(),
+        load: load.clone(),
+        heard_at: at,
+    }
+}
+
+/// Returns the heartbeats by which news have spread among so many nodes.
+fn spread_beats(nodes: usize) -> u32 {
+    /// Nodes that all send to each other.
+    const DIRECT: usize = 4;
+    nodes.div_ceil(DIRECT).next_power_of_two().ilog2()
+}
--- a/crates/shallottide/src/message.rs
+++ b/crates/shallottide/src/message.rs
@@ -16,6 +16,7 @@
 pub use platform_messages::{PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest};
 
 use shallottide_types::id::AttemptId;
+use shallottide_types::peer::LoadSummary;
 
 /// A message to a service or border.
 #[derive(Debug, Clone)]
@@ -53,6 +54,8 @@
     /// A control message from a peer. `PEERS` sends heartbeats to `MEMBERS`, records to
     /// `CONFIG`, placements and reports to `GROUPS`, claims to `CLAIMS`.
     PeerReceived(PeerReceived),
+    /// Loads of all slots dispatched here, from `CALLS` to `MEMBERS`, about once a second.
+    OwnLoads(Vec<LoadSummary>),
     /// Send an order, from `GROUPS` to `ENGINES`.
     EngineOrder(EngineOrder),
     /// Its result, to `GROUPS`.
--- a/crates/shallottide/src/message/platform_messages.rs
+++ b/crates/shallottide/src/message/platform_messages.rs
@@ -41,6 +41,13 @@
         /// What it replaces.
         expect: Expect,
     },
+    /// Deletes one value by compare-and-swap.
+    Remove {
+        /// The key.
+        key: String,
+        /// Index of its last change.
+        expect: StoreIndex,
+    },
     /// Opens a session.
     OpenSession(Duration),
     /// Renews a session.
@@ -81,7 +88,7 @@
     Entry(Option<Entry>),
     /// To [`PlatformOp::List`].
     Listing(Listing),
-    /// To [`PlatformOp::Swap`].
+    /// To [`PlatformOp::Swap`] and [`PlatformOp::Remove`].
     Swap(Swap),
     /// To [`PlatformOp::OpenSession`].
     Session(String),
--- /dev/null
+++ b/crates/shallottide/src/peer_codec/message_bytes.rs
@@ -0,0 +1,82 @@
+//! Encodes and decodes single messages.
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::CodecError;
+
+/// First byte of every message.
+pub const PROTOCOL_VERSION: u8 = 1;
+
+/// Longest message in bytes, with its version byte.
+pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
+/// Bytes of a frame's length.
+pub(super) const LENGTH_BYTES: usize = 4;
+
+/// Longest message that is decoded within [`SMALL_DECODED_BYTES`].
+const SMALL_MESSAGE_BYTES: usize = 64 << 10;
+
+/// Memory a small message may take; a varint of one byte may become an integer of sixteen.
+const SMALL_DECODED_BYTES: usize = 16 * SMALL_MESSAGE_BYTES;
+
+/// Memory any message may take. Long messages are mostly bodies, which don't grow.
+const MAX_DECODED_BYTES: usize = 4 * MAX_MESSAGE_BYTES;
+
+/// Encodes a message.
+///
+/// # Panics
+/// If the type holds something bincode has no form for, such as an internally tagged enum.
+#[must_use]
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    let mut bytes = vec![PROTOCOL_VERSION];
+    bincode::serde::encode_into_std_write(message, &mut bytes, standard())
+        .expect("peer messages are plain data and a Vec takes any length");
+    bytes
+}
+
+/// Encodes a message as one frame of a stream.
+///
+/// # Errors
+/// [`CodecError::TooLong`].
+pub fn encode_frame<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
+    let bytes = encode(message);
+    let len = u32::try_from(bytes.len())
+        .ok()
+        .filter(|_| bytes.len() <= MAX_MESSAGE_BYTES)
+        .ok_or(CodecError::TooLong(bytes.len()))?;
+    Ok([&len.to_be_bytes(), bytes.as_slice()].concat())
+}
+
+/// Decodes a message that takes up all of `bytes`.
+///
+/// # Errors
+/// [`CodecError`], for any input that [`encode`] didn't give.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    if bytes.len() > MAX_MESSAGE_BYTES {
+        return Err(CodecError::TooLong(bytes.len()));
+    }
+    match bytes {
+        [] => Err(CodecError::Empty),
+        [PROTOCOL_VERSION, body @ ..] if body.len() <= SMALL_MESSAGE_BYTES => {
+            decode_body(body, standard().with_limit::<SMALL_DECODED_BYTES>())
+        }
+        [PROTOCOL_VERSION, body @ ..] => {
+            decode_body(body, standard().with_limit::<MAX_DECODED_BYTES>())
+        }
+        [version, ..] => Err(CodecError::Version(*version)),
+    }
+}
+
+fn decode_body<T: DeserializeOwned, const LIMIT: usize>(
+    body: &[u8],
+    config: Configuration<LittleEndian, Varint, Limit<LIMIT>>,
+) -> Result<T, CodecError> {
+    let (message, used) = bincode::serde::decode_from_slice(body, config)
+        .map_err(|e| CodecError::Malformed(e.to_string()))?;
+    match body.len() - used {
+        0 => Ok(message),
+        rest => Err(CodecError::Trailing(rest)),
+    }
+}
--- a/crates/shallottide/src/view/config_view.rs
+++ b/crates/shallottide/src/view/config_view.rs
@@ -11,7 +11,7 @@
 /// All records in their newest form.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigView {
-    /// Highest store index applied.
+    /// Every change up to this store index is applied here.
     pub index: StoreIndex,
     /// Models by name.
     pub models: BTreeMap<ModelId, ModelRecord>,
@@ -25,6 +25,8 @@
     pub teams: BTreeMap<TeamId, TeamRecord>,
     /// The team of each valid key.
     pub team_keys: BTreeMap<KeyHash, TeamId>,
+    /// Why the stored document of a platform key can't be used; its last good one is in force.
+    pub invalid: BTreeMap<String, String>,
 }
 
 impl ConfigView {
--- a/crates/shallottide_types/src/peer.rs
+++ b/crates/shallottide_types/src/peer.rs
@@ -39,6 +39,8 @@
         },
         /// Reports the end of a claimed call.
         ClaimEnded(ClaimOutcome),
+        /// All records changed after an index, up to another.
+        RecordsSince(RecordsSince),
     }
 
     /// One node's sign of life.
@@ -55,8 +57,40 @@
         pub news: Vec<NodeNews>,
         /// Load of what the sender dispatches to.
         pub loads: Vec<LoadSummary>,
+        /// When some other nodes, known to the receiver by their tags, were last alive.
+        pub sightings: Vec<Sighting>,
     }
 
+    /// When a node was last alive, in few bytes.
+    pub struct Sighting {
+        /// Short hash of the node and its incarnation.
+        pub node: NodeTag,
+        /// How long ago the node itself was heard, in tenths of a second, rounded up.
+        pub age_ds: u16,
+        /// How much lower the node's store index is than that of the heartbeat's sender.
+        pub behind: u64,
+        /// Load of what the node dispatches to, as of then.
+        pub loads: Vec<SlotLoad>,
+    }
+
+    /// A [`LoadSummary`] in few bytes.
+    pub struct SlotLoad {
+        /// Short hash of the slot.
+        pub slot: SlotTag,
+        /// Requests in flight by the dispatcher's own count.
+        pub in_flight: u32,
+        /// The limit in force then.
+        pub limit: u32,
+    }
+
+    /// Short hash of a node and its incarnation. Two nodes may share one.
+    #[derive(Copy, PartialOrd, Ord)]
+    pub struct NodeTag(pub u32);
+
+    /// Short hash of a slot. Two slots may share one.
+    #[derive(Copy, PartialOrd, Ord)]
+    pub struct SlotTag(pub u32);
+
     /// Where a node is.
     pub struct NodeInfo {
         /// The node.
@@ -110,6 +144,17 @@
         pub value: Option<Vec<u8>>,
     }
 
+    /// All records changed after one index, up to another.
+    pub struct RecordsSince {
+        /// Only records changed after this index are held. 0 means that all records are
+        /// held, so that any other record changed up to `to` is deleted.
+        pub since: StoreIndex,
+        /// Every change up to this index is held.
+        pub to: StoreIndex,
+        /// The records; some may be newer than `to`.
+        pub records: Vec<RecordCopy>,
+    }
+
     /// A claim of an idempotency key, sent to the node that writes claims of its partition.
     pub struct ClaimRequest {
         /// Finds the answer; unique at the sender.
