--- a/crates/shallottide/src/platform_border.rs
+++ b/crates/shallottide/src/platform_border.rs
@@ -77,6 +77,9 @@
             PlatformOp::Swap { key, value, expect } => {
                 PlatformAnswer::Swap(platform.swap(&key, &value, expect)?)
             }
+            PlatformOp::Remove { key, expect } => {
+                PlatformAnswer::Swap(platform.remove(&key, expect)?)
+            }
             PlatformOp::OpenSession(ttl) => PlatformAnswer::Session(platform.open_session(ttl)?),
             PlatformOp::RenewSession(session) => {
                 PlatformAnswer::Done(platform.renew_session(&session)?)
