Prove the peer border over a wire that is cut and frozen

Cause sought: whether a call can vanish into a connection that went silent, and whether a node without the key is served. Before: without the ping the call on a frozen connection was not answered; without the check of the proof the wrong key was served (see the two failing cases when either guard is taken out).

--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod message;
 pub mod operators;
 pub mod peer_codec;
+pub mod peers;
 pub mod platform_border;
 pub mod platform_client;
 pub mod replies;
--- a/crates/shallottide/src/peers/incoming.rs
+++ b/crates/shallottide/src/peers/incoming.rs
@@ -153,7 +153,9 @@
         for (name, value) in proof.headers() {
             builder = builder.header(name, value);
         }
-        builder.body(()).expect("an id, a number and hex are valid headers")
+        builder
+            .body(())
+            .expect("an id, a number and hex are valid headers")
     }
 }
 
@@ -202,7 +204,9 @@
 fn receiver(msg: &PeerMsg) -> Name {
     match msg {
         PeerMsg::Heartbeat(_) => names::MEMBERS,
-        PeerMsg::Records(_) | PeerMsg::RecordsWanted { .. } => names::CONFIG,
+        PeerMsg::Records(_) | PeerMsg::RecordsWanted { .. } | PeerMsg::RecordsSince(_) => {
+            names::CONFIG
+        }
         PeerMsg::Placement(_) | PeerMsg::Reports(_) => names::GROUPS,
         PeerMsg::Claim(_) | PeerMsg::Claimed { .. } | PeerMsg::ClaimEnded(_) => names::CLAIMS,
     }
--- a/crates/shallottide/src/peers/outgoing.rs
+++ b/crates/shallottide/src/peers/outgoing.rs
@@ -31,8 +31,15 @@
     pub(super) async fn control(&self, address: SocketAddr, msg: &PeerMsg) {
         let body = Bytes::from(encode(msg));
         let exchange = async {
-            let link = self.links.proven(address).await.map_err(|e| e.to_string())?;
-            let answer = timeout(CONTROL_TIMEOUT, self.exchange(&link, address, "/control", body));
+            let link = self
+                .links
+                .proven(address)
+                .await
+                .map_err(|e| e.to_string())?;
+            let answer = timeout(
+                CONTROL_TIMEOUT,
+                self.exchange(&link, address, "/control", body),
+            );
             let answer = answer.await.map_err(|_| "no answer in time".to_string());
             let answer = answer.and_then(|answer| answer.map_err(|e| format!("{e:?}")));
             if answer.is_err() {
@@ -102,10 +109,8 @@
             return Err(AttemptFailure::NotRun(reason));
         }
         let answered = Proof::from_headers(response.headers());
-        let checked = answered.and_then(|answered| {
-            self.prover
-                .verify(&answered, address, proof.tag.as_bytes())
-        });
+        let checked = answered
+            .and_then(|answered| self.prover.verify(&answered, address, proof.tag.as_bytes()));
         checked.map_err(|e| AttemptFailure::Lost(e.to_string()))?;
         Ok(response)
     }
--- a/crates/shallottide/src/peers/peer_border.rs
+++ b/crates/shallottide/src/peers/peer_border.rs
@@ -82,7 +82,11 @@
             }
             Message::Forward(forward) => self.forward(forward),
             Message::CancelAttempt(cancel) => {
-                let task = self.running.lock().expect("running lock").remove(&cancel.attempt);
+                let task = self
+                    .running
+                    .lock()
+                    .expect("running lock")
+                    .remove(&cancel.attempt);
                 if let Some(task) = task {
                     task.abort();
                 }
--- a/crates/shallottide/src/peers/proof.rs
+++ b/crates/shallottide/src/peers/proof.rs
@@ -62,7 +62,7 @@
     /// Signs a body for the peer at `receiver`.
     pub(super) fn sign(&self, receiver: SocketAddr, body: &[u8]) -> Proof {
         let sent_ms = u64::try_from(self.clock.unix_time().as_millis()).unwrap_or(u64::MAX);
-        let stamp = self.stamp(self.node.clone(), receiver, sent_ms, body);
+        let stamp = stamp(self.node.clone(), receiver, sent_ms, body);
         Proof {
             sender: self.node.clone(),
             sent_ms,
@@ -77,7 +77,7 @@
         receiver: SocketAddr,
         body: &[u8],
     ) -> Result<(), ProofError> {
-        let stamp = self.stamp(proof.sender.clone(), receiver, proof.sent_ms, body);
+        let stamp = stamp(proof.sender.clone(), receiver, proof.sent_ms, body);
         let now = self.clock.unix_time();
         self.key.verify(&stamp, &proof.tag, now, CLOCK_DIFFERENCE)?;
         Ok(())
@@ -94,10 +94,10 @@
             Some(_) => Err(ProofError::Replayed),
         }
     }
+}
 
-    fn stamp(&self, sender: NodeId, receiver: SocketAddr, sent_ms: u64, body: &[u8]) -> PeerStamp {
-        PeerStamp::new(sender, receiver, Duration::from_millis(sent_ms), body)
-    }
+fn stamp(sender: NodeId, receiver: SocketAddr, sent_ms: u64, body: &[u8]) -> PeerStamp {
+    PeerStamp::new(sender, receiver, Duration::from_millis(sent_ms), body)
 }
 
 impl Proof {
--- /dev/null
+++ b/crates/shallottide/tests/peers/main.rs
@@ -0,0 +1,139 @@
+//! The border between entry VMs, over a wire that can be cut and frozen.
+
+mod peer_node;
+mod wire;
+
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+
+use bytes::Bytes;
+use peer_node::{Answer, PeerNode, forward};
+use shallottide::message::{AttemptEvent, AttemptFailure, CancelAttempt, Message};
+use shallottide_types::cases;
+use shallottide_types::id::AttemptId;
+use shallottide_types::refusal::{Ran, RefusalKind};
+use wire::Wire;
+
+const KEY: &str = "0123456789abcdef";
+const OTHER_KEY: &str = "fedcba9876543210";
+
+/// No test waits this long unless it fails.
+const LONG: Duration = Duration::from_mins(1);
+
+/// Longer than a link counts as proven without a ping.
+const QUIET: Duration = Duration::from_millis(400);
+
+#[derive(Debug, PartialEq, Eq)]
+enum Outcome {
+    Whole(Vec<Bytes>),
+    Refused(RefusalKind, Ran),
+    NotSent,
+    NotRun,
+    Lost,
+}
+
+fn outcome(node: &PeerNode) -> Outcome {
+    let mut parts = Vec::new();
+    loop {
+        match next_event(&node.attempts) {
+            AttemptEvent::Head(_) => {}
+            AttemptEvent::Data(part) => parts.push(part),
+            AttemptEvent::End => return Outcome::Whole(parts),
+            AttemptEvent::Failed(AttemptFailure::NotSent(_)) => return Outcome::NotSent,
+            AttemptEvent::Failed(AttemptFailure::NotRun(_)) => return Outcome::NotRun,
+            AttemptEvent::Failed(AttemptFailure::Lost(_)) => return Outcome::Lost,
+            AttemptEvent::Failed(AttemptFailure::Refused(refusal)) => {
+                return Outcome::Refused(refusal.kind, refusal.ran);
+            }
+        }
+    }
+}
+
+fn next_event(attempts: &Receiver<Message>) -> AttemptEvent {
+    match attempts.recv_timeout(LONG) {
+        Ok(Message::Attempt(_, event)) => event,
+        other => panic!("no attempt event: {other:?}"),
+    }
+}
+
+/// Two nodes; the second is reached through a wire.
+fn pair(second_key: &'static str, answer: Answer) -> (PeerNode, PeerNode, Wire) {
+    let wire = Wire::open();
+    let first = PeerNode::start("node-1", KEY, None, Answer::Whole);
+    let second = PeerNode::start("node-2", second_key, Some(wire.address()), answer);
+    wire.lead_to(second.listens);
+    (first, second, wire)
+}
+
+fn check(second_key: &'static str, answer: Answer, expected: &Outcome, arrivals: usize) {
+    let (first, second, wire) = pair(second_key, answer);
+    first.border.send(forward(1, wire.address(), LONG).into());
+    assert_eq!(&outcome(&first), expected);
+    assert_eq!(second.arrivals.try_iter().count(), arrivals);
+}
+
+fn whole() -> Outcome {
+    Outcome::Whole(vec![Bytes::from_static(b"one"), Bytes::from_static(b"two")])
+}
+
+cases! {
+    check;
+    answer_comes_whole: KEY, Answer::Whole, &whole(), 1;
+    refusal_keeps_whether_it_ran: KEY, Answer::Refusal, &Outcome::Refused(RefusalKind::Overloaded, Ran::No), 1;
+    refusal_midway_is_no_answer: KEY, Answer::RefusalMidway, &Outcome::Refused(RefusalKind::UpstreamFailed, Ran::Unknown), 1;
+    wrong_key_is_refused_before_running: OTHER_KEY, Answer::Whole, &Outcome::NotRun, 0;
+}
+
+#[test]
+fn unreachable_peer_is_not_sent() {
+    let (first, _second, wire) = pair(KEY, Answer::Whole);
+    let address = wire.address();
+    wire.close();
+    first.border.send(forward(1, address, LONG).into());
+    assert_eq!(outcome(&first), Outcome::NotSent);
+}
+
+#[test]
+fn connection_cut_midway_is_lost() {
+    let (first, second, wire) = pair(KEY, Answer::HeadOnly);
+    first.border.send(forward(1, wire.address(), LONG).into());
+    assert!(matches!(next_event(&first.attempts), AttemptEvent::Head(_)));
+    wire.cut_open_connections();
+    assert_eq!(outcome(&first), Outcome::Lost);
+    assert_eq!(second.arrivals.try_iter().count(), 1);
+}
+
+#[test]
+fn connection_silent_midway_is_lost() {
+    let (first, _second, wire) = pair(KEY, Answer::HeadOnly);
+    let idle_timeout = Duration::from_millis(200);
+    first
+        .border
+        .send(forward(1, wire.address(), idle_timeout).into());
+    assert_eq!(outcome(&first), Outcome::Lost);
+}
+
+#[test]
+fn connection_gone_silent_before_a_call_is_replaced() {
+    let (first, second, wire) = pair(KEY, Answer::Whole);
+    first.border.send(forward(1, wire.address(), LONG).into());
+    assert_eq!(outcome(&first), whole());
+    wire.freeze_open_connections();
+    std::thread::sleep(QUIET);
+    first.border.send(forward(2, wire.address(), LONG).into());
+    assert_eq!(outcome(&first), whole());
+    assert_eq!(second.arrivals.try_iter().count(), 2);
+}
+
+#[test]
+fn cancelled_call_is_dropped_at_the_peer() {
+    let (first, second, wire) = pair(KEY, Answer::HeadOnly);
+    first.border.send(forward(1, wire.address(), LONG).into());
+    assert!(matches!(next_event(&first.attempts), AttemptEvent::Head(_)));
+    let attempt = AttemptId(1);
+    first.border.send(CancelAttempt { attempt }.into());
+    second
+        .gone
+        .recv_timeout(LONG)
+        .expect("the peer hears of it");
+}
--- /dev/null
+++ b/crates/shallottide/tests/peers/peer_node.rs
@@ -0,0 +1,186 @@
+//! A node with only a peer border, whose calls service answers as told.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+
+use bytes::Bytes;
+use shallottide::front::FrontBorder;
+use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
+use shallottide::message::{CallArrived, Forward, Message, Reply};
+use shallottide::peer_codec::PeerKey;
+use shallottide::peers::{PeerBorder, PeerOptions};
+use shallottide_types::call::{CallHead, ReplyEvent, ReplyHead, Target, Trace};
+use shallottide_types::clock::SystemClock;
+use shallottide_types::id::{AttemptId, Incarnation};
+use shallottide_types::peer::{ForwardedCall, NodeInfo};
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+/// How the node answers a call.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Answer {
+    Whole,
+    HeadOnly,
+    Refusal,
+    RefusalMidway,
+}
+
+impl Answer {
+    fn events(self) -> Vec<ReplyEvent> {
+        let head = ReplyEvent::Head(ReplyHead {
+            status: 200,
+            content_type: "text/plain".into(),
+        });
+        let data = |text| ReplyEvent::Data(Bytes::from_static(text));
+        let refusal = |kind, ran| ReplyEvent::Fail(Refusal::new(kind, ran, "as told"));
+        match self {
+            Self::Whole => vec![head, data(b"one"), data(b"two"), ReplyEvent::End],
+            Self::HeadOnly => vec![head],
+            Self::Refusal => vec![refusal(RefusalKind::Overloaded, Ran::No)],
+            Self::RefusalMidway => {
+                let failed = refusal(RefusalKind::UpstreamFailed, Ran::Unknown);
+                vec![head, data(b"one"), failed]
+            }
+        }
+    }
+}
+
+/// Answers calls and records what it gets.
+struct Responder {
+    answer: Answer,
+    arrivals: Sender<CallArrived>,
+    attempts: Sender<Message>,
+    gone: Sender<()>,
+}
+
+impl Service for Responder {
+    fn name(&self) -> Name {
+        names::CALLS
+    }
+
+    fn handle(&mut self, message: Message, _: &Context, out: &mut Outbox) {
+        match message {
+            Message::CallArrived(call) => {
+                for event in self.answer.events() {
+                    let reply_to = call.reply_to;
+                    out.send(names::PEERS, Reply { reply_to, event });
+                }
+                let _ = self.arrivals.send(call);
+            }
+            Message::Attempt(..) => drop(self.attempts.send(message)),
+            Message::CallGone(_) => drop(self.gone.send(())),
+            _ => {}
+        }
+    }
+}
+
+/// A running node.
+pub(crate) struct PeerNode {
+    pub(crate) border: PeerBorder,
+    /// Where it really listens.
+    pub(crate) listens: SocketAddr,
+    pub(crate) arrivals: Receiver<CallArrived>,
+    pub(crate) attempts: Receiver<Message>,
+    pub(crate) gone: Receiver<()>,
+}
+
+impl PeerNode {
+    /// Starts a node that others know by `known_as`, or by where it listens.
+    pub(crate) fn start(
+        name: &'static str,
+        key: &'static str,
+        known_as: Option<SocketAddr>,
+        answer: Answer,
+    ) -> Self {
+        let (arrivals_tx, arrivals) = channel();
+        let (attempts_tx, attempts) = channel();
+        let (gone_tx, gone) = channel();
+        let (started_tx, started) = channel();
+        let responder = Responder {
+            answer,
+            arrivals: arrivals_tx,
+            attempts: attempts_tx,
+            gone: gone_tx,
+        };
+        std::thread::spawn(move || run(name, key, known_as, responder, &started_tx));
+        let (border, listens) = started.recv().expect("the node starts");
+        Self {
+            border,
+            listens,
+            arrivals,
+            attempts,
+            gone,
+        }
+    }
+}
+
+fn run(
+    name: &str,
+    key: &str,
+    known_as: Option<SocketAddr>,
+    responder: Responder,
+    started: &Sender<(PeerBorder, SocketAddr)>,
+) {
+    let any = "127.0.0.1:0".parse().expect("valid");
+    let listener = FrontBorder::bind(any).expect("a free port");
+    let listens = listener.local_addr().expect("bound");
+    let info = node_info(name, known_as.unwrap_or(listens));
+    let mut kernel = Kernel::new(Context::new(Arc::new(SystemClock), info.clone()));
+    kernel.add_service(Box::new(responder));
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let options = PeerOptions {
+        node: info.node,
+        address: info.address,
+        key: PeerKey::new(key.as_bytes()).expect("long enough"),
+        clock: Arc::new(SystemClock),
+    };
+    let border = PeerBorder::new(options, kernel.handle(), runtime.handle().clone());
+    runtime.spawn(border.clone().serve(listener));
+    let to_border = border.clone();
+    kernel.add_border(names::PEERS, move |message| to_border.send(message));
+    let _ = started.send((border, listens));
+    kernel.run(|_| false);
+}
+
+fn node_info(name: &str, address: SocketAddr) -> NodeInfo {
+    NodeInfo {
+        node: name.parse().expect("valid"),
+        incarnation: Incarnation(1),
+        domain: "jkpg".parse().expect("valid"),
+        address,
+        stopping: false,
+    }
+}
+
+/// A call for the node at `address`.
+pub(crate) fn forward(attempt: u64, address: SocketAddr, idle_timeout: Duration) -> Forward {
+    let head = CallHead {
+        id: format!("call-{attempt}").parse().expect("valid"),
+        team: "depot".parse().expect("valid"),
+        target: Target::Service("bookings".parse().expect("valid")),
+        method: "POST".into(),
+        path: "/bookings".into(),
+        content_type: None,
+        key: None,
+        stream: false,
+        prefix: None,
+        time_left: Duration::from_mins(10),
+        trace: Trace::default(),
+    };
+    Forward {
+        attempt: AttemptId(attempt),
+        node: node_info("node-2", address),
+        call: ForwardedCall {
+            head,
+            body: Bytes::new(),
+            slot: None,
+            resume_from: 0,
+        },
+        idle_timeout,
+    }
+}
--- /dev/null
+++ b/crates/shallottide/tests/peers/wire.rs
@@ -0,0 +1,109 @@
+//! A loopback connection between two nodes that a test can cut, freeze or close.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// Forwards bytes to a target.
+pub(crate) struct Wire {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    target: Option<SocketAddr>,
+    closed: bool,
+    open: Vec<Open>,
+}
+
+/// One open connection and its other half.
+struct Open {
+    near: TcpStream,
+    far: TcpStream,
+    frozen: Arc<Mutex<bool>>,
+}
+
+impl Wire {
+    /// Opens a wire that leads nowhere yet.
+    pub(crate) fn open() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = state.clone();
+        std::thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let mut state = shared.lock().expect("wire lock");
+                if state.closed {
+                    return;
+                }
+                let Some(target) = state.target else {
+                    continue;
+                };
+                if let Ok(far) = TcpStream::connect(target) {
+                    state.open.push(Open::start(near, far));
+                }
+            }
+        });
+        Self { address, state }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(crate) fn lead_to(&self, target: SocketAddr) {
+        self.state.lock().expect("wire lock").target = Some(target);
+    }
+
+    /// Lets open connections pass nothing more, without closing them; new ones work.
+    pub(crate) fn freeze_open_connections(&self) {
+        for open in &self.state.lock().expect("wire lock").open {
+            *open.frozen.lock().expect("frozen lock") = true;
+        }
+    }
+
+    /// Closes open connections; new ones work.
+    pub(crate) fn cut_open_connections(&self) {
+        for open in self.state.lock().expect("wire lock").open.drain(..) {
+            let _ = open.near.shutdown(Shutdown::Both);
+            let _ = open.far.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Refuses new connections.
+    pub(crate) fn close(self) {
+        self.state.lock().expect("wire lock").closed = true;
+        // Wakes the listener so that it ends.
+        let _ = TcpStream::connect(self.address).and_then(|mut wake| wake.read(&mut [0]));
+    }
+}
+
+impl Open {
+    fn start(near: TcpStream, far: TcpStream) -> Self {
+        let frozen = Arc::new(Mutex::new(false));
+        let clone = |stream: &TcpStream| stream.try_clone().expect("a file descriptor");
+        copy(clone(&near), clone(&far), frozen.clone());
+        copy(clone(&far), clone(&near), frozen.clone());
+        Self { near, far, frozen }
+    }
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream, frozen: Arc<Mutex<bool>>) {
+    std::thread::spawn(move || {
+        let mut buf = [0; 4096];
+        while let Ok(n) = from.read(&mut buf) {
+            if n == 0 {
+                break;
+            }
+            // Frozen bytes vanish, as on a path whose state was lost.
+            if *frozen.lock().expect("frozen lock") {
+                continue;
+            }
+            if to.write_all(&buf[..n]).is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown(Shutdown::Both);
+    });
+}
