Add groups, admission and routing, first working form

Controller lease, planner, orders, polling and spreading of the placement; exact limits at a slot's only dispatcher; least-loaded routing. PeerMsg::Vms carries the VMs that a node polls, EngineOrder::valid_until the end of the sender's lease.

--- a/crates/shallottide/src/admission.rs
+++ b/crates/shallottide/src/admission.rs
@@ -8,6 +8,17 @@
 
 use crate::kernel::Context;
 
+mod admission_options;
+mod evidence;
+mod inherited_load;
+mod slot_admission;
+mod slot_limit;
+mod slot_places;
+mod team_share;
+
+pub use admission_options::AdmissionOptions;
+pub use slot_admission::SlotAdmission;
+
 /// Decides whether a slot that this node dispatches to may take one more request.
 pub trait Admission {
     /// Takes one place of a slot's limit for a request.
--- /dev/null
+++ b/crates/shallottide/src/admission/evidence.rs
@@ -0,0 +1,160 @@
+//! What records, placement and reports say of one slot.
+
+use std::time::{Duration, Instant};
+
+use shallottide_types::engine::EngineState;
+use shallottide_types::id::{Fence, Incarnation};
+use shallottide_types::peer::Slot;
+use shallottide_types::placement::Group;
+use shallottide_types::record::UpstreamState;
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+use super::slot_limit::Bounds;
+use crate::kernel::Context;
+
+/// When a caller may try again after a refusal because a slot is not ready.
+const RETRY_NOT_READY: Duration = Duration::from_secs(2);
+
+/// Builds the refusal of a slot that may not serve.
+pub(super) fn not_ready(message: impl Into<String>) -> Refusal {
+    Refusal::new(RefusalKind::NoUpstream, Ran::No, message).retry_after(RETRY_NOT_READY)
+}
+
+/// A slot's state as seen from outside its dispatcher.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Evidence {
+    pub(super) bounds: Bounds,
+    /// Changes whenever the slot starts anew: re-formed, or a member's engine restarted.
+    pub(super) start: Start,
+    /// Whether a member reports that it is not warm.
+    pub(super) reports_cold: bool,
+    /// Whether the slot is one that reports its load.
+    pub(super) reports_load: bool,
+    /// All requests on the upstream and the time the count is of.
+    pub(super) reported: Option<(u32, Instant)>,
+}
+
+/// Identifies one start of a slot.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Start {
+    pub(super) formed: Fence,
+    /// Of each member by rank, as far as known.
+    pub(super) incarnations: Vec<Option<Incarnation>>,
+}
+
+impl Start {
+    /// Tells whether the slot has certainly started anew since `earlier`.
+    pub(super) fn differs(&self, earlier: &Self) -> bool {
+        let restarted = |(now, then): (&Option<Incarnation>, &Option<Incarnation>)| {
+            then.is_some() && now.is_some() && now != then
+        };
+        let mut pairs = self.incarnations.iter().zip(&earlier.incarnations);
+        self.formed != earlier.formed || pairs.any(restarted)
+    }
+}
+
+/// Reads the evidence of a slot that this node dispatches to; `None` when it has no record
+/// or another dispatcher.
+pub(super) fn read(slot: &Slot, cx: &Context) -> Option<Evidence> {
+    let me = cx.me();
+    let placement = cx.placement();
+    if placement.dispatcher(&me.domain, slot) != Some(&me.node) {
+        return None;
+    }
+    let config = cx.config();
+    match slot {
+        Slot::Group(id) => {
+            let group = placement.domains.get(&me.domain)?.groups.get(id)?;
+            let record = config.models.get(&group.model)?;
+            let bounds = Bounds {
+                cold: record.cold_limit,
+                full: record.full_limit,
+            };
+            Some(of_group(group, bounds, cx))
+        }
+        Slot::Service(id) => {
+            let record = config.upstreams.get(id)?;
+            Some(Evidence {
+                bounds: Bounds {
+                    cold: record.cold_limit,
+                    full: record.full_limit,
+                },
+                start: Start::default(),
+                reports_cold: false,
+                reports_load: false,
+                reported: None,
+            })
+        }
+    }
+}
+
+fn of_group(group: &Group, bounds: Bounds, cx: &Context) -> Evidence {
+    let fleet = cx.fleet();
+    let reports = group.members.iter().map(|vm| fleet.reports.get(vm));
+    let reports: Vec<_> = reports.collect();
+    let incarnations = reports
+        .iter()
+        .map(|timed| timed.map(|t| t.report.incarnation));
+    let warm = |timed: &crate::view::TimedReport| timed.report.state == EngineState::Warm;
+    let first = reports.first().copied().flatten();
+    let reported = first.and_then(|timed| {
+        let at = timed
+            .read_at
+            .checked_sub(Duration::from_millis(timed.report.lag_ms))?;
+        Some((timed.report.running + timed.report.queued, at))
+    });
+    Evidence {
+        bounds,
+        start: Start {
+            formed: group.formed,
+            incarnations: incarnations.collect(),
+        },
+        reports_cold: !reports.iter().all(|timed| timed.is_some_and(warm)),
+        reports_load: true,
+        reported,
+    }
+}
+
+/// Checks whether a slot that this node dispatches to may get new work.
+///
+/// # Errors
+/// A refusal with `Ran::No` that says what is in the way.
+pub(super) fn check_ready(slot: &Slot, cx: &Context) -> Result<(), Refusal> {
+    let me = cx.me();
+    let config = cx.config();
+    if config.is_out(&me.domain) {
+        let message = format!("failure domain {} is out: call another one", me.domain);
+        return Err(not_ready(message));
+    }
+    let placement = cx.placement();
+    match slot {
+        Slot::Group(id) => {
+            let placed = placement.domains.get(&me.domain);
+            let group = placed.and_then(|p| p.groups.get(id));
+            let group = group.ok_or_else(|| not_ready(format!("group {id} is not placed")))?;
+            check_group(group, cx).map_err(|reason| not_ready(format!("group {id} {reason}")))
+        }
+        Slot::Service(id) => {
+            let record = config.upstreams.get(id);
+            let record = record.ok_or_else(|| not_ready(format!("upstream {id} has no record")))?;
+            if record.state == UpstreamState::Leaving || record.failure_domain != me.domain {
+                return Err(not_ready(format!(
+                    "upstream {id} is leaving: retry elsewhere"
+                )));
+            }
+            Ok(())
+        }
+    }
+}
+
+fn check_group(group: &Group, cx: &Context) -> Result<(), &'static str> {
+    let fleet = cx.fleet();
+    if !fleet.is_complete(group, cx.now()) {
+        return Err("is not complete: retry until all members are ready");
+    }
+    let leaving = |vm| fleet.vms.get(vm).is_some_and(|vm| vm.leaving);
+    if group.members.iter().any(leaving) {
+        return Err("has a member that is leaving: retry elsewhere");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/shallottide/src/groups.rs
@@ -0,0 +1,20 @@
+//! Groups of VMs: which VMs form them, orders to their engines, and what these report.
+//!
+//! Each failure domain has one [`Placement`](shallottide_types::placement::Placement) in the
+//! platform. The node that holds the controller lease plans it ([`Planner`]) and swaps it;
+//! all nodes of the domain learn it from one watcher and from each other.
+
+mod controller_lease;
+mod group_options;
+mod group_service;
+mod order_book;
+mod placement_copy;
+mod placement_store;
+mod planner;
+pub mod rendezvous;
+mod report_book;
+mod vm_directory;
+
+pub use group_options::GroupOptions;
+pub use group_service::GroupService;
+pub use planner::{PlanInput, Planner};
--- /dev/null
+++ b/crates/shallottide/src/groups/group_service.rs
@@ -0,0 +1,517 @@
+//! The service that forms groups of VMs and publishes placement and fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use shallottide_types::id::{DomainId, NodeId, StoreIndex, UpstreamId};
+use shallottide_types::peer::{NodeInfo, PeerMsg};
+use shallottide_types::placement::Placement;
+use shallottide_types::platform::{Listing, PlatformError, Vm};
+
+use super::controller_lease::ControllerLease;
+use super::order_book::{OrderBook, OrderInput};
+use super::placement_copy::PlacementCopy;
+use super::placement_store::{PlacementStore, parse, placement_key};
+use super::report_book::ReportBook;
+use super::vm_directory::VmDirectory;
+use super::{GroupOptions, PlanInput, Planner, rendezvous};
+use crate::kernel::names::{ENGINES, GROUPS, PEERS, PLATFORM};
+use crate::kernel::{Context, Name, Outbox, Service};
+use crate::message::{
+    EngineOrdered, EnginePoll, EngineReported, Message, PeerReceived, PeerSend, PlatformAnswer,
+    PlatformOp, PlatformReply, PlatformRequest,
+};
+use crate::view::{FleetView, PlacementView};
+
+/// Nodes of a failure domain that try to become its controller.
+const CANDIDATES: usize = 2;
+
+/// Wait after a failed platform call of the watch or the VM list.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Forms groups, orders their engines about, polls them and tells everyone.
+pub struct GroupService {
+    options: GroupOptions,
+    /// The parts that need this node's failure domain, made on the first message.
+    state: Option<State>,
+}
+
+impl GroupService {
+    /// Creates the service.
+    #[must_use]
+    pub fn new(options: GroupOptions) -> Self {
+        Self {
+            options,
+            state: None,
+        }
+    }
+}
+
+impl Service for GroupService {
+    fn name(&self) -> Name {
+        GROUPS
+    }
+
+    fn handle(&mut self, message: Message, cx: &Context, out: &mut Outbox) {
+        let options = &self.options;
+        let state = self.state.get_or_insert_with(|| State::new(options, cx));
+        state.handle(message, cx, out);
+    }
+}
+
+struct State {
+    options: GroupOptions,
+    me: NodeId,
+    domain: DomainId,
+    lease: ControllerLease,
+    store: PlacementStore,
+    copy: PlacementCopy,
+    directory: VmDirectory,
+    reports: ReportBook,
+    orders: OrderBook,
+    next_token: u64,
+    purposes: BTreeMap<u64, Purpose>,
+    watch_index: Option<StoreIndex>,
+    due: BTreeMap<Purpose, Instant>,
+    /// The part of the VM list last sent to each node.
+    parts: BTreeMap<NodeId, (Vec<Vm>, Instant)>,
+    candidates: Vec<NodeId>,
+    fleet_changed: bool,
+}
+
+/// What a platform call or a periodic step is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Purpose {
+    Lease,
+    Store,
+    Watch,
+    VmList,
+    Plan,
+    Push,
+}
+
+/// The alive nodes of the failure domain as seen on one tick.
+struct Nodes {
+    infos: Vec<NodeInfo>,
+    ids: Vec<NodeId>,
+}
+
+impl Nodes {
+    fn of(cx: &Context) -> Self {
+        let me = cx.me();
+        let members = cx.members();
+        let mut infos: Vec<NodeInfo> = members.alive_in(&me.domain).cloned().collect();
+        infos.retain(|info| info.node != me.node);
+        if !me.stopping {
+            infos.push(me);
+        }
+        infos.sort_by(|a, b| a.node.cmp(&b.node));
+        let ids = infos.iter().map(|info| info.node.clone()).collect();
+        Self { infos, ids }
+    }
+
+    fn info(&self, node: &NodeId) -> Option<&NodeInfo> {
+        self.infos.iter().find(|info| info.node == *node)
+    }
+}
+
+impl State {
+    fn new(options: &GroupOptions, cx: &Context) -> Self {
+        let me = cx.me();
+        Self {
+            options: options.clone(),
+            lease: ControllerLease::new(&me.domain, options),
+            store: PlacementStore::new(me.domain.clone()),
+            copy: PlacementCopy::default(),
+            directory: VmDirectory::default(),
+            reports: ReportBook::new(options),
+            orders: OrderBook::new(options),
+            next_token: 0,
+            purposes: BTreeMap::new(),
+            watch_index: None,
+            due: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            candidates: Vec::new(),
+            fleet_changed: false,
+            me: me.node,
+            domain: me.domain,
+        }
+    }
+
+    fn handle(&mut self, message: Message, cx: &Context, out: &mut Outbox) {
+        match message {
+            Message::Tick => self.tick(cx, out),
+            Message::Stop => self.stop(out),
+            Message::PlatformReply(reply) => self.platform_reply(reply, cx, out),
+            Message::PeerReceived(received) => self.peer_received(received, cx, out),
+            Message::EngineReported(reported) => self.engine_reported(reported, cx),
+            Message::EngineOrdered(ordered) => self.engine_ordered(&ordered),
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, cx: &Context, out: &mut Outbox) {
+        let nodes = Nodes::of(cx);
+        let now = cx.now();
+        self.choose_candidates(&nodes);
+        self.directory.expire(self.copy.get(), now);
+        self.reports.retain(self.directory.vms(), now);
+        if let Some(op) = self.lease.next_op(self.is_candidate(), now) {
+            self.request(Purpose::Lease, op, out);
+        }
+        self.watch(now, out);
+        self.read_vms(now, out);
+        self.control(&nodes, cx, out);
+        self.poll(&nodes, now, out);
+        self.send_parts(&nodes, now, out);
+        self.push_placement(&nodes, now, out);
+        self.publish_fleet(cx);
+    }
+
+    fn stop(&mut self, out: &mut Outbox) {
+        if let Some(op) = self.lease.release() {
+            self.request(Purpose::Lease, op, out);
+        }
+    }
+
+    fn choose_candidates(&mut self, nodes: &Nodes) {
+        let mut order = nodes.ids.clone();
+        rendezvous::sort(
+            rendezvous::hash(self.domain.as_str()),
+            &mut order,
+            NodeId::as_str,
+        );
+        order.truncate(CANDIDATES);
+        if order != self.candidates {
+            self.candidates = order;
+            self.reports.share_again();
+        }
+    }
+
+    fn is_candidate(&self) -> bool {
+        self.candidates.contains(&self.me)
+    }
+
+    fn is_first(&self) -> bool {
+        self.candidates.first() == Some(&self.me)
+    }
+
+    fn request(&mut self, purpose: Purpose, op: PlatformOp, out: &mut Outbox) {
+        self.next_token += 1;
+        let token = self.next_token;
+        self.purposes.insert(token, purpose);
+        let reply_to = GROUPS;
+        out.send(
+            PLATFORM,
+            PlatformRequest {
+                reply_to,
+                token,
+                op,
+            },
+        );
+    }
+
+    fn is_under_way(&self, purpose: Purpose) -> bool {
+        self.purposes.values().any(|other| *other == purpose)
+    }
+
+    /// Tells whether a periodic step is due, and sets when it is due again.
+    fn is_due(&mut self, purpose: Purpose, every: Duration, now: Instant) -> bool {
+        let due = self.due.get(&purpose).is_none_or(|at| now >= *at);
+        if due {
+            self.due.insert(purpose, now + every);
+        }
+        due
+    }
+
+    /// Keeps one watch of the placement for the whole failure domain.
+    fn watch(&mut self, now: Instant, out: &mut Outbox) {
+        let idle = !self.is_under_way(Purpose::Watch);
+        if self.is_first() && idle && self.is_due(Purpose::Watch, Duration::ZERO, now) {
+            let op = PlatformOp::List {
+                prefix: placement_key(&self.domain),
+                after: self.watch_index,
+                wait: self.options.watch_wait,
+            };
+            self.request(Purpose::Watch, op, out);
+        }
+    }
+
+    fn read_vms(&mut self, now: Instant, out: &mut Outbox) {
+        let every = self.options.vm_list_every;
+        let idle = !self.is_under_way(Purpose::VmList);
+        if self.is_candidate() && idle && self.is_due(Purpose::VmList, every, now) {
+            let op = PlatformOp::Vms(self.domain.clone());
+            self.request(Purpose::VmList, op, out);
+        }
+    }
+
+    /// Does the controller's work while this node holds the lease.
+    fn control(&mut self, nodes: &Nodes, cx: &Context, out: &mut Outbox) {
+        let now = cx.now();
+        if self.lease.held_until(now).is_none() {
+            self.store.forget();
+            return;
+        }
+        if let Some(op) = self.store.read_op() {
+            self.request(Purpose::Store, op, out);
+        }
+        let every = self.options.plan_every;
+        if self.store.known().is_some() && self.is_due(Purpose::Plan, every, now) {
+            self.plan(nodes, cx, out);
+            self.order(cx, out);
+        }
+    }
+
+    fn plan(&mut self, nodes: &Nodes, cx: &Context, out: &mut Outbox) {
+        let config = cx.config();
+        let now = cx.now();
+        let fresh = self.options.vm_list_every * 5;
+        let vms_known = self
+            .directory
+            .read_at()
+            .is_some_and(|at| now.saturating_duration_since(at) < fresh);
+        // Without records or VMs a plan would break up every group.
+        if config.index == StoreIndex(0) || !vms_known {
+            return;
+        }
+        let own = config.upstreams.values();
+        let own = own.filter(|record| record.failure_domain == self.domain);
+        let upstreams: BTreeSet<UpstreamId> = own.map(|record| record.id.clone()).collect();
+        let Some(previous) = self.store.known() else {
+            return;
+        };
+        let next = Planner::plan(&PlanInput {
+            previous,
+            models: &config.models,
+            upstreams: &upstreams,
+            vms: self.directory.vms(),
+            answering: &self.reports.answering(now),
+            lost: &self.reports.lost(now),
+            nodes: &nodes.ids,
+            max_imbalance: self.options.max_imbalance,
+        });
+        if let Some(op) = next.and_then(|next| self.store.swap_op(next)) {
+            self.request(Purpose::Store, op, out);
+        }
+    }
+
+    fn order(&mut self, cx: &Context, out: &mut Outbox) {
+        let now = cx.now();
+        let (Some(held_until), Some(held_since)) =
+            (self.lease.held_until(now), self.lease.held_since())
+        else {
+            return;
+        };
+        let Some(placement) = self.store.known() else {
+            return;
+        };
+        // A later placement is in force: this one is read again before any order.
+        if placement.fence < self.copy.fence() {
+            self.store.forget();
+            return;
+        }
+        let orders = self.orders.due(&OrderInput {
+            placement,
+            models: &cx.config().models,
+            vms: self.directory.vms(),
+            reports: &self.reports,
+            held_since,
+            held_until,
+            now,
+        });
+        for order in orders {
+            out.send(ENGINES, order);
+        }
+    }
+
+    /// Polls engines, and tells candidates what they report.
+    fn poll(&mut self, nodes: &Nodes, now: Instant, out: &mut Outbox) {
+        let placement = self.copy.get();
+        let mine = if self.is_candidate() {
+            self.directory.polled_by(&self.me, &nodes.ids, placement)
+        } else {
+            self.directory.polled_here(&self.me, placement)
+        };
+        let copies = self.reports.take_due_copies(&mine, placement, now);
+        let mut polled = mine;
+        if self.lease.held_until(now).is_some() {
+            polled.extend(self.suspects(&polled, now));
+        }
+        for vm in self.reports.due(&polled, now) {
+            let (vm, address) = (vm.id.clone(), vm.address);
+            out.send(ENGINES, EnginePoll { vm, address });
+        }
+        let others = self.candidates.iter().filter(|node| **node != self.me);
+        for info in others.filter_map(|node| nodes.info(node)) {
+            if !copies.is_empty() {
+                send_peer(info, PeerMsg::Reports(copies.clone()), out);
+            }
+        }
+    }
+
+    /// Returns VMs that their pollers are silent about, or say are silent.
+    fn suspects(&self, mine: &[Vm], now: Instant) -> Vec<Vm> {
+        let vms = self.directory.vms().values();
+        let others = vms.filter(|vm| !mine.contains(vm));
+        let suspects = others.filter(|vm| self.reports.is_suspect(&vm.id, now));
+        suspects.cloned().collect()
+    }
+
+    /// Sends each node the VMs that it polls, and the second candidate all.
+    fn send_parts(&mut self, nodes: &Nodes, now: Instant, out: &mut Outbox) {
+        self.parts.retain(|node, _| nodes.ids.contains(node));
+        if !self.is_first() {
+            return;
+        }
+        for info in nodes.infos.iter().filter(|info| info.node != self.me) {
+            let part: Vec<Vm> = if self.candidates.contains(&info.node) {
+                self.directory.vms().values().cloned().collect()
+            } else {
+                let placement = self.copy.get();
+                self.directory.polled_by(&info.node, &nodes.ids, placement)
+            };
+            let due = self.parts.get(&info.node).is_none_or(|(sent, at)| {
+                *sent != part || now.saturating_duration_since(*at) >= self.options.repeat_every
+            });
+            if due {
+                send_peer(info, PeerMsg::Vms(part.clone()), out);
+                self.parts.insert(info.node.clone(), (part, now));
+            }
+        }
+    }
+
+    /// Tells nodes that came alive the placement, and another peer from time to time.
+    fn push_placement(&mut self, nodes: &Nodes, now: Instant, out: &mut Outbox) {
+        let mut peers = self.copy.newcomers(&self.me, &nodes.infos);
+        if !self.is_candidate() {
+            peers.clear();
+        }
+        if self.is_due(Purpose::Push, self.options.repeat_every, now) {
+            peers.extend(self.copy.next_peer(&self.me, &nodes.infos));
+        }
+        for info in peers {
+            self.send_placement(&info, out);
+        }
+    }
+
+    fn send_placement(&self, to: &NodeInfo, out: &mut Outbox) {
+        if let Some(placement) = self.copy.get() {
+            send_peer(to, PeerMsg::Placement(placement.clone()), out);
+        }
+    }
+
+    /// Puts a placement in force if it is newer, and passes it on.
+    fn adopt(&mut self, placement: &Placement, first: bool, cx: &Context, out: &mut Outbox) {
+        if placement.domain != self.domain || !self.copy.adopt(placement) {
+            return;
+        }
+        let domains = BTreeMap::from([(self.domain.clone(), placement.clone())]);
+        cx.publish_placement(PlacementView { domains });
+        let nodes = Nodes::of(cx);
+        for info in self.copy.children(&self.me, first, &nodes.infos) {
+            self.send_placement(&info, out);
+        }
+    }
+
+    fn platform_reply(&mut self, reply: PlatformReply, cx: &Context, out: &mut Outbox) {
+        let now = cx.now();
+        match self.purposes.remove(&reply.token) {
+            Some(Purpose::Lease) => self.lease.answered(reply.result, now),
+            Some(Purpose::Store) => {
+                if let Some(placement) = self.store.answered(reply.result) {
+                    self.adopt(&placement, true, cx, out);
+                }
+            }
+            Some(Purpose::Watch) => self.watched(reply.result, cx, out),
+            Some(Purpose::VmList) => {
+                if let Ok(PlatformAnswer::Vms(vms)) = reply.result {
+                    self.directory.take_list(&self.domain, vms, now);
+                    self.fleet_changed = true;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn watched(
+        &mut self,
+        result: Result<PlatformAnswer, PlatformError>,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let Ok(PlatformAnswer::Listing(Listing { index, entries })) = result else {
+            self.watch_index = None;
+            self.due.insert(Purpose::Watch, cx.now() + RETRY);
+            return;
+        };
+        self.watch_index = Some(index);
+        let key = placement_key(&self.domain);
+        let entry = entries.iter().find(|entry| entry.key == key);
+        if let Some(placement) = entry.and_then(|entry| parse(&self.domain, entry)) {
+            self.adopt(&placement, true, cx, out);
+        }
+    }
+
+    fn peer_received(&mut self, received: PeerReceived, cx: &Context, out: &mut Outbox) {
+        let now = cx.now();
+        match received.msg {
+            PeerMsg::Placement(placement) => {
+                self.placement_received(&placement, &received.from, cx, out);
+            }
+            PeerMsg::Reports(copies) => {
+                for copy in copies {
+                    self.reports.heard(copy, now);
+                }
+                self.fleet_changed = true;
+            }
+            PeerMsg::Vms(vms) => {
+                self.directory.take_part(&self.domain, vms, now);
+                self.fleet_changed = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Adopts a peer's placement; a peer with an older one gets this node's.
+    fn placement_received(
+        &mut self,
+        placement: &Placement,
+        from: &NodeId,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        self.adopt(placement, false, cx, out);
+        let older = placement.domain == self.domain && placement.fence < self.copy.fence();
+        if let Some(info) = cx.members().alive(from).filter(|_| older) {
+            self.send_placement(info, out);
+        }
+    }
+
+    fn engine_ordered(&mut self, ordered: &EngineOrdered) {
+        let is_stale = self.orders.ordered(ordered);
+        if is_stale {
+            self.store.forget();
+        }
+    }
+
+    fn engine_reported(&mut self, reported: EngineReported, cx: &Context) {
+        self.reports.polled(&reported.vm, reported.result, cx.now());
+        self.fleet_changed = true;
+        self.publish_fleet(cx);
+    }
+
+    fn publish_fleet(&mut self, cx: &Context) {
+        if std::mem::take(&mut self.fleet_changed) {
+            cx.publish_fleet(FleetView {
+                vms: self.directory.vms().clone(),
+                reports: self.reports.reports().clone(),
+            });
+        }
+    }
+}
+
+fn send_peer(to: &NodeInfo, msg: PeerMsg, out: &mut Outbox) {
+    let address = to.address;
+    out.send(PEERS, PeerSend { address, msg });
+}
--- /dev/null
+++ b/crates/shallottide/src/groups/placement_store.rs
@@ -0,0 +1,108 @@
+//! The controller's copy of the stored placement, changed by compare-and-swap.
+
+use shallottide_types::id::{DomainId, StoreIndex};
+use shallottide_types::placement::Placement;
+use shallottide_types::platform::{Entry, Expect, PlatformError, Swap};
+
+use crate::message::{PlatformAnswer, PlatformOp};
+
+/// Returns the platform key of a failure domain's placement.
+pub(super) fn placement_key(domain: &DomainId) -> String {
+    format!("placement/{domain}")
+}
+
+/// Reads a stored placement; `None` when its text or its domain is wrong.
+pub(super) fn parse(domain: &DomainId, entry: &Entry) -> Option<Placement> {
+    let placement: Placement = serde_json::from_slice(&entry.value).ok()?;
+    (placement.domain == *domain).then_some(placement)
+}
+
+/// Reads, then swaps. Nothing is swapped that was not read since the last unclear write.
+#[derive(Debug)]
+pub(super) struct PlacementStore {
+    domain: DomainId,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    /// Must be read before the next swap.
+    Unknown,
+    Reading,
+    Known(Placement, Expect),
+    Writing(Placement),
+}
+
+impl PlacementStore {
+    pub(super) fn new(domain: DomainId) -> Self {
+        Self {
+            domain,
+            state: State::Unknown,
+        }
+    }
+
+    /// Returns the placement as read, when no call is under way.
+    pub(super) fn known(&self) -> Option<&Placement> {
+        match &self.state {
+            State::Known(placement, _) => Some(placement),
+            _ => None,
+        }
+    }
+
+    /// Forgets what was read, unless a call is under way.
+    pub(super) fn forget(&mut self) {
+        if matches!(self.state, State::Known(..)) {
+            self.state = State::Unknown;
+        }
+    }
+
+    /// Returns the read that is needed before anything else.
+    pub(super) fn read_op(&mut self) -> Option<PlatformOp> {
+        matches!(self.state, State::Unknown).then(|| {
+            self.state = State::Reading;
+            PlatformOp::Get(placement_key(&self.domain))
+        })
+    }
+
+    /// Returns the swap from the placement that was read to the next one.
+    pub(super) fn swap_op(&mut self, next: Placement) -> Option<PlatformOp> {
+        let State::Known(_, expect) = self.state else {
+            return None;
+        };
+        let value = serde_json::to_vec(&next).expect("a placement has only text keys");
+        self.state = State::Writing(next);
+        Some(PlatformOp::Swap {
+            key: placement_key(&self.domain),
+            value,
+            expect,
+        })
+    }
+
+    /// Takes the answer to the last call; returns a placement that is certainly stored.
+    pub(super) fn answered(
+        &mut self,
+        result: Result<PlatformAnswer, PlatformError>,
+    ) -> Option<Placement> {
+        let state = std::mem::replace(&mut self.state, State::Unknown);
+        match (state, result) {
+            (State::Reading, Ok(PlatformAnswer::Entry(entry))) => self.read(entry.as_ref()),
+            (State::Writing(next), Ok(PlatformAnswer::Swap(Swap::Written))) => Some(next),
+            _ => None,
+        }
+    }
+
+    fn read(&mut self, entry: Option<&Entry>) -> Option<Placement> {
+        let Some(entry) = entry else {
+            let empty = Placement::empty(self.domain.clone());
+            self.state = State::Known(empty, Expect::Absent);
+            return None;
+        };
+        let Some(placement) = parse(&self.domain, entry) else {
+            tracing::error!(domain = %self.domain, "stored placement can't be read: restore its value in the platform");
+            return None;
+        };
+        let index: StoreIndex = entry.index;
+        self.state = State::Known(placement.clone(), Expect::Index(index));
+        Some(placement)
+    }
+}
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -6,6 +6,7 @@
 //! the kernel by the same messages.
 
 pub mod admission;
+pub mod groups;
 pub mod kernel;
 pub mod message;
 pub mod routing;
--- a/crates/shallottide/src/message.rs
+++ b/crates/shallottide/src/message.rs
@@ -51,7 +51,7 @@
     /// A control message for a peer, to `PEERS`.
     PeerSend(PeerSend),
     /// A control message from a peer. `PEERS` sends heartbeats to `MEMBERS`, records to
-    /// `CONFIG`, placements and reports to `GROUPS`, claims to `CLAIMS`.
+    /// `CONFIG`, placements, reports and VMs to `GROUPS`, claims to `CLAIMS`.
     PeerReceived(PeerReceived),
     /// Send an order, from `GROUPS` to `ENGINES`.
     EngineOrder(EngineOrder),
--- a/crates/shallottide/src/message/engine_messages.rs
+++ b/crates/shallottide/src/message/engine_messages.rs
@@ -1,6 +1,7 @@
 //! Messages between the groups service and the engines' border.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use shallottide_types::engine::{EngineReport, Order};
 use shallottide_types::id::{Fence, VmId};
@@ -14,6 +15,8 @@
     pub address: SocketAddr,
     /// The order.
     pub order: Order,
+    /// When the sender's lease ends; the border drops the order from then on.
+    pub valid_until: Instant,
 }
 
 /// The result of an order.
--- a/crates/shallottide/src/routing.rs
+++ b/crates/shallottide/src/routing.rs
@@ -11,6 +11,17 @@
 use crate::admission::Finished;
 use crate::kernel::Context;
 
+mod candidate;
+mod other_domains;
+mod routing_options;
+mod slot_health;
+mod slot_router;
+mod traffic;
+mod upstream_rules;
+
+pub use routing_options::RoutingOptions;
+pub use slot_router::SlotRouter;
+
 /// Chooses where a call goes.
 pub trait Router {
     /// Chooses a slot, and who dispatches to it.
--- /dev/null
+++ b/crates/shallottide/src/routing/candidate.rs
@@ -0,0 +1,177 @@
+//! Slots of this failure domain that may serve a call, and how loaded they look.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use shallottide_types::call::{CallHead, Target};
+use shallottide_types::id::NodeId;
+use shallottide_types::peer::Slot;
+use shallottide_types::record::{Generation, UpstreamState};
+
+use super::upstream_rules::{self, UpstreamRules};
+use super::{RoutingOptions, slot_health::SlotHealth};
+use crate::kernel::Context;
+
+/// Parts of a limit in which loads are compared.
+pub(super) const FULL: u64 = 1000;
+
+/// A slot that may serve a call.
+#[derive(Debug, Clone)]
+pub(super) struct Candidate {
+    pub(super) slot: Slot,
+    pub(super) dispatcher: NodeId,
+    /// Address of its rank-0 engine or its server, when known here.
+    pub(super) address: Option<SocketAddr>,
+    /// Whether it is of the generation that the call is meant for.
+    pub(super) wanted: bool,
+    /// Requests in flight by the latest count, with this call, in thousandths of the limit.
+    pub(super) load: u64,
+    /// Whether its dispatcher said so lately that it has no place left.
+    pub(super) full: bool,
+    pub(super) avoided: bool,
+    pub(super) usual_first_byte: Option<Duration>,
+}
+
+/// A slot before its load is looked at.
+#[derive(Debug)]
+pub(super) struct PlacedSlot {
+    pub(super) slot: Slot,
+    address: Option<SocketAddr>,
+    generation: Generation,
+    cold_limit: u32,
+    full_limit: u32,
+}
+
+/// Returns the slots of this failure domain for a call's target that are not leaving.
+pub(super) fn placed_slots(head: &CallHead, cx: &Context) -> Vec<PlacedSlot> {
+    let config = cx.config();
+    let me = cx.me();
+    let name = upstream_rules::name(&head.target);
+    let upstreams = config.upstreams.values().filter(|record| {
+        record.failure_domain == me.domain
+            && record.service.as_str() == name
+            && record.state == UpstreamState::Serving
+    });
+    let mut slots: Vec<PlacedSlot> = upstreams
+        .map(|record| PlacedSlot {
+            slot: Slot::Service(record.id.clone()),
+            address: Some(record.address),
+            generation: record.generation,
+            cold_limit: record.cold_limit,
+            full_limit: record.full_limit,
+        })
+        .collect();
+    if let Target::Model(_) = &head.target {
+        slots.extend(groups(head, cx));
+    }
+    slots
+}
+
+fn groups(head: &CallHead, cx: &Context) -> Vec<PlacedSlot> {
+    let Target::Model(model) = &head.target else {
+        return Vec::new();
+    };
+    let (config, placement, fleet) = (cx.config(), cx.placement(), cx.fleet());
+    let record = config.models.get(model);
+    let placed = placement.domains.get(&cx.me().domain);
+    let (Some(record), Some(placed)) = (record, placed) else {
+        return Vec::new();
+    };
+    let groups = placed.groups.iter().filter(|(_, g)| g.model == *model);
+    let leaving = |vm| fleet.vms.get(vm).is_some_and(|vm| vm.leaving);
+    groups
+        .filter(|(_, group)| !group.members.iter().any(leaving))
+        .map(|(id, group)| PlacedSlot {
+            slot: Slot::Group(id.clone()),
+            address: group
+                .members
+                .first()
+                .and_then(|vm| fleet.vms.get(vm))
+                .map(|vm| vm.address),
+            generation: Generation::New,
+            cold_limit: record.cold_limit,
+            full_limit: record.full_limit,
+        })
+        .collect()
+}
+
+impl PlacedSlot {
+    /// Looks at the slot's readiness and load; `None` when it can't serve now.
+    pub(super) fn candidate(
+        self,
+        rules: UpstreamRules,
+        health: Option<&SlotHealth>,
+        options: &RoutingOptions,
+        cx: &Context,
+    ) -> Option<Candidate> {
+        let wanted = rules.preference(self.generation)?;
+        let me = cx.me();
+        let placement = cx.placement();
+        let dispatcher = placement.dispatcher(&me.domain, &self.slot)?.clone();
+        let local = dispatcher == me.node;
+        if local && (self.address.is_none() || !self.is_complete(cx)) {
+            return None;
+        }
+        if !local && cx.members().alive(&dispatcher).is_none() {
+            return None;
+        }
+        let (in_flight, limit, sure) = self.load(local, health, options, cx)?;
+        let now = cx.now();
+        Some(Candidate {
+            load: (u64::from(in_flight) + 1) * FULL / u64::from(limit.max(1)),
+            full: sure && in_flight >= limit,
+            avoided: health.is_some_and(|health| health.is_avoided(options, now)),
+            usual_first_byte: health.and_then(SlotHealth::usual_first_byte),
+            slot: self.slot,
+            address: self.address,
+            dispatcher,
+            wanted,
+        })
+    }
+
+    fn is_complete(&self, cx: &Context) -> bool {
+        let Slot::Group(id) = &self.slot else {
+            return true;
+        };
+        let placement = cx.placement();
+        let group = placement.domains.get(&cx.me().domain);
+        let group = group.and_then(|placed| placed.groups.get(id));
+        group.is_some_and(|group| cx.fleet().is_complete(group, cx.now()))
+    }
+
+    /// Returns requests in flight, the limit, and whether both are recent; `None` when the
+    /// dispatcher says that the slot may not serve.
+    fn load(
+        &self,
+        local: bool,
+        health: Option<&SlotHealth>,
+        options: &RoutingOptions,
+        cx: &Context,
+    ) -> Option<(u32, u32, bool)> {
+        let own = health.map_or(0, SlotHealth::in_flight);
+        let members = cx.members();
+        let placement = cx.placement();
+        let dispatcher = placement.dispatcher(&cx.me().domain, &self.slot);
+        let load = members.loads.get(&self.slot);
+        let now = cx.now();
+        let load = load.filter(|load| {
+            let age = now.saturating_duration_since(load.heard_at);
+            Some(&load.node) == dispatcher && age < options.stale_after
+        });
+        let Some(load) = load else {
+            // Nothing recent is known: only what a cold slot bears is counted on.
+            return Some((own, self.cold_limit.min(self.full_limit), false));
+        };
+        if local {
+            // All of its calls pass through this router.
+            let limit = load.load.limit.max(self.cold_limit);
+            return Some((own, limit, false));
+        }
+        if load.load.limit == 0 {
+            return None;
+        }
+        let counted = load.load.in_flight;
+        let moved_on = health.map_or(counted, |h| h.moved_on(counted, load.heard_at));
+        Some((moved_on.max(own), load.load.limit, true))
+    }
+}
--- a/crates/shallottide_types/src/peer.rs
+++ b/crates/shallottide_types/src/peer.rs
@@ -11,6 +11,7 @@
 use crate::engine::EngineReport;
 use crate::id::{CallId, DomainId, Fence, GroupId, Incarnation, NodeId, StoreIndex, UpstreamId};
 use crate::placement::Placement;
+use crate::platform::Vm;
 
 data! {
     /// A control message from one entry VM to another.
@@ -39,6 +40,9 @@
         },
         /// Reports the end of a claimed call.
         ClaimEnded(ClaimOutcome),
+        /// The VMs whose engines the receiver polls; to a controller candidate, all VMs
+        /// of the failure domain.
+        Vms(Vec<Vm>),
     }
 
     /// One node's sign of life.
