--- a/crates/shallottide/src/groups.rs
+++ b/crates/shallottide/src/groups.rs
@@ -4,6 +4,8 @@
 //! platform. The node that holds the controller lease plans it ([`Planner`]) and swaps it;
 //! all nodes of the domain learn it from one watcher and from each other.
 
+mod alive_nodes;
+mod controller;
 mod controller_lease;
 mod group_options;
 mod group_service;
--- /dev/null
+++ b/crates/shallottide/src/groups/controller.rs
@@ -0,0 +1,151 @@
+//! What the holder of the controller lease does.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use shallottide_types::id::{DomainId, Fence, NodeId, StoreIndex, UpstreamId};
+use shallottide_types::placement::Placement;
+use shallottide_types::platform::PlatformError;
+
+use super::controller_lease::ControllerLease;
+use super::order_book::{OrderBook, OrderInput};
+use super::placement_store::PlacementStore;
+use super::report_book::ReportBook;
+use super::vm_directory::VmDirectory;
+use super::{GroupOptions, PlanInput, Planner};
+use crate::message::{EngineOrder, EngineOrdered, PlatformAnswer, PlatformOp};
+use crate::view::ConfigView;
+
+/// Reads of the VM list that may fail in a row before planning stops.
+const MISSED_VM_LISTS: u32 = 5;
+
+/// Plans the placement, writes it and orders engines about, while it holds the lease.
+pub(super) struct Controller {
+    options: GroupOptions,
+    domain: DomainId,
+    lease: ControllerLease,
+    store: PlacementStore,
+    orders: OrderBook,
+    next_plan: Option<Instant>,
+    next_read: Option<Instant>,
+}
+
+/// What the controller decides from.
+pub(super) struct ControlInput<'a> {
+    pub(super) nodes: &'a [NodeId],
+    pub(super) config: &'a ConfigView,
+    pub(super) directory: &'a VmDirectory,
+    pub(super) reports: &'a ReportBook,
+    /// Fence of the placement in force at this node.
+    pub(super) in_force: Fence,
+    pub(super) now: Instant,
+}
+
+impl Controller {
+    pub(super) fn new(domain: &DomainId, me: &NodeId, options: &GroupOptions) -> Self {
+        Self {
+            options: options.clone(),
+            domain: domain.clone(),
+            lease: ControllerLease::new(domain, me, options),
+            store: PlacementStore::new(domain.clone()),
+            orders: OrderBook::new(options),
+            next_plan: None,
+            next_read: None,
+        }
+    }
+
+    pub(super) fn lease(&mut self) -> &mut ControllerLease {
+        &mut self.lease
+    }
+
+    pub(super) fn is_held(&self, now: Instant) -> bool {
+        self.lease.held_until(now).is_some()
+    }
+
+    /// Takes the answer to a read or swap; returns a placement that is certainly stored.
+    pub(super) fn store_answered(
+        &mut self,
+        result: Result<PlatformAnswer, PlatformError>,
+    ) -> Option<Placement> {
+        self.store.answered(result)
+    }
+
+    /// Takes the result of an order. An engine that has seen a later fence proves that the
+    /// placement here is old.
+    pub(super) fn ordered(&mut self, ordered: &EngineOrdered) {
+        if self.orders.ordered(ordered) {
+            self.store.forget();
+        }
+    }
+
+    /// Does the next step; returns a platform call and orders to send.
+    pub(super) fn step(
+        &mut self,
+        input: &ControlInput<'_>,
+    ) -> (Option<PlatformOp>, Vec<EngineOrder>) {
+        if !self.is_held(input.now) {
+            self.store.forget();
+            return (None, Vec::new());
+        }
+        // A later placement is in force: the stored one is read before anything is done.
+        let known = self.store.known().map(|placement| placement.fence);
+        if known.is_some_and(|fence| fence < input.in_force) {
+            self.store.forget();
+        }
+        if self.next_read.is_none_or(|at| input.now >= at)
+            && let Some(op) = self.store.read_op()
+        {
+            self.next_read = Some(input.now + self.options.plan_every);
+            return (Some(op), Vec::new());
+        }
+        let due = self.next_plan.is_none_or(|at| input.now >= at);
+        if !due || self.store.known().is_none() {
+            return (None, Vec::new());
+        }
+        self.next_plan = Some(input.now + self.options.plan_every);
+        match self.plan(input).and_then(|next| self.store.swap_op(next)) {
+            Some(op) => (Some(op), Vec::new()),
+            None => (None, self.order(input)),
+        }
+    }
+
+    /// Plans, unless records or VMs are unknown: such a plan would break up every group.
+    fn plan(&self, input: &ControlInput<'_>) -> Option<Placement> {
+        let read_at = input.directory.read_at()?;
+        let age = input.now.saturating_duration_since(read_at);
+        let vms_known = age < self.options.vm_list_every * MISSED_VM_LISTS;
+        if input.config.index == StoreIndex(0) || !vms_known {
+            return None;
+        }
+        let records = input.config.upstreams.values();
+        let own = records.filter(|record| record.failure_domain == self.domain);
+        let upstreams: BTreeSet<UpstreamId> = own.map(|record| record.id.clone()).collect();
+        Planner::plan(&PlanInput {
+            previous: self.store.known()?,
+            models: &input.config.models,
+            upstreams: &upstreams,
+            vms: input.directory.vms(),
+            answering: &input.reports.answering(input.now),
+            lost: &input.reports.lost(input.now),
+            nodes: input.nodes,
+            max_imbalance: self.options.max_imbalance,
+        })
+    }
+
+    fn order(&mut self, input: &ControlInput<'_>) -> Vec<EngineOrder> {
+        let held_until = self.lease.held_until(input.now);
+        let held = self.lease.held_since().zip(held_until);
+        let (Some((held_since, held_until)), Some(placement)) = (held, self.store.known()) else {
+            return Vec::new();
+        };
+        self.orders.due(&OrderInput {
+            placement,
+            models: &input.config.models,
+            vms: input.directory.vms(),
+            reports: input.reports,
+            held_since,
+            held_until,
+            now: input.now,
+        })
+    }
+}
--- a/crates/shallottide/src/groups/controller_lease.rs
+++ b/crates/shallottide/src/groups/controller_lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use shallottide_types::id::DomainId;
+use shallottide_types::id::{DomainId, NodeId};
 use shallottide_types::platform::PlatformError;
 
 use super::GroupOptions;
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub(super) struct ControllerLease {
     key: String,
+    /// Written under the key, so that operators see who holds the lease.
+    holder: NodeId,
     ttl: Duration,
     margin: Duration,
     renew_every: Duration,
@@ -46,8 +48,9 @@
 }
 
 impl ControllerLease {
-    pub(super) fn new(domain: &DomainId, options: &GroupOptions) -> Self {
+    pub(super) fn new(domain: &DomainId, me: &NodeId, options: &GroupOptions) -> Self {
         Self {
+            holder: me.clone(),
             key: format!("lease/{domain}/controller"),
             ttl: options.lease_ttl,
             margin: options.lease_margin,
@@ -90,7 +93,7 @@
         }
         let acquire = PlatformOp::Acquire {
             key: self.key.clone(),
-            value: Vec::new(),
+            value: self.holder.as_str().into(),
             session: session.id.clone(),
         };
         (Step::Acquire, acquire)
--- a/crates/shallottide/src/groups/group_service.rs
+++ b/crates/shallottide/src/groups/group_service.rs
@@ -1,31 +1,28 @@
 //! The service that forms groups of VMs and publishes placement and fleet.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use shallottide_types::id::{DomainId, NodeId, StoreIndex, UpstreamId};
+use shallottide_types::id::{DomainId, NodeId, StoreIndex};
 use shallottide_types::peer::{NodeInfo, PeerMsg};
 use shallottide_types::placement::Placement;
 use shallottide_types::platform::{Listing, PlatformError, Vm};
 
-use super::controller_lease::ControllerLease;
-use super::order_book::{OrderBook, OrderInput};
+use super::GroupOptions;
+use super::alive_nodes::AliveNodes;
+use super::controller::{ControlInput, Controller};
 use super::placement_copy::PlacementCopy;
-use super::placement_store::{PlacementStore, parse, placement_key};
+use super::placement_store::{parse, placement_key};
 use super::report_book::ReportBook;
 use super::vm_directory::VmDirectory;
-use super::{GroupOptions, PlanInput, Planner, rendezvous};
 use crate::kernel::names::{ENGINES, GROUPS, PEERS, PLATFORM};
 use crate::kernel::{Context, Name, Outbox, Service};
 use crate::message::{
-    EngineOrdered, EnginePoll, EngineReported, Message, PeerReceived, PeerSend, PlatformAnswer,
-    PlatformOp, PlatformReply, PlatformRequest,
+    EnginePoll, EngineReported, Message, PeerReceived, PeerSend, PlatformAnswer, PlatformOp,
+    PlatformReply, PlatformRequest,
 };
 use crate::view::{FleetView, PlacementView};
 
-/// Nodes of a failure domain that try to become its controller.
-const CANDIDATES: usize = 2;
-
 /// Wait after a failed platform call of the watch or the VM list.
 const RETRY: Duration = Duration::from_secs(1);
 
@@ -63,12 +60,10 @@
     options: GroupOptions,
     me: NodeId,
     domain: DomainId,
-    lease: ControllerLease,
-    store: PlacementStore,
+    controller: Controller,
     copy: PlacementCopy,
     directory: VmDirectory,
     reports: ReportBook,
-    orders: OrderBook,
     next_token: u64,
     purposes: BTreeMap<u64, Purpose>,
     watch_index: Option<StoreIndex>,
@@ -86,46 +81,18 @@
     Store,
     Watch,
     VmList,
-    Plan,
     Push,
 }
 
-/// The alive nodes of the failure domain as seen on one tick.
-struct Nodes {
-    infos: Vec<NodeInfo>,
-    ids: Vec<NodeId>,
-}
-
-impl Nodes {
-    fn of(cx: &Context) -> Self {
-        let me = cx.me();
-        let members = cx.members();
-        let mut infos: Vec<NodeInfo> = members.alive_in(&me.domain).cloned().collect();
-        infos.retain(|info| info.node != me.node);
-        if !me.stopping {
-            infos.push(me);
-        }
-        infos.sort_by(|a, b| a.node.cmp(&b.node));
-        let ids = infos.iter().map(|info| info.node.clone()).collect();
-        Self { infos, ids }
-    }
-
-    fn info(&self, node: &NodeId) -> Option<&NodeInfo> {
-        self.infos.iter().find(|info| info.node == *node)
-    }
-}
-
 impl State {
     fn new(options: &GroupOptions, cx: &Context) -> Self {
         let me = cx.me();
         Self {
             options: options.clone(),
-            lease: ControllerLease::new(&me.domain, options),
-            store: PlacementStore::new(me.domain.clone()),
+            controller: Controller::new(&me.domain, &me.node, options),
             copy: PlacementCopy::default(),
             directory: VmDirectory::default(),
             reports: ReportBook::new(options),
-            orders: OrderBook::new(options),
             next_token: 0,
             purposes: BTreeMap::new(),
             watch_index: None,
@@ -145,18 +112,19 @@
             Message::PlatformReply(reply) => self.platform_reply(reply, cx, out),
             Message::PeerReceived(received) => self.peer_received(received, cx, out),
             Message::EngineReported(reported) => self.engine_reported(reported, cx),
-            Message::EngineOrdered(ordered) => self.engine_ordered(&ordered),
+            Message::EngineOrdered(ordered) => self.controller.ordered(&ordered),
             _ => {}
         }
     }
 
     fn tick(&mut self, cx: &Context, out: &mut Outbox) {
-        let nodes = Nodes::of(cx);
+        let nodes = AliveNodes::of(cx);
         let now = cx.now();
         self.choose_candidates(&nodes);
         self.directory.expire(self.copy.get(), now);
         self.reports.retain(self.directory.vms(), now);
-        if let Some(op) = self.lease.next_op(self.is_candidate(), now) {
+        let candidate = self.is_candidate();
+        if let Some(op) = self.controller.lease().next_op(candidate, now) {
             self.request(Purpose::Lease, op, out);
         }
         self.watch(now, out);
@@ -169,19 +137,13 @@
     }
 
     fn stop(&mut self, out: &mut Outbox) {
-        if let Some(op) = self.lease.release() {
+        if let Some(op) = self.controller.lease().release() {
             self.request(Purpose::Lease, op, out);
         }
     }
 
-    fn choose_candidates(&mut self, nodes: &Nodes) {
-        let mut order = nodes.ids.clone();
-        rendezvous::sort(
-            rendezvous::hash(self.domain.as_str()),
-            &mut order,
-            NodeId::as_str,
-        );
-        order.truncate(CANDIDATES);
+    fn choose_candidates(&mut self, nodes: &AliveNodes) {
+        let order = nodes.candidates(&self.domain);
         if order != self.candidates {
             self.candidates = order;
             self.reports.share_again();
@@ -247,86 +209,25 @@
     }
 
     /// Does the controller's work while this node holds the lease.
-    fn control(&mut self, nodes: &Nodes, cx: &Context, out: &mut Outbox) {
-        let now = cx.now();
-        if self.lease.held_until(now).is_none() {
-            self.store.forget();
-            return;
-        }
-        if let Some(op) = self.store.read_op() {
-            self.request(Purpose::Store, op, out);
-        }
-        let every = self.options.plan_every;
-        if self.store.known().is_some() && self.is_due(Purpose::Plan, every, now) {
-            self.plan(nodes, cx, out);
-            self.order(cx, out);
-        }
-    }
-
-    fn plan(&mut self, nodes: &Nodes, cx: &Context, out: &mut Outbox) {
-        let config = cx.config();
-        let now = cx.now();
-        let fresh = self.options.vm_list_every * 5;
-        let vms_known = self
-            .directory
-            .read_at()
-            .is_some_and(|at| now.saturating_duration_since(at) < fresh);
-        // Without records or VMs a plan would break up every group.
-        if config.index == StoreIndex(0) || !vms_known {
-            return;
-        }
-        let own = config.upstreams.values();
-        let own = own.filter(|record| record.failure_domain == self.domain);
-        let upstreams: BTreeSet<UpstreamId> = own.map(|record| record.id.clone()).collect();
-        let Some(previous) = self.store.known() else {
-            return;
-        };
-        let next = Planner::plan(&PlanInput {
-            previous,
-            models: &config.models,
-            upstreams: &upstreams,
-            vms: self.directory.vms(),
-            answering: &self.reports.answering(now),
-            lost: &self.reports.lost(now),
+    fn control(&mut self, nodes: &AliveNodes, cx: &Context, out: &mut Outbox) {
+        let (op, orders) = self.controller.step(&ControlInput {
             nodes: &nodes.ids,
-            max_imbalance: self.options.max_imbalance,
+            config: &cx.config(),
+            directory: &self.directory,
+            reports: &self.reports,
+            in_force: self.copy.fence(),
+            now: cx.now(),
         });
-        if let Some(op) = next.and_then(|next| self.store.swap_op(next)) {
+        if let Some(op) = op {
             self.request(Purpose::Store, op, out);
         }
-    }
-
-    fn order(&mut self, cx: &Context, out: &mut Outbox) {
-        let now = cx.now();
-        let (Some(held_until), Some(held_since)) =
-            (self.lease.held_until(now), self.lease.held_since())
-        else {
-            return;
-        };
-        let Some(placement) = self.store.known() else {
-            return;
-        };
-        // A later placement is in force: this one is read again before any order.
-        if placement.fence < self.copy.fence() {
-            self.store.forget();
-            return;
-        }
-        let orders = self.orders.due(&OrderInput {
-            placement,
-            models: &cx.config().models,
-            vms: self.directory.vms(),
-            reports: &self.reports,
-            held_since,
-            held_until,
-            now,
-        });
         for order in orders {
             out.send(ENGINES, order);
         }
     }
 
     /// Polls engines, and tells candidates what they report.
-    fn poll(&mut self, nodes: &Nodes, now: Instant, out: &mut Outbox) {
+    fn poll(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
         let placement = self.copy.get();
         let mine = if self.is_candidate() {
             self.directory.polled_by(&self.me, &nodes.ids, placement)
@@ -335,7 +236,7 @@
         };
         let copies = self.reports.take_due_copies(&mine, placement, now);
         let mut polled = mine;
-        if self.lease.held_until(now).is_some() {
+        if self.controller.is_held(now) {
             polled.extend(self.suspects(&polled, now));
         }
         for vm in self.reports.due(&polled, now) {
@@ -359,7 +260,7 @@
     }
 
     /// Sends each node the VMs that it polls, and the second candidate all.
-    fn send_parts(&mut self, nodes: &Nodes, now: Instant, out: &mut Outbox) {
+    fn send_parts(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
         self.parts.retain(|node, _| nodes.ids.contains(node));
         if !self.is_first() {
             return;
@@ -382,7 +283,7 @@
     }
 
     /// Tells nodes that came alive the placement, and another peer from time to time.
-    fn push_placement(&mut self, nodes: &Nodes, now: Instant, out: &mut Outbox) {
+    fn push_placement(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
         let mut peers = self.copy.newcomers(&self.me, &nodes.infos);
         if !self.is_candidate() {
             peers.clear();
@@ -408,7 +309,7 @@
         }
         let domains = BTreeMap::from([(self.domain.clone(), placement.clone())]);
         cx.publish_placement(PlacementView { domains });
-        let nodes = Nodes::of(cx);
+        let nodes = AliveNodes::of(cx);
         for info in self.copy.children(&self.me, first, &nodes.infos) {
             self.send_placement(&info, out);
         }
@@ -417,9 +318,9 @@
     fn platform_reply(&mut self, reply: PlatformReply, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
         match self.purposes.remove(&reply.token) {
-            Some(Purpose::Lease) => self.lease.answered(reply.result, now),
+            Some(Purpose::Lease) => self.controller.lease().answered(reply.result, now),
             Some(Purpose::Store) => {
-                if let Some(placement) = self.store.answered(reply.result) {
+                if let Some(placement) = self.controller.store_answered(reply.result) {
                     self.adopt(&placement, true, cx, out);
                 }
             }
@@ -488,13 +389,6 @@
         }
     }
 
-    fn engine_ordered(&mut self, ordered: &EngineOrdered) {
-        let is_stale = self.orders.ordered(ordered);
-        if is_stale {
-            self.store.forget();
-        }
-    }
-
     fn engine_reported(&mut self, reported: EngineReported, cx: &Context) {
         self.reports.polled(&reported.vm, reported.result, cx.now());
         self.fleet_changed = true;
--- /dev/null
+++ b/crates/shallottide/tests/group_support/bench.rs
@@ -0,0 +1,365 @@
+//! Runs several nodes' groups services against one platform and fake engines.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use shallottide::groups::{GroupOptions, GroupService};
+use shallottide::kernel::{Context, Outbox, Service};
+use shallottide::message::{
+    EngineOrder, EngineOrdered, EngineReported, Message, PeerReceived, PlatformAnswer, PlatformOp,
+    PlatformReply, PlatformRequest,
+};
+use shallottide::view::{ConfigView, MemberView, NodeState};
+use shallottide_types::clock::{Clock, ManualClock};
+use shallottide_types::id::{NodeId, StoreIndex, VmId};
+use shallottide_types::peer::NodeInfo;
+use shallottide_types::placement::{Group, Placement};
+use shallottide_types::platform::{Platform, PlatformError, Vm};
+use shallottide_types::record::Record;
+use standin::platform::{MemoryPlatform, PlatformOptions};
+
+use super::{DOMAIN, FakeEngine, node_info};
+
+pub(crate) const STEP: Duration = Duration::from_millis(100);
+
+pub(crate) struct BenchNode {
+    pub(crate) info: NodeInfo,
+    pub(crate) cx: Context,
+    service: GroupService,
+    inbox: Vec<Message>,
+    watches: Vec<(PlatformRequest, Instant)>,
+    /// Dead or paused: it handles nothing.
+    pub(crate) down: bool,
+    /// Orders that left the node while it was paused or the network held them.
+    held_orders: Vec<EngineOrder>,
+    pub(crate) hold_orders: bool,
+    pub(crate) cut_from_platform: bool,
+}
+
+/// A failure domain.
+pub(crate) struct Bench {
+    pub(crate) clock: ManualClock,
+    pub(crate) platform: MemoryPlatform,
+    pub(crate) config: ConfigView,
+    pub(crate) nodes: BTreeMap<NodeId, BenchNode>,
+    pub(crate) engines: BTreeMap<VmId, FakeEngine>,
+    vms: Vec<Vm>,
+    options: GroupOptions,
+}
+
+impl Bench {
+    pub(crate) fn new(nodes: usize, vms: Vec<Vm>, records: Vec<Record>) -> Self {
+        let clock = ManualClock::default();
+        let platform = MemoryPlatform::new(Arc::new(clock.clone()), PlatformOptions::default());
+        let engine = |vm: &Vm| (vm.id.clone(), FakeEngine::new(&vm.id, vm.fences_orders));
+        let engines = vms.iter().map(engine).collect();
+        platform.set_vms(vms.clone());
+        let mut config = ConfigView {
+            index: StoreIndex(1),
+            ..ConfigView::default()
+        };
+        for record in records {
+            config.insert(record);
+        }
+        let mut bench = Self {
+            clock,
+            platform,
+            config,
+            nodes: BTreeMap::new(),
+            engines,
+            vms,
+            options: GroupOptions::default(),
+        };
+        for number in 0..nodes {
+            bench.add_node(&format!("entry-{number}"));
+        }
+        bench
+    }
+
+    pub(crate) fn add_node(&mut self, name: &str) {
+        let port = 7_000 + u16::try_from(self.nodes.len()).expect("few nodes");
+        let info = node_info(name, DOMAIN, port);
+        let cx = Context::new(Arc::new(self.clock.clone()), info.clone());
+        let node = BenchNode {
+            info: info.clone(),
+            cx,
+            service: GroupService::new(self.options.clone()),
+            inbox: Vec::new(),
+            watches: Vec::new(),
+            down: false,
+            held_orders: Vec::new(),
+            hold_orders: false,
+            cut_from_platform: false,
+        };
+        self.nodes.insert(info.node, node);
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    pub(crate) fn change_vm(&mut self, number: usize, change: impl FnOnce(&mut Vm)) {
+        change(&mut self.vms[number]);
+        self.platform.set_vms(self.vms.clone());
+    }
+
+    pub(crate) fn engine(&mut self, number: usize) -> &mut FakeEngine {
+        let vm = &self.vms[number].id;
+        self.engines.get_mut(vm).expect("known VM")
+    }
+
+    /// Runs for a time, checking on every step that no VM is in two groups.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now() + time;
+        while self.now() < end {
+            self.step();
+        }
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.clock.advance(STEP);
+        self.publish_members();
+        let ids: Vec<NodeId> = self.nodes.keys().cloned().collect();
+        for id in &ids {
+            if !self.nodes[id].down {
+                self.step_node(id);
+            }
+        }
+        self.check_placement();
+    }
+
+    fn publish_members(&mut self) {
+        let now = self.now();
+        let state = |node: &BenchNode| {
+            let state = NodeState {
+                info: node.info.clone(),
+                heard_at: now,
+                alive: !node.down,
+                config: StoreIndex(1),
+            };
+            (node.info.node.clone(), state)
+        };
+        let nodes: BTreeMap<_, _> = self.nodes.values().map(state).collect();
+        for node in self.nodes.values() {
+            node.cx.publish_config(self.config.clone());
+            node.cx.publish_members(MemberView {
+                nodes: nodes.clone(),
+                loads: BTreeMap::new(),
+            });
+        }
+    }
+
+    fn step_node(&mut self, id: &NodeId) {
+        self.answer_watches(id);
+        let node = self.nodes.get_mut(id).expect("known node");
+        let mut messages = std::mem::take(&mut node.inbox);
+        messages.push(Message::Tick);
+        let mut out = Outbox::default();
+        for message in messages {
+            node.service.handle(message, &node.cx, &mut out);
+        }
+        for (_, message) in out.take() {
+            self.carry(id, message);
+        }
+    }
+
+    fn carry(&mut self, id: &NodeId, message: Message) {
+        match message {
+            Message::PlatformRequest(request) => self.platform_call(id, request),
+            Message::PeerSend(send) => {
+                let from = id.clone();
+                let mut nodes = self.nodes.values_mut();
+                let to = nodes.find(|node| node.info.address == send.address && !node.down);
+                if let Some(to) = to {
+                    let msg = send.msg;
+                    to.inbox.push(PeerReceived { from, msg }.into());
+                }
+            }
+            Message::EngineOrder(order) => {
+                let node = self.nodes.get_mut(id).expect("known node");
+                if node.hold_orders {
+                    node.held_orders.push(order);
+                } else {
+                    self.deliver_order(id, &order);
+                }
+            }
+            Message::EnginePoll(poll) => {
+                let now = self.now();
+                let result = self.engines[&poll.vm].report(now);
+                self.reply(
+                    id,
+                    EngineReported {
+                        vm: poll.vm,
+                        result,
+                    },
+                );
+            }
+            _ => {}
+        }
+    }
+
+    fn reply(&mut self, id: &NodeId, message: impl Into<Message>) {
+        let node = self.nodes.get_mut(id).expect("known node");
+        node.inbox.push(message.into());
+    }
+
+    fn deliver_order(&mut self, id: &NodeId, order: &EngineOrder) {
+        let now = self.now();
+        let engine = self.engines.get_mut(&order.vm).expect("known VM");
+        let result = engine.order(&order.order, now);
+        let (vm, fence) = (order.vm.clone(), order.order.fence);
+        self.reply(id, EngineOrdered { vm, fence, result });
+    }
+
+    /// Lets the orders through that the network held, in the given order or its reverse.
+    pub(crate) fn release_orders(&mut self, id: &NodeId, reverse: bool) -> usize {
+        let node = self.nodes.get_mut(id).expect("known node");
+        node.hold_orders = false;
+        let mut orders = std::mem::take(&mut node.held_orders);
+        if reverse {
+            orders.reverse();
+        }
+        for order in &orders {
+            self.deliver_order(id, order);
+        }
+        orders.len()
+    }
+
+    fn platform_call(&mut self, id: &NodeId, request: PlatformRequest) {
+        let node = self.nodes.get_mut(id).expect("known node");
+        if let PlatformOp::List { after: Some(_), .. } = &request.op {
+            node.watches.push((request, self.clock.now()));
+            return;
+        }
+        let result = if node.cut_from_platform {
+            Err(cut())
+        } else {
+            call(&self.platform, &request.op)
+        };
+        let token = request.token;
+        self.reply(id, PlatformReply { token, result });
+    }
+
+    /// Answers watches whose prefix has changed or whose wait is over.
+    fn answer_watches(&mut self, id: &NodeId) {
+        let now = self.now();
+        let platform = self.platform.clone();
+        let node = self.nodes.get_mut(id).expect("known node");
+        for (request, since) in std::mem::take(&mut node.watches) {
+            let PlatformOp::List {
+                prefix,
+                after,
+                wait,
+            } = &request.op
+            else {
+                continue;
+            };
+            let token = request.token;
+            let result = if node.cut_from_platform {
+                Err(cut())
+            } else {
+                platform.list(prefix, None, Duration::ZERO)
+            };
+            let over = now.duration_since(since) >= *wait;
+            let changed = result.as_ref().map_or(true, |listing| {
+                listing
+                    .entries
+                    .iter()
+                    .any(|entry| Some(entry.index) > *after)
+            });
+            if changed || over {
+                let result = result.map(PlatformAnswer::Listing);
+                node.inbox.push(PlatformReply { token, result }.into());
+            } else {
+                node.watches.push((request, since));
+            }
+        }
+    }
+
+    /// Returns the placement stored in the platform.
+    pub(crate) fn placement(&self) -> Option<Placement> {
+        let faults = self.platform.faults();
+        self.platform.change_faults(|faults| faults.down = false);
+        let entry = self.platform.get(&format!("placement/{DOMAIN}"));
+        self.platform.set_faults(faults);
+        serde_json::from_slice(&entry.ok()??.value).ok()
+    }
+
+    fn check_placement(&self) {
+        let Some(placement) = self.placement() else {
+            return;
+        };
+        let mut seen = BTreeSet::new();
+        for vm in placement.groups.values().flat_map(|g| &g.members) {
+            assert!(
+                seen.insert(vm.clone()),
+                "{vm} is in two groups: {placement:?}"
+            );
+        }
+        for (id, node) in self.nodes.iter().filter(|(_, node)| !node.down) {
+            let view = node.cx.placement();
+            let fence = view.domains.get(&placement.domain).map(|p| p.fence);
+            assert!(
+                fence <= Some(placement.fence),
+                "{id} is ahead of the platform"
+            );
+        }
+    }
+
+    /// Returns how many groups their own dispatchers count as complete.
+    pub(crate) fn serving(&self) -> usize {
+        let now = self.now();
+        let up = self.nodes.values().filter(|node| !node.down);
+        up.map(|node| self.served_by(node, now).len()).sum()
+    }
+
+    /// Returns the groups that a node may send requests to.
+    pub(crate) fn served_by(&self, node: &BenchNode, now: Instant) -> Vec<Group> {
+        let view = node.cx.placement();
+        let placed = view.domains.values().flat_map(|p| p.groups.values());
+        let own = placed.filter(|group| group.dispatcher == node.info.node);
+        let complete = own.filter(|group| node.cx.fleet().is_complete(group, now));
+        complete.cloned().collect()
+    }
+
+    /// Returns the node that sent the latest write, as the only one that holds the lease.
+    pub(crate) fn controller(&self) -> Option<NodeId> {
+        let entry = self.platform.get(&format!("lease/{DOMAIN}/controller"));
+        let session = entry.ok()??.session?;
+        let value = self.platform.get(&format!("lease/{DOMAIN}/controller"));
+        let value = value.ok()??.value;
+        let name = String::from_utf8(value).ok()?;
+        (!session.is_empty()).then(|| name.parse().ok())?
+    }
+}
+
+fn cut() -> PlatformError {
+    PlatformError::Unreachable {
+        address: "platform".into(),
+        reason: "cut off".into(),
+    }
+}
+
+fn call(platform: &MemoryPlatform, op: &PlatformOp) -> Result<PlatformAnswer, PlatformError> {
+    Ok(match op {
+        PlatformOp::Get(key) => PlatformAnswer::Entry(platform.get(key)?),
+        PlatformOp::List { prefix, .. } => {
+            PlatformAnswer::Listing(platform.list(prefix, None, Duration::ZERO)?)
+        }
+        PlatformOp::Swap { key, value, expect } => {
+            PlatformAnswer::Swap(platform.swap(key, value, *expect)?)
+        }
+        PlatformOp::OpenSession(ttl) => PlatformAnswer::Session(platform.open_session(*ttl)?),
+        PlatformOp::RenewSession(id) => PlatformAnswer::Done(platform.renew_session(id)?),
+        PlatformOp::Acquire {
+            key,
+            value,
+            session,
+        } => PlatformAnswer::Done(platform.acquire(key, value, session)?),
+        PlatformOp::Release { key, session } => {
+            PlatformAnswer::Done(platform.release(key, session)?)
+        }
+        PlatformOp::Vms(domain) => PlatformAnswer::Vms(platform.vms(domain)?),
+    })
+}
