--- a/crates/shallottide/src/engines.rs
+++ b/crates/shallottide/src/engines.rs
@@ -1,6 +1,6 @@
 //! Border: orders to engines and their reports, by HTTP.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use shallottide_types::engine::{EngineReport, Order};
 use shallottide_types::id::Fence;
@@ -59,9 +59,17 @@
         }
     }
 
-    fn order(&self, EngineOrder { vm, address, order }: EngineOrder) {
+    fn order(&self, wanted: EngineOrder) {
+        let EngineOrder { vm, order, .. } = wanted;
         let fence = order.fence;
-        let result = self.post(&format!("http://{address}/orders"), &order);
+        // The order may have waited for a thread, or the process may have been paused.
+        let result = if Instant::now() < wanted.valid_until {
+            self.post(&format!("http://{}/orders", wanted.address), &order)
+        } else {
+            Err(OrderError::NoAnswer(
+                "the lease behind the order lapsed".into(),
+            ))
+        };
         tracing::info!(%vm, %fence, ok = result.is_ok(), "engine order");
         let done = EngineOrdered { vm, fence, result };
         self.kernel.send(names::GROUPS, done);
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod engines;
 pub mod front;
+pub mod groups;
 pub mod kernel;
 pub mod members;
 pub mod message;
--- a/crates/shallottide/src/peers/incoming.rs
+++ b/crates/shallottide/src/peers/incoming.rs
@@ -207,7 +207,7 @@
         PeerMsg::Records(_) | PeerMsg::RecordsWanted { .. } | PeerMsg::RecordsSince(_) => {
             names::CONFIG
         }
-        PeerMsg::Placement(_) | PeerMsg::Reports(_) => names::GROUPS,
+        PeerMsg::Placement(_) | PeerMsg::Reports(_) | PeerMsg::Vms(_) => names::GROUPS,
         PeerMsg::Claim(_) | PeerMsg::Claimed { .. } | PeerMsg::ClaimEnded(_) => names::CLAIMS,
     }
 }
--- a/crates/shallottide/tests/peers/wire.rs
+++ b/crates/shallottide/tests/peers/wire.rs
@@ -3,11 +3,13 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 
 /// Forwards bytes to a target.
 pub(crate) struct Wire {
     address: SocketAddr,
     state: Arc<Mutex<State>>,
+    listener: JoinHandle<()>,
 }
 
 #[derive(Default)]
@@ -31,7 +33,7 @@
         let address = listener.local_addr().expect("bound");
         let state = Arc::new(Mutex::new(State::default()));
         let shared = state.clone();
-        std::thread::spawn(move || {
+        let listener = std::thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 let mut state = shared.lock().expect("wire lock");
                 if state.closed {
@@ -45,7 +47,11 @@
                 }
             }
         });
-        Self { address, state }
+        Self {
+            address,
+            state,
+            listener,
+        }
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -75,7 +81,8 @@
     pub(crate) fn close(self) {
         self.state.lock().expect("wire lock").closed = true;
         // Wakes the listener so that it ends.
-        let _ = TcpStream::connect(self.address).and_then(|mut wake| wake.read(&mut [0]));
+        let _ = TcpStream::connect(self.address);
+        self.listener.join().expect("the listener ends");
     }
 }
 
--- a/crates/shallottide_types/src/peer.rs
+++ b/crates/shallottide_types/src/peer.rs
@@ -11,6 +11,7 @@
 use crate::engine::EngineReport;
 use crate::id::{CallId, DomainId, Fence, GroupId, Incarnation, NodeId, StoreIndex, UpstreamId};
 use crate::placement::Placement;
+use crate::platform::Vm;
 
 data! {
     /// A control message from one entry VM to another.
@@ -41,6 +42,9 @@
         ClaimEnded(ClaimOutcome),
         /// All records changed after an index, up to another.
         RecordsSince(RecordsSince),
+        /// The VMs whose engines the receiver polls; to a controller candidate, all VMs
+        /// of the failure domain.
+        Vms(Vec<Vm>),
     }
 
     /// One node's sign of life.
