Add servers of the stand-ins: platform, engine, plain service

Processes and tests need the three over HTTP: the platform by the interface of Consul's key-value store, an engine member with orders, fencing, cold start and streams, a plain service that counts how often each key ran.

tiny_http can neither close a connection without an answer nor limit open connections, and keeps connections open after its server is dropped. A gate in front of it relays the bytes and does all three, and makes open connections go silent while new ones work. Ruled out: sending Connection: close, since tiny_http heeds only the caller's; another server library, since the gate was needed for silence anyway. The listener behind the gate has no-delay set, which accepted sockets inherit, as tiny_http sets none.

Each guard was removed in turn and a test failed: flush per event, held-back last chunk of a cut stream, run cut on a lost member, fence comparison, connection limit, end of abandoned runs, service capacity, close on drop. The last one's first test passed without the guard, because the caller's timeout was an error too; it now tells the two apart.

--- /dev/null
+++ b/crates/standin/src/engine/member_check.rs
@@ -0,0 +1,51 @@
+//! Rank 0 checks that the other members of its group are there.
+
+use std::net::SocketAddr;
+use std::sync::Weak;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use shallottide_types::engine::{Assignment, EngineReport};
+use ureq::Agent;
+
+use super::completion_run::EngineShared;
+
+/// Longest wait for a member's report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time between two checks while members are missing.
+const FORMING_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Checks the members until the engine is gone. An unpark of the thread checks at once.
+pub(super) fn check_members(shared: &Weak<EngineShared>, interval: Duration) {
+    let agent: Agent = Agent::config_builder()
+        .timeout_global(Some(REPORT_TIMEOUT))
+        .build()
+        .into();
+    loop {
+        let Some(engine) = shared.upgrade() else {
+            return;
+        };
+        let mut pause = interval;
+        let assignment = engine.model().watched_assignment().cloned();
+        if let Some(assignment) = assignment {
+            let mut others = assignment.members.iter().skip(1);
+            let ready = others.all(|member| is_ready(&agent, *member, &assignment));
+            let now = Instant::now();
+            engine.model().note_members(&assignment, ready, now);
+            if !ready {
+                pause = pause.min(FORMING_INTERVAL);
+            }
+        }
+        drop(engine);
+        thread::park_timeout(pause);
+    }
+}
+
+fn is_ready(agent: &Agent, member: SocketAddr, assignment: &Assignment) -> bool {
+    let report = agent.get(format!("http://{member}/report")).call();
+    let report = report.and_then(|mut answer| answer.body_mut().read_json::<EngineReport>());
+    let same =
+        |held: Assignment| held.group == assignment.group && held.formed == assignment.formed;
+    report.is_ok_and(|report| report.state.is_ready() && report.assignment.is_some_and(same))
+}
--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,21 @@
+//! The HTTP frame that all stand-ins share.
+//!
+//! `tiny_http` can neither close a connection without an answer nor limit how many are open, so
+//! a [`ConnectionGate`](connection_gate::ConnectionGate) in front of it relays the bytes.
+
+mod connection;
+mod connection_gate;
+mod event_stream;
+mod exchange;
+mod http_server;
+mod listen_options;
+mod reply;
+mod start_error;
+
+pub use listen_options::ListenOptions;
+pub use start_error::StartError;
+
+pub(crate) use event_stream::EventStream;
+pub(crate) use exchange::Exchange;
+pub(crate) use http_server::{Handler, HttpServer};
+pub(crate) use reply::Reply;
--- /dev/null
+++ b/crates/standin/src/http/reply.rs
@@ -0,0 +1,50 @@
+//! A whole answer.
+
+use serde::Serialize;
+
+/// A whole answer with a known length.
+#[derive(Debug, Clone)]
+pub(crate) struct Reply {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Headers besides the length.
+    pub(crate) headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+}
+
+impl Reply {
+    /// Creates an answer with a JSON body.
+    pub(crate) fn json(status: u16, body: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(body).expect("plain data can be written as JSON");
+        let headers = vec![("Content-Type", "application/json".into())];
+        Self {
+            status,
+            headers,
+            body,
+        }
+    }
+
+    /// Creates an error answer with a sentence.
+    pub(crate) fn error(status: u16, message: impl AsRef<str>) -> Self {
+        Self::json(status, &serde_json::json!({"error": message.as_ref()}))
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub(crate) fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Writes status line and headers; `framing` is the header that tells the length.
+    pub(super) fn head(&self, framing: &str) -> String {
+        let lines = self.headers.iter();
+        let lines = lines.map(|(name, value)| [name, ": ", value, "\r\n"].concat());
+        let lines: String = lines.collect();
+        format!(
+            "HTTP/1.1 {} Answer\r\n{framing}\r\n{lines}\r\n",
+            self.status
+        )
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,14 @@
 //!
 //! Tests and the demo use them in place of the real ones; the daemon never depends on them.
 //!
+//! - [`engine`]: a member of a group of VMs.
+//! - [`http`]: where a stand-in listens.
 //! - [`platform`]: the key-value service and VM list, in process or over HTTP.
+//! - [`service`]: a server of a plain service.
 
+mod planned;
+
+pub mod engine;
+pub mod http;
 pub mod platform;
+pub mod service;
--- /dev/null
+++ b/crates/standin/src/planned.rs
@@ -0,0 +1,8 @@
+//! Fault switches that are planned for a number of calls.
+
+/// Takes one of a number of planned faults; `false` when none is left.
+pub(crate) fn take_one(left: &mut u32) -> bool {
+    let any = *left > 0;
+    *left = left.saturating_sub(1);
+    any
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,12 +1,14 @@
 //! The platform's key-value service and VM list.
 //!
-//! [`MemoryPlatform`] is used in process.
+//! [`MemoryPlatform`] is used in process, [`PlatformServer`] serves it over HTTP.
 
 mod call_counts;
 mod memory_platform;
 mod platform_faults;
 mod platform_options;
+mod platform_server;
 mod rate_limiter;
+mod rest;
 mod store;
 mod vm_list;
 
@@ -14,3 +16,5 @@
 pub use memory_platform::MemoryPlatform;
 pub use platform_faults::PlatformFaults;
 pub use platform_options::PlatformOptions;
+pub use platform_server::PlatformServer;
+pub use rest::PlatformControl;
--- a/crates/standin/src/platform/memory_platform.rs
+++ b/crates/standin/src/platform/memory_platform.rs
@@ -14,6 +14,7 @@
 use super::rate_limiter::RateLimiter;
 use super::store::{Store, Stored};
 use super::vm_list::VmList;
+use crate::planned::take_one;
 
 /// Longest sleep of a watch before it looks for lapsed sessions again.
 const WATCH_STEP: Duration = Duration::from_millis(50);
@@ -252,12 +253,6 @@
     }
 }
 
-fn take_one(left: &mut u32) -> bool {
-    let any = *left > 0;
-    *left = left.saturating_sub(1);
-    any
-}
-
 fn unreachable() -> PlatformError {
     PlatformError::Unreachable {
         address: ADDRESS.into(),
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -12,7 +12,6 @@
     /// The value.
     pub(super) value: Vec<u8>,
     /// Index at which the key was created.
-    #[expect(dead_code, reason = "only the HTTP interface shows it")]
     pub(super) created: u64,
     /// Index of the last change.
     pub(super) modified: u64,
--- /dev/null
+++ b/crates/standin/src/service/service_faults.rs
@@ -0,0 +1,31 @@
+//! The service's fault switches.
+
+use shallottide_types::data;
+
+data! {
+    /// Fault switches; the default is a service without faults. Each counts down the next calls.
+    #[derive(Default)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct ServiceFaults {
+        /// Calls whose connection is closed before they run.
+        pub close_before_run: u32,
+        /// Calls that run, but whose connection is closed without an answer.
+        pub lose_answers: u32,
+        /// Calls that run and get no answer on a connection that stays open.
+        pub silent: u32,
+        /// Calls that run and whose answer is cut in the middle.
+        pub cut_answers: u32,
+        /// Calls that run and whose answer carries another call's `X-Request-Id`.
+        pub wrong_request_id: u32,
+        /// Time before each call runs, in milliseconds. Doesn't count down.
+        pub delay_ms: u64,
+    }
+
+    /// The body of `PUT /control`.
+    #[derive(Default)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct ServiceControl {
+        /// Replaces all fault switches.
+        pub faults: Option<ServiceFaults>,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service/service_handler.rs
@@ -0,0 +1,137 @@
+//! The service's HTTP interface.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::service_faults::{ServiceControl, ServiceFaults};
+use super::service_options::ServiceOptions;
+use crate::http::{Exchange, Handler, Reply};
+use crate::planned::take_one;
+
+/// Sent as `X-Request-Id` by the switch that confuses answers.
+const OTHER_REQUEST_ID: &str = "another-call";
+
+/// Answers the service's callers.
+pub(super) struct ServiceHandler {
+    options: ServiceOptions,
+    faults: Mutex<ServiceFaults>,
+    running: AtomicU32,
+}
+
+/// How a call ends after it ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    Answer,
+    Close,
+    Silence,
+    Cut,
+}
+
+impl ServiceHandler {
+    /// Creates a handler.
+    pub(super) fn new(options: ServiceOptions) -> Self {
+        Self {
+            faults: Mutex::new(options.faults.clone()),
+            options,
+            running: AtomicU32::new(0),
+        }
+    }
+
+    /// Locks the fault switches.
+    pub(super) fn faults(&self) -> MutexGuard<'_, ServiceFaults> {
+        self.faults.lock().expect("no holder panics")
+    }
+
+    fn call(&self, exchange: Exchange) {
+        let delay = Duration::from_millis(self.faults().delay_ms);
+        thread::sleep(delay);
+        if take_one(&mut self.faults().close_before_run) {
+            return exchange.close();
+        }
+        let others = self.running.fetch_add(1, Ordering::SeqCst);
+        if others >= self.options.capacity {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            return refuse(exchange);
+        }
+        let reply = self.run(&exchange);
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        match self.ending() {
+            Ending::Answer => exchange.respond(&reply),
+            Ending::Close => exchange.close(),
+            Ending::Silence => exchange.stay_silent(),
+            Ending::Cut => exchange.respond_cut(&reply),
+        }
+    }
+
+    fn run(&self, exchange: &Exchange) -> Reply {
+        thread::sleep(self.options.service_time);
+        let id = exchange.request_id();
+        let key = exchange.header("Idempotency-Key");
+        let run = self.options.runs.add(key, &id);
+        let body = json!({
+            "service": self.options.name,
+            "path": exchange.path(),
+            "key": key,
+            "request_id": id,
+            "run": run,
+        });
+        let wrong = take_one(&mut self.faults().wrong_request_id);
+        let echoed = if wrong { OTHER_REQUEST_ID } else { id.as_str() };
+        Reply::json(200, &body).header("X-Request-Id", echoed)
+    }
+
+    fn ending(&self) -> Ending {
+        let mut faults = self.faults();
+        if take_one(&mut faults.lose_answers) {
+            Ending::Close
+        } else if take_one(&mut faults.silent) {
+            Ending::Silence
+        } else if take_one(&mut faults.cut_answers) {
+            Ending::Cut
+        } else {
+            Ending::Answer
+        }
+    }
+
+    fn control(&self, exchange: Exchange) {
+        let Some((control, exchange)) = exchange.json::<ServiceControl>() else {
+            return;
+        };
+        if let Some(faults) = control.faults {
+            *self.faults() = faults;
+        }
+        exchange.respond(&Reply::json(200, &true));
+    }
+
+    fn report(&self) -> Reply {
+        let running = self.running.load(Ordering::SeqCst);
+        let capacity = self.options.capacity;
+        Reply::json(200, &json!({"running": running, "capacity": capacity}))
+    }
+}
+
+impl Handler for ServiceHandler {
+    fn handle(&self, exchange: Exchange) {
+        match (exchange.method(), exchange.path()) {
+            ("PUT", "/control") => self.control(exchange),
+            ("GET", "/control/runs") => {
+                exchange.respond(&Reply::json(200, &self.options.runs.by_key()));
+            }
+            ("GET", "/control/requests") => {
+                exchange.respond(&Reply::json(200, &self.options.runs.by_request()));
+            }
+            ("GET", "/report") => exchange.respond(&self.report()),
+            _ => self.call(exchange),
+        }
+    }
+}
+
+fn refuse(exchange: Exchange) {
+    let id = exchange.request_id();
+    let reply = Reply::error(503, "service is full: retry later");
+    exchange.respond(&reply.header("X-Not-Run", "1").header("X-Request-Id", id));
+}
--- /dev/null
+++ b/crates/standin/tests/engine_model.rs
@@ -0,0 +1,166 @@
+//! What an engine decides, with a clock that the test moves.
+
+use std::time::{Duration, Instant};
+
+use shallottide_types::engine::{Assignment, EngineState, Order, OrderAction};
+use shallottide_types::id::Fence;
+use standin::engine::{ColdOverload, EngineModel, EngineOptions, Refused};
+
+const LOAD_TIME: Duration = Duration::from_secs(5);
+const TOKEN_TIME: Duration = Duration::from_millis(10);
+
+fn options() -> EngineOptions {
+    EngineOptions {
+        load_time: LOAD_TIME,
+        token_time: TOKEN_TIME,
+        warm_up_tokens: 2,
+        cold_capacity: 1,
+        capacity: 2,
+        ..EngineOptions::default()
+    }
+}
+
+fn assignment(members: usize, rank: u8) -> Assignment {
+    Assignment {
+        group: "g1".parse().unwrap(),
+        model: "m1".parse().unwrap(),
+        formed: Fence(1),
+        rank,
+        members: vec!["127.0.0.1:9".parse().unwrap(); members],
+    }
+}
+
+fn join(fence: u64, assignment: Assignment) -> Order {
+    Order {
+        fence: Fence(fence),
+        action: OrderAction::Join(assignment),
+    }
+}
+
+/// An engine alone in its group, loaded and cold, and the time.
+fn loaded(options: EngineOptions) -> (EngineModel, Instant) {
+    let now = Instant::now();
+    let mut engine = EngineModel::new(options);
+    engine.order(&join(1, assignment(1, 0)), now).unwrap();
+    (engine, now + LOAD_TIME)
+}
+
+#[test]
+fn loads_then_is_cold_then_warm() {
+    let now = Instant::now();
+    let mut engine = EngineModel::new(options());
+    assert_eq!(engine.state(now), EngineState::Idle);
+    engine.order(&join(1, assignment(1, 0)), now).unwrap();
+    assert_eq!(engine.state(now), EngineState::Loading);
+    assert_eq!(engine.queue(now), Err(Refused::NotReady));
+    let now = now + LOAD_TIME;
+    assert_eq!(engine.state(now), EngineState::Cold);
+    assert_eq!(engine.token_time(now), TOKEN_TIME * 3);
+    engine.made_token();
+    engine.made_token();
+    assert_eq!(engine.state(now), EngineState::Warm);
+    assert_eq!(engine.token_time(now), TOKEN_TIME);
+    engine.turn_cold();
+    assert_eq!(engine.state(now), EngineState::Cold);
+}
+
+#[test]
+fn fencing_engine_refuses_older_orders() {
+    let (mut engine, now) = loaded(options());
+    engine.order(&join(7, assignment(1, 0)), now).unwrap();
+    assert_eq!(engine.state(now), EngineState::Cold, "same assignment");
+    let release = Order {
+        fence: Fence(6),
+        action: OrderAction::Release,
+    };
+    assert_eq!(engine.order(&release, now), Err(Fence(7)));
+    assert!(engine.report(now).assignment.is_some());
+}
+
+#[test]
+fn engine_without_fencing_takes_older_orders() {
+    let (mut engine, now) = loaded(EngineOptions {
+        fences_orders: false,
+        ..options()
+    });
+    engine.order(&join(7, assignment(1, 0)), now).unwrap();
+    let release = Order {
+        fence: Fence(6),
+        action: OrderAction::Release,
+    };
+    assert_eq!(engine.order(&release, now), Ok(()));
+    assert_eq!(engine.report(now).assignment, None);
+    assert_eq!(engine.report(now).fence, Fence(0));
+}
+
+#[test]
+fn other_ranks_refuse_requests() {
+    let now = Instant::now();
+    let mut engine = EngineModel::new(options());
+    engine.order(&join(1, assignment(2, 1)), now).unwrap();
+    let now = now + LOAD_TIME;
+    assert_eq!(engine.state(now), EngineState::Cold);
+    assert_eq!(engine.queue(now), Err(Refused::NotReady));
+}
+
+#[test]
+fn lost_member_cuts_runs_and_needs_a_new_load() {
+    let now = Instant::now();
+    let group = assignment(2, 0);
+    let mut engine = EngineModel::new(options());
+    engine.order(&join(1, group.clone()), now).unwrap();
+    let now = now + LOAD_TIME;
+    assert_eq!(engine.state(now), EngineState::Loading, "member unseen");
+    engine.note_members(&group, true, now);
+    let run = engine.queue(now).unwrap();
+    assert!(engine.start(now) && engine.goes_on(run));
+    engine.note_members(&group, false, now);
+    assert!(!engine.goes_on(run));
+    assert_eq!(engine.queue(now), Err(Refused::NotReady));
+    engine.note_members(&group, true, now);
+    assert_eq!(engine.state(now), EngineState::Loading);
+    assert_eq!(engine.state(now + LOAD_TIME), EngineState::Cold);
+}
+
+#[test]
+fn cold_engine_fails_above_its_capacity() {
+    let (mut engine, now) = loaded(options());
+    assert!(engine.queue(now).is_ok());
+    assert_eq!(engine.queue(now), Err(Refused::ColdOverload));
+    assert_eq!(engine.overloads(), 1);
+}
+
+#[test]
+fn cold_engine_slows_above_its_capacity() {
+    let (mut engine, now) = loaded(EngineOptions {
+        cold_overload: ColdOverload::Slow(10),
+        batch_percent: 0,
+        ..options()
+    });
+    for _ in 0..2 {
+        engine.queue(now).unwrap();
+        assert!(engine.start(now));
+    }
+    assert_eq!(engine.token_time(now), TOKEN_TIME * 30);
+}
+
+#[test]
+fn report_lags_and_a_full_batch_queues() {
+    let lag = Duration::from_secs(2);
+    let (mut engine, now) = loaded(EngineOptions {
+        report_lag: lag,
+        cold_capacity: 9,
+        ..options()
+    });
+    for _ in 0..3 {
+        engine.queue(now).unwrap();
+    }
+    let started = (0..3).filter(|_| engine.start(now)).count();
+    assert_eq!(started, 2);
+    let figures = |at| {
+        let report = engine.report(at);
+        (report.running, report.queued)
+    };
+    assert_eq!(figures(now), (0, 0));
+    assert_eq!(figures(now + lag), (2, 1));
+}
--- /dev/null
+++ b/crates/standin/tests/engine_server.rs
@@ -0,0 +1,198 @@
+//! The engine over HTTP.
+
+mod client;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use client::{events, get, header, json, post, put, wait_until};
+use serde_json::{Value, json};
+use shallottide_types::cases;
+use shallottide_types::engine::{Assignment, EngineState, Order, OrderAction};
+use shallottide_types::id::Fence;
+use shallottide_types::synthetic::{expected_text, expected_token};
+use standin::engine::{EngineFaults, EngineOptions, EngineServer};
+
+const PROMPT: &str = "how many crates";
+
+fn options() -> EngineOptions {
+    EngineOptions {
+        token_time: Duration::ZERO,
+        load_time: Duration::ZERO,
+        member_check_interval: Duration::from_millis(20),
+        ..EngineOptions::default()
+    }
+}
+
+fn order(engine: &EngineServer, fence: u64, rank: u8, members: &[SocketAddr]) -> client::Answer {
+    let order = Order {
+        fence: Fence(fence),
+        action: OrderAction::Join(Assignment {
+            group: "g1".parse().unwrap(),
+            model: "m1".parse().unwrap(),
+            formed: Fence(1),
+            rank,
+            members: members.to_vec(),
+        }),
+    };
+    let body = serde_json::to_string(&order).unwrap();
+    post(engine.address(), "/orders", "", &body)
+}
+
+/// An engine alone in its group, ready.
+fn ready() -> EngineServer {
+    let engine = EngineServer::start(options()).unwrap();
+    let ordered = order(&engine, 1, 0, &[engine.address()]);
+    assert_eq!(ordered.unwrap().status(), 200);
+    engine
+}
+
+fn complete(engine: &EngineServer, id: &str, stream: bool) -> client::Answer {
+    let body = json!({"model": "m1", "prompt": PROMPT, "max_tokens": 5, "stream": stream});
+    post(engine.address(), "/v1/completions", id, &body.to_string())
+}
+
+fn text(event: &str) -> String {
+    let event: Value = serde_json::from_str(event).unwrap();
+    event["choices"][0]["text"].as_str().unwrap().into()
+}
+
+fn expected(from: u64, to: u64) -> Vec<String> {
+    let tokens = (from..to).map(|i| expected_token(PROMPT, i).into());
+    tokens.collect()
+}
+
+#[test]
+fn whole_answer_is_the_prompts_own() {
+    let engine = ready();
+    let answer = complete(&engine, "r1", false).unwrap();
+    assert_eq!(header(&answer, "X-Request-Id").as_deref(), Some("r1"));
+    assert!(header(&answer, "Content-Length").is_some());
+    let body = json(Ok(answer));
+    assert_eq!(body["choices"][0]["text"], expected_text(PROMPT, 5));
+    let chat = json!({"messages": [{"role": "user", "content": PROMPT}], "max_tokens": 5});
+    let chat = post(
+        engine.address(),
+        "/v1/chat/completions",
+        "r2",
+        &chat.to_string(),
+    );
+    let content = &json(chat)["choices"][0]["message"]["content"];
+    assert_eq!(*content, expected_text(PROMPT, 5));
+}
+
+#[test]
+fn stream_resumes_where_it_was_cut() {
+    let engine = ready();
+    engine.change_faults(|faults| (faults.cut_streams, faults.cut_after) = (1, 2));
+    let cut: Vec<_> = events(complete(&engine, "r1", true).unwrap()).collect();
+    let cut: Vec<_> = cut.iter().map(|event| text(event)).collect();
+    assert_eq!(cut, expected(0, 2));
+    let body = json!({"prompt": PROMPT, "max_tokens": 5, "stream": true}).to_string();
+    let request = client::agent().post(format!("http://{}/v1/completions", engine.address()));
+    let resumed = request.header("X-Resume-From", "2").send(body).unwrap();
+    let mut resumed: Vec<_> = events(resumed).collect();
+    assert_eq!(resumed.pop().as_deref(), Some("[DONE]"));
+    let resumed: Vec<_> = resumed.iter().map(|event| text(event)).collect();
+    assert_eq!(resumed, expected(2, 5));
+}
+
+#[test]
+fn each_token_is_sent_at_once() {
+    let engine = ready();
+    engine.change_faults(|faults| (faults.freeze, faults.freeze_after) = (true, 2));
+    let mut stream = events(complete(&engine, "r1", true).unwrap());
+    let early: Vec<_> = stream.by_ref().take(2).map(|event| text(&event)).collect();
+    assert_eq!(early, expected(0, 2));
+    engine.change_faults(|faults| faults.freeze = false);
+    assert_eq!(stream.last().as_deref(), Some("[DONE]"));
+}
+
+#[test]
+fn lost_member_cuts_streams_and_refuses_truthfully() {
+    let lead = EngineServer::start(options()).unwrap();
+    let member = EngineServer::start(options()).unwrap();
+    let members = [lead.address(), member.address()];
+    order(&lead, 1, 0, &members).unwrap();
+    let early = complete(&lead, "early", true).unwrap();
+    assert_eq!(header(&early, "X-Not-Run").as_deref(), Some("1"));
+    order(&member, 1, 1, &members).unwrap();
+    let to_member = complete(&member, "wrong-rank", true).unwrap();
+    assert_eq!(header(&to_member, "X-Not-Run").as_deref(), Some("1"));
+    wait_until("group ready", || lead.report().state == EngineState::Cold);
+    lead.change_faults(|faults| (faults.freeze, faults.freeze_after) = (true, 1));
+    let mut stream = events(complete(&lead, "r1", true).unwrap());
+    assert!(stream.next().is_some());
+    drop(member);
+    assert_eq!(stream.next(), None, "cut without an end");
+    let refused = complete(&lead, "r2", true).unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(header(&refused, "X-Not-Run").as_deref(), Some("1"));
+    assert_eq!(lead.runs(), [("r1".to_owned(), 1)].into());
+}
+
+#[test]
+fn stale_order_is_refused_with_the_fence_seen() {
+    let engine = ready();
+    order(&engine, 5, 0, &[engine.address()]).unwrap();
+    let stale = order(&engine, 4, 0, &[engine.address()]).unwrap();
+    assert_eq!(stale.status(), 409);
+    assert_eq!(json(Ok(stale)), json!({"seen": 5}));
+    let report = json(get(engine.address(), "/report"));
+    assert_eq!(
+        (&report["fence"], &report["state"]),
+        (&json!(5), &json!("cold"))
+    );
+}
+
+#[test]
+fn cancelled_and_abandoned_runs_free_their_place() {
+    let engine = ready();
+    engine.change_faults(|faults| (faults.freeze, faults.freeze_after) = (true, 1));
+    let cancelled = events(complete(&engine, "r1", true).unwrap());
+    let abandoned = complete(&engine, "r2", true).unwrap();
+    assert_eq!(engine.report().running, 2);
+    let answer = post(engine.address(), "/cancel/r1", "", "").unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(cancelled.count(), 1);
+    drop(abandoned);
+    wait_until("both ended", || engine.report().running == 0);
+    let again = post(engine.address(), "/cancel/r1", "", "").unwrap();
+    assert_eq!(again.status(), 404);
+}
+
+#[test]
+fn control_sets_switches_and_restarts() {
+    let engine = ready();
+    let body = r#"{"faults":{"wrong_request_id":1},"turn_cold":true}"#;
+    assert_eq!(json(put(engine.address(), "/control", body)), true);
+    let answer = complete(&engine, "r1", false).unwrap();
+    assert_ne!(header(&answer, "X-Request-Id").as_deref(), Some("r1"));
+    let body = r#"{"restart":true}"#;
+    assert_eq!(json(put(engine.address(), "/control", body)), true);
+    assert_eq!(complete(&engine, "r2", false).unwrap().status(), 503);
+    assert_eq!(json(get(engine.address(), "/report"))["incarnation"], 2);
+    assert_eq!(
+        json(get(engine.address(), "/control/runs")),
+        json!({"r1": 1})
+    );
+}
+
+/// Makes one streamed and one whole call under a fault; `whole` says which come through.
+fn check_fault(faults: &EngineFaults, whole: bool) {
+    for stream in [true, false] {
+        let engine = ready();
+        engine.change_faults(|set| *set = faults.clone());
+        let body = complete(&engine, "r1", stream).and_then(|mut a| a.body_mut().read_to_string());
+        assert_eq!(body.is_ok(), whole, "stream: {stream}");
+        assert_eq!(engine.runs()["r1"], 1);
+    }
+}
+
+cases! {
+    check_fault;
+    without_fault: &EngineFaults::default(), true;
+    delayed: &EngineFaults { delay_ms: 1, ..EngineFaults::default() }, true;
+    cut_before_the_first_token: &EngineFaults { cut_streams: 1, ..EngineFaults::default() }, false;
+    cut_before_done: &EngineFaults { cut_streams: 1, cut_after: 5, ..EngineFaults::default() }, false;
+}
