Keep unknown and newer fields when a record is written over

A writer that knows schema 1, or a program without a newer optional field, would have replaced the whole document. Each schema version now lists its fields, and Document::merged_onto raises both documents to the newer schema, sets what the writer's schema has and keeps the rest. Fields inside the traffic split and inside call rules are kept as well. The state of an upstream or failure domain stays when the writer leaves it out: otherwise applying an old file would bring back what was taken out.

Documents also remember their last eight changes, so that a write whose answer was lost is still found after another write went over it.

Found by reading: a key hash with a plus sign was accepted, type errors named no field, a v1 limit of 0 was reported as cold_limit, which v1 doesn't have.

--- a/crates/shallottide_types/src/record.rs
+++ b/crates/shallottide_types/src/record.rs
@@ -7,9 +7,13 @@
 
 mod document;
 mod domain_record;
+mod field;
+mod merge;
 mod model_record;
 mod service_record;
+mod stamps;
 mod team_record;
+mod toml_value;
 mod traffic_split;
 mod upstream_record;
 
@@ -42,7 +46,10 @@
     /// # Errors
     /// [`RecordError`] naming the field and the remedy.
     pub fn from_document(document: &Document) -> Result<Self, RecordError> {
-        match document.kind()? {
+        let kind = document.kind()?;
+        document.check_stamps(kind)?;
+        document.check_id(kind)?;
+        match kind {
             RecordKind::Model => ModelRecord::lift(document).map(Self::Model),
             RecordKind::Upstream => UpstreamRecord::lift(document).map(Self::Upstream),
             RecordKind::Service => ServiceRecord::lift(document).map(Self::Service),
@@ -51,16 +58,33 @@
         }
     }
 
+    /// Returns the record's kind.
+    #[must_use]
+    pub fn kind(&self) -> RecordKind {
+        match self {
+            Self::Model(_) => RecordKind::Model,
+            Self::Upstream(_) => RecordKind::Upstream,
+            Self::Service(_) => RecordKind::Service,
+            Self::Domain(_) => RecordKind::Domain,
+            Self::Team(_) => RecordKind::Team,
+        }
+    }
+
+    /// Returns the record's id as text.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Model(record) => record.id.as_str(),
+            Self::Upstream(record) => record.id.as_str(),
+            Self::Service(record) => record.id.as_str(),
+            Self::Domain(record) => record.id.as_str(),
+            Self::Team(record) => record.id.as_str(),
+        }
+    }
+
     /// Returns the platform key, `records/KIND/ID`.
     #[must_use]
     pub fn store_key(&self) -> String {
-        let (kind, id) = match self {
-            Self::Model(record) => (RecordKind::Model, record.id.as_str()),
-            Self::Upstream(record) => (RecordKind::Upstream, record.id.as_str()),
-            Self::Service(record) => (RecordKind::Service, record.id.as_str()),
-            Self::Domain(record) => (RecordKind::Domain, record.id.as_str()),
-            Self::Team(record) => (RecordKind::Team, record.id.as_str()),
-        };
-        format!("{}{kind}/{id}", Document::KEY_PREFIX)
+        self.kind().store_key(self.id())
     }
 }
--- a/crates/shallottide_types/src/record/document.rs
+++ b/crates/shallottide_types/src/record/document.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
+use super::toml_value;
 use crate::id::{ChangeId, IdError, OperatorId, Revision};
 
 /// Why a record was refused.
@@ -14,8 +15,8 @@
     /// The text is neither TOML nor JSON.
     #[error("record can't be read: {0}")]
     Syntax(String),
-    /// A field every record needs is missing.
-    #[error("record has no {field:?}: add {example}")]
+    /// A field every record needs is missing or of another type.
+    #[error("record has no valid {field:?}: add {example}")]
     Missing {
         /// Name of the field.
         field: &'static str,
@@ -37,6 +38,18 @@
         /// Newest version known.
         newest: u64,
     },
+    /// The stored record is of a schema that this program doesn't know.
+    #[error(
+        "stored {kind} has schema {found}, this program knows up to {newest}: use a newer program to change it"
+    )]
+    StoredNewer {
+        /// Kind of the record.
+        kind: RecordKind,
+        /// Version found.
+        found: u64,
+        /// Newest version known.
+        newest: u64,
+    },
     /// A field has the wrong form.
     #[error("{kind}: {message}")]
     Field {
@@ -84,6 +97,12 @@
         Self::Domain,
         Self::Team,
     ];
+
+    /// Returns the platform key of the record with this id, `records/KIND/ID`.
+    #[must_use]
+    pub fn store_key(self, id: &str) -> String {
+        format!("{}{self}/{id}", Document::KEY_PREFIX)
+    }
 }
 
 impl fmt::Display for RecordKind {
@@ -112,7 +131,7 @@
 /// A record's JSON document, with all fields, known or not.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Document {
-    fields: Map<String, Value>,
+    pub(super) fields: Map<String, Value>,
 }
 
 impl Document {
@@ -132,7 +151,8 @@
     /// # Errors
     /// [`RecordError::Syntax`] with the place in the file.
     pub fn from_toml(text: &str) -> Result<Self, RecordError> {
-        let fields = toml::from_str(text).map_err(|e| RecordError::Syntax(e.to_string()))?;
+        let table = toml::from_str(text).map_err(|e| RecordError::Syntax(e.to_string()))?;
+        let fields = toml_value::to_json(table)?;
         Ok(Self { fields })
     }
 
@@ -211,12 +231,41 @@
     /// [`RecordError::Field`] naming the field.
     pub fn parse<T: DeserializeOwned>(&self) -> Result<T, RecordError> {
         let kind = self.kind()?;
-        serde_json::from_value(Value::Object(self.fields.clone())).map_err(|e| RecordError::Field {
+        read::<T>(self.fields.clone()).map_err(|message| RecordError::Field {
             kind,
-            message: e.to_string(),
+            message: self.naming_field::<T>(message),
         })
     }
 
+    /// Adds the field's name to an error that doesn't hold it: the field without which
+    /// the error is another one.
+    fn naming_field<T: DeserializeOwned>(&self, message: String) -> String {
+        if message.starts_with(MISSING) {
+            return format!("{message}: add it");
+        }
+        let is_cause = |field: &&String| {
+            let mut others = self.fields.clone();
+            others.remove(field.as_str());
+            read::<T>(others).err().as_ref() != Some(&message)
+        };
+        match self.fields.keys().find(is_cause) {
+            Some(field) => format!("field {field:?}: {message}"),
+            None => message,
+        }
+    }
+
+    /// Refuses ids of dots only, which stand for other places in a path.
+    pub(super) fn check_id(&self, kind: RecordKind) -> Result<(), RecordError> {
+        match self.text("id") {
+            Some(id) if id.bytes().all(|b| b == b'.') => Err(RecordError::Range {
+                kind,
+                field: "id",
+                remedy: "write at least one letter or digit".into(),
+            }),
+            _ => Ok(()),
+        }
+    }
+
     /// Returns the error for a schema version above `newest` or below 1.
     pub(crate) fn unknown_schema<T>(&self, newest: u64) -> Result<T, RecordError> {
         Err(RecordError::Schema {
@@ -226,11 +275,18 @@
         })
     }
 
-    fn text(&self, field: &str) -> Option<&str> {
+    pub(super) fn text(&self, field: &str) -> Option<&str> {
         self.fields.get(field)?.as_str()
     }
 
-    fn number(&self, field: &str) -> Option<u64> {
+    pub(super) fn number(&self, field: &str) -> Option<u64> {
         self.fields.get(field)?.as_u64()
     }
 }
+
+/// How an error of a missing field begins.
+const MISSING: &str = "missing field";
+
+fn read<T: DeserializeOwned>(fields: Map<String, Value>) -> Result<T, String> {
+    serde_json::from_value(Value::Object(fields)).map_err(|e| e.to_string())
+}
--- a/crates/shallottide_types/src/record/model_record.rs
+++ b/crates/shallottide_types/src/record/model_record.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
+use super::field::{Field, SPLIT, replaced};
+use super::merge::{Fields, rename};
 use super::{Document, RecordError, RecordKind, TrafficSplit};
 use crate::data;
 use crate::id::{DomainId, ModelId};
@@ -46,6 +49,24 @@
     limit: u32,
 }
 
+impl ModelV1 {
+    fn check(self) -> Result<Self, RecordError> {
+        let (field, value) = if self.members == 0 {
+            ("members", 0)
+        } else {
+            ("limit", self.limit)
+        };
+        if value > 0 {
+            return Ok(self);
+        }
+        Err(RecordError::Range {
+            kind: RecordKind::Model,
+            field,
+            remedy: "write at least 1".into(),
+        })
+    }
+}
+
 /// Schema 1 names no cold limit: the full limit divided by this, rounded up.
 const V1_COLD_DIVISOR: u32 = 8;
 
@@ -69,13 +90,49 @@
     /// Newest schema version.
     pub const NEWEST_SCHEMA: u64 = 2;
 
+    /// Known fields of each schema version, oldest first.
+    pub(super) const SCHEMAS: &'static [&'static [Field]] = &[
+        &[
+            replaced("id"),
+            replaced("members"),
+            replaced("zones"),
+            replaced("copies"),
+            replaced("limit"),
+        ],
+        &[
+            replaced("id"),
+            replaced("vms_per_group"),
+            replaced("groups"),
+            replaced("cold_limit"),
+            replaced("full_limit"),
+            replaced("priority"),
+            replaced("resumable"),
+            replaced("other_domains"),
+            SPLIT,
+        ],
+    ];
+
+    /// Gives the fields of schema 1 their names of schema 2; fields new in schema 2 stay absent.
+    pub(super) fn raise_v1(mut fields: Fields) -> Fields {
+        rename(&mut fields, "members", "vms_per_group");
+        rename(&mut fields, "limit", "full_limit");
+        let zones = fields.remove("zones");
+        let copies = fields.remove("copies");
+        if let (Some(Value::Array(zones)), Some(copies)) = (zones, copies) {
+            let names = zones.iter().filter_map(Value::as_str);
+            let groups: Fields = names.map(|zone| (zone.into(), copies.clone())).collect();
+            fields.insert("groups".into(), groups.into());
+        }
+        fields
+    }
+
     /// Reads a document of any known version.
     ///
     /// # Errors
     /// [`RecordError`] naming the field and the remedy.
     pub fn lift(document: &Document) -> Result<Self, RecordError> {
         let record: Self = match document.schema()? {
-            1 => document.parse::<ModelV1>()?.into(),
+            1 => document.parse::<ModelV1>()?.check()?.into(),
             2 => document.parse()?,
             _ => return document.unknown_schema(Self::NEWEST_SCHEMA),
         };
--- a/crates/shallottide_types/src/record/service_record.rs
+++ b/crates/shallottide_types/src/record/service_record.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 
+use super::field::{Field, Form, SPLIT, replaced};
 use super::{Document, RecordError, RecordKind, TrafficSplit};
 use crate::data;
 use crate::id::ServiceId;
@@ -31,10 +32,29 @@
     }
 }
 
+impl CallRule {
+    /// An empty prefix would match every call.
+    fn is_valid(&self) -> bool {
+        let capitals = self.method.bytes().all(|b| b.is_ascii_uppercase());
+        capitals && !self.method.is_empty() && self.path_prefix.starts_with('/')
+    }
+}
+
 impl ServiceRecord {
     /// Newest schema version.
     pub const NEWEST_SCHEMA: u64 = 1;
 
+    /// Known fields of each schema version, oldest first.
+    pub(super) const SCHEMAS: &'static [&'static [Field]] = &[&[
+        replaced("id"),
+        Field {
+            name: "repeatable",
+            form: Form::List(&["method", "path_prefix"]),
+        },
+        replaced("other_domains"),
+        SPLIT,
+    ]];
+
     /// Reads a document of any known version.
     ///
     /// # Errors
@@ -47,14 +67,23 @@
     }
 
     fn check(self) -> Result<Self, RecordError> {
-        if self.split.as_ref().is_none_or(TrafficSplit::is_valid) {
-            return Ok(self);
+        let range = |field, remedy: &str| {
+            Err(RecordError::Range {
+                kind: RecordKind::Service,
+                field,
+                remedy: remedy.into(),
+            })
+        };
+        if !self.repeatable.iter().all(CallRule::is_valid) {
+            return range(
+                "repeatable",
+                "write method in capitals and path_prefix from its first \"/\"",
+            );
+        }
+        if !self.split.as_ref().is_none_or(TrafficSplit::is_valid) {
+            return range("split", "write percents from 0 to 100");
         }
-        Err(RecordError::Range {
-            kind: RecordKind::Service,
-            field: "split",
-            remedy: "write percents from 0 to 100".into(),
-        })
+        Ok(self)
     }
 
     /// Tells whether a call may run more than once.
--- /dev/null
+++ b/crates/shallottide_types/src/record/stamps.rs
@@ -0,0 +1,101 @@
+//! Fields that say which change wrote a document.
+
+use serde_json::Value;
+
+use super::{Document, RecordError, RecordKind};
+use crate::id::{ChangeId, OperatorId, Revision};
+
+/// Most changes that a document remembers.
+const MAX_RECENT_CHANGES: usize = 8;
+
+impl Document {
+    /// Field with the ids of the latest changes, newest last.
+    pub const RECENT_CHANGES: &'static str = "recent_changes";
+
+    /// All fields that a write sets by itself.
+    pub(super) const STAMPS: [&'static str; 4] = [
+        Self::REVISION,
+        Self::CHANGE,
+        Self::OPERATOR,
+        Self::RECENT_CHANGES,
+    ];
+
+    /// Returns the ids of the latest changes, newest last.
+    #[must_use]
+    pub fn recent_changes(&self) -> Vec<ChangeId> {
+        let listed = self.fields.get(Self::RECENT_CHANGES);
+        listed
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
+            .filter_map(|id| id.as_str()?.parse().ok())
+            .collect()
+    }
+
+    /// Notes the change that writes this document on top of `stored`.
+    ///
+    /// # Errors
+    /// [`RecordError::Range`] when the revision can't be raised any more.
+    pub fn stamp(
+        &mut self,
+        stored: Option<&Self>,
+        change: &ChangeId,
+        operator: &OperatorId,
+    ) -> Result<Revision, RecordError> {
+        let before = stored.map_or(Revision(0), Self::revision);
+        let revision = before.0.checked_add(1).map(Revision);
+        let revision = revision.ok_or(RecordError::Range {
+            kind: self.kind()?,
+            field: Self::REVISION,
+            remedy: "it is at its highest: delete the record and write it again".into(),
+        })?;
+        let mut recent = stored.map(Self::recent_changes).unwrap_or_default();
+        recent.push(change.clone());
+        let old = recent.len().saturating_sub(MAX_RECENT_CHANGES);
+        let recent: Vec<_> = recent[old..].iter().map(ChangeId::as_str).collect();
+        self.set(Self::RECENT_CHANGES, recent);
+        self.set(Self::REVISION, revision.0);
+        self.set(Self::CHANGE, change.as_str());
+        self.set(Self::OPERATOR, operator.as_str());
+        Ok(revision)
+    }
+
+    /// Tells whether two documents say the same, whoever wrote them.
+    #[must_use]
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        self.without_stamps() == other.without_stamps()
+    }
+
+    /// Returns the document without the fields that a write sets by itself.
+    #[must_use]
+    pub fn without_stamps(&self) -> Self {
+        let mut document = self.clone();
+        for stamp in Self::STAMPS {
+            document.fields.remove(stamp);
+        }
+        document
+    }
+
+    /// Checks the stamps that are there.
+    pub(super) fn check_stamps(&self, kind: RecordKind) -> Result<(), RecordError> {
+        let present = |field| self.fields.contains_key(field);
+        let range = |field, remedy: &str| {
+            let remedy = remedy.into();
+            Err(RecordError::Range {
+                kind,
+                field,
+                remedy,
+            })
+        };
+        if present(Self::REVISION) && self.number(Self::REVISION).is_none() {
+            return range(Self::REVISION, "leave it out, or write a whole number");
+        }
+        if present(Self::CHANGE) && self.change().is_none() {
+            return range(Self::CHANGE, "leave it out; every write sets it");
+        }
+        if present(Self::OPERATOR) && self.operator().is_none() {
+            return range(Self::OPERATOR, "leave it out; every write sets it");
+        }
+        Ok(())
+    }
+}
--- a/crates/shallottide_types/src/record/team_record.rs
+++ b/crates/shallottide_types/src/record/team_record.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use super::field::{Field, replaced};
 use super::{Document, RecordError};
 use crate::data;
 use crate::id::TeamId;
@@ -35,7 +36,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let error = || format!("key hash {text:?} is not valid: write 64 hex digits of SHA-256");
-        if text.len() != 64 || !text.is_ascii() {
+        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(error());
         }
         let mut hash = [0; 32];
@@ -81,6 +82,15 @@
     /// Newest schema version.
     pub const NEWEST_SCHEMA: u64 = 1;
 
+    /// Known fields of each schema version, oldest first.
+    pub(super) const SCHEMAS: &'static [&'static [Field]] = &[&[
+        replaced("id"),
+        replaced("key_hashes"),
+        replaced("rate"),
+        replaced("max_in_flight"),
+        replaced("priority"),
+    ]];
+
     /// Reads a document of any known version.
     ///
     /// # Errors
--- a/crates/shallottide_types/src/record/upstream_record.rs
+++ b/crates/shallottide_types/src/record/upstream_record.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
+use super::field::{Field, Form, replaced};
+use super::merge::{Fields, rename};
 use super::{Document, RecordError, RecordKind};
 use crate::data;
 use crate::id::{DomainId, ServiceId, UpstreamId};
@@ -67,6 +70,19 @@
     leaving: bool,
 }
 
+impl UpstreamV1 {
+    fn check(self) -> Result<Self, RecordError> {
+        if self.limit > 0 {
+            return Ok(self);
+        }
+        Err(RecordError::Range {
+            kind: RecordKind::Upstream,
+            field: "limit",
+            remedy: "write at least 1".into(),
+        })
+    }
+}
+
 /// Schema 1 names no cold limit: the full limit divided by this, rounded up.
 const V1_COLD_DIVISOR: u32 = 8;
 
@@ -93,13 +109,70 @@
     /// Newest schema version.
     pub const NEWEST_SCHEMA: u64 = 2;
 
+    /// Known fields of each schema version, oldest first.
+    pub(super) const SCHEMAS: &'static [&'static [Field]] = &[
+        &[
+            replaced("id"),
+            replaced("address"),
+            replaced("zone"),
+            replaced("service"),
+            replaced("limit"),
+            Field {
+                name: "leaving",
+                form: Form::KeptIfLeftOut,
+            },
+        ],
+        &[
+            replaced("id"),
+            replaced("address"),
+            replaced("failure_domain"),
+            replaced("service"),
+            replaced("cold_limit"),
+            replaced("full_limit"),
+            Field {
+                name: "state",
+                form: Form::KeptIfLeftOut,
+            },
+            replaced("generation"),
+        ],
+    ];
+
+    /// Gives the fields of schema 1 their names of schema 2; fields new in schema 2 stay absent.
+    pub(super) fn raise_v1(mut fields: Fields) -> Fields {
+        rename(&mut fields, "zone", "failure_domain");
+        rename(&mut fields, "limit", "full_limit");
+        if let Some(leaving) = fields.remove("leaving") {
+            let state = if leaving == Value::Bool(true) {
+                "leaving"
+            } else {
+                "serving"
+            };
+            fields.insert("state".into(), state.into());
+        }
+        fields
+    }
+
+    /// Sets whether the upstream that a document describes takes new work, in the terms of its schema.
+    ///
+    /// # Errors
+    /// [`RecordError`] when the document is no upstream of a known schema version.
+    pub fn set_state(document: &mut Document, state: UpstreamState) -> Result<(), RecordError> {
+        let leaving = state == UpstreamState::Leaving;
+        match document.schema()? {
+            1 => document.set("leaving", leaving),
+            2 => document.set("state", if leaving { "leaving" } else { "serving" }),
+            _ => return document.unknown_schema(Self::NEWEST_SCHEMA),
+        }
+        Ok(())
+    }
+
     /// Reads a document of any known version.
     ///
     /// # Errors
     /// [`RecordError`] naming the field and the remedy.
     pub fn lift(document: &Document) -> Result<Self, RecordError> {
         let record: Self = match document.schema()? {
-            1 => document.parse::<UpstreamV1>()?.into(),
+            1 => document.parse::<UpstreamV1>()?.check()?.into(),
             2 => document.parse()?,
             _ => return document.unknown_schema(Self::NEWEST_SCHEMA),
         };
@@ -107,6 +180,13 @@
     }
 
     fn check(self) -> Result<Self, RecordError> {
+        if self.address.ip().is_unspecified() || self.address.port() == 0 {
+            return Err(RecordError::Range {
+                kind: RecordKind::Upstream,
+                field: "address",
+                remedy: "write the server's own IP number and port".into(),
+            });
+        }
         if (1..=self.full_limit).contains(&self.cold_limit) {
             return Ok(self);
         }
