--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod kernel;
 pub mod message;
+pub mod operate;
 pub mod platform_client;
 pub mod routing;
 pub mod view;
