--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peer_codec;
 pub mod peers;
 pub mod platform_border;
+pub mod operate;
 pub mod platform_client;
 pub mod replies;
 pub mod routing;
