Prove formation and recovery of groups by a fault matrix

The bench checks on every step that no VM is in two groups and that no group counts as complete without its members.

--- a/crates/shallottide/tests/group_support/bench.rs
+++ b/crates/shallottide/tests/group_support/bench.rs
@@ -10,10 +10,10 @@
     EngineOrder, EngineOrdered, EngineReported, Message, PeerReceived, PlatformAnswer, PlatformOp,
     PlatformReply, PlatformRequest,
 };
-use shallottide::view::{ConfigView, MemberView, NodeState};
+use shallottide::view::{ConfigView, FleetView, MemberView, NodeState};
 use shallottide_types::clock::{Clock, ManualClock};
-use shallottide_types::id::{NodeId, StoreIndex, VmId};
-use shallottide_types::peer::NodeInfo;
+use shallottide_types::id::{Fence, NodeId, StoreIndex, VmId};
+use shallottide_types::peer::{NodeInfo, PeerMsg};
 use shallottide_types::placement::{Group, Placement};
 use shallottide_types::platform::{Platform, PlatformError, Vm};
 use shallottide_types::record::Record;
@@ -32,7 +32,7 @@
     /// Dead or paused: it handles nothing.
     pub(crate) down: bool,
     /// Orders that left the node while it was paused or the network held them.
-    held_orders: Vec<EngineOrder>,
+    pub(crate) held_orders: Vec<EngineOrder>,
     pub(crate) hold_orders: bool,
     pub(crate) cut_from_platform: bool,
 }
@@ -45,7 +45,9 @@
     pub(crate) nodes: BTreeMap<NodeId, BenchNode>,
     pub(crate) engines: BTreeMap<VmId, FakeEngine>,
     vms: Vec<Vm>,
-    options: GroupOptions,
+    /// What each engine is ready for, and since when.
+    held: BTreeMap<VmId, (Option<Fence>, Instant)>,
+    pub(crate) options: GroupOptions,
 }
 
 impl Bench {
@@ -69,6 +71,7 @@
             nodes: BTreeMap::new(),
             engines,
             vms,
+            held: BTreeMap::new(),
             options: GroupOptions::default(),
         };
         for number in 0..nodes {
@@ -127,6 +130,35 @@
             }
         }
         self.check_placement();
+        self.check_served();
+    }
+
+    /// Checks that no dispatcher counts a group as complete that lacks a member for longer
+    /// than reports may be old.
+    fn check_served(&mut self) {
+        let now = self.now();
+        let up = self.nodes.values().filter(|node| !node.down);
+        let served: Vec<Group> = up.flat_map(|node| Self::served_by(node, now)).collect();
+        for (vm, engine) in &self.engines {
+            let formed = engine.assignment.as_ref().map(|held| held.formed);
+            let held = formed.filter(|_| engine.is_ready(now));
+            let (was, since) = self.held.entry(vm.clone()).or_insert((held, now));
+            if *was != held {
+                (*was, *since) = (held, now);
+            }
+        }
+        for group in &served {
+            for vm in &group.members {
+                let (held, since) = self.held[vm];
+                let age = now.duration_since(since);
+                let right = held == Some(group.formed);
+                let limit = FleetView::MAX_REPORT_AGE + STEP;
+                assert!(
+                    right || age <= limit,
+                    "{vm} is missing for {age:?} from {group:?}"
+                );
+            }
+        }
     }
 
     fn publish_members(&mut self) {
@@ -311,11 +343,11 @@
     pub(crate) fn serving(&self) -> usize {
         let now = self.now();
         let up = self.nodes.values().filter(|node| !node.down);
-        up.map(|node| self.served_by(node, now).len()).sum()
+        up.map(|node| Self::served_by(node, now).len()).sum()
     }
 
     /// Returns the groups that a node may send requests to.
-    pub(crate) fn served_by(&self, node: &BenchNode, now: Instant) -> Vec<Group> {
+    pub(crate) fn served_by(node: &BenchNode, now: Instant) -> Vec<Group> {
         let view = node.cx.placement();
         let placed = view.domains.values().flat_map(|p| p.groups.values());
         let own = placed.filter(|group| group.dispatcher == node.info.node);
@@ -323,14 +355,29 @@
         complete.cloned().collect()
     }
 
-    /// Returns the node that sent the latest write, as the only one that holds the lease.
-    pub(crate) fn controller(&self) -> Option<NodeId> {
+    /// Returns the node that holds the controller lease by the platform.
+    pub(crate) fn controller(&self) -> NodeId {
+        self.controller_or_none().expect("a node holds the lease")
+    }
+
+    pub(crate) fn controller_or_none(&self) -> Option<NodeId> {
         let entry = self.platform.get(&format!("lease/{DOMAIN}/controller"));
-        let session = entry.ok()??.session?;
-        let value = self.platform.get(&format!("lease/{DOMAIN}/controller"));
-        let value = value.ok()??.value;
-        let name = String::from_utf8(value).ok()?;
-        (!session.is_empty()).then(|| name.parse().ok())?
+        let entry = entry.ok()??;
+        entry.session?;
+        String::from_utf8(entry.value).ok()?.parse().ok()
+    }
+
+    /// Sends every node a message of another node of the domain.
+    pub(crate) fn send_to_all(&mut self, msg: &PeerMsg) {
+        let from: NodeId = super::id("entry-0");
+        for node in self.nodes.values_mut() {
+            let (from, msg) = (from.clone(), msg.clone());
+            node.inbox.push(PeerReceived { from, msg }.into());
+        }
+    }
+
+    pub(crate) fn node(&mut self, id: &NodeId) -> &mut BenchNode {
+        self.nodes.get_mut(id).expect("known node")
     }
 }
 
--- a/crates/shallottide/tests/group_support/mod.rs
+++ b/crates/shallottide/tests/group_support/mod.rs
@@ -1,6 +1,6 @@
 //! A failure domain in one process: groups services, a platform, engines and a clock that
 //! the test moves.
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod bench;
 mod engine;
