--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -16,7 +16,6 @@
 use crate::admission::{AdmissionOptions, SlotAdmission};
 use crate::auth::AuthService;
 use crate::calls::{CallOptions, CallService};
-use crate::claims::{ClaimOptions, ClaimService};
 use crate::config::{ConfigOptions, ConfigService};
 use crate::engines::EngineBorder;
 use crate::front::{FrontBorder, FrontOptions};
@@ -194,7 +193,6 @@
     kernel.add_service(Box::new(ConfigService::new(ConfigOptions::default())));
     kernel.add_service(Box::new(MemberService::new(member_options)));
     kernel.add_service(Box::new(GroupService::new(GroupOptions::default())));
-    kernel.add_service(Box::new(ClaimService::new(ClaimOptions::default())));
     kernel.add_service(Box::new(AuthService));
     kernel.add_service(Box::new(CallService::new(call_options, router, admission)));
     kernel.add_service(Box::new(StatusService::default()));
@@ -223,11 +221,8 @@
     let upstreams = UpstreamBorder::new(handle.clone());
     let engines = EngineBorder::new(handle.clone())?;
     let platform = PlatformBorder::new(handle.clone(), parts.platform)?;
-    let operators = OperatorBorder::new(
-        handle,
-        parts.settings.operator_tokens,
-        flags.ready.clone(),
-    );
+    let operators =
+        OperatorBorder::new(handle, parts.settings.operator_tokens, flags.ready.clone());
     let operators_address = operators
         .clone()
         .start(parts.settings.operators, flags.ended.clone())
@@ -246,4 +241,3 @@
     kernel.add_border(names::OPERATORS, move |message| operators.send(message));
     Ok(operators_address)
 }
-
