--- /dev/null
+++ b/crates/shallottide_demo/src/demo_run.rs
@@ -0,0 +1,98 @@
+//! The demo: one streamed completion, one booking made twice that runs once.
+
+use std::io::Write;
+use std::time::Duration;
+
+use crate::{Answer, DemoCluster, DemoError, DemoOptions};
+
+/// Idempotency key of the demo's booking.
+const BOOKING_KEY: &str = "booking-2026-12-04-1";
+
+/// Pause between looks at nothing while the cluster is kept.
+const KEEP_PAUSE: Duration = Duration::from_secs(1);
+
+/// Runs the demo and prints each call with its trace; with `keep` it then stays up.
+///
+/// # Errors
+/// [`DemoError`] when something does not start, serve or hold.
+pub fn run(keep: bool, out: &mut impl Write) -> Result<(), DemoError> {
+    let cluster = DemoCluster::start(&DemoOptions::default())?;
+    for node in 0..2 {
+        let addresses = cluster.addresses(node);
+        writeln!(
+            out,
+            "node {}: callers {}, operators {}",
+            node + 1,
+            addresses.callers,
+            addresses.operators
+        )?;
+    }
+    let completion = cluster
+        .caller(1)
+        .until_served("completion", |caller| caller.complete("wash report", 8))?;
+    show(out, "completion through node 2", &completion)?;
+    require(completion.body.contains("[DONE]"), "the stream did not end")?;
+
+    let first = cluster
+        .caller(0)
+        .until_served("booking", |caller| caller.book(BOOKING_KEY, 12))?;
+    show(out, "booking through node 1", &first)?;
+    let repeated = cluster.caller(1).book(BOOKING_KEY, 12)?;
+    show(out, "the same booking through node 2", &repeated)?;
+
+    let runs = cluster.service.runs().by_key().get(BOOKING_KEY).copied();
+    writeln!(
+        out,
+        "the service ran the booking {} time(s)",
+        runs.unwrap_or(0)
+    )?;
+    require(runs == Some(1), "the booking must run once")?;
+    require(
+        first.body == repeated.body,
+        "the repeated booking must get the first answer",
+    )?;
+    if keep {
+        keep_up(&cluster, out)?;
+    }
+    let left: usize = cluster.stop().iter().map(|report| report.left).sum();
+    require(left == 0, "a planned stop must leave no call")?;
+    Ok(())
+}
+
+fn show(out: &mut impl Write, what: &str, answer: &Answer) -> Result<(), DemoError> {
+    writeln!(
+        out,
+        "\n{what}: status {}, trace {}",
+        answer.status, answer.trace
+    )?;
+    writeln!(out, "{}", answer.body.trim_end())?;
+    Ok(())
+}
+
+fn require(holds: bool, otherwise: &str) -> Result<(), DemoError> {
+    if holds {
+        Ok(())
+    } else {
+        Err(DemoError::Broken(otherwise.into()))
+    }
+}
+
+/// Prints how to call the nodes, then waits for ever.
+fn keep_up(cluster: &DemoCluster, out: &mut impl Write) -> Result<(), DemoError> {
+    let callers = cluster.addresses(0).callers;
+    let operators = cluster.addresses(0).operators;
+    let key = cluster.team_key();
+    let token = cluster.operator_token();
+    writeln!(
+        out,
+        "\ncurl -N http://{callers}/v1/completions -H 'Authorization: Bearer {key}' \
+         -d '{{\"model\":\"tide\",\"prompt\":\"hello\",\"stream\":true}}'\n\
+         curl http://{callers}/services/bookings/bookings -H 'Authorization: Bearer {key}' \
+         -H 'Idempotency-Key: mine-1' -d '{{\"pallets\":3}}'\n\
+         curl http://{operators}/status -H 'Authorization: Bearer {token}'"
+    )?;
+    out.flush()?;
+    loop {
+        std::thread::sleep(KEEP_PAUSE);
+    }
+}
