Claim idempotency keys by compare-and-swap on 32 partition values

Cause: calls that may not be repeated were dispatched without a claim's answer.

One value per partition holds the recent claims; dropped keys are kept as short hashes in a second value, written before they leave the first. A preferred writer per partition (rendezvous hash) commits all waiting claims in one write; other nodes fall back to writing by themselves. Answers are given only after a swap that took effect or from a read begun after the question.

Guards taken out in turn, each failing tests: fresh read before a negative answer, holder's own claim only, taint of lost writes, owner's restart, expiry, late grant given back, unknown claim given back, relay timeout, platform timeout, abandoned claim, answer only after the swap, only the holder frees, recording of the end, 'unknown' before the verdict. Not shown by any test: untainting once a lost write is settled.

Shared types: ClaimRequest gains incarnation and time_left, ClaimOutcome token.

--- a/crates/shallottide/src/calls/arrival.rs
+++ b/crates/shallottide/src/calls/arrival.rs
@@ -10,17 +10,13 @@
 use super::call::{Call, Claim, Repeat};
 use super::call_service::send_reply;
 use super::claiming::{ask_for_claim, claim_id};
-use super::refusals::{not_run, rejected};
+use super::refusals::{before_claim, not_run, rejected};
 use crate::kernel::{Context, Outbox};
 use crate::message::{CallArrived, ReplyTo};
 
 impl CallService {
     pub(super) fn on_arrived(&mut self, arrived: CallArrived, cx: &Context, out: &mut Outbox) {
-        if let Some(refusal) = self.refusal_on_arrival(&arrived) {
-            send_reply(arrived.reply_to, ReplyEvent::Fail(refusal), out);
-            return;
-        }
-        let rules = match rules_of(&arrived, cx) {
+        let rules = match self.rules_on_arrival(&arrived, cx) {
             Ok(rules) => rules,
             Err(refusal) => {
                 send_reply(arrived.reply_to, ReplyEvent::Fail(refusal), out);
@@ -38,6 +34,15 @@
         }
     }
 
+    fn rules_on_arrival(&self, arrived: &CallArrived, cx: &Context) -> Result<Rules, Refusal> {
+        let rules = rules_of(arrived, cx)?;
+        match (self.refusal_on_arrival(arrived), rules.claim) {
+            (None, _) => Ok(rules),
+            (Some(refusal), Claim::NotNeeded) => Err(refusal),
+            (Some(refusal), _) => Err(before_claim(refusal)),
+        }
+    }
+
     fn refusal_on_arrival(&self, arrived: &CallArrived) -> Option<Refusal> {
         let wait = self.options.retry_after;
         let from_caller = matches!(arrived.reply_to, ReplyTo::Front(_));
--- a/crates/shallottide/src/calls/call_options.rs
+++ b/crates/shallottide/src/calls/call_options.rs
@@ -28,8 +28,6 @@
     pub buffer_bytes: usize,
     /// Largest body kept as the recorded outcome of a claimed call.
     pub kept_body_bytes: usize,
-    /// How long an abandoned call waits for the answer to its claim past its deadline.
-    pub claim_grace: Duration,
     /// When refused callers are told to retry.
     pub retry_after: Duration,
     /// Counts of calls in flight, shared with whoever decides about stopping.
@@ -48,8 +46,7 @@
             answer_idle_timeout: Duration::from_mins(1),
             hop_margin: Duration::from_millis(500),
             buffer_bytes: 64 << 10,
-            kept_body_bytes: 4 << 10,
-            claim_grace: Duration::from_secs(30),
+            kept_body_bytes: 1 << 10,
             retry_after: Duration::from_secs(1),
             counts: Arc::default(),
         }
--- a/crates/shallottide/src/calls/call_service.rs
+++ b/crates/shallottide/src/calls/call_service.rs
@@ -6,7 +6,7 @@
 
 use super::CallOptions;
 use super::call::Call;
-use super::call_table::{CallNumber, CallTable};
+use super::call_table::CallTable;
 use super::claiming::{goes_on_unheard, report_claim_refused};
 use super::refusals;
 use super::retry_budget::RetryBudget;
@@ -79,6 +79,7 @@
             return;
         }
         self.cancel_attempt(&mut call, cx, out);
+        report_claim_refused(&call, Ran::No, out);
     }
 
     fn on_tick(&mut self, cx: &Context, out: &mut Outbox) {
@@ -86,7 +87,7 @@
         let now = cx.now();
         for number in self.calls.select(|call| call.deadline <= now) {
             if let Some(call) = self.calls.take(number) {
-                self.on_deadline(number, call, cx, out);
+                self.on_deadline(call, cx, out);
             }
         }
         let silent = |call: &Call| call.attempt.as_ref().is_some_and(|a| a.is_silent(now));
@@ -97,18 +98,13 @@
         }
     }
 
-    fn on_deadline(&mut self, number: CallNumber, mut call: Call, cx: &Context, out: &mut Outbox) {
+    fn on_deadline(&mut self, mut call: Call, cx: &Context, out: &mut Outbox) {
         let message = "the deadline passed: retry with more time";
         let mut refusal = refusals::rejected(RefusalKind::DeadlineExceeded, message);
         if call.attempt.is_some() {
             refusal.ran = Ran::Unknown;
             self.cancel_attempt(&mut call, cx, out);
         }
-        if self.waits_for_claim(&call, cx) {
-            reply(&mut call, ReplyEvent::Fail(refusal), out);
-            self.calls.put(number, call);
-            return;
-        }
         refuse(call, refusal, out);
     }
 }
--- a/crates/shallottide/src/calls/claiming.rs
+++ b/crates/shallottide/src/calls/claiming.rs
@@ -5,12 +5,12 @@
 use shallottide_types::call::{ReplyEvent, ReplyHead, Target};
 use shallottide_types::id::{IdempotencyKey, TeamId};
 use shallottide_types::peer::{ClaimAnswer, ClaimEnd, ClaimId};
-use shallottide_types::refusal::{Ran, RefusalKind};
+use shallottide_types::refusal::Ran;
 
 use super::CallService;
 use super::call::{Call, Claim};
-use super::call_service::{refuse, reply};
-use super::refusals::{self, rejected};
+use super::call_service::reply;
+use super::refusals;
 use crate::kernel::{Context, Outbox, names};
 use crate::message::{ClaimDone, ClaimReply, ClaimWanted};
 
@@ -59,9 +59,9 @@
     out.send(names::CLAIMS, wanted);
 }
 
-/// Reports the end of a claimed call.
+/// Reports the end of a claimed call. A claim that is still waited for is given back.
 pub(super) fn report_claim_ended(call: &Call, end: ClaimEnd, out: &mut Outbox) {
-    if let Claim::Held(claim) = call.claim {
+    if let Claim::Waiting(claim) | Claim::Held(claim) = call.claim {
         let call = call.head.id.clone();
         out.send(names::CLAIMS, ClaimDone { call, claim, end });
     }
@@ -78,10 +78,9 @@
 
 /// Tells whether a call outlives its receiver.
 ///
-/// A claimed call does, so that a retry gets its outcome; an unanswered claim does, so that
-/// it can be given back.
+/// A claimed call does, so that a retry gets its outcome.
 pub(super) fn goes_on_unheard(call: &Call) -> bool {
-    call.claim != Claim::NotNeeded
+    matches!(call.claim, Claim::Held(_))
 }
 
 impl CallService {
@@ -103,12 +102,7 @@
             return;
         }
         call.claim = Claim::Held(claim);
-        if call.listening && call.deadline > cx.now() {
-            self.advance(number, call, cx, out);
-        } else {
-            let message = "the claim came too late: retry with more time";
-            refuse(call, rejected(RefusalKind::DeadlineExceeded, message), out);
-        }
+        self.advance(number, call, cx, out);
     }
 
     /// Answers a call that was not granted its key: by the recorded answer, or by a refusal.
@@ -129,12 +123,6 @@
         let refusal = refusals::of_claim(&answer, self.options.retry_after);
         reply(&mut call, ReplyEvent::Fail(refusal), out);
     }
-
-    /// Tells whether a call past its deadline still has to wait for its claim's answer.
-    pub(super) fn waits_for_claim(&self, call: &Call, cx: &Context) -> bool {
-        let late = cx.now().saturating_duration_since(call.deadline);
-        matches!(call.claim, Claim::Waiting(_)) && late < self.options.claim_grace
-    }
 }
 
 fn reply_recorded(call: &mut Call, head: ReplyHead, body: Bytes, out: &mut Outbox) {
--- a/crates/shallottide/src/calls/refusals.rs
+++ b/crates/shallottide/src/calls/refusals.rs
@@ -59,10 +59,26 @@
     refusal
 }
 
+/// Adds that the verdict on a call's key is not known.
+///
+/// This request did not run, but an earlier one with the same key may have, and callers take
+/// both for the same call.
+pub(super) fn before_claim(mut refusal: Refusal) -> Refusal {
+    refusal.ran = refusal.ran.max(Ran::Unknown);
+    refusal.message.push_str(
+        "; this request did not run, an earlier one with its key may have: \
+         retry with the same key",
+    );
+    refusal
+}
+
 /// Gives the last word on a call: the refusal with the worst that any attempt came to.
 pub(super) fn last_word(call: &Call, mut refusal: Refusal) -> Refusal {
     refusal.ran = refusal.ran.max(call.ran);
-    let claimed = !matches!(call.claim, Claim::NotNeeded);
+    if matches!(call.claim, Claim::Waiting(_)) {
+        return before_claim(refusal);
+    }
+    let claimed = matches!(call.claim, Claim::Held(_));
     if claimed && refusal.ran != Ran::No {
         refusal.kind = RefusalKind::OutcomeUnknown;
         refusal.message = format!(
@@ -101,16 +117,11 @@
             Ran::Unknown,
             "the key was used before and its outcome is no longer kept: use a new key",
         ),
-        ClaimAnswer::NotClaimed => (
-            RefusalKind::PlatformDown,
-            Ran::No,
-            "the key can't be claimed now, so this request was not run; \
-             retry with the same key, also to learn the outcome of an earlier request",
-        ),
-        ClaimAnswer::Granted | ClaimAnswer::Unknown => (
+        ClaimAnswer::NotClaimed | ClaimAnswer::Unknown | ClaimAnswer::Granted => (
             RefusalKind::PlatformDown,
             Ran::Unknown,
-            "the key's claim is not known: retry with the same key",
+            "the key can't be claimed now; this request did not run, an earlier one with its \
+             key may have: retry with the same key",
         ),
     };
     let refusal = Refusal::new(kind, ran, message);
--- /dev/null
+++ b/crates/shallottide/src/claims/claim_service.rs
@@ -0,0 +1,374 @@
+//! The service that claims idempotency keys.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use shallottide_types::id::{CallId, NodeId};
+use shallottide_types::peer::{
+    ClaimAnswer, ClaimEnd, ClaimId, ClaimOutcome, ClaimRequest, PeerMsg,
+};
+
+use super::ClaimOptions;
+use super::job::{Answered, Asker, Job, Moment, Task};
+use super::partition::Partition;
+use super::relaying::relay;
+use super::request::{Request, Via};
+use super::token_source::TokenSource;
+use super::writer_choice::preferred_writer;
+use crate::kernel::{Context, Name, Outbox, Service, names};
+use crate::message::{
+    ClaimDone, ClaimReply, ClaimWanted, Message, PeerSend, PlatformReply, PlatformRequest,
+};
+use crate::view::MemberView;
+
+/// Number of partitions. Never changed: keys would be looked for in the wrong one.
+const PARTITIONS: u16 = 32;
+
+/// Shortest time between two searches for timeouts.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Claims idempotency keys and records how the claimed calls ended.
+///
+/// Each [`ClaimWanted`] gets one [`ClaimReply`]. Safety comes from the platform's
+/// compare-and-swap alone; who writes a partition only decides how many claims share a write.
+pub struct ClaimService {
+    pub(super) options: ClaimOptions,
+    pub(super) partitions: Vec<Partition>,
+    pub(super) requests: BTreeMap<u64, Request>,
+    /// Granted claims whose calls have not ended.
+    held: BTreeMap<CallId, Held>,
+    /// Claims asked of a writer and given up. One that is granted late is given back.
+    given_up: BTreeMap<u64, Held>,
+    /// The request of each call that waits for its claim.
+    waiting: BTreeMap<CallId, u64>,
+    /// Writers that gave no answer, and until when they are passed over.
+    pub(super) suspects: BTreeMap<NodeId, Instant>,
+    /// The partition of each platform call under way.
+    ops: BTreeMap<u64, u16>,
+    tokens: TokenSource,
+    /// When timeouts were last looked for.
+    expired_at: Option<Instant>,
+}
+
+/// A claim that may be written for this node.
+#[derive(Debug)]
+struct Held {
+    claim: ClaimId,
+    /// The call's name in the claim; no other request of any start has the same.
+    holder: CallId,
+    /// When it is forgotten here; the claim itself then expires.
+    until: Instant,
+}
+
+impl ClaimService {
+    /// Creates the service.
+    #[must_use]
+    pub fn new(options: ClaimOptions) -> Self {
+        Self {
+            options,
+            partitions: (0..PARTITIONS).map(Partition::new).collect(),
+            requests: BTreeMap::new(),
+            held: BTreeMap::new(),
+            given_up: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            ops: BTreeMap::new(),
+            tokens: TokenSource::default(),
+            expired_at: None,
+        }
+    }
+
+    fn on_wanted(&mut self, wanted: ClaimWanted, cx: &Context, out: &mut Outbox) {
+        let token = self.tokens.next(cx);
+        let me = cx.me();
+        let request = ClaimRequest {
+            token,
+            claim: wanted.claim,
+            digest: wanted.digest,
+            call: self.tokens.call_id(token),
+            owner: me.node,
+            incarnation: me.incarnation,
+            time_left: wanted.time_left,
+        };
+        let patience = wanted.time_left.min(self.options.claim_timeout);
+        self.waiting.insert(wanted.call.clone(), token);
+        let request = Request {
+            call: Some(wanted.call),
+            task: Task::Claim(request),
+            via: Via::Direct,
+            relayed_to: None,
+            deadline: cx.now() + patience,
+            tainted: false,
+        };
+        self.submit(token, request, cx, out);
+    }
+
+    fn on_done(&mut self, done: ClaimDone, cx: &Context, out: &mut Outbox) {
+        if let Some(held) = self.held.remove(&done.call) {
+            self.record_end(held.claim, held.holder, done.end, cx, out);
+        } else if let Some(token) = self.waiting.remove(&done.call) {
+            self.abandon(token, cx, out);
+        }
+    }
+
+    /// Gives up a claim whose call ended before the answer: what may be written is given back.
+    fn abandon(&mut self, token: u64, cx: &Context, out: &mut Outbox) {
+        let Some((request, _)) = self.remove_request(token) else {
+            return;
+        };
+        self.give_up(token, &request, cx);
+        self.give_back_unknown(&request, cx, out);
+    }
+
+    /// Frees the key of a claim that may be written for a call that won't run.
+    fn give_back_unknown(&mut self, request: &Request, cx: &Context, out: &mut Outbox) {
+        if let Task::Claim(claimed) = &request.task {
+            let (claim, holder) = (claimed.claim, claimed.call.clone());
+            self.record_end(claim, holder, ClaimEnd::NotRun, cx, out);
+        }
+    }
+
+    /// Removes a request with its waiting job, and tells which call waits for it.
+    fn remove_request(&mut self, token: u64) -> Option<(Request, Option<CallId>)> {
+        let request = self.requests.remove(&token)?;
+        let partition = usize::from(partition_of(request.task.claim()));
+        self.partitions[partition].forget(Asker::Local(token));
+        let call = request.call.clone();
+        if let Some(call) = &call {
+            self.waiting.remove(call);
+        }
+        Some((request, call))
+    }
+
+    /// Remembers a claim that a writer may still write.
+    fn give_up(&mut self, token: u64, request: &Request, cx: &Context) {
+        if request.relayed_to.is_none() {
+            return;
+        }
+        if let Some(held) = self.held_by(request, cx) {
+            self.given_up.insert(token, held);
+        }
+    }
+
+    fn held_by(&self, request: &Request, cx: &Context) -> Option<Held> {
+        let Task::Claim(claimed) = &request.task else {
+            return None;
+        };
+        Some(Held {
+            claim: claimed.claim,
+            holder: claimed.call.clone(),
+            until: cx.now() + claimed.time_left + self.options.outcome_timeout,
+        })
+    }
+
+    /// Gives back a claim that was granted after it was given up.
+    pub(super) fn give_back(&mut self, token: u64, cx: &Context, out: &mut Outbox) {
+        if let Some(held) = self.given_up.remove(&token) {
+            self.record_end(held.claim, held.holder, ClaimEnd::NotRun, cx, out);
+        }
+    }
+
+    fn record_end(
+        &mut self,
+        claim: ClaimId,
+        holder: CallId,
+        end: ClaimEnd,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let token = self.tokens.next(cx);
+        let outcome = ClaimOutcome {
+            token,
+            claim,
+            call: holder,
+            end,
+        };
+        let request = Request {
+            call: None,
+            task: Task::End(outcome),
+            via: Via::Direct,
+            relayed_to: None,
+            deadline: cx.now() + self.options.outcome_timeout,
+            tainted: false,
+        };
+        self.submit(token, request, cx, out);
+    }
+
+    /// Gives a request to the partition's preferred writer, which may be this node.
+    pub(super) fn submit(
+        &mut self,
+        token: u64,
+        mut request: Request,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let partition = partition_of(request.task.claim());
+        let members = cx.members();
+        match preferred_writer(partition, &members, &self.suspects) {
+            Some(writer) if writer.node != cx.me().node => {
+                request.tainted = request.task.is_claim();
+                request.relayed_to = Some(writer.node.clone());
+                request.via = relay(writer, &request.task, cx, out);
+                self.requests.insert(token, request);
+            }
+            _ => self.submit_here(token, request, cx, out),
+        }
+    }
+
+    /// Puts a request into this node's own queue.
+    pub(super) fn submit_here(
+        &mut self,
+        token: u64,
+        mut request: Request,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        request.via = Via::Direct;
+        let task = request.task.clone();
+        let deadline = request.deadline;
+        self.requests.insert(token, request);
+        let job = Job::new(Asker::Local(token), task, cx.now(), deadline);
+        self.enqueue(job, cx, out);
+    }
+
+    /// Adds a job to its partition and looks for work there.
+    pub(super) fn enqueue(&mut self, job: Job, cx: &Context, out: &mut Outbox) {
+        let number = partition_of(job.task.claim());
+        let rejected = self.partitions[usize::from(number)].push(job, &self.options);
+        self.deliver(rejected.into_iter().collect(), cx, out);
+        self.pump(number, cx, out);
+    }
+
+    fn pump(&mut self, number: u16, cx: &Context, out: &mut Outbox) {
+        let token = self.tokens.next(cx);
+        let members = cx.members();
+        let moment = moment(cx, &members);
+        let partition = &mut self.partitions[usize::from(number)];
+        let round = partition.next_round(token, &moment, &self.options);
+        if let Some(op) = round.op {
+            self.ops.insert(token, number);
+            let reply_to = names::CLAIMS;
+            let request = PlatformRequest {
+                reply_to,
+                token,
+                op,
+            };
+            out.send(names::PLATFORM, request);
+        }
+        self.deliver(round.answered, cx, out);
+    }
+
+    fn on_platform(&mut self, reply: PlatformReply, cx: &Context, out: &mut Outbox) {
+        let Some(number) = self.ops.remove(&reply.token) else {
+            return;
+        };
+        let members = cx.members();
+        let moment = moment(cx, &members);
+        let partition = &mut self.partitions[usize::from(number)];
+        let answered = partition.on_reply(reply.token, reply.result, &moment, &self.options);
+        self.deliver(answered, cx, out);
+        self.pump(number, cx, out);
+    }
+
+    fn deliver(&mut self, answered: Vec<Answered>, cx: &Context, out: &mut Outbox) {
+        for (asker, answer) in answered {
+            match asker {
+                Asker::Local(token) => self.on_own_answer(token, answer, cx, out),
+                Asker::Peer(address, token) => {
+                    let msg = PeerMsg::Claimed { token, answer };
+                    out.send(names::PEERS, PeerSend { address, msg });
+                }
+            }
+        }
+    }
+
+    /// Ends a request by its answer.
+    pub(super) fn finish(
+        &mut self,
+        token: u64,
+        answer: ClaimAnswer,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let Some((request, Some(call))) = self.remove_request(token) else {
+            return;
+        };
+        if answer == ClaimAnswer::Granted {
+            let held = self.held_by(&request, cx);
+            self.held.extend(held.map(|held| (call.clone(), held)));
+        } else {
+            self.give_up(token, &request, cx);
+        }
+        if answer == ClaimAnswer::Unknown {
+            self.give_back_unknown(&request, cx, out);
+        }
+        out.send(names::CALLS, ClaimReply { call, answer });
+    }
+
+    /// Gives up what took too long.
+    fn expire(&mut self, cx: &Context, out: &mut Outbox) {
+        let now = cx.now();
+        if self.expired_at.is_some_and(|at| now < at + EXPIRE_INTERVAL) {
+            return;
+        }
+        self.expired_at = Some(now);
+        let members = cx.members();
+        let moment = moment(cx, &members);
+        self.suspects.retain(|_, until| *until > now);
+        self.held.retain(|_, held| held.until > now);
+        self.given_up.retain(|_, held| held.until > now);
+        let mut answered = Vec::new();
+        for partition in &mut self.partitions {
+            answered.extend(partition.expire(&moment, &self.options));
+        }
+        self.deliver(answered, cx, out);
+        self.expire_relays(cx, out);
+        let is_current = |partition: &Partition, token: &u64| {
+            partition
+                .busy
+                .as_ref()
+                .is_some_and(|busy| busy.token == *token)
+        };
+        let partitions = &self.partitions;
+        self.ops
+            .retain(|token, number| is_current(&partitions[usize::from(*number)], token));
+    }
+
+    fn on_tick(&mut self, cx: &Context, out: &mut Outbox) {
+        for number in 0..PARTITIONS {
+            self.pump(number, cx, out);
+        }
+    }
+}
+
+fn moment<'a>(cx: &Context, members: &'a MemberView) -> Moment<'a> {
+    Moment {
+        now: cx.now(),
+        unix_s: cx.unix_time().as_secs(),
+        members,
+    }
+}
+
+fn partition_of(claim: ClaimId) -> u16 {
+    let high = claim.0 >> 64;
+    u16::try_from(high % u128::from(PARTITIONS)).expect("less than PARTITIONS")
+}
+
+impl Service for ClaimService {
+    fn name(&self) -> Name {
+        names::CLAIMS
+    }
+
+    fn handle(&mut self, message: Message, cx: &Context, out: &mut Outbox) {
+        self.expire(cx, out);
+        match message {
+            Message::ClaimWanted(wanted) => self.on_wanted(wanted, cx, out),
+            Message::ClaimDone(done) => self.on_done(done, cx, out),
+            Message::PlatformReply(reply) => self.on_platform(reply, cx, out),
+            Message::PeerReceived(received) => self.on_peer(received, cx, out),
+            Message::Tick => self.on_tick(cx, out),
+            _ => {}
+        }
+        self.options.counts.set_pending(self.requests.len());
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/claims/recent_claims.rs
@@ -0,0 +1,179 @@
+//! The claims of one partition whose outcomes are kept.
+
+use std::collections::BTreeMap;
+
+use shallottide_types::data;
+use shallottide_types::peer::{ClaimAnswer, ClaimEnd, ClaimId, ClaimOutcome, ClaimRequest};
+
+use super::ClaimOptions;
+use super::claim_entry::ClaimEntry;
+use super::job::{Moment, Task};
+use super::old_claims::OldClaims;
+
+/// How long keys past their retention are gathered to be dropped by one write, in seconds.
+const DROP_SLACK_S: u64 = 60;
+
+data! {
+    /// The claims of one partition whose outcomes are kept.
+    ///
+    /// Invariant: every key dropped from here within the window is in the [`OldClaims`]
+    /// of generation `old_generation` and later.
+    #[derive(Default)]
+    pub(super) struct RecentClaims {
+        /// Oldest generation of the dropped keys that may be used with this value.
+        pub(super) old_generation: u64,
+        entries: BTreeMap<ClaimId, ClaimEntry>,
+    }
+}
+
+/// What a task comes to.
+#[derive(Debug)]
+pub(super) struct Applied {
+    pub(super) answer: ClaimAnswer,
+    pub(super) changed: bool,
+}
+
+impl Applied {
+    fn unchanged(answer: ClaimAnswer) -> Self {
+        let changed = false;
+        Self { answer, changed }
+    }
+}
+
+impl RecentClaims {
+    /// Tells whether no later change can make an answer untrue.
+    pub(super) fn is_final(answer: &ClaimAnswer) -> bool {
+        matches!(answer, ClaimAnswer::Ended(ClaimEnd::Ran { .. }))
+    }
+
+    /// Carries out one task. Applying a task again changes nothing and answers the same.
+    pub(super) fn apply(
+        &mut self,
+        task: &Task,
+        old: &OldClaims,
+        moment: &Moment,
+        options: &ClaimOptions,
+    ) -> Applied {
+        match task {
+            Task::Claim(request) => self.claim(request, old, moment, options),
+            Task::End(outcome) => self.end(outcome),
+        }
+    }
+
+    fn claim(
+        &mut self,
+        request: &ClaimRequest,
+        old: &OldClaims,
+        moment: &Moment,
+        options: &ClaimOptions,
+    ) -> Applied {
+        if let Some(entry) = self.entries.get(&request.claim) {
+            let granted = entry.holder == request.call && !entry.is_over(moment);
+            if granted {
+                return Applied::unchanged(ClaimAnswer::Granted);
+            }
+            return Applied::unchanged(entry.answer(request.digest, moment));
+        }
+        if old.contains(request.claim) {
+            return Applied::unchanged(ClaimAnswer::Expired);
+        }
+        if self.size() >= options.max_recent_bytes || old.len() >= options.max_old_keys {
+            return Applied::unchanged(ClaimAnswer::NotClaimed);
+        }
+        let lives = request.time_left + options.expiry_margin;
+        let entry = ClaimEntry {
+            digest: request.digest,
+            holder: request.call.clone(),
+            owner: request.owner.clone(),
+            incarnation: request.incarnation,
+            claimed_at: moment.unix_s,
+            expires_at: moment.unix_s + lives.as_secs() + 1,
+            end: None,
+        };
+        self.entries.insert(request.claim, entry);
+        Applied {
+            answer: ClaimAnswer::Granted,
+            changed: true,
+        }
+    }
+
+    fn end(&mut self, outcome: &ClaimOutcome) -> Applied {
+        let changed = self.set_end(outcome);
+        Applied {
+            answer: ClaimAnswer::Ended(outcome.end.clone()),
+            changed,
+        }
+    }
+
+    fn set_end(&mut self, outcome: &ClaimOutcome) -> bool {
+        let Some(entry) = self.entries.get_mut(&outcome.claim) else {
+            return false;
+        };
+        if entry.holder != outcome.call {
+            return false;
+        }
+        if outcome.end != ClaimEnd::NotRun {
+            return entry.set_end(&outcome.end);
+        }
+        let ran = matches!(entry.end, Some(ClaimEnd::Ran { .. }));
+        if !ran {
+            self.entries.remove(&outcome.claim);
+        }
+        !ran
+    }
+
+    /// Tells whether a call holds a key here.
+    pub(super) fn is_held_by(&self, request: &ClaimRequest) -> bool {
+        let entry = self.entries.get(&request.claim);
+        entry.is_some_and(|entry| entry.holder == request.call)
+    }
+
+    /// Returns the keys to drop: none until it is worth a write, then all past their retention,
+    /// and when the value fills up, the oldest that are over.
+    pub(super) fn outdated(&self, moment: &Moment, options: &ClaimOptions) -> Vec<ClaimId> {
+        let size = self.size();
+        let is_filling = size > options.max_recent_bytes / 4 * 3;
+        let mut excess = if is_filling {
+            size - options.max_recent_bytes / 2
+        } else {
+            0
+        };
+        let mut over: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.is_over(moment))
+            .collect();
+        over.sort_by_key(|(_, entry)| entry.claimed_at);
+        let age_s = |entry: &ClaimEntry| moment.unix_s.saturating_sub(entry.claimed_at);
+        let retention_s = options.retention.as_secs();
+        let is_worth_it = |&(_, entry): &(_, &ClaimEntry)| {
+            is_filling || age_s(entry) > retention_s + DROP_SLACK_S
+        };
+        if !over.first().is_some_and(is_worth_it) {
+            return Vec::new();
+        }
+        over.retain(|(_, entry)| {
+            let due = excess > 0 || age_s(entry) > retention_s;
+            excess = excess.saturating_sub(entry.size());
+            due
+        });
+        over.into_iter().map(|(claim, _)| *claim).collect()
+    }
+
+    /// Drops those of the keys that are in the old ones; tells whether there were any.
+    pub(super) fn drop_old(&mut self, claims: &[ClaimId], old: &OldClaims) -> bool {
+        let before = self.entries.len();
+        for claim in claims.iter().filter(|claim| old.contains(**claim)) {
+            self.entries.remove(claim);
+        }
+        let dropped = self.entries.len() < before;
+        if dropped {
+            self.old_generation = self.old_generation.max(old.generation);
+        }
+        dropped
+    }
+
+    fn size(&self) -> usize {
+        self.entries.values().map(ClaimEntry::size).sum()
+    }
+}
--- /dev/null
+++ b/crates/shallottide/src/claims/relaying.rs
@@ -0,0 +1,141 @@
+//! Claims and outcomes that pass between nodes on their way to a partition's preferred writer.
+
+use std::time::Duration;
+
+use shallottide_types::id::NodeId;
+use shallottide_types::peer::{ClaimAnswer, NodeInfo, PeerMsg};
+
+use super::ClaimService;
+use super::job::{Asker, Job, Task};
+use super::request::{Request, Via};
+use crate::kernel::{Context, Outbox, names};
+use crate::message::{PeerReceived, PeerSend};
+
+impl ClaimService {
+    /// Handles the answer of this node's own partition queue.
+    pub(super) fn on_own_answer(
+        &mut self,
+        token: u64,
+        answer: ClaimAnswer,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let Some(request) = self.requests.get(&token) else {
+            return;
+        };
+        let answer = match answer {
+            ClaimAnswer::NotClaimed if request.tainted => ClaimAnswer::Unknown,
+            answer => answer,
+        };
+        self.finish(token, answer, cx, out);
+    }
+
+    /// Handles the answer of a preferred writer. Where the writer could not decide, this node
+    /// tries itself: it may reach the platform.
+    pub(super) fn on_writer_answer(
+        &mut self,
+        from: &NodeId,
+        token: u64,
+        answer: ClaimAnswer,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let Some(request) = self.requests.get_mut(&token) else {
+            if answer == ClaimAnswer::Granted {
+                self.give_back(token, cx, out);
+            }
+            return;
+        };
+        let is_asked = request.relayed_to.as_ref() == Some(from);
+        let is_waiting = request.via != Via::Direct;
+        match answer {
+            ClaimAnswer::NotClaimed | ClaimAnswer::Unknown => {
+                request.tainted &= !is_asked || answer == ClaimAnswer::Unknown;
+                if is_asked && is_waiting {
+                    self.take_over(token, cx, out);
+                }
+            }
+            answer => self.finish(token, answer, cx, out),
+        }
+    }
+
+    /// Takes back requests that their writers did not answer in time.
+    pub(super) fn expire_relays(&mut self, cx: &Context, out: &mut Outbox) {
+        let now = cx.now();
+        let relay_timeout = self.options.relay_timeout;
+        let silent = |request: &Request| match &request.via {
+            Via::Peer { node, since } if now >= *since + relay_timeout => Some(node.clone()),
+            _ => None,
+        };
+        let silent: Vec<_> = self
+            .requests
+            .iter()
+            .filter_map(|(token, request)| Some((*token, silent(request)?)))
+            .collect();
+        for (token, writer) in silent {
+            self.suspects
+                .insert(writer, now + self.options.suspect_time);
+            self.take_over(token, cx, out);
+        }
+    }
+
+    fn take_over(&mut self, token: u64, cx: &Context, out: &mut Outbox) {
+        if let Some(request) = self.requests.remove(&token) {
+            self.submit_here(token, request, cx, out);
+        }
+    }
+
+    pub(super) fn on_peer(&mut self, received: PeerReceived, cx: &Context, out: &mut Outbox) {
+        match received.msg {
+            PeerMsg::Claim(request) => {
+                // The sender tries by itself after the same time.
+                let patience = request.time_left.min(self.options.relay_timeout);
+                let token = request.token;
+                let task = Task::Claim(request);
+                self.take_from_peer(&received.from, token, task, patience, cx, out);
+            }
+            PeerMsg::ClaimEnded(outcome) => {
+                let patience = self.options.outcome_timeout;
+                let token = outcome.token;
+                let task = Task::End(outcome);
+                self.take_from_peer(&received.from, token, task, patience, cx, out);
+            }
+            PeerMsg::Claimed { token, answer } => {
+                self.on_writer_answer(&received.from, token, answer, cx, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn take_from_peer(
+        &mut self,
+        from: &NodeId,
+        token: u64,
+        task: Task,
+        patience: Duration,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
+        let members = cx.members();
+        let Some(node) = members.nodes.get(from) else {
+            return;
+        };
+        let asker = Asker::Peer(node.info.address, token);
+        let job = Job::new(asker, task, cx.now(), cx.now() + patience);
+        self.enqueue(job, cx, out);
+    }
+}
+
+/// Sends a task to the preferred writer.
+pub(super) fn relay(writer: &NodeInfo, task: &Task, cx: &Context, out: &mut Outbox) -> Via {
+    let msg = match task {
+        Task::Claim(request) => PeerMsg::Claim(request.clone()),
+        Task::End(outcome) => PeerMsg::ClaimEnded(outcome.clone()),
+    };
+    let address = writer.address;
+    out.send(names::PEERS, PeerSend { address, msg });
+    Via::Peer {
+        node: writer.node.clone(),
+        since: cx.now(),
+    }
+}
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod calls;
+pub mod claims;
 pub mod kernel;
 pub mod message;
 pub mod routing;
--- /dev/null
+++ b/crates/shallottide/tests/call_support/fleet.rs
@@ -0,0 +1,411 @@
+//! Several entry VMs with calls and claims services over one platform, event by event.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallottide::calls::{CallOptions, CallService};
+use shallottide::claims::{ClaimOptions, ClaimService};
+use shallottide::kernel::{Context, Name, Outbox, Service, names};
+use shallottide::message::{AttemptEvent, AttemptFailure, CallArrived, Message};
+use shallottide::message::{
+    PeerReceived, PeerSend, PlatformAnswer, PlatformReply, PlatformRequest, ReplyTo,
+};
+use shallottide::routing::Route;
+use shallottide::view::{MemberView, NodeState};
+use shallottide_types::call::{ReplyEvent, ReplyHead};
+use shallottide_types::clock::{Clock, ManualClock};
+use shallottide_types::id::{AttemptId, CallId, Incarnation, StoreIndex};
+use shallottide_types::peer::NodeInfo;
+use shallottide_types::refusal::Ran;
+
+use super::platform::{FakePlatform, unreachable};
+use super::{Kind, SharedBorders, arrived, local, node_info, peer, records};
+
+/// Something that is on its way.
+#[derive(Debug, Clone)]
+pub(crate) enum Event {
+    /// A message for a node's service, sent to the node's start of that number.
+    Deliver(usize, u64, Name, Box<Message>),
+    /// A platform call of a node.
+    Platform(usize, u64, PlatformRequest),
+    /// An attempt about to reach the upstream.
+    Run(usize, u64, AttemptId, CallId, String),
+}
+
+impl Event {
+    pub(crate) fn is_claim_granted(&self) -> bool {
+        matches!(self, Self::Run(..))
+    }
+
+    pub(crate) fn is_answer(&self) -> bool {
+        matches!(self, Self::Deliver(_, _, _, message) if matches!(**message, Message::Attempt(..)))
+    }
+
+    pub(crate) fn is_swap_reply(&self) -> bool {
+        let Self::Deliver(_, _, _, message) = self else {
+            return false;
+        };
+        matches!(&**message, Message::PlatformReply(reply)
+            if matches!(reply.result, Ok(PlatformAnswer::Swap(_))))
+    }
+}
+
+/// One entry VM.
+pub(crate) struct Node {
+    pub(crate) info: NodeInfo,
+    cx: Context,
+    calls: CallService,
+    claims: ClaimService,
+    pub(crate) borders: SharedBorders,
+    pub(crate) options: CallOptions,
+    pub(crate) claim_options: ClaimOptions,
+    pub(crate) paused: bool,
+    pub(crate) cut_off: bool,
+}
+
+/// All entry VMs, the platform and one upstream.
+pub(crate) struct Fleet {
+    pub(crate) clock: ManualClock,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) platform: FakePlatform,
+    /// On its way, oldest first.
+    pub(crate) events: Vec<Event>,
+    pub(crate) runs_by_key: BTreeMap<String, u32>,
+    pub(crate) runs_by_call: BTreeMap<CallId, u32>,
+    /// What each caller got.
+    pub(crate) replies: BTreeMap<u64, Vec<ReplyEvent>>,
+    calls: BTreeMap<u64, (CallId, String)>,
+    /// Forwarded calls: origin, its start and attempt, receiver.
+    forwards: BTreeMap<u64, (usize, u64, AttemptId, usize)>,
+    claim_options: ClaimOptions,
+    last: u64,
+}
+
+impl Fleet {
+    pub(crate) fn new(count: usize, claim_options: ClaimOptions) -> Self {
+        let mut fleet = Self {
+            clock: ManualClock::default(),
+            nodes: Vec::new(),
+            platform: FakePlatform::default(),
+            events: Vec::new(),
+            runs_by_key: BTreeMap::new(),
+            runs_by_call: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            forwards: BTreeMap::new(),
+            claim_options,
+            last: 0,
+        };
+        for i in 0..count {
+            let node = fleet.started(i, 1);
+            fleet.nodes.push(node);
+        }
+        fleet.publish_members();
+        fleet
+    }
+
+    fn started(&self, i: usize, incarnation: u64) -> Node {
+        let mut info = node_info(&format!("node-{i}"), &format!("dom-{}", i % 2));
+        info.address.set_port(u16::try_from(i).unwrap() + 1);
+        info.incarnation = Incarnation(incarnation);
+        let cx = Context::new(Arc::new(self.clock.clone()), info.clone());
+        cx.publish_config(records());
+        let borders = SharedBorders::default();
+        borders.0.borrow_mut().routes = vec![local("a"), local("b")];
+        let options = CallOptions::default();
+        let claim_options = ClaimOptions {
+            counts: Arc::default(),
+            ..self.claim_options.clone()
+        };
+        let (router, admission) = (Box::new(borders.clone()), Box::new(borders.clone()));
+        Node {
+            info,
+            cx,
+            calls: CallService::new(options.clone(), router, admission),
+            claims: ClaimService::new(claim_options.clone()),
+            borders,
+            options,
+            claim_options,
+            paused: false,
+            cut_off: false,
+        }
+    }
+
+    /// Lets a node's calls go through the next node.
+    pub(crate) fn forward_from(&mut self, i: usize) {
+        let mut route = peer("a");
+        if let Route::Peer { node, .. } = &mut route {
+            *node = self.nodes[(i + 1) % self.nodes.len()].info.clone();
+        }
+        self.nodes[i].borders.0.borrow_mut().routes = vec![route];
+    }
+
+    fn publish_members(&self) {
+        let mut view = MemberView::default();
+        for node in &self.nodes {
+            let state = NodeState {
+                info: node.info.clone(),
+                heard_at: self.clock.now(),
+                alive: true,
+                config: StoreIndex(0),
+            };
+            view.nodes.insert(node.info.node.clone(), state);
+        }
+        for node in &self.nodes {
+            node.cx.publish_members(view.clone());
+        }
+    }
+
+    /// Replaces a node by a fresh start; what was on its way to the old one is lost.
+    pub(crate) fn restart(&mut self, i: usize) {
+        let next = self.nodes[i].info.incarnation.next();
+        self.nodes[i] = self.started(i, next.0);
+        self.publish_members();
+    }
+
+    /// Sends a call with a key to a node and returns its number.
+    pub(crate) fn book(&mut self, i: usize, key: &str) -> u64 {
+        self.last += 1;
+        let number = self.last;
+        let mut call = arrived(Kind::Booking, ReplyTo::Front(number));
+        call.head.key = Some(key.parse().unwrap());
+        call.body = format!("book {key}").into();
+        self.calls
+            .insert(number, (call.head.id.clone(), key.into()));
+        self.replies.insert(number, Vec::new());
+        self.send(i, names::CALLS, Message::CallArrived(call));
+        number
+    }
+
+    pub(crate) fn send(&mut self, i: usize, to: Name, message: Message) {
+        let node = &mut self.nodes[i];
+        let mut out = Outbox::default();
+        if to == names::CLAIMS {
+            node.claims.handle(message, &node.cx, &mut out);
+        } else {
+            node.calls.handle(message, &node.cx, &mut out);
+        }
+        for (to, message) in out.take() {
+            self.route(i, to, message);
+        }
+    }
+
+    fn route(&mut self, i: usize, to: Name, message: Message) {
+        let start = self.nodes[i].info.incarnation.0;
+        match message {
+            Message::PlatformRequest(request) => {
+                self.events.push(Event::Platform(i, start, request));
+            }
+            Message::PeerSend(PeerSend { address, msg }) => {
+                let from = self.nodes[i].info.node.clone();
+                let to = usize::from(address.port()) - 1;
+                let message = PeerReceived { from, msg }.into();
+                self.deliver_to_latest(to, names::CLAIMS, message);
+            }
+            Message::Dispatch(dispatch) => {
+                let key = dispatch
+                    .head
+                    .key
+                    .map_or(String::new(), |key| key.to_string());
+                let event = Event::Run(i, start, dispatch.attempt, dispatch.head.id, key);
+                self.events.push(event);
+            }
+            Message::Forward(forward) => {
+                self.last += 1;
+                let to = usize::from(forward.node.address.port()) - 1;
+                let from = (i, start, forward.attempt, to);
+                self.forwards.insert(self.last, from);
+                let call = CallArrived {
+                    reply_to: ReplyTo::Peer(self.last),
+                    head: forward.call.head,
+                    body: forward.call.body,
+                    slot: forward.call.slot,
+                    resume_from: forward.call.resume_from,
+                };
+                self.deliver_to_latest(to, names::CALLS, call.into());
+            }
+            Message::CancelAttempt(cancel) => self.cancel(i, start, cancel.attempt),
+            Message::Reply(reply) => match reply.reply_to {
+                ReplyTo::Front(number) => self.take_reply(number, reply.event),
+                ReplyTo::Peer(number) => self.reply_to_peer(number, reply.event),
+            },
+            message => self.send(i, to, message),
+        }
+    }
+
+    /// Takes a caller's event. "Not run" has to hold for all requests with the key so far.
+    fn take_reply(&mut self, number: u64, event: ReplyEvent) {
+        if let ReplyEvent::Fail(refusal) = &event {
+            let key = &self.calls[&number].1;
+            let runs = self.runs_by_key.get(key).copied().unwrap_or(0);
+            assert!(
+                refusal.ran != Ran::No || runs == 0,
+                "false 'not run': {refusal}"
+            );
+        }
+        self.replies.entry(number).or_default().push(event);
+    }
+
+    fn deliver_to_latest(&mut self, to: usize, name: Name, message: Message) {
+        let start = self.nodes[to].info.incarnation.0;
+        self.events
+            .push(Event::Deliver(to, start, name, Box::new(message)));
+    }
+
+    fn cancel(&mut self, i: usize, start: u64, attempt: AttemptId) {
+        let is_it =
+            |from: &(usize, u64, AttemptId, usize)| (from.0, from.1, from.2) == (i, start, attempt);
+        let found = self.forwards.iter().find(|(_, from)| is_it(from));
+        if let Some((&number, &(.., to))) = found {
+            let gone = Message::CallGone(ReplyTo::Peer(number));
+            self.deliver_to_latest(to, names::CALLS, gone);
+        }
+    }
+
+    fn reply_to_peer(&mut self, number: u64, event: ReplyEvent) {
+        let Some(&(origin, start, attempt, _)) = self.forwards.get(&number) else {
+            return;
+        };
+        let event = match event {
+            ReplyEvent::Head(head) => AttemptEvent::Head(head),
+            ReplyEvent::Data(data) => AttemptEvent::Data(data),
+            ReplyEvent::End => AttemptEvent::End,
+            ReplyEvent::Fail(refusal) => AttemptEvent::Failed(AttemptFailure::Refused(refusal)),
+        };
+        let message = Message::Attempt(attempt, event);
+        let deliver = Event::Deliver(origin, start, names::CALLS, Box::new(message));
+        self.events.push(deliver);
+    }
+
+    /// Lets one event on its way happen.
+    pub(crate) fn happen(&mut self, event: Event) {
+        match event {
+            Event::Deliver(i, start, name, message) => {
+                if self.nodes[i].info.incarnation.0 == start {
+                    self.send(i, name, *message);
+                }
+            }
+            Event::Platform(i, start, request) => {
+                let result = if self.nodes[i].cut_off {
+                    Err(unreachable())
+                } else {
+                    self.platform.run(request.op)
+                };
+                let token = request.token;
+                let reply = PlatformReply { token, result }.into();
+                self.events
+                    .push(Event::Deliver(i, start, names::CLAIMS, Box::new(reply)));
+            }
+            Event::Run(i, start, attempt, call, key) => {
+                *self.runs_by_call.entry(call).or_default() += 1;
+                *self.runs_by_key.entry(key.clone()).or_default() += 1;
+                let head = ReplyHead {
+                    status: 201,
+                    content_type: "text/plain".into(),
+                };
+                let data = format!("booked {key}").into();
+                let events = [
+                    AttemptEvent::Head(head),
+                    AttemptEvent::Data(data),
+                    AttemptEvent::End,
+                ];
+                for event in events {
+                    let message = Message::Attempt(attempt, event);
+                    self.events
+                        .push(Event::Deliver(i, start, names::CALLS, Box::new(message)));
+                }
+            }
+        }
+    }
+
+    fn is_frozen(&self, event: &Event) -> bool {
+        let (Event::Deliver(i, ..) | Event::Platform(i, ..) | Event::Run(i, ..)) = event;
+        self.nodes[*i].paused
+    }
+
+    /// Takes the oldest event that may happen now.
+    pub(crate) fn next_event(&mut self) -> Option<Event> {
+        let at = self
+            .events
+            .iter()
+            .position(|event| !self.is_frozen(event))?;
+        Some(self.events.remove(at))
+    }
+
+    /// Lets everything on its way happen, or all before the first event of a kind.
+    pub(crate) fn settle(&mut self, until: impl Fn(&Event) -> bool) -> bool {
+        while let Some(event) = self.next_event() {
+            if until(&event) {
+                self.events.insert(0, event);
+                return true;
+            }
+            self.happen(event);
+        }
+        false
+    }
+
+    pub(crate) fn tick(&mut self) {
+        for i in 0..self.nodes.len() {
+            if !self.nodes[i].paused {
+                self.send(i, names::CALLS, Message::Tick);
+                self.send(i, names::CLAIMS, Message::Tick);
+            }
+        }
+    }
+
+    /// Lets time pass in ticks, with everything settled after each.
+    pub(crate) fn pass(&mut self, time: Duration) {
+        const TICK: Duration = Duration::from_millis(100);
+        let mut left = time;
+        while left > Duration::ZERO {
+            self.clock.advance(TICK);
+            left = left.saturating_sub(TICK);
+            self.tick();
+            self.settle(|_| false);
+        }
+    }
+
+    /// Checks what holds at any time: one run for a key, whole and own answers, true refusals.
+    pub(crate) fn check(&self) {
+        for (key, runs) in &self.runs_by_key {
+            assert!(*runs <= 1, "{key} ran {runs} times");
+        }
+        for (number, events) in &self.replies {
+            let (call, key) = &self.calls[number];
+            self.check_reply(call, key, events);
+        }
+    }
+
+    fn check_reply(&self, call: &CallId, key: &str, events: &[ReplyEvent]) {
+        match events {
+            [] => {}
+            [ReplyEvent::Fail(refusal)] => {
+                let runs = self.runs_by_call.get(call).copied().unwrap_or(0);
+                assert!(
+                    refusal.ran != Ran::No || runs == 0,
+                    "false 'not run': {refusal}"
+                );
+            }
+            [ReplyEvent::Head(_), ReplyEvent::Data(data), ReplyEvent::End] => {
+                assert_eq!(data.as_ref(), format!("booked {key}").as_bytes());
+            }
+            other => panic!("not an answer: {other:?}"),
+        }
+    }
+
+    /// Checks that nothing is held once all is quiet.
+    pub(crate) fn check_quiet(&self) {
+        for node in &self.nodes {
+            let borders = node.borders.0.borrow();
+            assert_eq!((borders.places, borders.open_routes), (0, 0), "place kept");
+            let counts = &node.options.counts;
+            assert_eq!(
+                (counts.in_flight(), counts.forwarded()),
+                (0, 0),
+                "call kept"
+            );
+            assert_eq!(node.claim_options.counts.pending(), 0, "claim kept");
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallottide/tests/call_support/platform.rs
@@ -0,0 +1,109 @@
+//! An in-memory platform whose answers go wrong when told to.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use shallottide::message::{PlatformAnswer, PlatformOp};
+use shallottide_types::id::StoreIndex;
+use shallottide_types::platform::{Entry, Expect, PlatformError, Swap};
+
+/// What goes wrong with one write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WriteFault {
+    /// It never takes effect and its answer is lost.
+    LostBefore,
+    /// It takes effect and its answer is lost.
+    LostAfter,
+    /// Its answer is lost and it takes effect later, if it still can.
+    Delayed,
+    /// It is not sent.
+    Unreachable,
+    /// It is refused for its rate.
+    Limited,
+}
+
+/// An in-memory platform.
+#[derive(Debug, Default)]
+pub(crate) struct FakePlatform {
+    values: BTreeMap<String, (Vec<u8>, u64)>,
+    index: u64,
+    /// Faults of the next writes.
+    pub(crate) faults: VecDeque<WriteFault>,
+    delayed: Vec<(String, Vec<u8>, Expect)>,
+    pub(crate) reads: u64,
+    pub(crate) writes: u64,
+    pub(crate) largest: usize,
+}
+
+impl FakePlatform {
+    pub(crate) fn run(&mut self, op: PlatformOp) -> Result<PlatformAnswer, PlatformError> {
+        match op {
+            PlatformOp::Get(key) => Ok(self.get(&key)),
+            PlatformOp::Swap { key, value, expect } => self.swap(key, value, expect),
+            other => panic!("claims made another call: {other:?}"),
+        }
+    }
+
+    /// Lets delayed writes reach the store.
+    pub(crate) fn land_delayed(&mut self) {
+        for (key, value, expect) in std::mem::take(&mut self.delayed) {
+            self.write(key, value, expect);
+        }
+    }
+
+    fn get(&mut self, key: &str) -> PlatformAnswer {
+        self.reads += 1;
+        let entry = self.values.get(key).map(|(value, index)| Entry {
+            key: key.into(),
+            value: value.clone(),
+            index: StoreIndex(*index),
+            session: None,
+        });
+        PlatformAnswer::Entry(entry)
+    }
+
+    fn swap(
+        &mut self,
+        key: String,
+        value: Vec<u8>,
+        expect: Expect,
+    ) -> Result<PlatformAnswer, PlatformError> {
+        self.writes += 1;
+        self.largest = self.largest.max(value.len());
+        let lost = || Err(PlatformError::AnswerLost("fake".into()));
+        match self.faults.pop_front() {
+            None => Ok(PlatformAnswer::Swap(self.write(key, value, expect))),
+            Some(WriteFault::LostBefore) => lost(),
+            Some(WriteFault::LostAfter) => {
+                self.write(key, value, expect);
+                lost()
+            }
+            Some(WriteFault::Delayed) => {
+                self.delayed.push((key, value, expect));
+                lost()
+            }
+            Some(WriteFault::Unreachable) => Err(unreachable()),
+            Some(WriteFault::Limited) => Err(PlatformError::Limited),
+        }
+    }
+
+    fn write(&mut self, key: String, value: Vec<u8>, expect: Expect) -> Swap {
+        let found = self.values.get(&key).map(|(_, index)| *index);
+        let wanted = match expect {
+            Expect::Absent => None,
+            Expect::Index(index) => Some(index.0),
+        };
+        if found != wanted {
+            return Swap::Conflict;
+        }
+        self.index += 1;
+        self.values.insert(key, (value, self.index));
+        Swap::Written
+    }
+}
+
+pub(crate) fn unreachable() -> PlatformError {
+    PlatformError::Unreachable {
+        address: "fake".into(),
+        reason: "cut off".into(),
+    }
+}
--- a/crates/shallottide_types/src/peer.rs
+++ b/crates/shallottide_types/src/peer.rs
@@ -122,10 +122,16 @@
         pub call: CallId,
         /// The attempt's owner, told to retries while the call runs.
         pub owner: NodeId,
+        /// The owner's start; after a later one the call's outcome is lost.
+        pub incarnation: Incarnation,
+        /// How long the call may run, as of sending.
+        pub time_left: Duration,
     }
 
     /// Says how a claimed call ended, so that retries get its outcome.
     pub struct ClaimOutcome {
+        /// Finds the answer, `Claimed` with the recorded end; unique at the sender.
+        pub token: u64,
         /// Team and key, hashed.
         pub claim: ClaimId,
         /// The call that holds the claim.
