--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engines;
 pub mod front;
 pub mod groups;
+pub mod claims;
 pub mod kernel;
 pub mod members;
 pub mod message;
