Add the operators' command line

check, apply, get, list, status, drain, restore and hash-key over the platform client and the operators' library. apply, drain and restore ask the entry nodes until the change is in force in every failure domain or the wait is over. Exit codes 0 and 2 to 6 say how a command ended.

--- /dev/null
+++ b/crates/shallottide_cli/src/commands.rs
@@ -0,0 +1,29 @@
+//! The commands, one module each.
+
+mod apply;
+mod check;
+mod drain;
+mod get;
+mod hash_key;
+mod list;
+mod record_file;
+mod status;
+mod write_report;
+
+use crate::args::{Args, Command};
+use crate::failure::Failure;
+use crate::output::Output;
+
+/// Runs the command that the arguments name.
+pub(crate) fn run(args: &Args) -> Result<Output, Failure> {
+    match &args.command {
+        Command::Check(command) => check::run(args, command),
+        Command::Apply(command) => apply::run(args, command),
+        Command::Get(command) => get::run(args, command),
+        Command::List(command) => list::run(args, command),
+        Command::Status(_) => status::run(args),
+        Command::Drain(command) => drain::drain(args, command),
+        Command::Restore(command) => drain::restore(args, command),
+        Command::HashKey(_) => hash_key::run(),
+    }
+}
--- /dev/null
+++ b/crates/shallottide_cli/src/commands/apply.rs
@@ -0,0 +1,56 @@
+//! `apply`: writes records and waits until they are in force.
+
+use shallottide::operate::{Change, review};
+use shallottide::view::ConfigView;
+
+use super::record_file::RecordFile;
+use super::write_report::{Attempt, Written, report};
+use crate::args::{ApplyArgs, Args};
+use crate::failure::Failure;
+use crate::output::Output;
+use crate::session::Session;
+
+pub(super) fn run(args: &Args, command: &ApplyArgs) -> Result<Output, Failure> {
+    let files = RecordFile::read_all(&command.files)?;
+    if command.if_revision.is_some() && files.len() > 1 {
+        return Err(Failure::argument(
+            "--if-revision is for one file: apply one at a time",
+        ));
+    }
+    let session = Session::open(args)?;
+    let change = session.change(command.change.as_ref())?;
+    let change = change.if_revision(command.if_revision);
+    let mut records = session.records().map_err(Failure::NotWritten)?;
+    for file in &files {
+        records.insert(file.record.clone());
+    }
+    let written = write_all(&session, &files, &change, &records);
+    Ok(report(&session, &change, &written, command.wait))
+}
+
+/// Writes the files in order, up to the first that fails.
+fn write_all(
+    session: &Session,
+    files: &[RecordFile],
+    change: &Change,
+    records: &ConfigView,
+) -> Vec<Written> {
+    let mut written: Vec<Written> = Vec::new();
+    for file in files {
+        let warnings = review(&file.document, &file.record, records);
+        let attempt = if written.iter().all(Written::is_stored) {
+            match session.write(|writer| writer.apply(&file.document, change)) {
+                Ok(outcome) => Attempt::Ended(outcome),
+                Err(error) => Attempt::Failed(error),
+            }
+        } else {
+            Attempt::NotTried
+        };
+        written.push(Written {
+            key: file.record.store_key(),
+            warnings: warnings.iter().map(ToString::to_string).collect(),
+            attempt,
+        });
+    }
+    written
+}
--- /dev/null
+++ b/crates/shallottide_cli/src/commands/status.rs
@@ -0,0 +1,91 @@
+//! `status`: shows the state of each failure domain.
+
+use std::collections::BTreeMap;
+
+use serde_json::json;
+use shallottide::operate::{DomainSummary, summaries};
+use shallottide::view::ConfigView;
+use shallottide_types::id::DomainId;
+
+use crate::args::Args;
+use crate::exit::Exit;
+use crate::failure::Failure;
+use crate::node_client::NodeAnswers;
+use crate::output::Output;
+use crate::rollout_wait::unanswered_text;
+use crate::session::Session;
+use crate::table::Table;
+
+pub(super) fn run(args: &Args) -> Result<Output, Failure> {
+    let session = Session::open(args)?;
+    let records = session.records();
+    let answers = NodeAnswers::ask(&session.settings.nodes, &session.settings.token);
+    let is_known = records.is_ok() && !answers.statuses.is_empty();
+    let platform_error = records.as_ref().err().map(ToString::to_string);
+    let records = records.unwrap_or_default();
+    let domains = summaries(records.domains.keys().cloned(), &answers.statuses);
+    let mut text = table(&domains, &records).to_string();
+    if let Some(error) = &platform_error {
+        text = format!("{text}\n{error}");
+    }
+    text.push_str(&unanswered_text(&answers.unanswered));
+    let json = json!({
+        "domains": domains,
+        "out": domains.keys().filter(|id| records.is_out(id)).collect::<Vec<_>>(),
+        "stored_index": records.index,
+        "platform_error": platform_error,
+        "unanswered": answers.unanswered,
+    });
+    let exit = if is_known {
+        Exit::Done
+    } else {
+        Exit::PlatformUnreachable
+    };
+    Ok(Output::done(text, json).exit(exit))
+}
+
+fn table(domains: &BTreeMap<DomainId, DomainSummary>, records: &ConfigView) -> Table {
+    let mut table = Table::new([
+        "DOMAIN",
+        "STATE",
+        "NODES",
+        "SILENT",
+        "ANSWERED",
+        "UPSTREAMS",
+        "GROUPS",
+        "IN FLIGHT",
+        "CALLS",
+        "CONFIG",
+    ]);
+    for (id, domain) in domains {
+        table.row(&[
+            id.to_string(),
+            state(id, records).into(),
+            domain.live_nodes.to_string(),
+            domain.silent_nodes.to_string(),
+            domain.answered_nodes.to_string(),
+            domain.upstreams.to_string(),
+            domain.groups.to_string(),
+            domain.in_flight.to_string(),
+            domain.calls.to_string(),
+            config(domain),
+        ]);
+    }
+    table
+}
+
+fn state(id: &DomainId, records: &ConfigView) -> &'static str {
+    match records.domains.get(id) {
+        None => "no record",
+        Some(_) if records.is_out(id) => "out",
+        Some(_) => "serving",
+    }
+}
+
+fn config(domain: &DomainSummary) -> String {
+    match (domain.lowest_config, domain.highest_config) {
+        (Some(low), Some(high)) if low == high => low.to_string(),
+        (Some(low), Some(high)) => format!("{low} to {high}"),
+        _ => "-".into(),
+    }
+}
--- a/crates/shallottide_cli/src/main.rs
+++ b/crates/shallottide_cli/src/main.rs
@@ -1,3 +1,34 @@
-//! Work in progress.
+//! `shallottide`, the operators' command line.
 
-fn main() {}
+mod args;
+mod commands;
+mod exit;
+mod failure;
+mod node_client;
+mod output;
+mod rollout_wait;
+mod session;
+mod settings;
+mod table;
+
+use std::process::ExitCode;
+
+use args::{Args, Parsed};
+use output::Output;
+
+fn main() -> ExitCode {
+    let args = match Args::parse(std::env::args()) {
+        Parsed::Run(args) => args,
+        Parsed::Help(text) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Parsed::Wrong(text) => {
+            eprintln!("{text}");
+            return exit::Exit::BadInput.into();
+        }
+    };
+    let output = commands::run(&args).unwrap_or_else(|failure| Output::failure(&failure));
+    output.print(args.json);
+    output.exit.into()
+}
--- /dev/null
+++ b/crates/shallottide_cli/src/rollout_wait.rs
@@ -0,0 +1,112 @@
+//! Waits until a change is in force.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use shallottide::operate::{DomainRollout, Pause, Rollout, RolloutState, SystemPause};
+use shallottide_types::clock::{Clock, SystemClock};
+use shallottide_types::id::{DomainId, NodeId, StoreIndex};
+
+use crate::exit::Exit;
+use crate::node_client::{NodeAnswers, Unanswered};
+use crate::session::Session;
+use crate::table::Table;
+
+/// Pause between two rounds of asking.
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
+
+/// Where a change is in force at the end of the wait.
+#[derive(Debug)]
+pub(crate) struct RolloutReport {
+    rollout: Rollout,
+    unanswered: Vec<Unanswered>,
+}
+
+impl RolloutReport {
+    /// Asks the nodes until the change is in force in every failure domain or the time is over.
+    pub(crate) fn wait(session: &Session, index: StoreIndex, wait: Duration) -> Self {
+        let domains = session.domains();
+        let deadline = SystemClock.now() + wait;
+        loop {
+            let report = Self::ask(session, index, &domains);
+            let is_over = SystemClock.now() + ROUND_PAUSE > deadline;
+            if report.rollout.is_complete() || is_over {
+                return report;
+            }
+            SystemPause.pause(ROUND_PAUSE);
+        }
+    }
+
+    fn ask(session: &Session, index: StoreIndex, domains: &[DomainId]) -> Self {
+        let answers = NodeAnswers::ask(&session.settings.nodes, &session.settings.token);
+        Self {
+            rollout: Rollout::of(index, domains.iter().cloned(), &answers.statuses),
+            unanswered: answers.unanswered,
+        }
+    }
+
+    /// Returns the exit code. No failure domain known means that nothing is known.
+    pub(crate) fn exit(&self) -> Exit {
+        if self.rollout.is_complete() && !self.rollout.domains.is_empty() {
+            Exit::Done
+        } else {
+            Exit::NotInForce
+        }
+    }
+
+    pub(crate) fn json(&self) -> Value {
+        let domains = self.rollout.domains.iter().map(|(id, domain)| {
+            let json = json!({
+                "state": domain.state(),
+                "in_force": domain.in_force,
+                "behind": domain.behind,
+                "silent": domain.silent,
+            });
+            (id.to_string(), json)
+        });
+        let domains: Value = domains.collect::<serde_json::Map<_, _>>().into();
+        json!({"index": self.rollout.index, "domains": domains, "unanswered": self.unanswered})
+    }
+
+    pub(crate) fn text(&self) -> String {
+        if self.rollout.domains.is_empty() {
+            return "no failure domain is known: add nodes to the settings, or pass --wait 0s"
+                .into();
+        }
+        let mut table = Table::new(["DOMAIN", "CHANGE", "IN FORCE", "BEHIND", "SILENT"]);
+        for (id, domain) in &self.rollout.domains {
+            table.row(&[
+                id.to_string(),
+                state_text(domain).into(),
+                names(&domain.in_force),
+                names(&domain.behind),
+                names(&domain.silent),
+            ]);
+        }
+        format!("{table}{}", unanswered_text(&self.unanswered))
+    }
+}
+
+/// Lists the nodes that gave no status, each on a line of its own.
+pub(crate) fn unanswered_text(unanswered: &[Unanswered]) -> String {
+    let line =
+        |node: &Unanswered| format!("\nnode {} gave no status: {}", node.address, node.reason);
+    unanswered.iter().map(line).collect()
+}
+
+fn state_text(domain: &DomainRollout) -> &'static str {
+    match domain.state() {
+        RolloutState::InForce => "in force",
+        RolloutState::NotYet => "not yet",
+        RolloutState::Unreachable => "can't be reached",
+    }
+}
+
+fn names(nodes: &BTreeSet<NodeId>) -> String {
+    if nodes.is_empty() {
+        return "-".into();
+    }
+    let names: Vec<_> = nodes.iter().map(NodeId::as_str).collect();
+    names.join(",")
+}
--- /dev/null
+++ b/crates/shallottide_cli/src/settings.rs
@@ -0,0 +1,83 @@
+//! Where the platform and the entry nodes are, and who the operator is.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use shallottide::platform_client::{ConsulPlatform, PlatformOptions};
+use shallottide_types::id::OperatorId;
+
+use crate::failure::Failure;
+
+/// Settings file read when none is named.
+const DEFAULT_PATH: &str = "shallottide.toml";
+
+/// The settings file.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Settings {
+    /// Base addresses of the platform.
+    platform: Vec<String>,
+    /// Operators' ports of entry nodes, at least one for each failure domain.
+    #[serde(default)]
+    pub(crate) nodes: Vec<SocketAddr>,
+    /// Who writes changes.
+    operator: Option<OperatorId>,
+    /// Bearer token of the operators' ports.
+    #[serde(default)]
+    pub(crate) token: Token,
+    /// The file itself.
+    #[serde(skip)]
+    path: PathBuf,
+}
+
+/// A bearer token, which is never printed.
+#[derive(Clone, Default, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Token(String);
+
+impl Token {
+    /// Returns the value of the `Authorization` header, if there is a token.
+    pub(crate) fn header(&self) -> Option<String> {
+        (!self.0.is_empty()).then(|| format!("Bearer {}", self.0))
+    }
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token(..)")
+    }
+}
+
+impl Settings {
+    /// Reads the named file, or the usual one.
+    pub(crate) fn read(path: Option<&Path>) -> Result<Self, Failure> {
+        let path = path.unwrap_or(Path::new(DEFAULT_PATH)).to_owned();
+        let text = std::fs::read_to_string(&path).map_err(|source| Failure::File {
+            path: path.clone(),
+            source,
+        })?;
+        let settings = toml::from_str::<Self>(&text).map_err(|e| Failure::Settings {
+            path: path.clone(),
+            message: e.to_string(),
+        })?;
+        Ok(Self { path, ..settings })
+    }
+
+    /// Creates the platform client.
+    pub(crate) fn platform(&self) -> Result<ConsulPlatform, Failure> {
+        let options = PlatformOptions::default().addresses(self.platform.iter().cloned());
+        ConsulPlatform::new(options).map_err(|source| Failure::PlatformAddress {
+            path: self.path.clone(),
+            source,
+        })
+    }
+
+    /// Returns the operator, whom every change needs.
+    pub(crate) fn operator(&self) -> Result<OperatorId, Failure> {
+        self.operator.clone().ok_or_else(|| Failure::NoOperator {
+            path: self.path.clone(),
+        })
+    }
+}
