Test the command line as a process and the client against the stand-in

The command line runs as a process against the platform stand-in and fake entry nodes: exit codes, bad input with its remedy, lost answers, conflicts, an outage, and where a change is in force. settle_timeout is now a setting: with its ten seconds fixed, an unclear change kept an operator's script waiting for as long.

Guards removed on purpose; the tests that failed then: - read timeout longer than a watch's wait: watch_outlasts_the_answer_timeout - exit code of an incomplete rollout: apply_says_where_it_is_not_in_force - exit codes of conflict and unclear: conflict_names_the_other_change, unclear_change_is_finished_later - all files valid before any is written: apply_all_or_nothing - token sent to the nodes: ten cases - unknown settings refused: unknown_setting - exit code of an outage: outage_is_told_as_such

--- a/crates/shallottide/tests/platform_client/main.rs
+++ b/crates/shallottide/tests/platform_client/main.rs
@@ -9,6 +9,8 @@
 use shallottide_types::cases;
 use shallottide_types::id::StoreIndex;
 use shallottide_types::platform::{Expect, Platform, PlatformError, Swap};
+use standin::http::ListenOptions;
+use standin::platform::{CallKind, MemoryPlatform, PlatformServer};
 
 const KEY: &str = "records/upstream/tally-1";
 const WAIT: Duration = Duration::from_millis(300);
@@ -207,3 +209,68 @@
     refuses_a_path: "http://127.0.0.1:8500/v1";
     refuses_text: "not an address";
 }
+
+/// Starts the stand-in and a client of it.
+fn stand_in() -> (PlatformServer, ConsulPlatform) {
+    let server = PlatformServer::start(&ListenOptions::default(), MemoryPlatform::default());
+    let server = server.expect("stand-in");
+    let platform = client([format!("http://{}", server.address())]);
+    (server, platform)
+}
+
+#[test]
+fn speaks_to_the_stand_in() {
+    let (_server, platform) = stand_in();
+    let absent = platform.list("a/", None, WAIT).expect("listing");
+    assert_eq!(absent.entries, []);
+    assert_eq!(
+        platform.swap("a/b", b"\xff\0", Expect::Absent),
+        Ok(Swap::Written)
+    );
+    assert_eq!(
+        platform.swap("a/b", b"x", Expect::Absent),
+        Ok(Swap::Conflict)
+    );
+    let entry = platform.get("a/b").expect("get").expect("entry");
+    assert_eq!(entry.value, b"\xff\0");
+    let listing = platform
+        .list("a/", Some(absent.index), WAIT)
+        .expect("listing");
+    assert_eq!(listing.entries, std::slice::from_ref(&entry));
+    let session = platform
+        .open_session(Duration::from_secs(10))
+        .expect("session");
+    assert_eq!(platform.renew_session(&session), Ok(true));
+    assert_eq!(platform.renew_session("none"), Ok(false));
+    assert_eq!(platform.acquire("a/b", b"y", &session), Ok(true));
+    let held = platform.get("a/b").expect("get").expect("entry");
+    assert_eq!(held.session, Some(session.clone()));
+    assert_eq!(platform.release("a/b", &session), Ok(true));
+    assert_eq!(platform.remove("a/b", entry.index), Ok(Swap::Conflict));
+    assert_eq!(platform.vms(&"jkpg".parse().expect("id")), Ok(Vec::new()));
+}
+
+#[test]
+fn watch_outlasts_the_answer_timeout() {
+    let (server, platform) = stand_in();
+    let wait = Duration::from_millis(1_500);
+    let listing = platform
+        .list("a/", Some(StoreIndex(0)), wait)
+        .expect("listing");
+    assert_eq!(listing.entries, []);
+    assert_eq!(server.platform().counts().of(CallKind::Watch), 1);
+}
+
+#[test]
+fn faults_of_the_stand_in_are_told() {
+    let (server, platform) = stand_in();
+    let store = server.platform();
+    store.change_faults(|faults| faults.lose_answers = 1);
+    assert_eq!(kind(&platform.swap("a", b"x", Expect::Absent)), "lost");
+    assert_eq!(platform.get("a").expect("get").expect("entry").value, b"x");
+    store.change_faults(|faults| faults.writes_per_second = Some(0));
+    assert_eq!(kind(&platform.swap("b", b"x", Expect::Absent)), "limited");
+    store.change_faults(|faults| faults.down = true);
+    assert_eq!(kind(&platform.get("a")), "lost");
+    assert_eq!(store.counts().of(CallKind::Swap), 2);
+}
--- a/crates/shallottide_cli/src/session.rs
+++ b/crates/shallottide_cli/src/session.rs
@@ -1,7 +1,7 @@
 //! What every command that reads or writes records needs.
 
 use shallottide::operate::{
-    Change, ChangeWriter, Outcome, SystemPause, WriteOptions, records_in_force, stored_records,
+    Change, ChangeWriter, Outcome, SystemPause, records_in_force, stored_records,
 };
 use shallottide::platform_client::ConsulPlatform;
 use shallottide::view::ConfigView;
@@ -39,7 +39,7 @@
         &self,
         write: impl FnOnce(&ChangeWriter<'_>) -> Result<Outcome, PlatformError>,
     ) -> Result<Outcome, PlatformError> {
-        let options = WriteOptions::default();
+        let options = self.settings.write_options();
         write(&ChangeWriter::new(
             &self.platform,
             &SystemClock,
--- a/crates/shallottide_cli/src/settings.rs
+++ b/crates/shallottide_cli/src/settings.rs
@@ -3,9 +3,12 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use serde::Deserialize;
+use shallottide::operate::WriteOptions;
 use shallottide::platform_client::{ConsulPlatform, PlatformOptions};
+use shallottide_types::duration_text;
 use shallottide_types::id::OperatorId;
 
 use crate::failure::Failure;
@@ -24,6 +27,9 @@
     pub(crate) nodes: Vec<SocketAddr>,
     /// Who writes changes.
     operator: Option<OperatorId>,
+    /// How long a write whose answer was lost is followed.
+    #[serde(default = "default_settle_timeout", with = "duration_text")]
+    settle_timeout: Duration,
     /// Bearer token of the operators' ports.
     #[serde(default)]
     pub(crate) token: Token,
@@ -50,6 +56,10 @@
     }
 }
 
+fn default_settle_timeout() -> Duration {
+    WriteOptions::default().settle_timeout
+}
+
 impl Settings {
     /// Reads the named file, or the usual one.
     pub(crate) fn read(path: Option<&Path>) -> Result<Self, Failure> {
@@ -74,6 +84,14 @@
         })
     }
 
+    /// Returns how writes are followed.
+    pub(crate) fn write_options(&self) -> WriteOptions {
+        WriteOptions {
+            settle_timeout: self.settle_timeout,
+            ..WriteOptions::default()
+        }
+    }
+
     /// Returns the operator, whom every change needs.
     pub(crate) fn operator(&self) -> Result<OperatorId, Failure> {
         self.operator.clone().ok_or_else(|| Failure::NoOperator {
--- /dev/null
+++ b/crates/shallottide_cli/tests/commands/main.rs
@@ -0,0 +1,254 @@
+//! The command line as a process: what it prints and how it ends.
+
+mod bench;
+
+use bench::Bench;
+use shallottide_types::cases;
+use shallottide_types::platform::Platform as _;
+
+const DOMAIN: &str = "kind = \"domain\"\nschema = 1\nid = \"jkpg\"\nregion = \"se\"\n";
+const UPSTREAM: &str = "kind = \"upstream\"\nschema = 1\nid = \"t\"\naddress = \"10.0.0.1:80\"\n\
+    zone = \"jkpg\"\nservice = \"tally\"\nlimit = 8\n";
+
+/// A bench with a domain and an upstream file, and a node in the domain that follows.
+fn bench() -> Bench {
+    let mut bench = Bench::new();
+    bench.node("n1", "jkpg", None);
+    bench.file("domain.toml", DOMAIN);
+    bench.file("upstream.toml", UPSTREAM);
+    bench
+}
+
+/// Runs one command on a fresh bench and checks its exit code and the words it prints.
+fn check(words: &str, code: i32, expected: &[&str]) {
+    check_on(&bench(), words, code, expected);
+}
+
+fn check_on(bench: &Bench, words: &str, code: i32, expected: &[&str]) {
+    let ran = bench.run(words);
+    assert_eq!(ran.code, code, "{words}: {}", ran.text);
+    for word in expected {
+        assert!(
+            ran.text.contains(word),
+            "{words}: {word:?} is not in {}",
+            ran.text
+        );
+    }
+    assert!(
+        !ran.text.contains("operators-secret"),
+        "the token is printed"
+    );
+}
+
+cases! { check;
+    help: "--help", 0, &["hash-key", "Exit codes"];
+    no_such_command: "aply domain.toml", 2, &["aply"];
+    bad_wait: "apply domain.toml --wait 8", 2, &["needs a unit"];
+    bad_kind: "get zone jkpg", 2, &["use model, upstream"];
+    check_good_file: "check domain.toml", 0, &["domain jkpg is valid"];
+    check_needs_a_file: "check", 2, &["name record files"];
+    check_missing_file: "check none.toml", 2, &["none.toml", "check the name"];
+    check_bad_file: "check domain.toml shallottide.toml", 2,
+        &["domain jkpg is valid", "shallottide.toml: record has no valid \"kind\""];
+    check_warns: "check upstream.toml", 0, &["warning: failure domain jkpg has no record"];
+    check_knows_its_files: "check domain.toml upstream.toml", 0, &["service tally has no"];
+    wrong_token: "--settings wrong.toml status", 5, &["set token in the settings"];
+    no_operator: "--settings nobody.toml drain domain jkpg", 2, &["add operator ="];
+    settings_missing: "--settings none.toml list", 2, &["none.toml"];
+    apply_is_in_force: "apply domain.toml", 0, &["applied as revision 1", "in force", "n1"];
+    apply_all_or_nothing: "apply domain.toml shallottide.toml", 2, &["\"kind\""];
+    apply_revision_for_one: "apply domain.toml upstream.toml --if-revision 1", 2, &["one file"];
+    drain_unknown: "drain domain jkpg", 2, &["no such record"];
+    drain_what: "drain service tally", 2, &["use domain or upstream"];
+    get_missing: "get team gates", 2, &["no record records/team/gates"];
+    list_empty: "list", 0, &["KIND", "REVISION"];
+}
+
+fn check_settings(from: &str, to: &str, expected: &[&str]) {
+    let bench = bench();
+    bench.settings(from);
+    check_on(&bench, "list", 2, &["shallottide.toml"]);
+    bench.settings(to);
+    check_on(&bench, "list", 2, expected);
+}
+
+cases! { check_settings;
+    unknown_setting: "", "platform = []\nnode = 1", &["node", "allowed keys"];
+    bad_platform: "platform = []", "platform = [\"10.0.0.1\"]", &["\"10.0.0.1\"", "http://HOST:PORT"];
+}
+
+#[test]
+fn apply_says_where_it_is_not_in_force() {
+    let mut bench = bench();
+    bench.node("n2", "vmo", Some(0));
+    bench.file("hlm.toml", &DOMAIN.replace("jkpg", "hlm"));
+    let words = "apply hlm.toml domain.toml --wait 1ms";
+    check_on(
+        &bench,
+        words,
+        6,
+        &[
+            "hlm     can't be reached",
+            "jkpg    in force",
+            "vmo     not yet",
+        ],
+    );
+    check_on(
+        &bench,
+        "apply domain.toml --wait 0s",
+        0,
+        &["unchanged at revision 1"],
+    );
+}
+
+#[test]
+fn conflict_names_the_other_change() {
+    let bench = bench();
+    check_on(&bench, "apply domain.toml --change first", 0, &[]);
+    bench.file("domain.toml", &DOMAIN.replace("se", "no"));
+    let words = "apply domain.toml upstream.toml --wait 1ms --change second";
+    check_on(
+        &bench,
+        "apply domain.toml --if-revision 0",
+        3,
+        &["change first of operator ana", "read the record"],
+    );
+    check_on(
+        &bench,
+        "apply domain.toml --if-revision 1",
+        0,
+        &["revision 2"],
+    );
+    check_on(
+        &bench,
+        words,
+        0,
+        &["domain/jkpg: unchanged", "upstream/t: applied"],
+    );
+}
+
+#[test]
+fn unclear_change_is_finished_later() {
+    let bench = bench();
+    bench.platform.change_faults(|faults| {
+        faults.lose_answers = 1;
+        faults.stale_reads = true;
+    });
+    check_on(
+        &bench,
+        "apply domain.toml --change c-1",
+        4,
+        &["may have been written", "--change c-1"],
+    );
+    bench
+        .platform
+        .change_faults(|faults| faults.stale_reads = false);
+    check_on(
+        &bench,
+        "apply domain.toml --change c-1",
+        0,
+        &["applied as revision 1"],
+    );
+}
+
+#[test]
+fn lost_answer_is_read_back() {
+    let bench = bench();
+    bench
+        .platform
+        .change_faults(|faults| faults.lose_answers = 1);
+    check_on(
+        &bench,
+        "apply domain.toml",
+        0,
+        &["applied as revision 1", "in force"],
+    );
+}
+
+#[test]
+fn outage_is_told_as_such() {
+    let bench = bench();
+    bench.platform.change_faults(|faults| faults.down = true);
+    check_on(&bench, "apply domain.toml", 5, &["nothing was written"]);
+    check_on(&bench, "drain domain jkpg", 5, &["nothing was written"]);
+    check_on(&bench, "list", 5, &["platform"]);
+    check_on(
+        &bench,
+        "status",
+        5,
+        &["jkpg", "no record", "platform's answer was lost"],
+    );
+}
+
+#[test]
+fn drain_and_restore() {
+    let bench = bench();
+    check_on(&bench, "apply domain.toml upstream.toml", 0, &[]);
+    check_on(
+        &bench,
+        "drain domain jkpg",
+        0,
+        &["revision 2", "warning: no failure domain"],
+    );
+    check_on(&bench, "list domain", 0, &["out"]);
+    check_on(&bench, "apply domain.toml", 0, &["unchanged at revision 2"]);
+    check_on(&bench, "restore domain jkpg", 0, &["revision 3"]);
+    check_on(&bench, "drain upstream t", 0, &["revision 2"]);
+    check_on(&bench, "list", 0, &["leaving", "serving", "ana"]);
+    check_on(
+        &bench,
+        "get upstream t",
+        0,
+        &["leaving = true", "schema = 1"],
+    );
+}
+
+#[test]
+fn got_record_can_be_applied_again() {
+    let bench = bench();
+    check_on(&bench, "apply upstream.toml", 0, &[]);
+    bench.file("got.toml", &bench.run("get upstream t").text);
+    check_on(&bench, "apply got.toml", 0, &["unchanged at revision 1"]);
+}
+
+#[test]
+fn status_shows_each_domain() {
+    let bench = bench();
+    check_on(&bench, "apply domain.toml", 0, &[]);
+    check_on(
+        &bench,
+        "status",
+        0,
+        &["DOMAIN", "IN FLIGHT", "jkpg", "serving"],
+    );
+    let json = bench.run("--json status").json();
+    let domain = &json["domains"]["jkpg"];
+    assert_eq!(
+        (&domain["groups"], &domain["in_flight"]),
+        (&3.into(), &4.into())
+    );
+    assert_eq!(domain["lowest_config"], 1);
+}
+
+#[test]
+fn json_of_a_change_is_complete() {
+    let bench = bench();
+    let ran = bench.run("--json apply domain.toml --change c-1");
+    let json = ran.json();
+    assert_eq!((ran.code, &json["change"]), (0, &"c-1".into()));
+    assert_eq!(json["records"][0]["outcome"], "applied");
+    assert_eq!(json["rollout"]["domains"]["jkpg"]["state"], "in_force");
+    let entry = bench.platform.get("records/domain/jkpg").expect("read");
+    assert_eq!(json["rollout"]["index"], entry.expect("stored").index.0);
+}
+
+#[test]
+fn hash_of_a_key() {
+    let bench = bench();
+    let hash = "2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824";
+    assert_eq!(
+        bench.run_with_input("hash-key", "hello\n").text.trim(),
+        hash
+    );
+    assert_eq!(bench.run_with_input("hash-key", "\n").code, 2);
+}
