Show tables on standard output and never the token

A rollout table went to standard error when the change was not in force everywhere. Errors of the settings file showed the whole line, which may hold the token; they name the line and show it only without one. A connect error no longer carries the library's own "other: io:".

Guards removed on purpose; the tests that failed then: the line with the token shown: secret_not_shown; later files written after a failure: first_failure_ends_the_apply.

--- a/crates/shallottide/src/operate/outcome.rs
+++ b/crates/shallottide/src/operate/outcome.rs
@@ -55,7 +55,7 @@
 
 /// Another change was first.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("{key}: {}: read the record, then apply again", conflict_text(self))]
+#[error("{}: read the record, then apply again", conflict_text(self))]
 pub struct Conflict {
     /// Platform key.
     pub key: String,
@@ -68,7 +68,7 @@
 /// A change whose fate could not be read back.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error(
-    "{key}: change {change} may have been written, or may still be: apply it again with this change id, which writes it at most once"
+    "change {change} may have been written, or may still be: apply it again with this change id, which writes it at most once"
 )]
 pub struct Unclear {
     /// Platform key.
--- a/crates/shallottide/src/platform_client/connect_errors.rs
+++ b/crates/shallottide/src/platform_client/connect_errors.rs
@@ -29,11 +29,11 @@
     }
 }
 
-/// Tells whether a call failed before any byte was sent.
-pub(super) fn is_not_connected(error: &Error) -> bool {
+/// Returns the reason when a call failed before any byte was sent.
+pub(super) fn not_connected(error: &Error) -> Option<String> {
     match error {
-        Error::Other(source) => source.is::<NotConnected>(),
-        Error::HostNotFound | Error::Timeout(ureq::Timeout::Resolve) => true,
-        _ => false,
+        Error::Other(source) => Some(source.downcast_ref::<NotConnected>()?.to_string()),
+        Error::HostNotFound | Error::Timeout(ureq::Timeout::Resolve) => Some(error.to_string()),
+        _ => None,
     }
 }
--- a/crates/shallottide/src/platform_client/http_call.rs
+++ b/crates/shallottide/src/platform_client/http_call.rs
@@ -8,7 +8,7 @@
 use ureq::Agent;
 use ureq::unversioned::resolver::DefaultResolver;
 
-use super::connect_errors::{MarkingConnector, is_not_connected};
+use super::connect_errors::{MarkingConnector, not_connected};
 use super::platform_options::PlatformOptions;
 
 /// Header with the store's index.
@@ -146,13 +146,13 @@
 }
 
 fn call_error(address: &str, error: &ureq::Error) -> PlatformError {
-    if is_not_connected(error) {
-        return PlatformError::Unreachable {
+    match not_connected(error) {
+        Some(reason) => PlatformError::Unreachable {
             address: address.into(),
-            reason: error.to_string(),
-        };
+            reason,
+        },
+        None => PlatformError::AnswerLost(error.to_string()),
     }
-    PlatformError::AnswerLost(error.to_string())
 }
 
 /// Status 5xx leaves open whether the call took effect; any other status refused it.
--- a/crates/shallottide_cli/src/output.rs
+++ b/crates/shallottide_cli/src/output.rs
@@ -13,6 +13,8 @@
     /// For scripts.
     pub(crate) json: Value,
     pub(crate) exit: Exit,
+    /// Whether the text is an error message.
+    is_error: bool,
 }
 
 impl Output {
@@ -22,6 +24,7 @@
             text: text.into(),
             json,
             exit: Exit::Done,
+            is_error: false,
         }
     }
 
@@ -40,17 +43,18 @@
             text: format!("shallottide: {message}"),
             json,
             exit,
+            is_error: true,
         }
     }
 
-    /// Prints to standard output; text of a failed command goes to standard error.
+    /// Prints to standard output; the text of an error goes to standard error.
     pub(crate) fn print(&self, as_json: bool) {
         if as_json {
             println!("{:#}", self.json);
-        } else if self.exit == Exit::Done {
-            println!("{}", self.text);
-        } else {
+        } else if self.is_error {
             eprintln!("{}", self.text);
+        } else {
+            println!("{}", self.text);
         }
     }
 }
--- a/crates/shallottide_cli/src/settings.rs
+++ b/crates/shallottide_cli/src/settings.rs
@@ -56,6 +56,23 @@
     }
 }
 
+/// Names the line, and shows it unless it may hold the token.
+fn error_text(text: &str, error: &toml::de::Error) -> String {
+    let message = error.message();
+    let Some(span) = error.span() else {
+        return message.into();
+    };
+    let before = text.get(..span.start).unwrap_or(text);
+    let number = before.matches('\n').count();
+    let line = text.lines().nth(number).unwrap_or_default();
+    let shown = if line.contains("token") {
+        "token"
+    } else {
+        line
+    };
+    format!("line {}: {shown}: {message}", number + 1)
+}
+
 fn default_settle_timeout() -> Duration {
     WriteOptions::default().settle_timeout
 }
@@ -70,7 +87,7 @@
         })?;
         let settings = toml::from_str::<Self>(&text).map_err(|e| Failure::Settings {
             path: path.clone(),
-            message: e.to_string(),
+            message: error_text(&text, &e),
         })?;
         Ok(Self { path, ..settings })
     }
--- a/crates/shallottide_cli/tests/commands/main.rs
+++ b/crates/shallottide_cli/tests/commands/main.rs
@@ -4,7 +4,7 @@
 
 use bench::Bench;
 use shallottide_types::cases;
-use shallottide_types::platform::Platform as _;
+use shallottide_types::platform::{Expect, Platform as _, Swap};
 
 const DOMAIN: &str = "kind = \"domain\"\nschema = 1\nid = \"jkpg\"\nregion = \"se\"\n";
 const UPSTREAM: &str = "kind = \"upstream\"\nschema = 1\nid = \"t\"\naddress = \"10.0.0.1:80\"\n\
@@ -74,6 +74,8 @@
 
 cases! { check_settings;
     unknown_setting: "", "platform = []\nnode = 1", &["node", "allowed keys"];
+    bad_node: "", "nodes = [\"a:1\"]\n[x]", &["line 1", "socket address"];
+    secret_not_shown: "", "token = \"operators-secret\nx = 1", &["line 1: token"];
     bad_platform: "platform = []", "platform = [\"10.0.0.1\"]", &["\"10.0.0.1\"", "http://HOST:PORT"];
 }
 
@@ -127,6 +129,18 @@
     );
 }
 
+#[test]
+fn first_failure_ends_the_apply() {
+    let bench = bench();
+    let stored = bench
+        .platform
+        .swap("records/domain/jkpg", b"x", Expect::Absent);
+    assert_eq!(stored, Ok(Swap::Written));
+    let expected = ["delete the key in the platform", "upstream/t: not tried"];
+    check_on(&bench, "apply domain.toml upstream.toml", 2, &expected);
+    assert_eq!(bench.platform.get("records/upstream/t"), Ok(None));
+}
+
 #[test]
 fn unclear_change_is_finished_later() {
     let bench = bench();
