Prove admission through takeovers, restarts and contention

A takeover counts on no place until a report from after the handover time (2 s) counts the earlier dispatcher's work: a replaced dispatcher sends on until it learns of it. Reports of more work than was sent from here take places, and a node that hears less than half of its failure domain counts on the cold limit only.

The first form took a slot whose group the latest write had formed for unloaded; a process that starts anew between two writes then doubled its own earlier work. Now every slot of the first placement seen counts as loaded (5 s for plain services, which report nothing).

Removing a guard made tests fail, and they pass with it back: restart, cold report, takeover, handover, hold time, domain out, leaving upstream, leaving member, completeness, failures, late answers, return from absence, ramp by evidence, places kept for small teams, priority, team limit, work of others, isolation.

--- a/crates/shallottide/src/admission/admission_options.rs
+++ b/crates/shallottide/src/admission/admission_options.rs
@@ -15,6 +15,8 @@
     pub late_factor: u32,
     /// No answer is late whose first byte comes within this time.
     pub never_late: Duration,
+    /// How long an earlier dispatcher may send work on before it learns that it was replaced.
+    pub handover: Duration,
     /// How long work of an earlier dispatcher is assumed to run on when no report tells.
     pub takeover_hold: Duration,
     /// The same for a plain service's upstream, which reports nothing.
@@ -33,6 +35,7 @@
             late_to_cold: 3,
             late_factor: 4,
             never_late: Duration::from_millis(500),
+            handover: Duration::from_secs(2),
             takeover_hold: Duration::from_secs(30),
             service_takeover_hold: Duration::from_secs(5),
             demand_window: Duration::from_secs(5),
--- a/crates/shallottide/src/admission/slot_admission.rs
+++ b/crates/shallottide/src/admission/slot_admission.rs
@@ -70,7 +70,7 @@
 
     fn observe_slot(&mut self, slot: &Slot, evidence: &Evidence, cx: &Context) {
         let now = cx.now();
-        let inherited = if self.may_be_loaded(slot, evidence, cx) {
+        let inherited = if self.may_be_loaded(slot, cx) {
             InheritedLoad::unknown(now)
         } else {
             InheritedLoad::none(now)
@@ -88,15 +88,12 @@
 
     /// Tells whether another dispatcher, or an earlier start of this one, may have sent work
     /// that still runs.
-    fn may_be_loaded(&self, slot: &Slot, evidence: &Evidence, cx: &Context) -> bool {
+    fn may_be_loaded(&self, slot: &Slot, cx: &Context) -> bool {
         let me = cx.me();
-        if let Some(known) = &self.dispatchers {
-            return known.get(slot).is_some_and(|node| *node != me.node);
-        }
-        let placement = cx.placement();
-        let fence = placement.domains.get(&me.domain).map(|p| p.fence);
-        // When the latest write formed it, nobody dispatched to it before.
-        fence != Some(evidence.start.formed) && fence.is_some_and(|fence| fence.0 > 1)
+        // Before the first placement nothing is known: an earlier start of this node may have
+        // dispatched.
+        let known = self.dispatchers.as_ref();
+        known.is_none_or(|known| known.get(slot).is_some_and(|node| *node != me.node))
     }
 
     fn check_place(&mut self, slot: &Slot, team: &TeamId, cx: &Context) -> Result<(), Refusal> {
@@ -117,7 +114,7 @@
         if let Some(record) = record {
             self.teams.check(record, now)?;
         }
-        let limit = places.limit.get(evidence.bounds);
+        let limit = limit_of(places, &evidence, cx);
         let left = limit.saturating_sub(places.taken());
         if left > 0 && places.teams.may_take(team, left, limit, &self.options, now) {
             return Ok(());
@@ -164,7 +161,7 @@
         let summary = |(slot, places): (&Slot, &SlotPlaces)| {
             let evidence = evidence::read(slot, cx)?;
             let ready = evidence::check_ready(slot, cx).is_ok();
-            let limit = places.limit.get(evidence.bounds);
+            let limit = limit_of(places, &evidence, cx);
             Some(LoadSummary {
                 slot: slot.clone(),
                 in_flight: places.taken().min(limit.max(places.in_flight)),
@@ -175,6 +172,27 @@
     }
 }
 
+/// Returns the limit in force. A node that most nodes of its failure domain can't hear may
+/// have been replaced without knowing: it counts on no more than the cold limit.
+fn limit_of(places: &SlotPlaces, evidence: &Evidence, cx: &Context) -> u32 {
+    let limit = places.limit.get(evidence.bounds);
+    if is_isolated(cx) {
+        limit.min(evidence.bounds.cold)
+    } else {
+        limit
+    }
+}
+
+/// Tells whether this node hears less than half of its failure domain.
+fn is_isolated(cx: &Context) -> bool {
+    let me = cx.me();
+    let members = cx.members();
+    let others = members.nodes.values();
+    let others = others.filter(|n| n.info.domain == me.domain && n.info.node != me.node);
+    let (alive, silent): (Vec<_>, Vec<_>) = others.partition(|node| node.alive);
+    silent.len() > alive.len() + 1
+}
+
 fn dispatchers(cx: &Context) -> BTreeMap<Slot, NodeId> {
     let placement = cx.placement();
     let Some(placement) = placement.domains.get(&cx.me().domain) else {
--- a/crates/shallottide/src/admission/slot_places.rs
+++ b/crates/shallottide/src/admission/slot_places.rs
@@ -20,6 +20,8 @@
     pub(super) present: bool,
     /// Whether it was absent since it was last observed; on its return it is cold.
     pub(super) was_absent: bool,
+    /// The time of the last report that was taken in.
+    reported_at: Option<Instant>,
     /// Answers to requests from before then are no evidence.
     pub(super) cold_since: Instant,
 }
@@ -34,6 +36,7 @@
             start: evidence.start.clone(),
             present: true,
             was_absent: false,
+            reported_at: None,
             cold_since: now,
         }
     }
@@ -77,8 +80,12 @@
         if learned || evidence.start.formed != self.start.formed {
             self.start = evidence.start.clone();
         }
-        if let Some((total, at)) = evidence.reported {
-            self.inherited.reported(total, at, self.in_flight);
+        if let Some((total, at)) = evidence.reported
+            && self.reported_at.is_none_or(|last| at > last)
+        {
+            self.reported_at = Some(at);
+            let own = self.in_flight;
+            self.inherited.reported(total, at, own, options.handover);
         }
         let hold = if evidence.reports_load {
             options.takeover_hold
@@ -91,6 +98,7 @@
 
     pub(super) fn take(&mut self) {
         self.in_flight += 1;
+        self.inherited.note_own(self.in_flight);
     }
 
     pub(super) fn give_back(&mut self) {
--- /dev/null
+++ b/crates/shallottide/tests/group_support/desk.rs
@@ -0,0 +1,281 @@
+//! One node's views, set by the test, and an admission and a router on top.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use shallottide::admission::{Admission, AdmissionOptions, Finished, SlotAdmission};
+use shallottide::kernel::Context;
+use shallottide::routing::{Route, RouteQuery, Router, RoutingOptions, SlotRouter};
+use shallottide::view::{
+    ConfigView, DispatcherLoad, FleetView, MemberView, NodeState, PlacementView, TimedReport,
+};
+use shallottide_types::call::CallHead;
+use shallottide_types::clock::{Clock, ManualClock};
+use shallottide_types::engine::{Assignment, EngineReport, EngineState};
+use shallottide_types::id::{Fence, Incarnation, StoreIndex, TeamId};
+use shallottide_types::peer::{LoadSummary, NodeInfo, Slot};
+use shallottide_types::placement::{Group, Placement};
+use shallottide_types::record::{DomainState, Record};
+use shallottide_types::refusal::Refusal;
+
+use super::{DOMAIN, domain, domain_record, id, model, node_info, upstream, vm};
+
+pub(crate) const ME: &str = "entry-0";
+pub(crate) const PEER: &str = "entry-1";
+
+/// Two groups `g0`, `g1` of two VMs for model `tide` and two servers `u0`, `u1` of `depot`,
+/// all dispatched here unless told otherwise.
+pub(crate) struct Desk {
+    pub(crate) clock: ManualClock,
+    pub(crate) cx: Context,
+    pub(crate) config: ConfigView,
+    pub(crate) placement: Placement,
+    pub(crate) fleet: FleetView,
+    pub(crate) members: MemberView,
+    pub(crate) admission: SlotAdmission,
+    pub(crate) router: SlotRouter,
+}
+
+pub(crate) fn group(name: &str) -> Slot {
+    Slot::Group(id(name))
+}
+
+pub(crate) fn server(name: &str) -> Slot {
+    Slot::Service(id(name))
+}
+
+impl Desk {
+    pub(crate) fn new() -> Self {
+        let clock = ManualClock::default();
+        let cx = Context::new(Arc::new(clock.clone()), node_info(ME, DOMAIN, 7_000));
+        let mut config = ConfigView::default();
+        config.insert(Record::Model(model("tide", 2, 2, 0)));
+        for name in ["u0", "u1"] {
+            config.insert(Record::Upstream(upstream(name, "depot")));
+        }
+        config.insert(Record::Domain(domain_record(DOMAIN, DomainState::Serving)));
+        let mut desk = Self {
+            clock,
+            cx,
+            config,
+            placement: Placement::empty(domain()),
+            fleet: FleetView::default(),
+            members: MemberView::default(),
+            admission: SlotAdmission::new(AdmissionOptions::default()),
+            router: SlotRouter::new(RoutingOptions::default()),
+        };
+        desk.add_nodes();
+        // A placement without slots comes first, so that the slots are new.
+        desk.publish();
+        desk.place();
+        desk.report_all(EngineState::Warm);
+        desk.publish();
+        desk
+    }
+
+    fn add_nodes(&mut self) {
+        let other = node_info("entry-9", "vmo", 7_009);
+        for info in [
+            node_info(ME, DOMAIN, 7_000),
+            node_info(PEER, DOMAIN, 7_001),
+            other,
+        ] {
+            self.add_node(info);
+        }
+    }
+
+    pub(crate) fn add_node(&mut self, info: NodeInfo) {
+        let state = NodeState {
+            info: info.clone(),
+            heard_at: self.clock.now(),
+            alive: true,
+            config: StoreIndex(1),
+        };
+        self.members.nodes.insert(info.node, state);
+    }
+
+    fn place(&mut self) {
+        self.placement.fence = Fence(1);
+        for number in 0..2 {
+            let members: Vec<_> = [2 * number, 2 * number + 1].map(|n| vm(n, "a")).to_vec();
+            let group = Group {
+                model: id("tide"),
+                members: members.iter().map(|vm| vm.id.clone()).collect(),
+                formed: Fence(1),
+                dispatcher: id(ME),
+            };
+            self.placement
+                .groups
+                .insert(id(&format!("g{number}")), group);
+            self.placement
+                .services
+                .insert(id(&format!("u{number}")), id(ME));
+            self.fleet
+                .vms
+                .extend(members.into_iter().map(|vm| (vm.id.clone(), vm)));
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Lets every engine report the state that its group needs, as of now.
+    pub(crate) fn report_all(&mut self, state: EngineState) {
+        for (group_id, group) in &self.placement.groups {
+            for (rank, vm) in group.members.iter().enumerate() {
+                let known = self.fleet.reports.get(vm);
+                let incarnation = known.map_or(Incarnation(1), |t| t.report.incarnation);
+                let report = EngineReport {
+                    vm: vm.clone(),
+                    incarnation,
+                    fence: group.formed,
+                    assignment: Some(Assignment {
+                        group: group_id.clone(),
+                        model: group.model.clone(),
+                        formed: group.formed,
+                        rank: u8::try_from(rank).expect("few members"),
+                        members: group
+                            .members
+                            .iter()
+                            .map(|vm| self.fleet.vms[vm].address)
+                            .collect(),
+                    }),
+                    state,
+                    running: known.map_or(0, |t| t.report.running),
+                    queued: 0,
+                    lag_ms: 0,
+                };
+                let read_at = self.clock.now();
+                let timed = TimedReport { report, read_at };
+                self.fleet.reports.insert(vm.clone(), timed);
+            }
+        }
+    }
+
+    /// Changes the report of one VM.
+    pub(crate) fn change_report(&mut self, number: u16, change: impl FnOnce(&mut EngineReport)) {
+        let timed = self
+            .fleet
+            .reports
+            .get_mut(&vm(number, "a").id)
+            .expect("reported");
+        change(&mut timed.report);
+        self.publish();
+    }
+
+    pub(crate) fn publish(&mut self) {
+        self.cx.publish_config(self.config.clone());
+        let domains = BTreeMap::from([(domain(), self.placement.clone())]);
+        self.cx.publish_placement(PlacementView { domains });
+        self.cx.publish_fleet(self.fleet.clone());
+        self.cx.publish_members(self.members.clone());
+        self.admission.tick(&self.cx);
+    }
+
+    /// Moves the time on; engines go on reporting.
+    pub(crate) fn wait(&mut self, time: Duration) {
+        self.clock.advance(time);
+        for timed in self.fleet.reports.values_mut() {
+            timed.read_at = self.clock.now();
+        }
+        self.publish();
+    }
+
+    pub(crate) fn acquire(&mut self, slot: &Slot, team: &str) -> Result<(), Refusal> {
+        self.admission.acquire(slot, &id::<TeamId>(team), &self.cx)
+    }
+
+    /// Takes places until refused; returns how many.
+    pub(crate) fn fill(&mut self, slot: &Slot) -> u32 {
+        let mut count = 0;
+        while self.acquire(slot, "depot").is_ok() {
+            count += 1;
+        }
+        count
+    }
+
+    pub(crate) fn release(&mut self, slot: &Slot, team: &str, complete: bool, first_ms: u64) {
+        let finished = Finished {
+            complete,
+            started: self.now(),
+            first_byte: complete.then(|| Duration::from_millis(first_ms)),
+        };
+        self.admission
+            .release(slot, &id::<TeamId>(team), &finished, &self.cx);
+    }
+
+    /// Works until the limit of a slot is the full one.
+    pub(crate) fn warm_up(&mut self, slot: &Slot) {
+        for _ in 0..200 {
+            self.acquire(slot, "depot").expect("one place is free");
+            self.release(slot, "depot", true, 20);
+        }
+    }
+
+    /// Starts the process anew: admission and router know nothing.
+    pub(crate) fn restart(&mut self) {
+        self.admission = SlotAdmission::new(AdmissionOptions::default());
+        self.router = SlotRouter::new(RoutingOptions::default());
+        self.publish();
+    }
+
+    pub(crate) fn load(&mut self, slot: &Slot, node: &str, in_flight: u32, limit: u32) {
+        let load = DispatcherLoad {
+            node: id(node),
+            load: LoadSummary {
+                slot: slot.clone(),
+                in_flight,
+                limit,
+            },
+            heard_at: self.now(),
+        };
+        self.members.loads.insert(slot.clone(), load);
+        self.publish();
+    }
+
+    pub(crate) fn route(&mut self, head: &CallHead) -> Result<Route, Refusal> {
+        self.route_after(head, &BTreeSet::new(), false)
+    }
+
+    pub(crate) fn route_after(
+        &mut self,
+        head: &CallHead,
+        tried: &BTreeSet<Slot>,
+        own_domain_only: bool,
+    ) -> Result<Route, Refusal> {
+        let query = RouteQuery {
+            head,
+            chosen: None,
+            tried,
+            tried_domains: &BTreeSet::new(),
+            own_domain_only,
+        };
+        self.router.route(&query, &self.cx)
+    }
+
+    /// Dispatches both groups and servers from the peer instead of here.
+    pub(crate) fn move_to_peer(&mut self) {
+        self.placement.fence = self.placement.fence.next();
+        for group in self.placement.groups.values_mut() {
+            group.dispatcher = id(PEER);
+        }
+        for node in self.placement.services.values_mut() {
+            *node = id(PEER);
+        }
+        self.publish();
+    }
+
+    /// Takes the dispatching back.
+    pub(crate) fn move_here(&mut self) {
+        self.placement.fence = self.placement.fence.next();
+        for group in self.placement.groups.values_mut() {
+            group.dispatcher = id(ME);
+        }
+        for node in self.placement.services.values_mut() {
+            *node = id(ME);
+        }
+        self.publish();
+    }
+}
