--- a/crates/shallottide/src/calls/call_service.rs
+++ b/crates/shallottide/src/calls/call_service.rs
@@ -84,6 +84,8 @@
 
     fn on_tick(&mut self, cx: &Context, out: &mut Outbox) {
         self.admission.tick(cx);
+        let loads = self.admission.loads(cx);
+        out.send(names::MEMBERS, Message::OwnLoads(loads));
         let now = cx.now();
         for number in self.calls.select(|call| call.deadline <= now) {
             if let Some(call) = self.calls.take(number) {
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -8,11 +8,11 @@
 pub mod admission;
 pub mod auth;
 pub mod calls;
+pub mod claims;
 pub mod config;
 pub mod engines;
 pub mod front;
 pub mod groups;
-pub mod claims;
 pub mod kernel;
 pub mod members;
 pub mod message;
--- a/crates/shallottide/src/node/running_node.rs
+++ b/crates/shallottide/src/node/running_node.rs
@@ -9,6 +9,7 @@
 
 use super::stop_sequence::{StopReport, StopSequence};
 use crate::calls::CallCounts;
+use crate::claims::ClaimCounts;
 use crate::kernel::{KernelHandle, names};
 use crate::message::Message;
 use crate::settings::StopSettings;
@@ -42,6 +43,8 @@
     pub(super) ended: Arc<AtomicBool>,
     /// Calls in flight on this node.
     pub(super) calls: Arc<CallCounts>,
+    /// Claims and outcomes under way on this node.
+    pub(super) claims: Arc<ClaimCounts>,
     /// Turns true when the callers' listener is to close.
     pub(super) closed: watch::Sender<bool>,
 }
@@ -52,6 +55,7 @@
             ready: Arc::default(),
             ended: Arc::default(),
             calls: Arc::default(),
+            claims: Arc::default(),
             closed: watch::Sender::new(false),
         }
     }
--- a/crates/shallottide/src/node/stop_sequence.rs
+++ b/crates/shallottide/src/node/stop_sequence.rs
@@ -14,7 +14,7 @@
 /// How a stop went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopReport {
-    /// Calls that were still running at the end; 0 after a graceful stop.
+    /// Calls, claims and outcomes that were still under way at the end; 0 after a graceful stop.
     pub left: usize,
     /// Whether the wait was cut short by a second signal.
     pub hurried: bool,
@@ -51,7 +51,8 @@
     }
 
     fn in_flight(&self) -> usize {
-        self.flags.calls.in_flight()
+        // An outcome that is not recorded is lost with the node.
+        self.flags.calls.in_flight() + self.flags.claims.pending()
     }
 
     fn wait_until(&self, deadline: Instant, done: impl Fn() -> bool) {
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -1,5 +1,6 @@
 //! Starts a node's threads and connects services and borders by name.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -16,6 +17,7 @@
 use crate::admission::{AdmissionOptions, SlotAdmission};
 use crate::auth::AuthService;
 use crate::calls::{CallOptions, CallService};
+use crate::claims::{ClaimOptions, ClaimService};
 use crate::config::{ConfigOptions, ConfigService};
 use crate::engines::EngineBorder;
 use crate::front::{FrontBorder, FrontOptions};
@@ -179,6 +181,8 @@
 }
 
 fn add_services(kernel: &mut Kernel, parts: &Parts) {
+    // Nodes make different random choices, and each start others than the last.
+    let seed = seed(&parts.me);
     let call_options = CallOptions {
         max_in_flight: parts.settings.limits.calls,
         counts: parts.flags.calls.clone(),
@@ -186,18 +190,34 @@
     };
     let member_options = MemberOptions {
         seeds: parts.settings.seeds.clone(),
+        seed,
         ..MemberOptions::default()
     };
+    let claim_options = ClaimOptions {
+        counts: parts.flags.claims.clone(),
+        ..ClaimOptions::default()
+    };
+    let config_options = ConfigOptions {
+        seed,
+        ..ConfigOptions::default()
+    };
     let router = Box::new(SlotRouter::new(RoutingOptions::default()));
     let admission = Box::new(SlotAdmission::new(AdmissionOptions::default()));
-    kernel.add_service(Box::new(ConfigService::new(ConfigOptions::default())));
+    kernel.add_service(Box::new(ConfigService::new(config_options)));
     kernel.add_service(Box::new(MemberService::new(member_options)));
     kernel.add_service(Box::new(GroupService::new(GroupOptions::default())));
+    kernel.add_service(Box::new(ClaimService::new(claim_options)));
     kernel.add_service(Box::new(AuthService));
     kernel.add_service(Box::new(CallService::new(call_options, router, admission)));
     kernel.add_service(Box::new(StatusService::default()));
 }
 
+fn seed(me: &NodeInfo) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (&me.node, me.incarnation).hash(&mut hasher);
+    hasher.finish()
+}
+
 fn add_borders(
     kernel: &mut Kernel,
     parts: Parts,
--- a/crates/shallottide_cli/src/args.rs
+++ b/crates/shallottide_cli/src/args.rs
@@ -39,6 +39,16 @@
     Drain(DrainArgs),
     Restore(RestoreArgs),
     HashKey(HashKeyArgs),
+    Demo(DemoArgs),
+}
+
+/// Starts stand-ins and two nodes on loopback and calls them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub(crate) struct DemoArgs {
+    /// stay up afterwards, printing how to call the nodes
+    #[argh(switch)]
+    pub(crate) keep: bool,
 }
 
 /// Checks record files without writing them.
--- a/crates/shallottide_cli/src/commands.rs
+++ b/crates/shallottide_cli/src/commands.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod demo;
 mod drain;
 mod get;
 mod hash_key;
@@ -25,5 +26,6 @@
         Command::Drain(command) => drain::drain(args, command),
         Command::Restore(command) => drain::restore(args, command),
         Command::HashKey(_) => hash_key::run(),
+        Command::Demo(command) => demo::run(command),
     }
 }
--- a/crates/shallottide_cli/src/failure.rs
+++ b/crates/shallottide_cli/src/failure.rs
@@ -52,6 +52,9 @@
         /// What is wrong.
         source: RecordError,
     },
+    /// The demo failed.
+    #[error("demo: {0}")]
+    Demo(#[from] shallottide_demo::DemoError),
     /// An argument is not valid.
     #[error("{0}")]
     Argument(String),
