End-to-end tests with real processes; a planned stop cuts no answer

Cause: a call counts as ended in the kernel before its last bytes have left the connection, so a node stopped by SIGTERM while a stream ended could exit over them. Now a gate counts open connections, closes them gracefully and is waited for, callers first and peers last.

--- a/crates/shallottide/src/front/front_border.rs
+++ b/crates/shallottide/src/front/front_border.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and hands answers' events to them.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -10,10 +11,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use shallottide_types::id::{CallId, Incarnation, NodeId};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
 
 use super::connection::serve;
 use super::stall_guard::StallGuard;
+use crate::connection_gate::ConnectionGate;
 use crate::kernel::KernelHandle;
 use crate::message::{Message, ReplyTo};
 use crate::replies::ReplyDesk;
@@ -39,6 +40,7 @@
     pub(super) kernel: KernelHandle,
     pub(super) desk: ReplyDesk,
     pub(super) ready: Arc<AtomicBool>,
+    gate: ConnectionGate,
     next: AtomicU64,
 }
 
@@ -65,13 +67,19 @@
 impl FrontBorder {
     /// Creates the border. Its readiness answers 200 while `ready` is set.
     #[must_use]
-    pub fn new(options: FrontOptions, kernel: KernelHandle, ready: Arc<AtomicBool>) -> Self {
+    pub fn new(
+        options: FrontOptions,
+        kernel: KernelHandle,
+        ready: Arc<AtomicBool>,
+        gate: ConnectionGate,
+    ) -> Self {
         Self {
             front: Arc::new(Front {
                 options,
                 desk: ReplyDesk::new(kernel.clone(), ReplyTo::Front),
                 kernel,
                 ready,
+                gate,
                 next: AtomicU64::new(1),
             }),
         }
@@ -86,43 +94,41 @@
         }
     }
 
-    /// Accepts connections until `closed` turns true; connections that are open go on.
+    /// Accepts connections until the gate closes; connections that are open then end their
+    /// answers.
     ///
     /// # Errors
     /// Those of taking over the listener.
-    pub async fn serve(
-        self,
-        listener: std::net::TcpListener,
-        mut closed: watch::Receiver<bool>,
-    ) -> std::io::Result<()> {
+    pub async fn serve(self, listener: std::net::TcpListener) -> std::io::Result<()> {
         let listener = TcpListener::from_std(listener)?;
-        let room = Arc::new(Semaphore::new(self.front.options.limits.connections));
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = closed.wait_for(|closed| *closed) => return Ok(()),
+                () = self.front.gate.wait_closed() => return Ok(()),
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
+            match accepted {
+                Ok((stream, _)) => self.admit(stream),
                 Err(e) => {
                     tracing::warn!(error = %e, "accept failed");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
-                    continue;
                 }
-            };
-            // Without room the connection is closed at once, which the balancer sees.
-            let Ok(permit) = room.clone().try_acquire_owned() else {
-                tracing::warn!("connection closed: limits.connections reached");
-                continue;
-            };
-            let front = self.front.clone();
-            tokio::spawn(async move {
-                serve_connection(front, stream).await;
-                drop(permit);
-            });
+            }
         }
     }
 
+    fn admit(&self, stream: TcpStream) {
+        // Without room the connection is closed at once, which the balancer sees.
+        let Some(pass) = self.front.gate.enter() else {
+            tracing::warn!("connection closed: limits.connections reached");
+            return;
+        };
+        let front = self.front.clone();
+        tokio::spawn(async move {
+            serve_connection(front, stream).await;
+            drop(pass);
+        });
+    }
+
     /// Binds a listener that tokio can take over.
     ///
     /// # Errors
@@ -140,13 +146,21 @@
     let _ = stream.set_nodelay(true);
     let header_bytes = usize::try_from(limits.header_size.0).unwrap_or(usize::MAX);
     let io = TokioIo::new(StallGuard::new(stream, limits.write_timeout));
+    let gate = front.gate.clone();
     let service = service_fn(move |request| serve(front.clone(), request));
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(header_bytes)
-        .serve_connection(io, service)
-        .await;
+        .serve_connection(io, service);
+    let mut connection = pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = gate.wait_closed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(e) = served {
         tracing::debug!(error = %e, "connection ended");
     }
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod calls;
 pub mod claims;
 pub mod config;
+pub mod connection_gate;
 pub mod engines;
 pub mod front;
 pub mod groups;
--- a/crates/shallottide/src/node/running_node.rs
+++ b/crates/shallottide/src/node/running_node.rs
@@ -5,15 +5,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 
-use tokio::sync::watch;
-
 use super::stop_sequence::{StopReport, StopSequence};
 use crate::calls::CallCounts;
 use crate::claims::ClaimCounts;
+use crate::connection_gate::ConnectionGate;
 use crate::kernel::{KernelHandle, names};
 use crate::message::Message;
 use crate::settings::StopSettings;
 
+/// Most connections from peers; each node has one to each that it talks to.
+const MAX_PEER_CONNECTIONS: usize = 1_024;
+
 /// Where a node listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NodeAddresses {
@@ -45,18 +47,22 @@
     pub(super) calls: Arc<CallCounts>,
     /// Claims and outcomes under way on this node.
     pub(super) claims: Arc<ClaimCounts>,
-    /// Turns true when the callers' listener is to close.
-    pub(super) closed: watch::Sender<bool>,
+    /// Lets callers in.
+    pub(super) callers: ConnectionGate,
+    /// Lets peers in.
+    pub(super) peers: ConnectionGate,
 }
 
-impl Default for NodeFlags {
-    fn default() -> Self {
+impl NodeFlags {
+    /// Creates the state of a node that takes at most `callers` connections from callers.
+    pub(super) fn new(callers: usize) -> Self {
         Self {
             ready: Arc::default(),
             ended: Arc::default(),
             calls: Arc::default(),
             claims: Arc::default(),
-            closed: watch::Sender::new(false),
+            callers: ConnectionGate::new(callers),
+            peers: ConnectionGate::new(MAX_PEER_CONNECTIONS),
         }
     }
 }
@@ -89,7 +95,8 @@
 
     fn end(self) {
         self.flags.ready.store(false, Ordering::Release);
-        self.flags.closed.send_replace(true);
+        self.flags.callers.close();
+        self.flags.peers.close();
         self.flags.ended.store(true, Ordering::Release);
         // Wakes the kernel so that it sees the flag.
         self.kernel.send(names::STATUS, Message::Tick);
--- a/crates/shallottide/src/node/stop_sequence.rs
+++ b/crates/shallottide/src/node/stop_sequence.rs
@@ -29,8 +29,8 @@
 }
 
 impl StopSequence<'_> {
-    /// Turns readiness off, gives the balancer time to notice, closes the callers' listener
-    /// and waits for calls in flight.
+    /// Turns readiness off, gives the balancer time to notice, closes the callers' listener,
+    /// waits for calls in flight, and lets peers go last.
     pub(super) fn run(&self) -> StopReport {
         tracing::info!(notice = ?self.settings.notice, "stopping");
         self.flags.ready.store(false, Ordering::Release);
@@ -38,10 +38,15 @@
             self.kernel.send(name, Message::Stop);
         }
         self.wait_until(Instant::now() + self.settings.notice, || false);
-        self.flags.closed.send_replace(true);
+        self.flags.callers.close();
         self.kernel.send(names::CALLS, Message::Stop);
         let deadline = Instant::now() + self.settings.deadline;
-        self.wait_until(deadline, || self.in_flight() == 0);
+        // A call has ended for the kernel before its last bytes have left the connection.
+        self.wait_until(deadline, || {
+            self.in_flight() + self.flags.callers.open() == 0
+        });
+        self.flags.peers.close();
+        self.wait_until(deadline, || self.flags.peers.open() == 0);
         let report = StopReport {
             left: self.in_flight(),
             hurried: self.hurry.load(Ordering::Acquire),
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -93,7 +93,7 @@
         address: peers.local_addr()?,
         stopping: false,
     };
-    let flags = NodeFlags::default();
+    let flags = NodeFlags::new(settings.limits.connections);
     let stop = settings.stop.clone();
     let mut addresses = NodeAddresses {
         callers: callers.local_addr()?,
@@ -150,10 +150,10 @@
         Ok((kernel, runtime, started)) => {
             let _ = tx.send(Ok(started));
             let ready = flags.ready.clone();
-            let closed = flags.closed.subscribe();
             kernel.run(move |cx| {
                 // Callers are let in once the records are known, and not again after a stop.
-                if !*closed.borrow() && !cx.me().stopping && !cx.config().teams.is_empty() {
+                if !flags.callers.is_closed() && !cx.me().stopping && !cx.config().teams.is_empty()
+                {
                     ready.store(true, Ordering::Release);
                 }
                 flags.ended.load(Ordering::Acquire)
@@ -230,11 +230,17 @@
         incarnation: parts.me.incarnation,
         limits: parts.settings.limits,
     };
-    let front = FrontBorder::new(front_options, handle.clone(), flags.ready.clone());
+    let front = FrontBorder::new(
+        front_options,
+        handle.clone(),
+        flags.ready.clone(),
+        flags.callers.clone(),
+    );
     let peer_options = PeerOptions {
         node: parts.me.node,
         address: parts.me.address,
         key: parts.peer_key,
+        gate: flags.peers.clone(),
         clock: parts.clock,
     };
     let peers = PeerBorder::new(peer_options, handle.clone(), runtime.handle().clone());
@@ -251,7 +257,7 @@
             address: parts.settings.operators,
             source,
         })?;
-    runtime.spawn(front.clone().serve(parts.callers, flags.closed.subscribe()));
+    runtime.spawn(front.clone().serve(parts.callers));
     runtime.spawn(peers.clone().serve(parts.peers));
     kernel.add_border(names::FRONT, move |message| front.send(message));
     kernel.add_border(names::PEERS, move |message| peers.send(message));
--- a/crates/shallottide/src/peers/incoming.rs
+++ b/crates/shallottide/src/peers/incoming.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::proof::{Proof, ProofError, Prover};
+use crate::connection_gate::ConnectionGate;
 use crate::kernel::{KernelHandle, Name, names};
 use crate::message::{CallArrived, PeerReceived};
 use crate::peer_codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode_frame};
@@ -62,6 +63,7 @@
     pub(super) prover: Prover,
     pub(super) kernel: KernelHandle,
     pub(super) desk: ReplyDesk,
+    pub(super) gate: ConnectionGate,
 }
 
 impl Incoming {
@@ -76,7 +78,20 @@
         let Ok(Ok(mut connection)) = timeout(BODY_TIMEOUT, handshake).await else {
             return;
         };
-        while let Some(Ok((request, respond))) = connection.accept().await {
+        let mut closing = false;
+        loop {
+            let accepted = tokio::select! {
+                accepted = connection.accept() => accepted,
+                () = self.gate.wait_closed(), if !closing => {
+                    // Streams that are open still end; the peer starts no new ones.
+                    connection.graceful_shutdown();
+                    closing = true;
+                    continue;
+                }
+            };
+            let Some(Ok((request, respond))) = accepted else {
+                return;
+            };
             let incoming = self.clone();
             tokio::spawn(async move { incoming.request(request, respond).await });
         }
--- a/crates/shallottide/src/peers/peer_border.rs
+++ b/crates/shallottide/src/peers/peer_border.rs
@@ -7,7 +7,7 @@
 
 use shallottide_types::clock::Clock;
 use shallottide_types::id::{AttemptId, NodeId};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::task::AbortHandle;
 
@@ -15,6 +15,7 @@
 use super::link_pool::LinkPool;
 use super::outgoing::{Outgoing, SharedOutgoing};
 use super::proof::Prover;
+use crate::connection_gate::ConnectionGate;
 use crate::kernel::{KernelHandle, names};
 use crate::message::{Forward, Message, PeerSend, ReplyTo};
 use crate::peer_codec::PeerKey;
@@ -31,6 +32,8 @@
     pub address: SocketAddr,
     /// The secret that all entry VMs share.
     pub key: PeerKey,
+    /// Lets peers in.
+    pub gate: ConnectionGate,
     /// Gives the time of proofs.
     pub clock: Arc<dyn Clock>,
 }
@@ -55,6 +58,7 @@
             prover: prover.clone(),
             kernel: kernel.clone(),
             desk: ReplyDesk::new(kernel.clone(), ReplyTo::Peer),
+            gate: options.gate,
         };
         let outgoing = Outgoing {
             links: LinkPool::default(),
@@ -116,17 +120,31 @@
         registered.insert(attempt, task.abort_handle());
     }
 
-    /// Accepts peers' connections for ever.
+    fn admit(&self, stream: TcpStream) {
+        let Some(pass) = self.incoming.gate.enter() else {
+            tracing::warn!("peer connection closed: too many are open");
+            return;
+        };
+        let incoming = self.incoming.clone();
+        tokio::spawn(async move {
+            incoming.serve(stream).await;
+            drop(pass);
+        });
+    }
+
+    /// Accepts peers' connections until the gate closes; open ones then end their streams.
     ///
     /// # Errors
     /// Those of taking over the listener.
     pub async fn serve(self, listener: std::net::TcpListener) -> std::io::Result<()> {
         let listener = TcpListener::from_std(listener)?;
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.incoming.clone().serve(stream));
-                }
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.incoming.gate.wait_closed() => return Ok(()),
+            };
+            match accepted {
+                Ok((stream, _)) => self.admit(stream),
                 Err(e) => {
                     tracing::warn!(error = %e, "accept failed");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/shallottide/tests/peers/main.rs
+++ b/crates/shallottide/tests/peers/main.rs
@@ -1,7 +1,6 @@
 //! The border between entry VMs, over a wire that can be cut and frozen.
 
 mod peer_node;
-mod wire;
 
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
@@ -12,7 +11,7 @@
 use shallottide_types::cases;
 use shallottide_types::id::AttemptId;
 use shallottide_types::refusal::{Ran, RefusalKind};
-use wire::Wire;
+use standin::wire::Wire;
 
 const KEY: &str = "0123456789abcdef";
 const OTHER_KEY: &str = "fedcba9876543210";
@@ -58,7 +57,7 @@
 
 /// Two nodes; the second is reached through a wire.
 fn pair(second_key: &'static str, answer: Answer) -> (PeerNode, PeerNode, Wire) {
-    let wire = Wire::open();
+    let wire = Wire::open().expect("a free port");
     let first = PeerNode::start("node-1", KEY, None, Answer::Whole);
     let second = PeerNode::start("node-2", second_key, Some(wire.address()), answer);
     wire.lead_to(second.listens);
--- a/crates/shallottide/tests/peers/peer_node.rs
+++ b/crates/shallottide/tests/peers/peer_node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use shallottide::connection_gate::ConnectionGate;
 use shallottide::front::FrontBorder;
 use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
 use shallottide::message::{CallArrived, Forward, Message, Reply};
@@ -137,6 +138,7 @@
         node: info.node,
         address: info.address,
         key: PeerKey::new(key.as_bytes()).expect("long enough"),
+        gate: ConnectionGate::new(16),
         clock: Arc::new(SystemClock),
     };
     let border = PeerBorder::new(options, kernel.handle(), runtime.handle().clone());
--- /dev/null
+++ b/crates/shallottide_e2e/src/lib.rs
@@ -0,0 +1,11 @@
+//! Starts the real binaries as processes on loopback.
+//!
+//! Used by the end-to-end tests and by measurements; not part of the product.
+
+mod process_cluster;
+mod program;
+mod records;
+
+pub use process_cluster::{ClusterOptions, EntryNode, ProcessCluster, listening};
+pub use program::{Program, Signal, program_path};
+pub use records::TEAM_KEY;
--- /dev/null
+++ b/crates/shallottide_e2e/src/program.rs
@@ -0,0 +1,92 @@
+//! One child process.
+
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+pub use rustix::process::Signal;
+use rustix::process::{Pid, kill_process};
+use serde_json::Value;
+
+/// A child process that told where it listens; killed when dropped.
+pub struct Program {
+    child: Child,
+    /// The line that it printed when it was ready.
+    pub ready: Value,
+}
+
+impl Program {
+    /// Starts a program of this workspace and waits for its line of JSON.
+    ///
+    /// Its errors go to `log`.
+    ///
+    /// # Panics
+    /// If the program doesn't start or ends at once.
+    #[must_use]
+    pub fn start(name: &str, args: &[&str], log: &Path) -> Self {
+        let log_file = std::fs::File::create(log).expect("a writable directory");
+        let mut child = Command::new(program_path(name))
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(log_file)
+            .spawn()
+            .unwrap_or_else(|e| panic!("{name} can't be started: {e}"));
+        let stdout = child.stdout.take().expect("piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("readable");
+        let ready = serde_json::from_str(&line).unwrap_or_else(|_| {
+            let errors = std::fs::read_to_string(log).unwrap_or_default();
+            panic!("{name} printed {line:?} at its start: {errors}")
+        });
+        Self { child, ready }
+    }
+
+    /// Sends a signal to the process.
+    ///
+    /// # Panics
+    /// If the process has ended.
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id())
+            .ok()
+            .and_then(Pid::from_raw)
+            .expect("a process id");
+        kill_process(pid, signal).expect("the process runs");
+    }
+
+    /// Waits until the process ends.
+    ///
+    /// # Panics
+    /// If it can't be waited for.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("a child")
+    }
+
+    /// Returns the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the path of a binary built beside this one.
+///
+/// # Panics
+/// If this program's own path is not known.
+#[must_use]
+pub fn program_path(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("a path");
+    let mut dir = own.parent().expect("a directory");
+    if dir.ends_with("deps") || dir.ends_with("examples") {
+        dir = dir.parent().expect("a directory");
+    }
+    dir.join(name)
+}
--- /dev/null
+++ b/crates/shallottide_e2e/src/records.rs
@@ -0,0 +1,98 @@
+//! The records of a process cluster.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use shallottide_types::record::{Document, KeyHash, Record};
+
+/// Bearer key of the cluster's team.
+pub const TEAM_KEY: &str = "depot-key";
+
+/// Returns the documents of all records, as TOML.
+pub(crate) fn records(
+    domains: &[String],
+    services: &[SocketAddr],
+    vms_per_group: usize,
+) -> Vec<String> {
+    let key_hash = KeyHash::of(TEAM_KEY);
+    let mut groups = String::new();
+    for domain in domains {
+        let _ = write!(groups, "{domain} = 64, ");
+    }
+    let groups = groups.trim_end_matches(", ");
+    let mut records = vec![
+        format!(
+            r#"
+            kind = "team"
+            schema = 1
+            id = "depot"
+            key_hashes = ["{key_hash}"]
+            rate = "100000/s"
+            max_in_flight = 100000
+            "#
+        ),
+        format!(
+            r#"
+            kind = "model"
+            schema = 2
+            id = "tide"
+            vms_per_group = {vms_per_group}
+            groups = {{ {groups} }}
+            cold_limit = 16
+            full_limit = 256
+            resumable = true
+            other_domains = true
+            "#
+        ),
+        r#"
+            kind = "service"
+            schema = 1
+            id = "bookings"
+            repeatable = [{ method = "GET", path_prefix = "/" }]
+            other_domains = true
+        "#
+        .into(),
+    ];
+    records.extend(domains.iter().map(|domain| domain_record(domain)));
+    let homes = domains.iter().cycle();
+    records.extend(
+        services
+            .iter()
+            .zip(homes)
+            .enumerate()
+            .map(|(number, (address, domain))| {
+                format!(
+                    r#"
+            kind = "upstream"
+            schema = 2
+            id = "bookings-{number}"
+            address = "{address}"
+            failure_domain = "{domain}"
+            service = "bookings"
+            cold_limit = 16
+            full_limit = 256
+            "#
+                )
+            }),
+    );
+    records
+}
+
+fn domain_record(domain: &str) -> String {
+    format!(
+        r#"
+        kind = "domain"
+        schema = 1
+        id = "{domain}"
+        region = "se-south"
+        "#
+    )
+}
+
+/// Returns a record's platform key and value.
+pub(crate) fn stored(toml: &str) -> (String, Vec<u8>) {
+    let mut document = Document::from_toml(toml).expect("a sample record is valid TOML");
+    document.set(Document::REVISION, 1);
+    let record = Record::from_document(&document).expect("a sample record is valid");
+    (record.store_key(), document.to_json())
+}
--- /dev/null
+++ b/crates/shallottided/tests/settings.rs
@@ -0,0 +1,78 @@
+//! The daemon's settings are checked before anything starts.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use shallottide_types::cases;
+
+const GOOD: &str = r#"
+node = "jkpg-1"
+failure_domain = "jkpg"
+region = "se-south"
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+platform = ["http://127.0.0.1:1"]
+peer_key = "0123456789abcdef"
+operator_tokens = ["e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"]
+"#;
+
+/// Writes settings to a file of this test's own and checks them.
+fn check_settings(name: &str, text: &str) -> (PathBuf, Output) {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = dir.join(format!("{name}.toml"));
+    std::fs::write(&path, text).expect("a writable directory");
+    let output = Command::new(env!("CARGO_BIN_EXE_shallottided"))
+        .arg("--check")
+        .arg("--config")
+        .arg(&path)
+        .output()
+        .expect("the daemon starts");
+    (path, output)
+}
+
+fn refused(name: &str, from: &str, to: &str, names: &[&str]) {
+    assert!(GOOD.contains(from), "{from:?} is not in the good settings");
+    let (path, output) = check_settings(name, &GOOD.replace(from, to));
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{message}");
+    assert!(
+        message.contains(&*path.to_string_lossy()),
+        "no file in {message}"
+    );
+    for part in names {
+        assert!(message.contains(part), "no {part:?} in {message}");
+    }
+}
+
+cases! {
+    refused;
+    no_platform: "no_platform", r#"["http://127.0.0.1:1"]"#, "[]", &["platform", "[]", "at least one"];
+    platform_without_scheme: "scheme", "http://", "", &["platform", "127.0.0.1:1", "begin with http://"];
+    short_peer_key: "short_key", "0123456789abcdef", "short", &["peer_key", "5 bytes", "16"];
+    no_operator_token: "no_token", r#"["e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"]"#, "[]", &["operator_tokens", "hash-key"];
+    malformed_token: "bad_token", "e3b0c442", "xyz", &["operator_tokens", "64 hex digits"];
+    unknown_key: "unknown_key", "region", "regoin", &["regoin", "OPERATING.md"];
+    malformed_id: "bad_id", "jkpg-1", "jkpg 1", &["node", "jkpg 1", "letters, digits"];
+    malformed_address: "bad_address", r#"callers = "127.0.0.1:0""#, r#"callers = "localhost""#, &["callers", "socket address"];
+    no_connections: "no_connections", "region", "limits.connections = 0\nregion", &["limits.connections", "0", "at least 1"];
+    small_header: "small_header", "region", "limits.header_size = \"1KiB\"\nregion", &["limits.header_size", "1KiB", "8KiB"];
+    size_without_unit: "no_unit", "region", "limits.body_size = \"5\"\nregion", &["limits.body_size", "KiB"];
+    duration_without_unit: "no_duration_unit", "region", "stop.deadline = \"5\"\nregion", &["stop.deadline", "ms, s, m or h"];
+}
+
+#[test]
+fn good_settings_pass() {
+    let (_, output) = check_settings("good", GOOD);
+    assert!(output.status.success());
+}
+
+#[test]
+fn missing_file_is_named() {
+    let output = Command::new(env!("CARGO_BIN_EXE_shallottided"))
+        .args(["--check", "--config", "no-such-file.toml"])
+        .output()
+        .expect("the daemon starts");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("no-such-file.toml"));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`http`]: where a stand-in listens.
 //! - [`platform`]: the key-value service and VM list, in process or over HTTP.
 //! - [`service`]: a server of a plain service.
+//! - [`wire`]: a stretch of network that can fail.
 
 mod planned;
 
@@ -13,3 +14,4 @@
 pub mod http;
 pub mod platform;
 pub mod service;
+pub mod wire;
--- a/crates/shallottide/tests/peers/wire.rs
+++ b/crates/standin/src/wire.rs
@@ -1,12 +1,12 @@
-//! A loopback connection between two nodes that a test can cut, freeze or close.
+//! A stretch of network between two processes that a test can cut, freeze or close.
 
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 
-/// Forwards bytes to a target.
-pub(crate) struct Wire {
+/// Forwards connections to a target.
+pub struct Wire {
     address: SocketAddr,
     state: Arc<Mutex<State>>,
     listener: JoinHandle<()>,
@@ -16,6 +16,7 @@
 struct State {
     target: Option<SocketAddr>,
     closed: bool,
+    severed: bool,
     open: Vec<Open>,
 }
 
@@ -28,9 +29,15 @@
 
 impl Wire {
     /// Opens a wire that leads nowhere yet.
-    pub(crate) fn open() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("bound");
+    ///
+    /// # Errors
+    /// Those of binding a free port.
+    ///
+    /// # Panics
+    /// Never: a thread of its own holds the lock for a moment only.
+    pub fn open() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let shared = state.clone();
         let listener = std::thread::spawn(move || {
@@ -39,7 +46,7 @@
                 if state.closed {
                     return;
                 }
-                let Some(target) = state.target else {
+                let Some(target) = state.target.filter(|_| !state.severed) else {
                     continue;
                 };
                 if let Ok(far) = TcpStream::connect(target) {
@@ -47,38 +54,70 @@
                 }
             }
         });
-        Self {
+        Ok(Self {
             address,
             state,
             listener,
-        }
+        })
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Returns where the wire begins.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    pub(crate) fn lead_to(&self, target: SocketAddr) {
+    /// Sets where new connections lead.
+    ///
+    /// # Panics
+    /// If a thread of the wire panicked.
+    pub fn lead_to(&self, target: SocketAddr) {
         self.state.lock().expect("wire lock").target = Some(target);
     }
 
     /// Lets open connections pass nothing more, without closing them; new ones work.
-    pub(crate) fn freeze_open_connections(&self) {
+    ///
+    /// # Panics
+    /// If a thread of the wire panicked.
+    pub fn freeze_open_connections(&self) {
         for open in &self.state.lock().expect("wire lock").open {
             *open.frozen.lock().expect("frozen lock") = true;
         }
     }
 
     /// Closes open connections; new ones work.
-    pub(crate) fn cut_open_connections(&self) {
+    ///
+    /// # Panics
+    /// If a thread of the wire panicked.
+    pub fn cut_open_connections(&self) {
         for open in self.state.lock().expect("wire lock").open.drain(..) {
             let _ = open.near.shutdown(Shutdown::Both);
             let _ = open.far.shutdown(Shutdown::Both);
         }
     }
 
-    /// Refuses new connections.
-    pub(crate) fn close(self) {
+    /// Closes open connections and refuses new ones until [`Wire::mend`].
+    ///
+    /// # Panics
+    /// If a thread of the wire panicked.
+    pub fn sever(&self) {
+        self.state.lock().expect("wire lock").severed = true;
+        self.cut_open_connections();
+    }
+
+    /// Lets connections through again.
+    ///
+    /// # Panics
+    /// If a thread of the wire panicked.
+    pub fn mend(&self) {
+        self.state.lock().expect("wire lock").severed = false;
+    }
+
+    /// Stops listening.
+    ///
+    /// # Panics
+    /// If a thread of the wire panicked.
+    pub fn close(self) {
         self.state.lock().expect("wire lock").closed = true;
         // Wakes the listener so that it ends.
         let _ = TcpStream::connect(self.address);
