--- /dev/null
+++ b/crates/shallottide/tests/front/front_node.rs
@@ -0,0 +1,125 @@
+//! A node with only the border towards callers.
+
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use shallottide::connection_gate::ConnectionGate;
+use shallottide::front::{FrontBorder, FrontOptions};
+use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
+use shallottide::message::{CallArrived, Message, Reply, ReplyTo};
+use shallottide::settings::Limits;
+use shallottide_types::call::ReplyEvent;
+use shallottide_types::clock::SystemClock;
+use shallottide_types::id::Incarnation;
+use shallottide_types::peer::NodeInfo;
+
+/// Longest wait for the node to see a connection.
+const WAIT: Duration = Duration::from_mins(1);
+
+/// A running border whose calls and gone callers are recorded.
+pub(crate) struct FrontNode {
+    pub(crate) calls: Receiver<CallArrived>,
+    pub(crate) gone: Receiver<ReplyTo>,
+    address: SocketAddr,
+    border: FrontBorder,
+    gate: ConnectionGate,
+}
+
+struct CallRecorder(Sender<CallArrived>);
+
+impl Service for CallRecorder {
+    fn name(&self) -> Name {
+        names::AUTH
+    }
+
+    fn handle(&mut self, message: Message, _: &Context, _: &mut Outbox) {
+        if let Message::CallPresented(presented) = message {
+            let _ = self.0.send(presented.call);
+        }
+    }
+}
+
+struct GoneRecorder(Sender<ReplyTo>);
+
+impl Service for GoneRecorder {
+    fn name(&self) -> Name {
+        names::CALLS
+    }
+
+    fn handle(&mut self, message: Message, _: &Context, _: &mut Outbox) {
+        if let Message::CallGone(reply_to) = message {
+            let _ = self.0.send(reply_to);
+        }
+    }
+}
+
+impl FrontNode {
+    pub(crate) fn start(limits: Limits) -> Self {
+        let (calls_tx, calls) = channel();
+        let (gone_tx, gone) = channel();
+        let (started_tx, started) = channel();
+        let gate = ConnectionGate::new(limits.connections);
+        let nodes_gate = gate.clone();
+        std::thread::spawn(move || {
+            let mut kernel = Kernel::new(Context::new(Arc::new(SystemClock), node_info()));
+            kernel.add_service(Box::new(CallRecorder(calls_tx)));
+            kernel.add_service(Box::new(GoneRecorder(gone_tx)));
+            let options = FrontOptions {
+                node: node_info().node,
+                incarnation: Incarnation(1),
+                limits,
+            };
+            let ready = Arc::new(AtomicBool::new(true));
+            let border = FrontBorder::new(options, kernel.handle(), ready, nodes_gate);
+            let any = "127.0.0.1:0".parse().expect("valid");
+            let listener = FrontBorder::bind(any).expect("a free port");
+            let address = listener.local_addr().expect("bound");
+            let runtime = tokio::runtime::Builder::new_multi_thread()
+                .worker_threads(1)
+                .enable_all()
+                .build()
+                .expect("a runtime");
+            runtime.spawn(border.clone().serve(listener));
+            let _ = started_tx.send((address, border));
+            kernel.run(|_| false);
+        });
+        let (address, border) = started.recv().expect("the node starts");
+        Self {
+            calls,
+            gone,
+            address,
+            border,
+            gate,
+        }
+    }
+
+    pub(crate) fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address).expect("the node listens")
+    }
+
+    pub(crate) fn reply(&self, reply_to: ReplyTo, event: ReplyEvent) {
+        self.border.send(Reply { reply_to, event }.into());
+    }
+
+    /// Waits until the node has that many open connections.
+    pub(crate) fn wait_open(&self, open: usize) {
+        let deadline = Instant::now() + WAIT;
+        while self.gate.open() != open {
+            assert!(Instant::now() < deadline, "{} are open", self.gate.open());
+            std::thread::yield_now();
+        }
+    }
+}
+
+fn node_info() -> NodeInfo {
+    NodeInfo {
+        node: "node-1".parse().expect("valid"),
+        incarnation: Incarnation(1),
+        domain: "jkpg".parse().expect("valid"),
+        address: "127.0.0.1:1".parse().expect("valid"),
+        stopping: false,
+    }
+}
