Serve every connection of the stand-ins that come at once

Cause: tiny_http counts a thread of its pool as idle until it has woken. Two connections that come together can both be queued for one idle thread, and the second is not served while the first stays open.

Ruled out: opening idle connections first so that no thread is idle, since threads are idle again when connections end. The gate now greets each connection and waits for the answer before it makes the next; this costs one more round trip for a connection and none for a call.

--- a/crates/standin/src/http/connection_gate.rs
+++ b/crates/standin/src/http/connection_gate.rs
@@ -1,15 +1,19 @@
 //! Accepts connections and relays them to a server behind it.
 
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use super::connection::Connection;
 use super::listen_options::ListenOptions;
 
+/// Longest wait for the answer to a greeting.
+const GREETING_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Open connections by the address under which the server behind the gate knows them.
 type Connections = BTreeMap<SocketAddr, Arc<Connection>>;
 
@@ -105,6 +109,7 @@
         let server = TcpStream::connect(self.server)?;
         caller.set_nodelay(true)?;
         server.set_nodelay(true)?;
+        greet(&server)?;
         let known_as = server.local_addr()?;
         let connection = Arc::new(Connection::new(caller, server));
         self.open().insert(known_as, connection.clone());
@@ -118,3 +123,20 @@
         Ok(())
     }
 }
+
+/// Waits until the server's thread for this connection answers.
+///
+/// `tiny_http` hands connections to idle threads and counts a thread as idle until it has woken.
+/// Two connections at once can so be meant for one thread, and the second gets none while the
+/// first stays open. Greeting each connection before the next is made rules that out.
+fn greet(mut server: &TcpStream) -> io::Result<()> {
+    server.set_read_timeout(Some(GREETING_TIMEOUT))?;
+    server.write_all(b"GET / HTTP/1.1\r\nHost: gate\r\n\r\n")?;
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        server.read_exact(&mut byte)?;
+        answer.extend(byte);
+    }
+    server.set_read_timeout(None)
+}
--- a/crates/standin/src/http/http_server.rs
+++ b/crates/standin/src/http/http_server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::thread;
 
-use tiny_http::{Request, Server};
+use tiny_http::{Request, Response, Server};
 
 use super::connection_gate::ConnectionGate;
 use super::exchange::Exchange;
@@ -13,6 +13,9 @@
 use super::reply::Reply;
 use super::start_error::StartError;
 
+/// HTTP status of an answer without a body.
+const NO_CONTENT: u16 = 204;
+
 /// `PUT` here makes all open connections but the caller's go silent.
 const MUTE_PATH: &str = "/control/mute";
 
@@ -98,8 +101,9 @@
     let Some(known_as) = request.remote_addr().copied() else {
         return;
     };
-    // A connection that the gate has already closed needs no answer.
     let Some(connection) = gate.connection(&known_as) else {
+        // The gate greets a connection before it lists it.
+        let _ = request.respond(Response::empty(NO_CONTENT));
         return;
     };
     let Some(exchange) = Exchange::read(request, connection) else {
--- a/crates/standin/tests/platform_server.rs
+++ b/crates/standin/tests/platform_server.rs
@@ -2,7 +2,7 @@
 
 mod client;
 
-use std::sync::Arc;
+use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::Duration;
 
@@ -14,6 +14,8 @@
 use standin::http::ListenOptions;
 use standin::platform::{CallKind, MemoryPlatform, PlatformOptions, PlatformServer};
 
+const CALLERS: usize = 64;
+
 fn server() -> (ManualClock, PlatformServer) {
     let clock = ManualClock::default();
     let platform = MemoryPlatform::new(Arc::new(clock.clone()), PlatformOptions::default());
@@ -139,3 +141,23 @@
     assert!(!matches!(closed, ureq::Error::Timeout(_)), "{closed}");
     assert!(get(address, "/v1/kv/a").is_err());
 }
+
+#[test]
+fn connections_made_at_once_are_all_served() {
+    let (_, server) = server();
+    let address = server.address();
+    let start = Arc::new(Barrier::new(CALLERS));
+    let call = move |start: Arc<Barrier>| {
+        let agent = client::agent();
+        start.wait();
+        let answer = agent.get(format!("http://{address}/v1/kv/a")).call();
+        // The agent comes back too, so that its connection stays open.
+        (agent, answer)
+    };
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| start.clone())
+        .map(|start| thread::spawn(move || call(start)))
+        .collect();
+    let answers: Vec<_> = callers.into_iter().map(|c| c.join().unwrap()).collect();
+    assert!(answers.iter().all(|(_, answer)| answer.is_ok()));
+}
