Describe operators' changes; point out a change of generation

A schema-2 file without generation moves a schema-1 upstream from the old system to the new one, and its traffic with it. That is what the file says, so it is not refused; apply now warns. Schema 1 has no generation and keeps the stored one: with that check removed, move_to_the_new_system_is_pointed_out failed.

One apply of one record makes four reads and one write at the stand-in.

--- a/crates/shallottide/src/operate.rs
+++ b/crates/shallottide/src/operate.rs
@@ -23,4 +23,4 @@
 pub use pause::{Pause, SystemPause};
 pub use rollout::{DomainRollout, Rollout, RolloutState};
 pub use stored_record::{StoredRecord, records_in_force, stored_records};
-pub use warning::{Warning, review};
+pub use warning::{Warning, review, review_change};
--- a/crates/shallottide/src/operate/warning.rs
+++ b/crates/shallottide/src/operate/warning.rs
@@ -1,9 +1,9 @@
 //! Likely mistakes in records that are valid by themselves.
 
-use shallottide_types::id::{DomainId, ServiceId, TeamId};
+use shallottide_types::id::{DomainId, ServiceId, TeamId, UpstreamId};
 use shallottide_types::record::{
-    Document, DomainRecord, DomainState, ModelRecord, Record, RecordKind, TeamRecord, TrafficSplit,
-    UpstreamRecord,
+    Document, DomainRecord, DomainState, Generation, ModelRecord, Record, RecordKind, TeamRecord,
+    TrafficSplit, UpstreamRecord,
 };
 
 use crate::view::ConfigView;
@@ -39,6 +39,18 @@
         /// The other team.
         other: TeamId,
     },
+    /// An upstream moves between the old system and the new one.
+    #[error(
+        "upstream {upstream} moves from the {from} system to the {to} one, and its share of the traffic with it: set generation if that is not wanted"
+    )]
+    OtherGeneration {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The generation stored.
+        from: Generation,
+        /// The generation written.
+        to: Generation,
+    },
     /// Every failure domain is out.
     #[error("no failure domain takes new work after this: restore one first")]
     NoDomainLeft,
@@ -63,6 +75,23 @@
     warnings
 }
 
+/// Finds likely mistakes in a change, given the records before it.
+#[must_use]
+pub fn review_change(document: &Document, record: &Record, before: &ConfigView) -> Option<Warning> {
+    let Record::Upstream(upstream) = record else {
+        return None;
+    };
+    let stored = before.upstreams.get(&upstream.id)?;
+    // Schema 1 has no generation, so writing it keeps the stored one.
+    let is_written = document.schema().is_ok_and(|schema| schema > 1);
+    let is_other = stored.generation != upstream.generation;
+    (is_written && is_other).then(|| Warning::OtherGeneration {
+        upstream: upstream.id.clone(),
+        from: stored.generation,
+        to: upstream.generation,
+    })
+}
+
 fn review_model(model: &ModelRecord, records: &ConfigView) -> Vec<Warning> {
     let domains = model.groups.keys();
     let mut warnings: Vec<_> = domains
--- a/crates/shallottide_cli/src/commands/apply.rs
+++ b/crates/shallottide_cli/src/commands/apply.rs
@@ -1,7 +1,6 @@
 //! `apply`: writes records and waits until they are in force.
 
-use shallottide::operate::{Change, review};
-use shallottide::view::ConfigView;
+use shallottide::operate::{Change, review, review_change};
 
 use super::record_file::RecordFile;
 use super::write_report::{Attempt, Written, report};
@@ -20,11 +19,17 @@
     let session = Session::open(args)?;
     let change = session.change(command.change.as_ref())?;
     let change = change.if_revision(command.if_revision);
-    let mut records = session.records().map_err(Failure::NotWritten)?;
+    let before = session.records().map_err(Failure::NotWritten)?;
+    let mut records = before.clone();
     for file in &files {
         records.insert(file.record.clone());
     }
-    let written = write_all(&session, &files, &change, &records);
+    let warnings = |file: &RecordFile| {
+        let mut warnings = review(&file.document, &file.record, &records);
+        warnings.extend(review_change(&file.document, &file.record, &before));
+        warnings.iter().map(ToString::to_string).collect()
+    };
+    let written = write_all(&session, &files, &change, warnings);
     Ok(report(&session, &change, &written, command.wait))
 }
 
@@ -33,11 +38,10 @@
     session: &Session,
     files: &[RecordFile],
     change: &Change,
-    records: &ConfigView,
+    warnings: impl Fn(&RecordFile) -> Vec<String>,
 ) -> Vec<Written> {
     let mut written: Vec<Written> = Vec::new();
     for file in files {
-        let warnings = review(&file.document, &file.record, records);
         let attempt = if written.iter().all(Written::is_stored) {
             match session.write(|writer| writer.apply(&file.document, change)) {
                 Ok(outcome) => Attempt::Ended(outcome),
@@ -48,7 +52,7 @@
         };
         written.push(Written {
             key: file.record.store_key(),
-            warnings: warnings.iter().map(ToString::to_string).collect(),
+            warnings: warnings(file),
             attempt,
         });
     }
--- a/crates/shallottide_cli/tests/commands/main.rs
+++ b/crates/shallottide_cli/tests/commands/main.rs
@@ -217,6 +217,29 @@
     );
 }
 
+#[test]
+fn move_to_the_new_system_is_pointed_out() {
+    let bench = bench();
+    check_on(&bench, "apply upstream.toml", 0, &[]);
+    let newer = UPSTREAM.replace("schema = 1", "schema = 2\ncold_limit = 1");
+    let newer = newer
+        .replace("zone", "failure_domain")
+        .replace("\nlimit", "\nfull_limit");
+    bench.file("newer.toml", &newer);
+    check_on(
+        &bench,
+        "apply newer.toml",
+        0,
+        &["t moves from the old system to the new one"],
+    );
+    let ran = bench.run("apply upstream.toml");
+    assert!(
+        !ran.text.contains("moves"),
+        "schema 1 keeps the generation: {}",
+        ran.text
+    );
+}
+
 #[test]
 fn got_record_can_be_applied_again() {
     let bench = bench();
@@ -252,8 +275,9 @@
     assert_eq!((ran.code, &json["change"]), (0, &"c-1".into()));
     assert_eq!(json["records"][0]["outcome"], "applied");
     assert_eq!(json["rollout"]["domains"]["jkpg"]["state"], "in_force");
-    let entry = bench.platform.get("records/domain/jkpg").expect("read");
-    assert_eq!(json["rollout"]["index"], entry.expect("stored").index.0);
+    let counts = bench.platform.counts();
+    assert_eq!((counts.writes(), counts.reads()), (1, 4));
+    assert_eq!(json["rollout"]["index"], 1);
 }
 
 #[test]
--- a/crates/shallottide_types/src/record/upstream_record.rs
+++ b/crates/shallottide_types/src/record/upstream_record.rs
@@ -1,5 +1,6 @@
 //! One server of a plain service, in two schema versions.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,15 @@
     }
 }
 
+impl fmt::Display for Generation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Old => "old",
+            Self::New => "new",
+        })
+    }
+}
+
 /// Schema 1: one limit for all states, the failure domain called `zone`, a switch for leaving.
 #[derive(Debug, Serialize, Deserialize)]
 struct UpstreamV1 {
