--- a/crates/shallottide/tests/platform_client/main.rs
+++ b/crates/shallottide/tests/platform_client/main.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use scripted_server::{ClosedPort, ScriptedServer, Step};
+use scripted_server::{ClosedPort, FullPort, ScriptedServer, Step};
 use shallottide::platform_client::{ConsulPlatform, PlatformOptions};
 use shallottide_types::cases;
 use shallottide_types::id::StoreIndex;
@@ -148,6 +148,16 @@
     );
 }
 
+#[test]
+fn connection_that_never_opens_is_unreachable() {
+    let full = FullPort::new();
+    let platform = client([full.address.clone()]);
+    assert_eq!(
+        kind(&platform.swap(KEY, b"", Expect::Absent)),
+        "unreachable"
+    );
+}
+
 #[test]
 fn write_moves_on_when_nothing_was_sent() {
     let server = ScriptedServer::start(&[Step::Answer(200, None, "true")]);
--- a/crates/shallottide/tests/platform_client/scripted_server.rs
+++ b/crates/shallottide/tests/platform_client/scripted_server.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead as _, BufReader, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use socket2::{Domain, Socket, Type};
 
@@ -69,7 +70,7 @@
 /// An address that refuses connections, kept from others while this exists.
 pub(crate) struct ClosedPort {
     pub(crate) address: String,
-    _socket: Socket,
+    socket: Socket,
 }
 
 impl ClosedPort {
@@ -80,7 +81,31 @@
         let address = socket.local_addr().expect("address").as_socket();
         Self {
             address: format!("http://{}", address.expect("IP address")),
-            _socket: socket,
+            socket,
+        }
+    }
+}
+
+/// An address whose connections never open, as behind a partition.
+pub(crate) struct FullPort {
+    pub(crate) address: String,
+    _socket: Socket,
+    _waiting: Vec<TcpStream>,
+}
+
+impl FullPort {
+    pub(crate) fn new() -> Self {
+        const TRY: Duration = Duration::from_millis(50);
+        let closed = ClosedPort::new();
+        closed.socket.listen(0).expect("listening");
+        let address = closed.socket.local_addr().expect("address").as_socket();
+        let address = address.expect("IP address");
+        // Fills the queue of connections that nobody accepts.
+        let waiting = std::iter::from_fn(|| TcpStream::connect_timeout(&address, TRY).ok());
+        Self {
+            _waiting: waiting.collect(),
+            address: closed.address,
+            _socket: closed.socket,
         }
     }
 }
