Tell nodes that can't use an accepted record; race and kill apply

A node of an older program takes in a record of a newer schema, raises its index and keeps the last good form. By the index alone the change counted as in force there. The node's status lists such records; the failure domain is now "refused", with the node's reason. Counts that a node doesn't tell are shown as "-", not as 0.

As processes: six operators race for a new record, and one wins while each other names it; an apply killed after its write is finished by its id.

--- a/crates/shallottide/src/operate/domain_summary.rs
+++ b/crates/shallottide/src/operate/domain_summary.rs
@@ -18,14 +18,14 @@
         pub silent_nodes: u64,
         /// Entry nodes that answered; the counts below are theirs.
         pub answered_nodes: u64,
-        /// Upstreams, as known to the node that knows most.
-        pub upstreams: u64,
-        /// Groups, as known to the node that knows most.
-        pub groups: u64,
+        /// Upstreams, as known to the node that knows most; absent when no node tells.
+        pub upstreams: Option<u64>,
+        /// Groups, as known to the node that knows most; absent when no node tells.
+        pub groups: Option<u64>,
         /// Requests in flight on all nodes that answered.
         pub in_flight: u64,
-        /// Calls answered by all nodes that answered.
-        pub calls: u64,
+        /// Calls answered by the nodes that tell; absent when none does.
+        pub calls: Option<u64>,
         /// Lowest store index in force on a node that answered.
         pub lowest_config: Option<StoreIndex>,
         /// Highest store index in force on a node that answered.
@@ -40,7 +40,9 @@
         self.upstreams = self.upstreams.max(count(&status.upstreams));
         self.groups = self.groups.max(count(&status.groups));
         self.in_flight += status.in_flight;
-        self.calls += sum(&status.calls);
+        if let Some(calls) = sum(&status.calls) {
+            self.calls = Some(self.calls.unwrap_or(0) + calls);
+        }
         self.lowest_config = Some(self.lowest_config.map_or(index, |low| low.min(index)));
         self.highest_config = self.highest_config.max(Some(index));
     }
@@ -52,7 +54,7 @@
     domains: impl IntoIterator<Item = DomainId>,
     statuses: &[NodeStatus],
 ) -> BTreeMap<DomainId, DomainSummary> {
-    let rollout = Rollout::of(StoreIndex(0), domains, statuses);
+    let rollout = Rollout::of(StoreIndex(0), &[], domains, statuses);
     let mut summaries: BTreeMap<_, DomainSummary> = BTreeMap::new();
     for (domain, nodes) in rollout.domains {
         let summary = summaries.entry(domain).or_default();
--- a/crates/shallottide/src/operate/node_status.rs
+++ b/crates/shallottide/src/operate/node_status.rs
@@ -31,6 +31,17 @@
         /// Calls that it has answered: a table of counts by kind or one count.
         #[serde(default)]
         pub calls: Value,
+        /// Stored records that it can't use; their last good form stays in force on it.
+        #[serde(default)]
+        pub invalid: Vec<InvalidRecord>,
+    }
+
+    /// A stored record that a node can't use.
+    pub struct InvalidRecord {
+        /// Its platform key.
+        pub key: String,
+        /// What is wrong, with the remedy.
+        pub reason: String,
     }
 
     /// Another entry node as heard by the node.
@@ -47,18 +58,18 @@
 }
 
 /// Counts the entries of a list or table; a number counts for itself.
-pub(super) fn count(value: &Value) -> u64 {
+pub(super) fn count(value: &Value) -> Option<u64> {
     match value {
-        Value::Array(values) => values.len() as u64,
-        Value::Object(values) => values.len() as u64,
-        value => value.as_u64().unwrap_or(0),
+        Value::Array(values) => Some(values.len() as u64),
+        Value::Object(values) => Some(values.len() as u64),
+        value => value.as_u64(),
     }
 }
 
 /// Sums the counts of a table; a number counts for itself.
-pub(super) fn sum(value: &Value) -> u64 {
+pub(super) fn sum(value: &Value) -> Option<u64> {
     match value {
-        Value::Object(values) => values.values().map(sum).sum(),
-        value => value.as_u64().unwrap_or(0),
+        Value::Object(values) => Some(values.values().filter_map(sum).sum()),
+        value => value.as_u64(),
     }
 }
--- a/crates/shallottide/src/operate/rollout.rs
+++ b/crates/shallottide/src/operate/rollout.rs
@@ -24,6 +24,8 @@
         pub in_force: BTreeSet<NodeId>,
         /// Live nodes that don't have it yet.
         pub behind: BTreeSet<NodeId>,
+        /// Live nodes that have the change and can't use the record.
+        pub refusing: BTreeSet<NodeId>,
         /// Nodes that nobody has heard lately.
         pub silent: BTreeSet<NodeId>,
     }
@@ -37,6 +39,8 @@
     InForce,
     /// A live node doesn't have it.
     NotYet,
+    /// A live node can't use the record.
+    Refused,
     /// No live node is known.
     Unreachable,
 }
@@ -48,15 +52,18 @@
     alive: bool,
     /// Whether the node itself answered.
     direct: bool,
+    /// Whether the node says that it can't use the record.
+    refuses: bool,
 }
 
 impl Rollout {
-    /// Judges a change by what the nodes say.
+    /// Judges a change of the records under `keys` by what the nodes say.
     ///
     /// A node's own answer goes before what others heard from it.
     #[must_use]
     pub fn of(
         index: StoreIndex,
+        keys: &[String],
         domains: impl IntoIterator<Item = DomainId>,
         statuses: &[NodeStatus],
     ) -> Self {
@@ -67,16 +74,9 @@
                 .map(|id| (id, DomainRollout::default()))
                 .collect(),
         };
-        for ((domain, node), seen) in seen_nodes(statuses) {
+        for ((domain, node), seen) in seen_nodes(keys, statuses) {
             let domain = rollout.domains.entry(domain).or_default();
-            let nodes = if !seen.alive {
-                &mut domain.silent
-            } else if seen.index >= index {
-                &mut domain.in_force
-            } else {
-                &mut domain.behind
-            };
-            nodes.insert(node);
+            domain.nodes_like(seen, index).insert(node);
         }
         rollout
     }
@@ -90,11 +90,26 @@
 }
 
 impl DomainRollout {
+    /// Returns the nodes that a node with this state belongs to.
+    fn nodes_like(&mut self, seen: Seen, index: StoreIndex) -> &mut BTreeSet<NodeId> {
+        if !seen.alive {
+            &mut self.silent
+        } else if seen.index < index {
+            &mut self.behind
+        } else if seen.refuses {
+            &mut self.refusing
+        } else {
+            &mut self.in_force
+        }
+    }
+
     /// Returns how far the change is.
     #[must_use]
     pub fn state(&self) -> RolloutState {
         if !self.behind.is_empty() {
             RolloutState::NotYet
+        } else if !self.refusing.is_empty() {
+            RolloutState::Refused
         } else if self.in_force.is_empty() {
             RolloutState::Unreachable
         } else {
@@ -103,7 +118,7 @@
     }
 }
 
-fn seen_nodes(statuses: &[NodeStatus]) -> BTreeMap<(DomainId, NodeId), Seen> {
+fn seen_nodes(keys: &[String], statuses: &[NodeStatus]) -> BTreeMap<(DomainId, NodeId), Seen> {
     let mut nodes: BTreeMap<_, Seen> = BTreeMap::new();
     for status in statuses {
         let key = (status.failure_domain.clone(), status.node.clone());
@@ -111,6 +126,10 @@
             index: status.config_index,
             alive: true,
             direct: true,
+            refuses: status
+                .invalid
+                .iter()
+                .any(|record| keys.contains(&record.key)),
         };
         nodes.insert(key, seen);
     }
@@ -119,6 +138,7 @@
             index: peer.config_index,
             alive: peer.alive,
             direct: false,
+            refuses: false,
         };
         let key = (peer.failure_domain.clone(), peer.node.clone());
         let seen = nodes.entry(key).or_insert(heard);
--- a/crates/shallottide/tests/operate_rollout.rs
+++ b/crates/shallottide/tests/operate_rollout.rs
@@ -10,14 +10,16 @@
     ["a", "b"].map(|id| id.parse().expect("id")).to_vec()
 }
 
-/// Reads statuses written as `NODE@DOMAIN:INDEX[ PEER@DOMAIN:INDEX[!]]...`; `!` is a silent peer.
+/// Reads a status written as `NODE@DOMAIN:INDEX[?KEY][ PEER@DOMAIN:INDEX[!]]...`; `?` names a key
+/// that the node can't use, `!` is a silent peer.
 fn status(text: &str) -> NodeStatus {
     let parts = |word: &str| {
         let (node, rest) = word.split_once('@').expect("@");
+        let (rest, invalid) = rest.split_once('?').unwrap_or((rest, "other"));
         let (domain, index) = rest.trim_end_matches('!').split_once(':').expect(":");
         let index: u64 = index.parse().expect("index");
         serde_json::json!({"node": node, "failure_domain": domain, "config_index": index,
-            "alive": !rest.ends_with('!')})
+            "alive": !rest.ends_with('!'), "invalid": [{"key": invalid, "reason": "r"}]})
     };
     let mut words = text.split(' ');
     let mut json = parts(words.next().expect("node"));
@@ -32,14 +34,14 @@
 /// Judges a change at index 7 and compares the states of domains `a` and `b`.
 fn check(statuses: &[&str], a: RolloutState, b: RolloutState) {
     let statuses: Vec<_> = statuses.iter().map(|text| status(text)).collect();
-    let rollout = Rollout::of(StoreIndex(7), domains(), &statuses);
+    let rollout = Rollout::of(StoreIndex(7), &["k".into()], domains(), &statuses);
     let states: Vec<_> = rollout.domains.values().map(DomainRollout::state).collect();
     assert_eq!(states, [a, b]);
     let complete = [a, b] == [RolloutState::InForce; 2];
     assert_eq!(rollout.is_complete(), complete);
 }
 
-use RolloutState::{InForce, NotYet, Unreachable};
+use RolloutState::{InForce, NotYet, Refused, Unreachable};
 
 cases! { check;
     nobody_answers: &[], Unreachable, Unreachable;
@@ -50,6 +52,8 @@
     a_silent_node_is_no_proof: &["n1@a:7 n2@b:7!"], InForce, Unreachable;
     a_silent_node_beside_a_live_one: &["n1@a:7 n2@a:6! n3@b:9"], InForce, InForce;
     latest_word_of_two_peers: &["n1@a:7 n3@b:6", "n2@a:7 n3@b:7"], InForce, InForce;
+    record_can_not_be_used: &["n1@a:7?k", "n2@b:7"], Refused, InForce;
+    refusing_node_is_behind: &["n1@a:6?k", "n2@b:7"], NotYet, InForce;
     own_answer_goes_before_hearsay: &["n1@a:7 n2@b:7", "n2@b:3"], InForce, NotYet;
 }
 
@@ -65,8 +69,8 @@
         ),
         (2, 1, 2)
     );
-    assert_eq!((summary.upstreams, summary.groups), (2, 1));
-    assert_eq!((summary.in_flight, summary.calls), (4, 8));
+    assert_eq!((summary.upstreams, summary.groups), (Some(2), Some(1)));
+    assert_eq!((summary.in_flight, summary.calls), (4, Some(8)));
     let config = (summary.lowest_config, summary.highest_config);
     assert_eq!(config, (Some(StoreIndex(5)), Some(StoreIndex(7))));
 }
--- a/crates/shallottide_cli/src/commands/status.rs
+++ b/crates/shallottide_cli/src/commands/status.rs
@@ -64,16 +64,20 @@
             domain.live_nodes.to_string(),
             domain.silent_nodes.to_string(),
             domain.answered_nodes.to_string(),
-            domain.upstreams.to_string(),
-            domain.groups.to_string(),
+            or_dash(domain.upstreams),
+            or_dash(domain.groups),
             domain.in_flight.to_string(),
-            domain.calls.to_string(),
+            or_dash(domain.calls),
             config(domain),
         ]);
     }
     table
 }
 
+fn or_dash(count: Option<u64>) -> String {
+    count.map_or("-".into(), |count| count.to_string())
+}
+
 fn state(id: &DomainId, records: &ConfigView) -> &'static str {
     match records.domains.get(id) {
         None => "no record",
--- a/crates/shallottide_cli/src/commands/write_report.rs
+++ b/crates/shallottide_cli/src/commands/write_report.rs
@@ -132,7 +132,9 @@
     let mut rollout = Value::Null;
     let is_any_stored = records.iter().any(Written::is_stored);
     if is_any_stored && !wait.is_zero() {
-        let report = index_of(records).map(|index| RolloutReport::wait(session, index, wait));
+        let keys: Vec<_> = records.iter().map(|record| record.key.clone()).collect();
+        let report =
+            index_of(records).map(|index| RolloutReport::wait(session, index, &keys, wait));
         let text = report
             .as_ref()
             .map_or_else(unseen_text, RolloutReport::text);
--- a/crates/shallottide_cli/src/rollout_wait.rs
+++ b/crates/shallottide_cli/src/rollout_wait.rs
@@ -1,10 +1,10 @@
 //! Waits until a change is in force.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use shallottide::operate::{DomainRollout, Pause, Rollout, RolloutState, SystemPause};
+use shallottide::operate::{DomainRollout, NodeStatus, Pause, Rollout, RolloutState, SystemPause};
 use shallottide_types::clock::{Clock, SystemClock};
 use shallottide_types::id::{DomainId, NodeId, StoreIndex};
 
@@ -20,16 +20,23 @@
 #[derive(Debug)]
 pub(crate) struct RolloutReport {
     rollout: Rollout,
+    /// What nodes say of records that they can't use, by node.
+    refusals: BTreeMap<NodeId, String>,
     unanswered: Vec<Unanswered>,
 }
 
 impl RolloutReport {
     /// Asks the nodes until the change is in force in every failure domain or the time is over.
-    pub(crate) fn wait(session: &Session, index: StoreIndex, wait: Duration) -> Self {
+    pub(crate) fn wait(
+        session: &Session,
+        index: StoreIndex,
+        keys: &[String],
+        wait: Duration,
+    ) -> Self {
         let domains = session.domains();
         let deadline = SystemClock.now() + wait;
         loop {
-            let report = Self::ask(session, index, &domains);
+            let report = Self::ask(session, index, keys, &domains);
             let is_over = SystemClock.now() + ROUND_PAUSE > deadline;
             if report.rollout.is_complete() || is_over {
                 return report;
@@ -38,10 +45,11 @@
         }
     }
 
-    fn ask(session: &Session, index: StoreIndex, domains: &[DomainId]) -> Self {
+    fn ask(session: &Session, index: StoreIndex, keys: &[String], domains: &[DomainId]) -> Self {
         let answers = NodeAnswers::ask(&session.settings.nodes, &session.settings.token);
         Self {
-            rollout: Rollout::of(index, domains.iter().cloned(), &answers.statuses),
+            rollout: Rollout::of(index, keys, domains.iter().cloned(), &answers.statuses),
+            refusals: refusals(keys, &answers.statuses),
             unanswered: answers.unanswered,
         }
     }
@@ -61,12 +69,18 @@
                 "state": domain.state(),
                 "in_force": domain.in_force,
                 "behind": domain.behind,
+                "refusing": domain.refusing,
                 "silent": domain.silent,
             });
             (id.to_string(), json)
         });
         let domains: Value = domains.collect::<serde_json::Map<_, _>>().into();
-        json!({"index": self.rollout.index, "domains": domains, "unanswered": self.unanswered})
+        json!({
+            "index": self.rollout.index,
+            "domains": domains,
+            "refusals": self.refusals,
+            "unanswered": self.unanswered,
+        })
     }
 
     pub(crate) fn text(&self) -> String {
@@ -74,20 +88,37 @@
             return "no failure domain is known: add nodes to the settings, or pass --wait 0s"
                 .into();
         }
-        let mut table = Table::new(["DOMAIN", "CHANGE", "IN FORCE", "BEHIND", "SILENT"]);
+        let mut table = Table::new([
+            "DOMAIN", "CHANGE", "IN FORCE", "BEHIND", "REFUSING", "SILENT",
+        ]);
         for (id, domain) in &self.rollout.domains {
             table.row(&[
                 id.to_string(),
                 state_text(domain).into(),
                 names(&domain.in_force),
                 names(&domain.behind),
+                names(&domain.refusing),
                 names(&domain.silent),
             ]);
         }
-        format!("{table}{}", unanswered_text(&self.unanswered))
+        let refusals = self.refusals.iter();
+        let refusals: Vec<_> = refusals
+            .map(|(node, reason)| format!("\nnode {node} can't use the record: {reason}"))
+            .collect();
+        let unanswered = unanswered_text(&self.unanswered);
+        format!("{table}{}{unanswered}", refusals.concat())
     }
 }
 
+fn refusals(keys: &[String], statuses: &[NodeStatus]) -> BTreeMap<NodeId, String> {
+    let refusal = |status: &NodeStatus| {
+        let mut invalid = status.invalid.iter();
+        let record = invalid.find(|record| keys.contains(&record.key))?;
+        Some((status.node.clone(), record.reason.clone()))
+    };
+    statuses.iter().filter_map(refusal).collect()
+}
+
 /// Lists the nodes that gave no status, each on a line of its own.
 pub(crate) fn unanswered_text(unanswered: &[Unanswered]) -> String {
     let line =
@@ -99,6 +130,7 @@
     match domain.state() {
         RolloutState::InForce => "in force",
         RolloutState::NotYet => "not yet",
+        RolloutState::Refused => "refused",
         RolloutState::Unreachable => "can't be reached",
     }
 }
--- a/crates/shallottide_cli/tests/commands/bench.rs
+++ b/crates/shallottide_cli/tests/commands/bench.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use serde_json::{Value, json};
@@ -20,6 +20,16 @@
 }
 
 impl Ran {
+    /// Waits for the end of a process.
+    pub(crate) fn of(process: Child) -> Self {
+        let output = process.wait_with_output().expect("output");
+        let text = [output.stdout, output.stderr].concat();
+        Self {
+            code: output.status.code().unwrap_or(-1),
+            text: String::from_utf8(text).expect("text"),
+        }
+    }
+
     pub(crate) fn json(&self) -> Value {
         serde_json::from_str(&self.text).expect("JSON output")
     }
@@ -94,24 +104,24 @@
     }
 
     pub(crate) fn run_with_input(&self, words: &str, input: &str) -> Ran {
-        let mut process = Command::new(env!("CARGO_BIN_EXE_shallottide"))
+        let mut process = self.start(words);
+        let mut stdin = process.stdin.take().expect("stdin");
+        // A command that reads no input may have ended already.
+        let _ = stdin.write_all(input.as_bytes());
+        drop(stdin);
+        Ran::of(process)
+    }
+
+    /// Starts `shallottide` without waiting for its end.
+    pub(crate) fn start(&self, words: &str) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_shallottide"))
             .args(words.split(' '))
             .current_dir(&self.dir)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
-            .expect("process");
-        let mut stdin = process.stdin.take().expect("stdin");
-        // A command that reads no input may have ended already.
-        let _ = stdin.write_all(input.as_bytes());
-        drop(stdin);
-        let output = process.wait_with_output().expect("output");
-        let text = [output.stdout, output.stderr].concat();
-        Ran {
-            code: output.status.code().expect("exit code"),
-            text: String::from_utf8(text).expect("text"),
-        }
+            .expect("process")
     }
 }
 
--- a/crates/shallottide_cli/tests/commands/main.rs
+++ b/crates/shallottide_cli/tests/commands/main.rs
@@ -2,9 +2,10 @@
 
 mod bench;
 
-use bench::Bench;
+use bench::{Bench, Ran};
 use shallottide_types::cases;
 use shallottide_types::platform::{Expect, Platform as _, Swap};
+use standin::platform::CallKind;
 
 const DOMAIN: &str = "kind = \"domain\"\nschema = 1\nid = \"jkpg\"\nregion = \"se\"\n";
 const UPSTREAM: &str = "kind = \"upstream\"\nschema = 1\nid = \"t\"\naddress = \"10.0.0.1:80\"\n\
@@ -129,6 +130,49 @@
     );
 }
 
+#[test]
+fn one_of_many_racing_operators_wins() {
+    let bench = bench();
+    let words = |number| format!("apply domain.toml --if-revision 0 --change racer-{number}");
+    let racers: Vec<_> = (0..6).map(|number| bench.start(&words(number))).collect();
+    let ran: Vec<_> = racers.into_iter().map(Ran::of).collect();
+    let winner = ran.iter().position(|ran| ran.code == 0).expect("a winner");
+    for (number, ran) in ran
+        .iter()
+        .enumerate()
+        .filter(|(number, _)| *number != winner)
+    {
+        assert_eq!(ran.code, 3, "racer {number}: {}", ran.text);
+        let named = format!("change racer-{winner} of operator ana (revision 1) came before");
+        assert!(ran.text.contains(&named), "racer {number}: {}", ran.text);
+    }
+    check_on(&bench, "list domain", 0, &[&format!("racer-{winner}")]);
+}
+
+#[test]
+fn killed_apply_is_finished_by_its_id() {
+    let bench = bench();
+    bench.platform.change_faults(|faults| faults.slow_ms = 400);
+    let mut killed = bench.start("apply domain.toml --change c-1");
+    while bench.platform.counts().of(CallKind::Swap) == 0 {
+        std::thread::yield_now();
+    }
+    killed.kill().expect("kill");
+    assert_eq!(
+        Ran::of(killed).code,
+        -1,
+        "it was killed before it told anything"
+    );
+    bench.platform.change_faults(|faults| faults.slow_ms = 0);
+    check_on(
+        &bench,
+        "apply domain.toml --change c-1",
+        0,
+        &["applied as revision 1"],
+    );
+    assert_eq!(bench.platform.counts().of(CallKind::Swap), 1);
+}
+
 #[test]
 fn first_failure_ends_the_apply() {
     let bench = bench();
