Take records in whatever stamps another writer put there

Reading refused a record whose revision, change or operator broke our naming rules. These fields of a file are ignored when it is written, so the check guarded nothing, and a stored record of another writer, such as one whose operator name has a space, would have stayed out of force on every node.

--- a/crates/shallottide_types/src/record.rs
+++ b/crates/shallottide_types/src/record.rs
@@ -47,7 +47,6 @@
     /// [`RecordError`] naming the field and the remedy.
     pub fn from_document(document: &Document) -> Result<Self, RecordError> {
         let kind = document.kind()?;
-        document.check_stamps(kind)?;
         document.check_id(kind)?;
         match kind {
             RecordKind::Model => ModelRecord::lift(document).map(Self::Model),
--- a/crates/shallottide_types/src/record/stamps.rs
+++ b/crates/shallottide_types/src/record/stamps.rs
@@ -1,8 +1,10 @@
 //! Fields that say which change wrote a document.
+//!
+//! Readers take any stamp: a record stays in force whatever another writer put there.
 
 use serde_json::Value;
 
-use super::{Document, RecordError, RecordKind};
+use super::{Document, RecordError};
 use crate::id::{ChangeId, OperatorId, Revision};
 
 /// Most changes that a document remembers.
@@ -75,27 +77,4 @@
         }
         document
     }
-
-    /// Checks the stamps that are there.
-    pub(super) fn check_stamps(&self, kind: RecordKind) -> Result<(), RecordError> {
-        let present = |field| self.fields.contains_key(field);
-        let range = |field, remedy: &str| {
-            let remedy = remedy.into();
-            Err(RecordError::Range {
-                kind,
-                field,
-                remedy,
-            })
-        };
-        if present(Self::REVISION) && self.number(Self::REVISION).is_none() {
-            return range(Self::REVISION, "leave it out, or write a whole number");
-        }
-        if present(Self::CHANGE) && self.change().is_none() {
-            return range(Self::CHANGE, "leave it out; every write sets it");
-        }
-        if present(Self::OPERATOR) && self.operator().is_none() {
-            return range(Self::OPERATOR, "leave it out; every write sets it");
-        }
-        Ok(())
-    }
 }
