Repeat a drain or restore when another change came first

A drain in an emergency ended with a conflict when another operator changed the record's limit at that moment. A switch sets one field and keeps all others, so it is repeated up to five times. A first form compared the state before and after the other change to refuse a contrary one; with two states a change of the state that came first is the wanted one, so the comparison was dropped.

Without the repeats these failed: drain_after_a_change_of_the_limit, drain_after_changes_of_the_limit, drain_after_a_drain, drain_gives_up_at_last.

--- a/crates/shallottide/src/operate/change_writer.rs
+++ b/crates/shallottide/src/operate/change_writer.rs
@@ -15,6 +15,9 @@
 use super::pause::Pause;
 use super::pending_write::{Fate, PendingWrite, landed};
 
+/// How often the state of a record is set when other changes come first.
+const SWITCH_TRIES: u32 = 5;
+
 /// How long the fate of a write is followed.
 #[derive(Debug, Clone)]
 pub struct WriteOptions {
@@ -87,8 +90,8 @@
         change: &Change,
     ) -> Result<Outcome, PlatformError> {
         let key = RecordKind::Domain.store_key(domain.as_str());
-        self.edit(key, change, |stored| {
-            edited(stored, |document| DomainRecord::set_state(document, state))
+        self.switch(&key, change, |document| {
+            DomainRecord::set_state(document, state)
         })
     }
 
@@ -103,13 +106,32 @@
         change: &Change,
     ) -> Result<Outcome, PlatformError> {
         let key = RecordKind::Upstream.store_key(upstream.as_str());
-        self.edit(key, change, |stored| {
-            edited(stored, |document| {
-                UpstreamRecord::set_state(document, state)
-            })
+        self.switch(&key, change, |document| {
+            UpstreamRecord::set_state(document, state)
         })
     }
 
+    /// Sets the state of a record, again if another change came first.
+    ///
+    /// Unlike a file, a switch contradicts no change of other fields: it keeps them. A change
+    /// of the state that came first left nothing to do.
+    fn switch(
+        &self,
+        key: &str,
+        change: &Change,
+        set: impl Fn(&mut Document) -> Result<(), RecordError>,
+    ) -> Result<Outcome, PlatformError> {
+        let edit = |stored: Option<&Document>| edited(stored, &set);
+        let mut outcome = self.edit(key.into(), change, edit)?;
+        for _ in 1..SWITCH_TRIES {
+            if change.if_revision.is_some() || !matches!(outcome, Outcome::Conflict(_)) {
+                break;
+            }
+            outcome = self.edit(key.into(), change, edit)?;
+        }
+        Ok(outcome)
+    }
+
     /// Reads a record, edits it and writes it back. The edit returns `None` when there is
     /// nothing to edit.
     fn edit(
--- a/crates/shallottide/tests/operate_writes.rs
+++ b/crates/shallottide/tests/operate_writes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use shallottide::operate::{Change, ChangeWriter, Outcome, Pause, WriteOptions};
@@ -27,10 +28,12 @@
     Down,
     /// So many other changes are written first.
     Rivals(u32),
+    /// Another operator lets the upstream leave first.
+    RivalDrain,
     /// It takes effect, its answer is lost, and so many other changes go over it.
     LoseThenRivals(u32),
 }
-use Fault::{Delay, Down, LoseAfter, LoseBefore, LoseThenRivals, Rivals};
+use Fault::{Delay, Down, LoseAfter, LoseBefore, LoseThenRivals, RivalDrain, Rivals};
 
 /// How reads behave once the first swap was tried.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -45,6 +48,7 @@
     inner: MemoryPlatform,
     faults: Mutex<VecDeque<Fault>>,
     reads: Reads,
+    rivals_seen: AtomicU32,
     delayed: Mutex<Option<(Vec<u8>, Expect)>>,
 }
 
@@ -54,6 +58,7 @@
             inner: MemoryPlatform::default(),
             faults: Mutex::new(faults.iter().copied().collect()),
             reads,
+            rivals_seen: AtomicU32::new(0),
             delayed: Mutex::default(),
         }
     }
@@ -67,7 +72,8 @@
     fn rivals(&self, count: u32) {
         self.inner
             .change_faults(|faults| faults.stale_reads = false);
-        for number in 0..count {
+        for _ in 0..count {
+            let number = self.rivals_seen.fetch_add(1, Ordering::Relaxed);
             apply(
                 &self.inner,
                 &upstream(100 + number),
@@ -106,6 +112,9 @@
                 });
             }
             Some(Rivals(count)) => self.rivals(count),
+            Some(RivalDrain) => {
+                set_state(&self.inner, UpstreamState::Leaving, "rival-drain");
+            }
             Some(LoseThenRivals(count)) => {
                 self.inner.swap(key, value, expect)?;
                 self.rivals(count);
@@ -163,6 +172,13 @@
     with_writer(platform, |writer| text(&writer.apply(document, change)))
 }
 
+fn set_state(platform: &dyn Platform, state: UpstreamState, id: &str) -> String {
+    let upstream = "t".parse().expect("id");
+    with_writer(platform, |writer| {
+        text(&writer.set_upstream_state(&upstream, state, &change(id)))
+    })
+}
+
 fn change(id: &str) -> Change {
     Change::new(
         id.parse().expect("change"),
@@ -370,6 +386,23 @@
     }
 }
 
+/// Drains an upstream while others change it.
+fn check_drain(faults: &[Fault], expected: &str) {
+    let platform = FaultyPlatform::new(faults, Reads::Fine);
+    apply(&platform.inner, &upstream(10), &change("first"));
+    let outcome = set_state(&platform, UpstreamState::Leaving, "mine");
+    assert_eq!(outcome, expected);
+    let is_leaving = stored(&platform.inner).fields().get("state") == Some(&"leaving".into());
+    assert_eq!(is_leaving, !expected.starts_with("conflict"));
+}
+
+cases! { check_drain;
+    drain_after_a_change_of_the_limit: &[Rivals(1)], "applied r3";
+    drain_after_changes_of_the_limit: &[Rivals(1), LoseBefore, Rivals(2)], "applied r5";
+    drain_after_a_drain: &[RivalDrain], "unchanged r2";
+    drain_gives_up_at_last: &[Rivals(1); 5], "conflict with rival-4";
+}
+
 #[test]
 fn drain_of_an_unknown_domain_is_missing() {
     let platform = MemoryPlatform::default();
