--- a/crates/shallottide/tests/admission_limits.rs
+++ b/crates/shallottide/tests/admission_limits.rs
@@ -23,11 +23,11 @@
 }
 
 /// Warms a slot up, brings a fault about and counts the places it has then.
-fn places_after(slot: Slot, fault: fn(&mut Desk, &Slot), places: u32) {
+fn places_after(slot: &Slot, fault: fn(&mut Desk, &Slot), places: u32) {
     let mut desk = Desk::new();
-    desk.warm_up(&slot);
-    fault(&mut desk, &slot);
-    assert_eq!(desk.fill(&slot), places);
+    desk.warm_up(slot);
+    fault(&mut desk, slot);
+    assert_eq!(desk.fill(slot), places);
 }
 
 fn nothing(_: &mut Desk, _: &Slot) {}
@@ -166,51 +166,51 @@
 
 cases! {
     places_after;
-    warm_group_takes_its_full_limit: group("g0"), nothing, FULL;
-    warm_server_takes_its_full_limit: server("u0"), nothing, FULL;
-    restarted_member_makes_group_cold: group("g0"), restart, COLD;
-    cold_report_makes_group_cold: group("g0"), reports_cold, COLD;
-    loading_member_stops_group: group("g0"), reports_loading, 0;
-    reformed_group_is_cold: group("g0"), reformed, COLD;
-    failures_make_group_cold: group("g0"), fails_three_times, COLD;
-    failures_make_server_cold: server("u0"), fails_three_times, COLD;
-    late_answers_make_group_cold: group("g0"), late_three_times, COLD;
-    late_answers_make_server_cold: server("u0"), late_three_times, COLD;
-    returned_group_is_cold: group("g0"), removed_and_returned, COLD;
-    returned_server_is_cold: server("u0"), removed_and_returned, COLD;
-    returned_server_counts_its_old_work: server("u0"), removed_and_returned_with_work, COLD - 1;
-    taken_over_group_counts_as_loaded: group("g0"), away_and_back, 0;
-    taken_over_server_counts_as_loaded: server("u0"), away_and_back, 0;
-    taken_over_group_ignores_early_report: group("g0"), away_and_back_then_early_report, 0;
-    taken_over_group_is_cold_after_report: group("g0"), away_and_back_then_idle_report, COLD;
-    dispatcher_that_hears_few_nodes_counts_on_cold: group("g0"), hears_few_nodes, COLD;
-    work_of_an_unknown_dispatcher_counts: group("g0"), other_work_is_reported, FULL - 10;
-    taken_over_group_counts_reported_work: group("g0"), away_and_back_then_busy_report, COLD - 1;
-    taken_over_server_is_cold_after_a_time: server("u0"), away_and_back_then_time, COLD;
-    restarted_node_counts_group_as_loaded: group("g0"), node_restarts, 0;
-    restarted_node_counts_server_as_loaded: server("u0"), node_restarts, 0;
-    domain_out_gives_group_nothing: group("g0"), domain_out, 0;
-    domain_out_gives_server_nothing: server("u0"), domain_out, 0;
-    leaving_upstream_gets_nothing: server("u0"), upstream_leaving, 0;
-    group_with_leaving_member_gets_nothing: group("g0"), member_leaving, 0;
-    silent_member_stops_group: group("g0"), member_silent, 0;
-    old_assignment_stops_group: group("g0"), member_holds_old_assignment, 0;
-    slot_of_another_dispatcher_gets_nothing: group("g0"), dispatched_elsewhere, 0;
+    warm_group_takes_its_full_limit: &group("g0"), nothing, FULL;
+    warm_server_takes_its_full_limit: &server("u0"), nothing, FULL;
+    restarted_member_makes_group_cold: &group("g0"), restart, COLD;
+    cold_report_makes_group_cold: &group("g0"), reports_cold, COLD;
+    loading_member_stops_group: &group("g0"), reports_loading, 0;
+    reformed_group_is_cold: &group("g0"), reformed, COLD;
+    failures_make_group_cold: &group("g0"), fails_three_times, COLD;
+    failures_make_server_cold: &server("u0"), fails_three_times, COLD;
+    late_answers_make_group_cold: &group("g0"), late_three_times, COLD;
+    late_answers_make_server_cold: &server("u0"), late_three_times, COLD;
+    returned_group_is_cold: &group("g0"), removed_and_returned, COLD;
+    returned_server_is_cold: &server("u0"), removed_and_returned, COLD;
+    returned_server_counts_its_old_work: &server("u0"), removed_and_returned_with_work, COLD - 1;
+    taken_over_group_counts_as_loaded: &group("g0"), away_and_back, 0;
+    taken_over_server_counts_as_loaded: &server("u0"), away_and_back, 0;
+    taken_over_group_ignores_early_report: &group("g0"), away_and_back_then_early_report, 0;
+    taken_over_group_is_cold_after_report: &group("g0"), away_and_back_then_idle_report, COLD;
+    dispatcher_that_hears_few_nodes_counts_on_cold: &group("g0"), hears_few_nodes, COLD;
+    work_of_an_unknown_dispatcher_counts: &group("g0"), other_work_is_reported, FULL - 10;
+    taken_over_group_counts_reported_work: &group("g0"), away_and_back_then_busy_report, COLD - 1;
+    taken_over_server_is_cold_after_a_time: &server("u0"), away_and_back_then_time, COLD;
+    restarted_node_counts_group_as_loaded: &group("g0"), node_restarts, 0;
+    restarted_node_counts_server_as_loaded: &server("u0"), node_restarts, 0;
+    domain_out_gives_group_nothing: &group("g0"), domain_out, 0;
+    domain_out_gives_server_nothing: &server("u0"), domain_out, 0;
+    leaving_upstream_gets_nothing: &server("u0"), upstream_leaving, 0;
+    group_with_leaving_member_gets_nothing: &group("g0"), member_leaving, 0;
+    silent_member_stops_group: &group("g0"), member_silent, 0;
+    old_assignment_stops_group: &group("g0"), member_holds_old_assignment, 0;
+    slot_of_another_dispatcher_gets_nothing: &group("g0"), dispatched_elsewhere, 0;
 }
 
 /// A fresh slot ramps by finished work only.
-fn ramps(slot: Slot) {
+fn ramps(slot: &Slot) {
     let mut desk = Desk::new();
-    assert_eq!(desk.fill(&slot), COLD);
+    assert_eq!(desk.fill(slot), COLD);
     desk.wait(secs(600));
-    assert_eq!(desk.fill(&slot), 0, "time alone ramps nothing");
+    assert_eq!(desk.fill(slot), 0, "time alone ramps nothing");
     let mut limit = COLD;
     for _ in 0..20 {
         let held = limit;
         for _ in 0..held {
-            desk.release(&slot, "depot", true, 20);
+            desk.release(slot, "depot", true, 20);
         }
-        let now = desk.fill(&slot);
+        let now = desk.fill(slot);
         assert!(now <= 2 * limit, "from {limit} to {now} at once");
         limit = now;
     }
@@ -219,8 +219,8 @@
 
 cases! {
     ramps;
-    fresh_group_ramps: group("g0");
-    fresh_server_ramps: server("u0");
+    fresh_group_ramps: &group("g0");
+    fresh_server_ramps: &server("u0");
 }
 
 #[test]
--- a/crates/shallottide/tests/admission_takeovers.rs
+++ b/crates/shallottide/tests/admission_takeovers.rs
@@ -124,7 +124,7 @@
         }
         self.end_calls();
         self.history.push(self.running.len());
-        if number % 10 == 0 {
+        if number.is_multiple_of(10) {
             self.report();
         }
         for index in 0..NODES {
