--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -8,7 +8,7 @@
 use shallottide_types::clock::SystemClock;
 use shallottide_types::duration_text;
 use shallottide_types::id::{Incarnation, VmId};
-use standin::engine::{EngineOptions, EngineServer};
+use standin::engine::{ColdOverload, EngineOptions, EngineServer};
 use standin::http::{ListenOptions, StartError};
 use standin::platform::{MemoryPlatform, PlatformOptions, PlatformServer};
 use standin::service::{ServiceOptions, ServiceServer};
@@ -75,6 +75,12 @@
     /// requests that it bears while cold
     #[argh(option, default = "EngineOptions::default().cold_capacity")]
     cold_capacity: u32,
+    /// above its cold capacity, take so many times as long instead of failing
+    #[argh(option)]
+    cold_slow: Option<u32>,
+    /// percent of the token time that each other running request adds
+    #[argh(option, default = "EngineOptions::default().batch_percent")]
+    batch_percent: u32,
     /// tokens after which it is warm
     #[argh(option, default = "EngineOptions::default().warm_up_tokens")]
     warm_up_tokens: u64,
@@ -179,6 +185,10 @@
             token_time: self.token_time,
             capacity: self.capacity,
             cold_capacity: self.cold_capacity,
+            cold_overload: self
+                .cold_slow
+                .map_or(ColdOverload::Fail, ColdOverload::Slow),
+            batch_percent: self.batch_percent,
             warm_up_tokens: self.warm_up_tokens,
             load_time: self.load_time,
             report_lag: self.report_lag,
--- a/crates/standin/src/engine/completion_run.rs
+++ b/crates/standin/src/engine/completion_run.rs
@@ -12,14 +12,11 @@
 use super::engine_model::{EngineModel, Refused, Run};
 use super::run_table::RunTable;
 use crate::http::{EventStream, Exchange, Reply};
-use crate::planned::take_one;
+use crate::planned::{OTHER_REQUEST_ID, take_one};
 
 /// Longest sleep before a run looks again whether it goes on.
 const STEP: Duration = Duration::from_millis(10);
 
-/// Sent as `X-Request-Id` by the switch that confuses answers.
-const OTHER_REQUEST_ID: &str = "another-call";
-
 /// What all runs of an engine share.
 pub(super) struct EngineShared {
     /// The engine's state.
@@ -91,15 +88,15 @@
 fn refuse(shared: &EngineShared, exchange: Exchange, refused: Refused, request_id: &str) {
     let message = refused.to_string();
     let reply = match refused {
-        Refused::NotReady => Reply::error(503, message).header("X-Not-Run", "1"),
+        Refused::NotReady => Reply::not_run(message, request_id),
         Refused::ColdOverload => {
             // It failed while working on the request, so it counts as a run.
             let run = shared.runs().begin(request_id);
             shared.runs().end(run);
-            Reply::error(500, message)
+            Reply::error(500, message).header("X-Request-Id", request_id)
         }
     };
-    exchange.respond(&reply.header("X-Request-Id", request_id));
+    exchange.respond(&reply);
 }
 
 impl CompletionRun<'_> {
@@ -155,6 +152,7 @@
 
     fn make_token(&self, made: u64, caller_gone: impl Fn() -> bool) -> Result<(), Cut> {
         let time = self.shared.model().token_time(Instant::now());
+        let time = time * self.shared.faults().slowdown.max(1);
         self.pause(time, made, caller_gone)?;
         self.shared.model().made_token();
         Ok(())
--- a/crates/standin/src/engine/engine_faults.rs
+++ b/crates/standin/src/engine/engine_faults.rs
@@ -19,6 +19,8 @@
         pub wrong_request_id: u32,
         /// Time before an answer begins, in milliseconds.
         pub delay_ms: u64,
+        /// Times as long that each token takes; 0 and 1 change nothing.
+        pub slowdown: u32,
         /// The next so many orders take effect, but their answers are lost.
         pub lose_order_answers: u32,
     }
--- a/crates/standin/src/http/reply.rs
+++ b/crates/standin/src/http/reply.rs
@@ -30,6 +30,13 @@
         Self::json(status, &serde_json::json!({"error": message.as_ref()}))
     }
 
+    /// Creates the refusal of a request that did not run.
+    pub(crate) fn not_run(message: impl AsRef<str>, request_id: &str) -> Self {
+        Self::error(503, message)
+            .header("X-Not-Run", "1")
+            .header("X-Request-Id", request_id)
+    }
+
     /// Adds a header.
     #[must_use]
     pub(crate) fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
--- a/crates/standin/src/service/service_handler.rs
+++ b/crates/standin/src/service/service_handler.rs
@@ -10,10 +10,7 @@
 use super::service_faults::{ServiceControl, ServiceFaults};
 use super::service_options::ServiceOptions;
 use crate::http::{Exchange, Handler, Reply};
-use crate::planned::take_one;
-
-/// Sent as `X-Request-Id` by the switch that confuses answers.
-const OTHER_REQUEST_ID: &str = "another-call";
+use crate::planned::{OTHER_REQUEST_ID, take_one};
 
 /// Answers the service's callers.
 pub(super) struct ServiceHandler {
@@ -132,6 +129,5 @@
 
 fn refuse(exchange: Exchange) {
     let id = exchange.request_id();
-    let reply = Reply::error(503, "service is full: retry later");
-    exchange.respond(&reply.header("X-Not-Run", "1").header("X-Request-Id", id));
+    exchange.respond(&Reply::not_run("service is full: retry later", &id));
 }
--- a/crates/standin/tests/engine_server.rs
+++ b/crates/standin/tests/engine_server.rs
@@ -161,6 +161,17 @@
     assert_eq!(again.status(), 404);
 }
 
+#[test]
+fn engine_comes_back_on_its_address_without_its_model() {
+    let engine = ready();
+    let mut options = options();
+    options.listen.address = engine.address();
+    drop(engine);
+    let engine = EngineServer::start(options).unwrap();
+    assert_eq!(engine.report().state, EngineState::Idle);
+    assert_eq!(complete(&engine, "r1", true).unwrap().status(), 503);
+}
+
 #[test]
 fn control_sets_switches_and_restarts() {
     let engine = ready();
@@ -193,6 +204,7 @@
     check_fault;
     without_fault: &EngineFaults::default(), true;
     delayed: &EngineFaults { delay_ms: 1, ..EngineFaults::default() }, true;
+    straggling: &EngineFaults { slowdown: 3, ..EngineFaults::default() }, true;
     cut_before_the_first_token: &EngineFaults { cut_streams: 1, ..EngineFaults::default() }, false;
     cut_before_done: &EngineFaults { cut_streams: 1, cut_after: 5, ..EngineFaults::default() }, false;
 }
