Model the engine's prefix cache and load with shared beginnings

Routing by prefix affinity can only be compared when a cached prefix saves time and the cache is small. A prompt whose beginning isn't among those used last takes longer to its first token; the load tool can give prompts a number of shared beginnings.

Guards removed in turn, each with a failing test: the bound of the cache, its loss with the model.

--- a/crates/shallottide_load/src/arrivals.rs
+++ b/crates/shallottide_load/src/arrivals.rs
@@ -11,6 +11,9 @@
 
 const PERCENT: u8 = 100;
 
+/// Characters of a shared beginning; longer than what engines and routers look at.
+const PREFIX_LENGTH: usize = 1024;
+
 /// Plans calls; the same options give the same calls.
 #[derive(Debug)]
 pub struct Arrivals<'a> {
@@ -57,9 +60,19 @@
                 repeat_through: self.repeat_through(service, target),
             };
         }
+        let prefix = self.prefix();
         CallKind::Completion {
-            prompt: format!("load {seed}, call {number}: write a report"),
+            prompt: format!("{prefix}load {seed}, call {number}: write a report"),
+        }
+    }
+
+    /// Returns one of the shared beginnings, or nothing when prompts share none.
+    fn prefix(&mut self) -> String {
+        if self.options.prefixes == 0 {
+            return String::new();
         }
+        let prefix = self.rng.random_range(0..self.options.prefixes);
+        format!("{:.<PREFIX_LENGTH$}", format!("beginning {prefix}"))
     }
 
     /// Returns the next entry VM in the list for calls that are made again.
--- a/crates/shallottide_load/src/cli.rs
+++ b/crates/shallottide_load/src/cli.rs
@@ -32,6 +32,9 @@
     /// tokens of each completion
     #[argh(option, default = "LoadOptions::default().max_tokens")]
     max_tokens: u64,
+    /// beginnings that prompts share; 0 gives each prompt its own
+    #[argh(option, default = "LoadOptions::default().prefixes")]
+    prefixes: u32,
     /// ask for whole completions instead of streams
     #[argh(switch)]
     no_stream: bool,
@@ -76,6 +79,7 @@
             seed: self.seed,
             model: self.model.clone(),
             max_tokens: self.max_tokens,
+            prefixes: self.prefixes,
             stream: !self.no_stream,
             service: self.service.as_deref().map(|name| self.service(name)),
             max_in_flight: self.max_in_flight,
--- a/crates/shallottide_load/src/load_options.rs
+++ b/crates/shallottide_load/src/load_options.rs
@@ -23,6 +23,8 @@
     pub model: String,
     /// Tokens of each completion.
     pub max_tokens: u64,
+    /// Beginnings that prompts share; 0 gives each prompt its own.
+    pub prefixes: u32,
     /// Whether completions are streamed.
     pub stream: bool,
     /// The plain service, when some calls go to one.
@@ -56,6 +58,7 @@
             seed: 1,
             model: "demo".into(),
             max_tokens: 16,
+            prefixes: 0,
             stream: true,
             service: None,
             max_in_flight: 512,
--- a/crates/shallottide_load/tests/arrivals.rs
+++ b/crates/shallottide_load/tests/arrivals.rs
@@ -51,6 +51,20 @@
     assert!(again.iter().all(|(target, again)| *target != again));
 }
 
+#[test]
+fn prompts_share_as_many_beginnings_as_asked() {
+    let options = LoadOptions {
+        prefixes: 3,
+        service: None,
+        ..options()
+    };
+    let beginnings = Arrivals::new(&options).map(|call| match call.kind {
+        CallKind::Completion { prompt } => prompt[..64].to_owned(),
+        CallKind::Service { key, .. } => key,
+    });
+    assert_eq!(beginnings.collect::<BTreeSet<_>>().len(), 3);
+}
+
 #[test]
 fn every_call_has_its_own_prompt_or_key() {
     let options = options();
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -81,6 +81,16 @@
     /// percent of the token time that each other running request adds
     #[argh(option, default = "EngineOptions::default().batch_percent")]
     batch_percent: u32,
+    /// time before the first token when the prompt's prefix isn't cached
+    #[argh(
+        option,
+        default = "EngineOptions::default().prefill_time",
+        from_str_fn(duration_text::parse)
+    )]
+    prefill_time: Duration,
+    /// prefixes that stay cached
+    #[argh(option, default = "EngineOptions::default().cached_prefixes")]
+    cached_prefixes: usize,
     /// tokens after which it is warm
     #[argh(option, default = "EngineOptions::default().warm_up_tokens")]
     warm_up_tokens: u64,
@@ -189,6 +199,8 @@
                 .cold_slow
                 .map_or(ColdOverload::Fail, ColdOverload::Slow),
             batch_percent: self.batch_percent,
+            prefill_time: self.prefill_time,
+            cached_prefixes: self.cached_prefixes,
             warm_up_tokens: self.warm_up_tokens,
             load_time: self.load_time,
             report_lag: self.report_lag,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,9 +9,11 @@
 mod engine_server;
 mod load_history;
 mod member_check;
+mod prefix_cache;
 mod run_table;
 
 pub use engine_faults::{EngineControl, EngineFaults};
 pub use engine_model::{EngineModel, Refused, Run};
 pub use engine_options::{ColdOverload, EngineOptions};
 pub use engine_server::EngineServer;
+pub use prefix_cache::CacheCounts;
--- a/crates/standin/src/engine/completion_run.rs
+++ b/crates/standin/src/engine/completion_run.rs
@@ -158,8 +158,10 @@
         Ok(())
     }
 
+    /// Waits as long as the prompt takes and the switch says.
     fn delay(&self, exchange: &Exchange) -> Result<(), Cut> {
-        let delay = Duration::from_millis(self.shared.faults().delay_ms);
+        let prefill = self.shared.model().prefill(&self.prompt);
+        let delay = prefill + Duration::from_millis(self.shared.faults().delay_ms);
         self.pause(delay, 0, || exchange.is_caller_gone())
     }
 
--- a/crates/standin/src/engine/engine_handler.rs
+++ b/crates/standin/src/engine/engine_handler.rs
@@ -86,6 +86,7 @@
         let reply = match path {
             "/report" => Reply::json(200, &self.shared.model().report(Instant::now())),
             "/control/runs" => Reply::json(200, self.shared.runs().counts()),
+            "/control/cache" => Reply::json(200, &self.shared.model().cache_counts()),
             "/control/overloads" => Reply::json(200, &self.shared.model().overloads()),
             _ => Reply::error(404, "no such path"),
         };
--- a/crates/standin/src/engine/engine_model.rs
+++ b/crates/standin/src/engine/engine_model.rs
@@ -7,6 +7,7 @@
 
 use super::engine_options::{ColdOverload, EngineOptions};
 use super::load_history::{Load, LoadHistory};
+use super::prefix_cache::{CacheCounts, PrefixCache};
 
 const PERCENT: u32 = 100;
 
@@ -44,6 +45,7 @@
     epoch: u64,
     load: Load,
     history: LoadHistory,
+    cache: PrefixCache,
     overloads: u64,
 }
 
@@ -62,6 +64,7 @@
             epoch: 0,
             load: Load::default(),
             history: LoadHistory::default(),
+            cache: PrefixCache::default(),
             overloads: 0,
         }
     }
@@ -99,6 +102,7 @@
         self.loaded_at = None;
         self.work = 0;
         self.epoch += 1;
+        self.cache.clear();
     }
 
     /// Starts again without a model, as a new incarnation.
@@ -130,6 +134,7 @@
             self.epoch += 1;
             self.loaded_at = None;
             self.work = 0;
+            self.cache.clear();
         }
         if ready && self.loaded_at.is_none() {
             self.loaded_at = Some(now + self.options.load_time);
@@ -226,6 +231,24 @@
         run.epoch == self.epoch
     }
 
+    /// Returns the time before the first token: none when the prompt's prefix is cached.
+    pub fn prefill(&mut self, prompt: &str) -> Duration {
+        let prefix = prompt.chars().take(self.options.prefix_length);
+        let prefix: String = prefix.collect();
+        let capacity = self.options.cached_prefixes;
+        if self.cache.use_prefix(&prefix, capacity) {
+            Duration::ZERO
+        } else {
+            self.options.prefill_time
+        }
+    }
+
+    /// Returns how often prompts began with a cached prefix.
+    #[must_use]
+    pub fn cache_counts(&self) -> CacheCounts {
+        self.cache.counts()
+    }
+
     /// Counts one token.
     pub fn made_token(&mut self) {
         self.work += 1;
--- a/crates/standin/src/engine/engine_options.rs
+++ b/crates/standin/src/engine/engine_options.rs
@@ -31,6 +31,12 @@
     pub token_time: Duration,
     /// Percent of `token_time` that each other running request adds.
     pub batch_percent: u32,
+    /// Time added before the first token when the prompt's prefix isn't cached.
+    pub prefill_time: Duration,
+    /// Prefixes that stay cached.
+    pub cached_prefixes: usize,
+    /// Characters of a prompt that make its prefix.
+    pub prefix_length: usize,
     /// Requests that run at once; more wait.
     pub capacity: u32,
     /// Requests that it bears while cold.
@@ -60,6 +66,9 @@
             fences_orders: true,
             token_time: Duration::from_millis(10),
             batch_percent: 5,
+            prefill_time: Duration::ZERO,
+            cached_prefixes: 16,
+            prefix_length: 64,
             capacity: 64,
             cold_capacity: 8,
             cold_overload: ColdOverload::Fail,
--- a/crates/standin/src/engine/engine_server.rs
+++ b/crates/standin/src/engine/engine_server.rs
@@ -14,6 +14,7 @@
 use super::engine_model::EngineModel;
 use super::engine_options::EngineOptions;
 use super::member_check::check_members;
+use super::prefix_cache::CacheCounts;
 use crate::http::{HttpServer, StartError};
 
 /// An engine stand-in; stops and closes its connections when dropped.
@@ -86,6 +87,12 @@
         self.shared.runs().counts().clone()
     }
 
+    /// Returns how often prompts began with a cached prefix.
+    #[must_use]
+    pub fn cache_counts(&self) -> CacheCounts {
+        self.shared.model().cache_counts()
+    }
+
     /// Returns how often the cold engine got more than it bears.
     #[must_use]
     pub fn overloads(&self) -> u64 {
--- a/crates/standin/tests/engine_model.rs
+++ b/crates/standin/tests/engine_model.rs
@@ -144,6 +144,27 @@
     assert_eq!(engine.token_time(now), TOKEN_TIME * 30);
 }
 
+#[test]
+fn only_cached_prefixes_need_no_prefill() {
+    let prefill_time = Duration::from_millis(100);
+    let (mut engine, _) = loaded(EngineOptions {
+        prefill_time,
+        cached_prefixes: 2,
+        prefix_length: 1,
+        ..options()
+    });
+    let prompts = ["a", "a again", "b", "a", "c", "b", "c"];
+    let cached: Vec<_> = prompts.map(|p| engine.prefill(p).is_zero()).into();
+    assert_eq!(cached, [false, true, false, true, false, false, true]);
+    assert_eq!(engine.prefill("c"), Duration::ZERO);
+    engine.restart();
+    assert_eq!(engine.prefill("c"), prefill_time);
+    assert_eq!(
+        (engine.cache_counts().hits, engine.cache_counts().misses),
+        (4, 5)
+    );
+}
+
 #[test]
 fn report_lags_and_a_full_batch_queues() {
     let lag = Duration::from_secs(2);
