Decode percent-encoding in the stand-ins' paths and queries

A client of Consul's interface may encode keys; they were stored encoded, and a listing would have shown other keys than were written.

With the decoding removed, of the path or of a code, the new test failed.

--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod http_server;
 mod listen_options;
+mod percent;
 mod reply;
 mod start_error;
 
--- a/crates/standin/src/http/exchange.rs
+++ b/crates/standin/src/http/exchange.rs
@@ -10,6 +10,7 @@
 
 use super::connection::Connection;
 use super::event_stream::EventStream;
+use super::percent;
 use super::reply::Reply;
 
 /// Largest body read; the platform's values take up to a megabyte.
@@ -22,6 +23,7 @@
 pub(crate) struct Exchange {
     request: Request,
     connection: Arc<Connection>,
+    path: String,
     body: Vec<u8>,
 }
 
@@ -35,7 +37,10 @@
             connection.close();
             return None;
         }
+        let url = request.url();
+        let path = url.split_once('?').map_or(url, |(path, _)| path);
         Some(Self {
+            path: percent::decode(path),
             request,
             connection,
             body,
@@ -47,21 +52,19 @@
         self.request.method().as_str()
     }
 
-    /// Returns the path without its query.
+    /// Returns the decoded path without its query.
     pub(crate) fn path(&self) -> &str {
-        let url = self.request.url();
-        url.split_once('?').map_or(url, |(path, _)| path)
+        &self.path
     }
 
-    /// Returns a parameter of the query; one without a value is empty.
-    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+    /// Returns a decoded parameter of the query; one without a value is empty.
+    pub(crate) fn query(&self, name: &str) -> Option<String> {
         let (_, query) = self.request.url().split_once('?')?;
-        let pairs = query
+        let mut pairs = query
             .split('&')
-            .map(|p| p.split_once('=').unwrap_or((p, "")));
-        pairs
-            .into_iter()
-            .find_map(|(key, value)| (key == name).then_some(value))
+            .map(|pair| pair.split_once('=').unwrap_or((pair, "")));
+        let (_, value) = pairs.find(|(key, _)| *key == name)?;
+        Some(percent::decode(value))
     }
 
     /// Returns a header.
--- a/crates/standin/src/platform/platform_server.rs
+++ b/crates/standin/src/platform/platform_server.rs
@@ -151,7 +151,9 @@
 
     fn list(&self, exchange: &Exchange, prefix: &str) -> CallResult {
         let after = number(exchange, "index")?.map(StoreIndex);
-        let wait = exchange.query("wait").map(duration_text::parse);
+        let wait = exchange
+            .query("wait")
+            .map(|text| duration_text::parse(&text));
         let wait = wait.unwrap_or(Ok(DEFAULT_WAIT)).map_err(BadRequest)?;
         let listing = self.platform.read_prefix(prefix, after, wait, |store| {
             let entries = store.under(prefix);
@@ -164,9 +166,9 @@
     fn put(&self, exchange: &Exchange, key: &str) -> CallResult {
         let value = exchange.body();
         let done = if let Some(session) = exchange.query("acquire") {
-            self.platform.acquire(key, value, session)
+            self.platform.acquire(key, value, &session)
         } else if let Some(session) = exchange.query("release") {
-            self.platform.release_with(key, value, session)
+            self.platform.release_with(key, value, &session)
         } else {
             let expect = match needed_cas(exchange)? {
                 0 => Expect::Absent,
@@ -190,7 +192,7 @@
 
 fn number(exchange: &Exchange, name: &str) -> Result<Option<u64>, BadRequest> {
     let text = exchange.query(name);
-    let number = text.map(str::parse).transpose();
+    let number = text.map(|text| text.parse()).transpose();
     number.map_err(|_| BadRequest(format!("parameter {name} needs a whole number")))
 }
 
--- a/crates/standin/tests/platform_server.rs
+++ b/crates/standin/tests/platform_server.rs
@@ -47,6 +47,17 @@
     assert_eq!(get(server.address(), "/v1/kv/a/1").unwrap().status(), 404);
 }
 
+#[test]
+fn keys_are_percent_decoded() {
+    let (_, server) = server();
+    let written = json(put(server.address(), "/v1/kv/n/a%3a1%25?cas=%30", "x"));
+    assert_eq!(written, true);
+    assert!(server.platform().get("n/a:1%").unwrap().is_some());
+    let broken = json(put(server.address(), "/v1/kv/n/%g1%4?cas=0", "x"));
+    assert_eq!(broken, true);
+    assert!(server.platform().get("n/%g1%4").unwrap().is_some());
+}
+
 #[test]
 fn sessions_hold_leases_until_they_lapse() {
     let (clock, server) = server();
