Say unknown, not "no record", while the platform can't be read

status called every failure domain one without a record during an outage, which a trial against running nodes showed. outage_is_told_as_such had asked for that wrong word; it now asks for "unknown" and failed before.

--- a/crates/shallottide_cli/src/commands/status.rs
+++ b/crates/shallottide_cli/src/commands/status.rs
@@ -22,17 +22,18 @@
     let answers = NodeAnswers::ask(&session.settings.nodes, &session.settings.token);
     let is_known = records.is_ok() && !answers.statuses.is_empty();
     let platform_error = records.as_ref().err().map(ToString::to_string);
-    let records = records.unwrap_or_default();
-    let domains = summaries(records.domains.keys().cloned(), &answers.statuses);
-    let mut text = table(&domains, &records).to_string();
+    let records = records.ok();
+    let recorded = records.iter().flat_map(|records| records.domains.keys());
+    let domains = summaries(recorded.cloned(), &answers.statuses);
+    let mut text = table(&domains, records.as_ref()).to_string();
     if let Some(error) = &platform_error {
         text = format!("{text}\n{error}");
     }
     text.push_str(&unanswered_text(&answers.unanswered));
     let json = json!({
         "domains": domains,
-        "out": domains.keys().filter(|id| records.is_out(id)).collect::<Vec<_>>(),
-        "stored_index": records.index,
+        "states": states(&domains, records.as_ref()),
+        "stored_index": records.as_ref().map(|records| records.index),
         "platform_error": platform_error,
         "unanswered": answers.unanswered,
     });
@@ -44,7 +45,7 @@
     Ok(Output::done(text, json).exit(exit))
 }
 
-fn table(domains: &BTreeMap<DomainId, DomainSummary>, records: &ConfigView) -> Table {
+fn table(domains: &BTreeMap<DomainId, DomainSummary>, records: Option<&ConfigView>) -> Table {
     let mut table = Table::new([
         "DOMAIN",
         "STATE",
@@ -78,7 +79,19 @@
     count.map_or("-".into(), |count| count.to_string())
 }
 
-fn state(id: &DomainId, records: &ConfigView) -> &'static str {
+fn states(
+    domains: &BTreeMap<DomainId, DomainSummary>,
+    records: Option<&ConfigView>,
+) -> BTreeMap<DomainId, &'static str> {
+    let ids = domains.keys();
+    ids.map(|id| (id.clone(), state(id, records))).collect()
+}
+
+/// Tells what the stored record says, which needs the platform.
+fn state(id: &DomainId, records: Option<&ConfigView>) -> &'static str {
+    let Some(records) = records else {
+        return "unknown";
+    };
     match records.domains.get(id) {
         None => "no record",
         Some(_) if records.is_out(id) => "out",
--- a/crates/shallottide_cli/tests/commands/main.rs
+++ b/crates/shallottide_cli/tests/commands/main.rs
@@ -234,7 +234,7 @@
         &bench,
         "status",
         5,
-        &["jkpg", "no record", "platform's answer was lost"],
+        &["jkpg", "unknown", "platform's answer was lost"],
     );
 }
 
@@ -309,6 +309,7 @@
         (&3.into(), &4.into())
     );
     assert_eq!(domain["lowest_config"], 1);
+    assert_eq!(json["states"]["jkpg"], "serving");
 }
 
 #[test]
