--- a/crates/shallottide_demo/src/caller.rs
+++ b/crates/shallottide_demo/src/caller.rs
@@ -34,6 +34,12 @@
     pub fn did_not_run(&self) -> bool {
         self.status >= 400 && self.body.contains(r#""ran":"no""#)
     }
+
+    /// Tells whether the same call is still running, or its outcome not yet recorded.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.status == 409 && self.body.contains(r#""kind":"running""#)
+    }
 }
 
 /// A caller of one entry node.
@@ -111,6 +117,23 @@
         }
     }
 
+    /// Makes a booking again that ended before, and waits for its recorded answer.
+    ///
+    /// Until the outcome is recorded, the answer is that the booking is running.
+    ///
+    /// # Errors
+    /// Those of the call.
+    pub fn book_again(&self, key: &str, pallets: u32) -> Result<Answer, DemoError> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        loop {
+            let answer = self.book(key, pallets)?;
+            if !answer.is_running() || Instant::now() > deadline {
+                return Ok(answer);
+            }
+            std::thread::sleep(PAUSE);
+        }
+    }
+
     fn post(
         &self,
         path: &str,
--- a/crates/shallottide_e2e/examples/load_run.rs
+++ b/crates/shallottide_e2e/examples/load_run.rs
@@ -33,6 +33,9 @@
     /// seconds of the same load before the one that is reported; 0 starts cold
     #[argh(option, default = "10")]
     warm_up: u32,
+    /// print each node's view of loads and limits at the end
+    #[argh(switch)]
+    status: bool,
     /// report as JSON
     #[argh(switch)]
     json: bool,
@@ -53,6 +56,12 @@
     }
     let status = load(&args, &cluster, args.seed, args.seconds).status();
     let status = status.expect("shallottide-load is built");
+    if args.status {
+        for node in &cluster.nodes {
+            let status = cluster.status(node).unwrap_or_default();
+            println!("{}: {}", status["node"], status["loads"]);
+        }
+    }
     ExitCode::from(u8::try_from(status.code().unwrap_or(1)).unwrap_or(1))
 }
 
--- a/crates/standin/src/engine/engine_handler.rs
+++ b/crates/standin/src/engine/engine_handler.rs
@@ -28,6 +28,7 @@
             ("POST", "/v1/completions") => self.complete(exchange, Interface::Completion),
             ("POST", "/v1/chat/completions") => self.complete(exchange, Interface::Chat),
             ("POST", "/orders") => self.order(exchange),
+            ("POST", "/step") => self.step(exchange),
             ("PUT", "/control") => self.control(exchange),
             ("POST", _) if path.starts_with("/cancel/") => self.cancel(exchange, &path),
             ("GET", _) => self.show(exchange, &path),
@@ -59,6 +60,14 @@
         exchange.respond(&reply);
     }
 
+    fn step(&self, exchange: Exchange) {
+        let Some((tokens, exchange)) = exchange.json::<u64>() else {
+            return;
+        };
+        self.shared.model().shared_work(tokens);
+        exchange.respond(&Reply::json(200, &true));
+    }
+
     fn cancel(&self, exchange: Exchange, path: &str) {
         let id = path.trim_start_matches("/cancel/");
         let cancelled = self.shared.runs().cancel(id);
--- a/crates/standin/src/engine/engine_model.rs
+++ b/crates/standin/src/engine/engine_model.rs
@@ -42,6 +42,8 @@
     members_ready: bool,
     /// Tokens made since it was last cold.
     work: u64,
+    /// Tokens that the other members have not been told of.
+    unshared_work: u64,
     epoch: u64,
     load: Load,
     history: LoadHistory,
@@ -61,6 +63,7 @@
             loaded_at: None,
             members_ready: false,
             work: 0,
+            unshared_work: 0,
             epoch: 0,
             load: Load::default(),
             history: LoadHistory::default(),
@@ -252,6 +255,18 @@
     /// Counts one token.
     pub fn made_token(&mut self) {
         self.work += 1;
+        self.unshared_work += 1;
+    }
+
+    /// Takes the tokens that the other members have not been told of; each makes its share
+    /// of every token.
+    pub fn take_unshared_work(&mut self) -> u64 {
+        std::mem::take(&mut self.unshared_work)
+    }
+
+    /// Counts tokens that rank 0 made with this member.
+    pub fn shared_work(&mut self, tokens: u64) {
+        self.work += tokens;
     }
 
     /// Returns the time that the next token takes.
--- a/crates/standin/src/engine/member_check.rs
+++ b/crates/standin/src/engine/member_check.rs
@@ -1,4 +1,4 @@
-//! Rank 0 checks that the other members of its group are there.
+//! Rank 0 checks that the other members of its group are there, and shares work with them.
 
 use std::net::SocketAddr;
 use std::sync::Weak;
@@ -29,8 +29,12 @@
         let mut pause = interval;
         let assignment = engine.model().watched_assignment().cloned();
         if let Some(assignment) = assignment {
+            let tokens = engine.model().take_unshared_work();
             let mut others = assignment.members.iter().skip(1);
-            let ready = others.all(|member| is_ready(&agent, *member, &assignment));
+            let ready = others.all(|member| {
+                share_work(&agent, *member, tokens);
+                is_ready(&agent, *member, &assignment)
+            });
             let now = Instant::now();
             engine.model().note_members(&assignment, ready, now);
             if !ready {
@@ -42,6 +46,15 @@
     }
 }
 
+/// Tells a member how many tokens it helped to make.
+fn share_work(agent: &Agent, member: SocketAddr, tokens: u64) {
+    if tokens > 0 {
+        let step = agent.post(format!("http://{member}/step"));
+        // A member that can't be told is found missing right after.
+        let _ = step.send_json(tokens);
+    }
+}
+
 fn is_ready(agent: &Agent, member: SocketAddr, assignment: &Assignment) -> bool {
     let report = agent.get(format!("http://{member}/report")).call();
     let report = report.and_then(|mut answer| answer.body_mut().read_json::<EngineReport>());
--- a/crates/standin/tests/engine_server.rs
+++ b/crates/standin/tests/engine_server.rs
@@ -208,3 +208,22 @@
     cut_before_the_first_token: &EngineFaults { cut_streams: 1, ..EngineFaults::default() }, false;
     cut_before_done: &EngineFaults { cut_streams: 1, cut_after: 5, ..EngineFaults::default() }, false;
 }
+
+#[test]
+fn members_of_a_group_warm_together() {
+    let warm_up_tokens = 5;
+    let start = || {
+        let options = EngineOptions {
+            warm_up_tokens,
+            ..options()
+        };
+        EngineServer::start(options).unwrap()
+    };
+    let (lead, member) = (start(), start());
+    let members = [lead.address(), member.address()];
+    order(&member, 1, 1, &members).unwrap();
+    order(&lead, 1, 0, &members).unwrap();
+    wait_until("group ready", || lead.report().state == EngineState::Cold);
+    assert_eq!(complete(&lead, "r1", false).unwrap().status(), 200);
+    wait_until("member warm", || member.report().state == EngineState::Warm);
+}
