--- a/crates/shallottide/src/claims/claim_options.rs
+++ b/crates/shallottide/src/claims/claim_options.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::ClaimCounts;
+use super::job::Task;
 
 /// Limits and timeouts of the claims service.
 #[derive(Debug, Clone)]
@@ -21,7 +22,7 @@
     pub round_interval: Duration,
     /// How long an outcome waits for a claim to share its write with.
     pub outcome_delay: Duration,
-    /// Longest wait for a partition's preferred writer.
+    /// Longest wait for a claim's answer by a partition's preferred writer.
     pub relay_timeout: Duration,
     /// How long a writer that gave no answer is passed over.
     pub suspect_time: Duration,
@@ -48,7 +49,7 @@
             max_old_keys: 64 << 10,
             round_interval: Duration::from_millis(200),
             outcome_delay: Duration::from_millis(500),
-            relay_timeout: Duration::from_millis(300),
+            relay_timeout: Duration::from_millis(700),
             suspect_time: Duration::from_secs(5),
             op_timeout: Duration::from_secs(1),
             claim_timeout: Duration::from_secs(3),
@@ -59,3 +60,14 @@
         }
     }
 }
+
+impl ClaimOptions {
+    /// Returns the longest wait for a preferred writer's answer to a task. Outcomes wait there
+    /// for claims.
+    pub(super) fn patience(&self, task: &Task) -> Duration {
+        match task {
+            Task::Claim(_) => self.relay_timeout,
+            Task::End(_) => self.relay_timeout + self.outcome_delay * 2,
+        }
+    }
+}
--- a/crates/shallottide/src/claims/claim_service.rs
+++ b/crates/shallottide/src/claims/claim_service.rs
@@ -92,14 +92,8 @@
         };
         let patience = wanted.time_left.min(self.options.claim_timeout);
         self.waiting.insert(wanted.call.clone(), token);
-        let request = Request {
-            call: Some(wanted.call),
-            task: Task::Claim(request),
-            via: Via::Direct,
-            relayed_to: None,
-            deadline: cx.now() + patience,
-            tainted: false,
-        };
+        let deadline = cx.now() + patience;
+        let request = Request::new(Some(wanted.call), Task::Claim(request), deadline);
         self.submit(token, request, cx, out);
     }
 
@@ -142,7 +136,7 @@
 
     /// Remembers a claim that a writer may still write.
     fn give_up(&mut self, token: u64, request: &Request, cx: &Context) {
-        if request.relayed_to.is_none() {
+        if request.asked.is_empty() {
             return;
         }
         if let Some(held) = self.held_by(request, cx) {
@@ -183,14 +177,8 @@
             call: holder,
             end,
         };
-        let request = Request {
-            call: None,
-            task: Task::End(outcome),
-            via: Via::Direct,
-            relayed_to: None,
-            deadline: cx.now() + self.options.outcome_timeout,
-            tainted: false,
-        };
+        let deadline = cx.now() + self.options.outcome_timeout;
+        let request = Request::new(None, Task::End(outcome), deadline);
         self.submit(token, request, cx, out);
     }
 
@@ -206,9 +194,8 @@
         let members = cx.members();
         match preferred_writer(partition, &members, &self.suspects) {
             Some(writer) if writer.node != cx.me().node => {
-                request.tainted = request.task.is_claim();
-                request.relayed_to = Some(writer.node.clone());
-                request.via = relay(writer, &request.task, cx, out);
+                request.ask(&writer.node, cx.now());
+                relay(writer, &request.task, out);
                 self.requests.insert(token, request);
             }
             _ => self.submit_here(token, request, cx, out),
--- a/crates/shallottide/src/claims/partition.rs
+++ b/crates/shallottide/src/claims/partition.rs
@@ -16,6 +16,9 @@
 /// Why a platform call is treated as one without an answer.
 const NO_ANSWER: &str = "no answer within the timeout";
 
+/// How often the wait after a conflict doubles.
+const MAX_BACKOFF_DOUBLINGS: u32 = 2;
+
 /// A stored value as last read.
 #[derive(Debug)]
 pub(super) struct Known<T> {
@@ -67,6 +70,8 @@
     pub(super) not_before: Option<Instant>,
     /// Whether a value is read again at once, as part of the round.
     pub(super) refresh: bool,
+    /// Conflicts since the last write that took effect.
+    conflicts: u32,
     /// What a write expected whose answer was lost. It may still take effect until the value
     /// has another index.
     lost: Option<Expect>,
@@ -83,6 +88,7 @@
             last_job: 0,
             not_before: None,
             refresh: false,
+            conflicts: 0,
             lost: None,
         }
     }
@@ -114,6 +120,7 @@
         let Some(busy) = self.busy.take_if(|busy| busy.token == token) else {
             return Vec::new();
         };
+        self.count_conflict(&result, moment, options);
         let (done, answered) = match busy.op {
             BusyOp::ReadRecent => (self.on_recent(result, busy.as_of), Vec::new()),
             BusyOp::ReadOld => (self.on_old(result, busy.as_of), Vec::new()),
@@ -170,6 +177,24 @@
         result.is_ok()
     }
 
+    /// Waits longer the more writes met another writer's.
+    fn count_conflict(
+        &mut self,
+        result: &Result<PlatformAnswer, PlatformError>,
+        moment: &Moment,
+        options: &ClaimOptions,
+    ) {
+        match result {
+            Ok(PlatformAnswer::Swap(Swap::Written)) => self.conflicts = 0,
+            Ok(PlatformAnswer::Swap(Swap::Conflict)) => {
+                let factor = 1 << self.conflicts.min(MAX_BACKOFF_DOUBLINGS);
+                self.not_before = Some(moment.now + options.round_interval * factor);
+                self.conflicts += 1;
+            }
+            _ => {}
+        }
+    }
+
     fn on_recent_written(
         &mut self,
         result: &Result<PlatformAnswer, PlatformError>,
--- a/crates/shallottide/src/claims/relaying.rs
+++ b/crates/shallottide/src/claims/relaying.rs
@@ -11,6 +11,9 @@
 use crate::kernel::{Context, Outbox, names};
 use crate::message::{PeerReceived, PeerSend};
 
+/// Most writers asked for one request before this node writes by itself.
+const MAX_WRITERS_ASKED: usize = 2;
+
 impl ClaimService {
     /// Handles the answer of this node's own partition queue.
     pub(super) fn on_own_answer(
@@ -23,10 +26,7 @@
         let Some(request) = self.requests.get(&token) else {
             return;
         };
-        let answer = match answer {
-            ClaimAnswer::NotClaimed if request.tainted => ClaimAnswer::Unknown,
-            answer => answer,
-        };
+        let answer = request.truthful(answer);
         self.finish(token, answer, cx, out);
     }
 
@@ -46,15 +46,15 @@
             }
             return;
         };
-        let is_asked = request.relayed_to.as_ref() == Some(from);
-        let is_waiting = request.via != Via::Direct;
+        if answer == ClaimAnswer::NotClaimed {
+            request.open.remove(from);
+        }
+        let is_with = matches!(&request.via, Via::Peer { node, .. } if node == from);
         match answer {
-            ClaimAnswer::NotClaimed | ClaimAnswer::Unknown => {
-                request.tainted &= !is_asked || answer == ClaimAnswer::Unknown;
-                if is_asked && is_waiting {
-                    self.take_over(token, cx, out);
-                }
+            ClaimAnswer::NotClaimed | ClaimAnswer::Unknown if is_with => {
+                self.take_over(token, cx, out);
             }
+            ClaimAnswer::NotClaimed | ClaimAnswer::Unknown => {}
             answer => self.finish(token, answer, cx, out),
         }
     }
@@ -62,9 +62,11 @@
     /// Takes back requests that their writers did not answer in time.
     pub(super) fn expire_relays(&mut self, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
-        let relay_timeout = self.options.relay_timeout;
+        let options = &self.options;
         let silent = |request: &Request| match &request.via {
-            Via::Peer { node, since } if now >= *since + relay_timeout => Some(node.clone()),
+            Via::Peer { node, since } if now >= *since + options.patience(&request.task) => {
+                Some(node.clone())
+            }
             _ => None,
         };
         let silent: Vec<_> = self
@@ -75,7 +77,18 @@
         for (token, writer) in silent {
             self.suspects
                 .insert(writer, now + self.options.suspect_time);
-            self.take_over(token, cx, out);
+            self.ask_next(token, cx, out);
+        }
+    }
+
+    /// Asks the next preferred writer, or tries here once enough writers gave no answer.
+    fn ask_next(&mut self, token: u64, cx: &Context, out: &mut Outbox) {
+        match self.requests.remove(&token) {
+            Some(request) if request.asked.len() < MAX_WRITERS_ASKED => {
+                self.submit(token, request, cx, out);
+            }
+            Some(request) => self.submit_here(token, request, cx, out),
+            None => {}
         }
     }
 
@@ -127,15 +140,11 @@
 }
 
 /// Sends a task to the preferred writer.
-pub(super) fn relay(writer: &NodeInfo, task: &Task, cx: &Context, out: &mut Outbox) -> Via {
+pub(super) fn relay(writer: &NodeInfo, task: &Task, out: &mut Outbox) {
     let msg = match task {
         Task::Claim(request) => PeerMsg::Claim(request.clone()),
         Task::End(outcome) => PeerMsg::ClaimEnded(outcome.clone()),
     };
     let address = writer.address;
     out.send(names::PEERS, PeerSend { address, msg });
-    Via::Peer {
-        node: writer.node.clone(),
-        since: cx.now(),
-    }
 }
--- a/crates/shallottide/src/claims/request.rs
+++ b/crates/shallottide/src/claims/request.rs
@@ -1,8 +1,10 @@
 //! What this node asks of a partition's writer.
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use shallottide_types::id::{CallId, NodeId};
+use shallottide_types::peer::ClaimAnswer;
 
 use super::job::Task;
 
@@ -27,9 +29,40 @@
     pub(super) call: Option<CallId>,
     pub(super) task: Task,
     pub(super) via: Via,
-    /// The preferred writer that was asked, also after it was given up.
-    pub(super) relayed_to: Option<NodeId>,
+    /// The writers that were asked.
+    pub(super) asked: Vec<NodeId>,
+    /// The writers that did not say they won't write.
+    pub(super) open: BTreeSet<NodeId>,
     pub(super) deadline: Instant,
-    /// Whether someone may have written the claim, or still may.
-    pub(super) tainted: bool,
+}
+
+impl Request {
+    /// Creates a request that nobody was asked for yet.
+    pub(super) fn new(call: Option<CallId>, task: Task, deadline: Instant) -> Self {
+        Self {
+            call,
+            task,
+            via: Via::Direct,
+            asked: Vec::new(),
+            open: BTreeSet::new(),
+            deadline,
+        }
+    }
+
+    /// Notes that a writer is asked.
+    pub(super) fn ask(&mut self, node: &NodeId, since: Instant) {
+        let node = node.clone();
+        self.asked.push(node.clone());
+        self.open.insert(node.clone());
+        self.via = Via::Peer { node, since };
+    }
+
+    /// Returns the answer for the call: a claim that a writer may still write is not surely
+    /// unwritten.
+    pub(super) fn truthful(&self, answer: ClaimAnswer) -> ClaimAnswer {
+        match answer {
+            ClaimAnswer::NotClaimed if !self.open.is_empty() => ClaimAnswer::Unknown,
+            answer => answer,
+        }
+    }
 }
