Give each slot a retry budget and bound the time a call may have

Retries were limited for a call and for the node, not for one upstream: the others' budget could all go to one slot. Taking the slot's budget out fails retries_at_one_slot_stay_a_share_of_its_first_attempts. A refusal now names the attempt's failure rather than the slot that was passed over after it. Times left are cut to an hour, so that no sum of times overflows (not shown by a test).

--- a/crates/shallottide/src/calls/arrival.rs
+++ b/crates/shallottide/src/calls/arrival.rs
@@ -69,7 +69,7 @@
         }
         Call {
             reply_to: arrived.reply_to,
-            deadline: cx.now() + arrived.head.time_left,
+            deadline: cx.now() + arrived.head.time_left.min(self.options.max_time),
             head: arrived.head,
             body: arrived.body,
             chosen: arrived.slot,
--- a/crates/shallottide/src/calls/call_options.rs
+++ b/crates/shallottide/src/calls/call_options.rs
@@ -18,6 +18,10 @@
     pub retry_ratio: f64,
     /// Most retries that the node's retry budget holds.
     pub retry_burst: f64,
+    /// Retries that the budget of one slot holds; it gains by `retry_ratio`, too.
+    pub slot_retry_burst: f64,
+    /// Longest time that a call may have left.
+    pub max_time: Duration,
     /// Longest wait for the next event of a stream, the first included.
     pub stream_idle_timeout: Duration,
     /// Longest wait for the next part of an answer that is no stream.
@@ -42,6 +46,8 @@
             max_local_tries: 16,
             retry_ratio: 0.1,
             retry_burst: 50.0,
+            slot_retry_burst: 10.0,
+            max_time: Duration::from_hours(1),
             stream_idle_timeout: Duration::from_secs(10),
             answer_idle_timeout: Duration::from_mins(1),
             hop_margin: Duration::from_millis(500),
--- a/crates/shallottide/src/calls/call_service.rs
+++ b/crates/shallottide/src/calls/call_service.rs
@@ -39,7 +39,7 @@
     ) -> Self {
         Self {
             calls: CallTable::new(options.counts.clone()),
-            budget: RetryBudget::new(options.retry_ratio, options.retry_burst),
+            budget: RetryBudget::new(&options),
             last_attempt: AttemptId::default(),
             stopping: false,
             options,
--- a/crates/shallottide/src/calls/dispatching.rs
+++ b/crates/shallottide/src/calls/dispatching.rs
@@ -45,13 +45,10 @@
         }
         while call.local_tries < self.options.max_local_tries {
             let route = self.ask_router(call, cx)?;
-            let Route::Local { slot, .. } = &route else {
-                return Ok(route);
-            };
-            match self.admission.acquire(slot, &call.head.team, cx) {
+            match self.take_route(call, &route, cx) {
                 Ok(()) => return Ok(route),
                 Err(refusal) if is_final(call, &refusal) => return Err(refusal),
-                Err(refusal) => call.last_refusal = Some(refusal),
+                Err(refusal) => drop(call.last_refusal.get_or_insert(refusal)),
             }
             call.local_tries += 1;
             call.exclude(&route);
@@ -64,6 +61,20 @@
         ))
     }
 
+    /// Takes what an attempt along a route needs: a retry of its slot's budget, and here a place.
+    fn take_route(&mut self, call: &Call, route: &Route, cx: &Context) -> Result<(), Refusal> {
+        let is_retry = call.attempts > 0;
+        if is_retry && slot_of(route).is_some_and(|slot| !self.budget.take_at(slot)) {
+            let message = "the upstream has had too many retries: retry later";
+            let wait = self.options.retry_after;
+            return Err(not_run(RefusalKind::Overloaded, message, wait));
+        }
+        match route {
+            Route::Local { slot, .. } => self.admission.acquire(slot, &call.head.team, cx),
+            Route::Peer { .. } | Route::Domain { .. } => Ok(()),
+        }
+    }
+
     fn ask_router(&mut self, call: &Call, cx: &Context) -> Result<Route, Refusal> {
         let query = RouteQuery {
             head: &call.head,
@@ -83,7 +94,7 @@
     fn send_attempt(&mut self, call: &mut Call, route: Route, cx: &Context, out: &mut Outbox) {
         self.last_attempt = self.last_attempt.next();
         if call.attempts == 0 {
-            self.budget.first_attempt();
+            self.budget.first_attempt(slot_of(&route));
         }
         call.attempts += 1;
         self.router.started(&route, cx);
@@ -142,6 +153,13 @@
     }
 }
 
+fn slot_of(route: &Route) -> Option<&Slot> {
+    match route {
+        Route::Local { slot, .. } | Route::Peer { slot, .. } => Some(slot),
+        Route::Domain { .. } => None,
+    }
+}
+
 /// Tells whether asking for another slot is pointless.
 fn is_final(call: &Call, refusal: &Refusal) -> bool {
     call.chosen.is_some() || !refusals::is_about_upstream(refusal.kind)
--- a/crates/shallottide/src/claims/recent_claims.rs
+++ b/crates/shallottide/src/claims/recent_claims.rs
@@ -80,14 +80,17 @@
         if self.size() >= options.max_recent_bytes || old.len() >= options.max_old_keys {
             return Applied::unchanged(ClaimAnswer::NotClaimed);
         }
-        let lives = request.time_left + options.expiry_margin;
+        let lives = request.time_left.saturating_add(options.expiry_margin);
         let entry = ClaimEntry {
             digest: request.digest,
             holder: request.call.clone(),
             owner: request.owner.clone(),
             incarnation: request.incarnation,
             claimed_at: moment.unix_s,
-            expires_at: moment.unix_s + lives.as_secs() + 1,
+            expires_at: moment
+                .unix_s
+                .saturating_add(lives.as_secs())
+                .saturating_add(1),
             end: None,
         };
         self.entries.insert(request.claim, entry);
--- a/crates/shallottide/tests/calls_rules.rs
+++ b/crates/shallottide/tests/calls_rules.rs
@@ -295,6 +295,33 @@
     );
 }
 
+#[test]
+fn retries_at_one_slot_stay_a_share_of_its_first_attempts() {
+    const CALLS: u32 = 100;
+    let options = CallOptions {
+        retry_burst: 1_000.0,
+        ..CallOptions::default()
+    };
+    let most = options.slot_retry_burst;
+    let (mut node, _) = node(vec![local("a"), peer("b")], options);
+    let mut retries = 0;
+    let mut last_attempt = 0;
+    for i in 0..CALLS {
+        node.send(arrived(Kind::Count, ReplyTo::Front(i.into())));
+        last_attempt += 1;
+        let sent = node.send(lost(last_attempt));
+        if forward(&sent).is_some() {
+            retries += 1;
+            last_attempt += 1;
+            node.send(lost(last_attempt));
+        }
+    }
+    assert!(
+        retries > 0 && f64::from(retries) <= most,
+        "{retries} retries"
+    );
+}
+
 #[test]
 fn large_answer_passes_through() {
     let options = CallOptions {
