Replace members that never load, and move small groups to make room

A member that loads for longer than the limit is left out until its engine restarts or half an hour has passed. A smaller group of no higher priority moves to another fabric domain when a larger one can form in its place. The service's file is split into three.

--- a/crates/shallottide/src/groups.rs
+++ b/crates/shallottide/src/groups.rs
@@ -17,6 +17,7 @@
 mod planner;
 pub mod rendezvous;
 mod report_book;
+mod slow_members;
 mod vm_directory;
 
 pub use group_options::GroupOptions;
--- a/crates/shallottide/src/groups/controller.rs
+++ b/crates/shallottide/src/groups/controller.rs
@@ -12,6 +12,7 @@
 use super::order_book::{OrderBook, OrderInput};
 use super::placement_store::PlacementStore;
 use super::report_book::ReportBook;
+use super::slow_members::SlowMembers;
 use super::vm_directory::VmDirectory;
 use super::{GroupOptions, PlanInput, Planner};
 use crate::message::{EngineOrder, EngineOrdered, PlatformAnswer, PlatformOp};
@@ -27,6 +28,7 @@
     lease: ControllerLease,
     store: PlacementStore,
     orders: OrderBook,
+    slow: SlowMembers,
     next_plan: Option<Instant>,
     next_read: Option<Instant>,
 }
@@ -50,6 +52,7 @@
             lease: ControllerLease::new(domain, me, options),
             store: PlacementStore::new(domain.clone()),
             orders: OrderBook::new(options),
+            slow: SlowMembers::new(options),
             next_plan: None,
             next_read: None,
         }
@@ -111,7 +114,7 @@
     }
 
     /// Plans, unless records or VMs are unknown: such a plan would break up every group.
-    fn plan(&self, input: &ControlInput<'_>) -> Option<Placement> {
+    fn plan(&mut self, input: &ControlInput<'_>) -> Option<Placement> {
         let read_at = input.directory.read_at()?;
         let age = input.now.saturating_duration_since(read_at);
         let vms_known = age < self.options.vm_list_every * MISSED_VM_LISTS;
@@ -121,13 +124,17 @@
         let records = input.config.upstreams.values();
         let own = records.filter(|record| record.failure_domain == self.domain);
         let upstreams: BTreeSet<UpstreamId> = own.map(|record| record.id.clone()).collect();
+        let mut lost = self.slow.update(input.reports, input.now);
+        lost.extend(input.reports.lost(input.now));
+        let mut answering = input.reports.answering(input.now);
+        answering.retain(|vm| !lost.contains(vm));
         Planner::plan(&PlanInput {
             previous: self.store.known()?,
             models: &input.config.models,
             upstreams: &upstreams,
             vms: input.directory.vms(),
-            answering: &input.reports.answering(input.now),
-            lost: &input.reports.lost(input.now),
+            answering: &answering,
+            lost: &lost,
             nodes: input.nodes,
             max_imbalance: self.options.max_imbalance,
         })
--- a/crates/shallottide/src/groups/group_service.rs
+++ b/crates/shallottide/src/groups/group_service.rs
@@ -5,33 +5,22 @@
 
 use shallottide_types::id::{DomainId, NodeId, StoreIndex};
 use shallottide_types::peer::{NodeInfo, PeerMsg};
-use shallottide_types::placement::Placement;
-use shallottide_types::platform::{Listing, PlatformError, Vm};
 
 use super::GroupOptions;
 use super::alive_nodes::AliveNodes;
 use super::controller::{ControlInput, Controller};
 use super::parts::Parts;
 use super::placement_copy::PlacementCopy;
-use super::placement_store::{parse, placement_key};
 use super::report_book::ReportBook;
 use super::vm_directory::VmDirectory;
 use crate::kernel::names::{ENGINES, GROUPS, PEERS, PLATFORM};
 use crate::kernel::{Context, Name, Outbox, Service};
 use crate::message::{
-    EnginePoll, EngineReported, Message, PeerReceived, PeerSend, PlatformAnswer, PlatformOp,
-    PlatformReply, PlatformRequest,
+    Message, PeerReceived, PeerSend, PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest,
 };
-use crate::view::{FleetView, PlacementView};
 
-/// Time between two looks at which node polls which VM.
-const PARTS_EVERY: Duration = Duration::from_millis(500);
-
-/// Time between two looks at which polls and reports are due.
-const POLLS_EVERY: Duration = Duration::from_millis(200);
-
-/// Wait after a failed platform call of the watch or the VM list.
-const RETRY: Duration = Duration::from_secs(1);
+mod polling;
+mod spread;
 
 /// Forms groups, orders their engines about, polls them and tells everyone.
 pub struct GroupService {
@@ -194,19 +183,6 @@
         due
     }
 
-    /// Keeps one watch of the placement for the whole failure domain.
-    fn watch(&mut self, now: Instant, out: &mut Outbox) {
-        let idle = !self.is_under_way(Purpose::Watch);
-        if self.is_first() && idle && self.is_due(Purpose::Watch, Duration::ZERO, now) {
-            let op = PlatformOp::List {
-                prefix: placement_key(&self.domain),
-                after: self.watch_index,
-                wait: self.options.watch_wait,
-            };
-            self.request(Purpose::Watch, op, out);
-        }
-    }
-
     fn read_vms(&mut self, now: Instant, out: &mut Outbox) {
         let every = self.options.vm_list_every;
         let idle = !self.is_under_way(Purpose::VmList);
@@ -234,96 +210,6 @@
         }
     }
 
-    /// Polls engines, and tells candidates what they report.
-    fn poll(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
-        if !self.is_due(Purpose::Poll, POLLS_EVERY, now) {
-            return;
-        }
-        let placement = self.copy.get();
-        let mine = if self.is_candidate() {
-            let mut by_poller = self.directory.by_poller(&nodes.ids, placement);
-            by_poller.remove(&self.me).unwrap_or_default()
-        } else {
-            self.directory.polled_here(&self.me, placement)
-        };
-        let copies = self.reports.take_due_copies(&mine, placement, now);
-        let mut polled = mine;
-        if self.controller.is_held(now) {
-            polled.extend(self.suspects(&polled, now));
-        }
-        for vm in self.reports.due(&polled, now) {
-            let (vm, address) = (vm.id.clone(), vm.address);
-            out.send(ENGINES, EnginePoll { vm, address });
-        }
-        let others = self.candidates.iter().filter(|node| **node != self.me);
-        for info in others.filter_map(|node| nodes.info(node)) {
-            if !copies.is_empty() {
-                send_peer(info, PeerMsg::Reports(copies.clone()), out);
-            }
-        }
-    }
-
-    /// Returns VMs that their pollers are silent about, or say are silent.
-    fn suspects(&self, mine: &[Vm], now: Instant) -> Vec<Vm> {
-        let vms = self.directory.vms().values();
-        let others = vms.filter(|vm| !mine.contains(vm));
-        let suspects = others.filter(|vm| self.reports.is_suspect(&vm.id, now));
-        suspects.cloned().collect()
-    }
-
-    /// Sends each node the VMs that it polls, and the second candidate all.
-    fn send_parts(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
-        if !self.is_first() || !self.is_due(Purpose::Parts, PARTS_EVERY, now) {
-            return;
-        }
-        self.parts.retain(&nodes.ids);
-        let mut by_poller = self.directory.by_poller(&nodes.ids, self.copy.get());
-        for info in nodes.infos.iter().filter(|info| info.node != self.me) {
-            let part = if self.candidates.contains(&info.node) {
-                self.directory.vms().values().cloned().collect()
-            } else {
-                by_poller.remove(&info.node).unwrap_or_default()
-            };
-            let repeat_every = self.options.repeat_every;
-            if let Some(part) = self.parts.due(info, part, repeat_every, now) {
-                send_peer(info, PeerMsg::Vms(part), out);
-            }
-        }
-    }
-
-    /// Tells nodes that came alive the placement, and another peer from time to time.
-    fn push_placement(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
-        let mut peers = self.copy.newcomers(&self.me, &nodes.infos);
-        if !self.is_candidate() {
-            peers.clear();
-        }
-        if self.is_due(Purpose::Push, self.options.repeat_every, now) {
-            peers.extend(self.copy.next_peer(&self.me, &nodes.infos));
-        }
-        for info in peers {
-            self.send_placement(&info, out);
-        }
-    }
-
-    fn send_placement(&self, to: &NodeInfo, out: &mut Outbox) {
-        if let Some(placement) = self.copy.get() {
-            send_peer(to, PeerMsg::Placement(placement.clone()), out);
-        }
-    }
-
-    /// Puts a placement in force if it is newer, and passes it on.
-    fn adopt(&mut self, placement: &Placement, first: bool, cx: &Context, out: &mut Outbox) {
-        if placement.domain != self.domain || !self.copy.adopt(placement) {
-            return;
-        }
-        let domains = BTreeMap::from([(self.domain.clone(), placement.clone())]);
-        cx.publish_placement(PlacementView { domains });
-        let nodes = AliveNodes::of(cx);
-        for info in self.copy.children(&self.me, first, &nodes.infos) {
-            self.send_placement(&info, out);
-        }
-    }
-
     fn platform_reply(&mut self, reply: PlatformReply, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
         match self.purposes.remove(&reply.token) {
@@ -344,25 +230,6 @@
         }
     }
 
-    fn watched(
-        &mut self,
-        result: Result<PlatformAnswer, PlatformError>,
-        cx: &Context,
-        out: &mut Outbox,
-    ) {
-        let Ok(PlatformAnswer::Listing(Listing { index, entries })) = result else {
-            self.watch_index = None;
-            self.due.insert(Purpose::Watch, cx.now() + RETRY);
-            return;
-        };
-        self.watch_index = Some(index);
-        let key = placement_key(&self.domain);
-        let entry = entries.iter().find(|entry| entry.key == key);
-        if let Some(placement) = entry.and_then(|entry| parse(&self.domain, entry)) {
-            self.adopt(&placement, true, cx, out);
-        }
-    }
-
     fn peer_received(&mut self, received: PeerReceived, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
         match received.msg {
@@ -382,36 +249,6 @@
             _ => {}
         }
     }
-
-    /// Adopts a peer's placement; a peer with an older one gets this node's.
-    fn placement_received(
-        &mut self,
-        placement: &Placement,
-        from: &NodeId,
-        cx: &Context,
-        out: &mut Outbox,
-    ) {
-        self.adopt(placement, false, cx, out);
-        let older = placement.domain == self.domain && placement.fence < self.copy.fence();
-        if let Some(info) = cx.members().alive(from).filter(|_| older) {
-            self.send_placement(info, out);
-        }
-    }
-
-    fn engine_reported(&mut self, reported: EngineReported, cx: &Context) {
-        self.reports.polled(&reported.vm, reported.result, cx.now());
-        self.fleet_changed = true;
-        self.publish_fleet(cx);
-    }
-
-    fn publish_fleet(&mut self, cx: &Context) {
-        if std::mem::take(&mut self.fleet_changed) {
-            cx.publish_fleet(FleetView {
-                vms: self.directory.vms().clone(),
-                reports: self.reports.reports().clone(),
-            });
-        }
-    }
 }
 
 fn send_peer(to: &NodeInfo, msg: PeerMsg, out: &mut Outbox) {
--- a/crates/shallottide/src/groups/planner.rs
+++ b/crates/shallottide/src/groups/planner.rs
@@ -189,13 +189,55 @@
     fn form_missing(&mut self, models: &[&ModelRecord]) {
         for model in models {
             while self.count(&model.id) < self.wanted(model) {
-                if !self.form_one(model) {
+                let formed = self.form_one(model);
+                let formed = formed || (self.make_room(model) && self.form_one(model));
+                if !formed {
                     break;
                 }
             }
         }
     }
 
+    /// Moves one smaller group of no higher priority to another fabric domain, if that leaves
+    /// room for a group of the model.
+    fn make_room(&mut self, model: &ModelRecord) -> bool {
+        if self.input.nodes.is_empty() {
+            return false;
+        }
+        let size = usize::from(model.vms_per_group);
+        let priority = |id: &ModelId| self.input.models.get(id).map(|record| record.priority);
+        let movable = self.groups.iter().filter(|(_, group)| {
+            group.members.len() < size && priority(&group.model) <= Some(model.priority)
+        });
+        let mut movable: Vec<_> = movable
+            .map(|(id, g)| (g.members.len(), id.clone()))
+            .collect();
+        movable.sort();
+        let id = movable.into_iter().find_map(|(count, id)| {
+            let fabric = self.fabric(self.groups[&id].members.first()?)?;
+            let room = self.free.count(fabric) + count >= size;
+            (room && self.free.fits_elsewhere(fabric, count)).then_some(id)
+        });
+        id.is_some_and(|id| self.move_group(&id))
+    }
+
+    fn move_group(&mut self, id: &GroupId) -> bool {
+        let members = self.groups[id].members.clone();
+        let fabric = members.first().and_then(|vm| self.fabric(vm));
+        let Some(others) = fabric.and_then(|f| self.free.take_elsewhere(f, members.len())) else {
+            return false;
+        };
+        for vm in &members {
+            self.add_free(vm);
+        }
+        let formed = self.input.previous.fence.next();
+        if let Some(group) = self.groups.get_mut(id) {
+            group.members = others;
+            group.formed = formed;
+        }
+        true
+    }
+
     fn count(&self, model: &ModelId) -> usize {
         let groups = self.groups.values();
         groups.filter(|group| group.model == *model).count()
--- a/crates/shallottide/src/groups/planner/free_vms.rs
+++ b/crates/shallottide/src/groups/planner/free_vms.rs
@@ -34,6 +34,29 @@
         Some(taken)
     }
 
+    pub(super) fn count(&self, fabric: &FabricId) -> usize {
+        self.fabrics.get(fabric).map_or(0, BTreeSet::len)
+    }
+
+    /// Tells whether another fabric domain has so many free VMs.
+    pub(super) fn fits_elsewhere(&self, fabric: &FabricId, count: usize) -> bool {
+        self.tightest(Some(fabric), count).is_some()
+    }
+
+    /// Takes VMs of another fabric domain.
+    pub(super) fn take_elsewhere(&mut self, fabric: &FabricId, count: usize) -> Option<Vec<VmId>> {
+        let other = self.tightest(Some(fabric), count)?;
+        self.take(&other, count, &[])
+    }
+
+    /// Returns the fabric domain with enough free VMs where the fewest stay over.
+    fn tightest(&self, but: Option<&FabricId>, count: usize) -> Option<FabricId> {
+        let others = self.fabrics.iter().filter(|(id, _)| Some(*id) != but);
+        let fitting = others.filter(|(_, vms)| vms.len() >= count);
+        let (id, _) = fitting.min_by_key(|(_, vms)| vms.len())?;
+        Some(id.clone())
+    }
+
     /// Takes VMs of the preferred fabric domain, else of the one where the fewest stay over.
     pub(super) fn take_best(
         &mut self,
@@ -44,8 +67,7 @@
         if let Some(vms) = fabric.and_then(|fabric| self.take(fabric, count, preferred)) {
             return Some(vms);
         }
-        let fitting = self.fabrics.iter().filter(|(_, vms)| vms.len() >= count);
-        let best = fitting.min_by_key(|(_, vms)| vms.len())?.0.clone();
+        let best = self.tightest(None, count)?;
         self.take(&best, count, preferred)
     }
 }
--- a/crates/shallottide/tests/groups_recovery.rs
+++ b/crates/shallottide/tests/groups_recovery.rs
@@ -273,6 +273,31 @@
     assert!(bench.node(&old).held_orders.is_empty(), "its lease is over");
 }
 
+/// A member that answers but never finishes its load is replaced by a spare, and is not
+/// taken again until its engine restarts.
+#[test]
+fn member_that_never_loads_is_replaced() {
+    let records = vec![Record::Model(model("tide", 2, 1, 1))];
+    let mut bench = Bench::new(0, vms(&[("rack-a", 3)]), records);
+    bench.options.load_limit = secs(20);
+    bench.add_node("entry-0");
+    bench.engine(0).load_time = secs(100_000);
+    bench.run(secs(60));
+    assert_eq!(bench.serving(), 1);
+    assert_eq!(
+        members(&bench, 0).iter().sum::<usize>(),
+        3,
+        "the two others serve"
+    );
+    bench.engine(1).dead = true;
+    bench.run(secs(30));
+    assert_eq!(bench.serving(), 0);
+    bench.engine(0).restart();
+    bench.engine(0).load_time = secs(2);
+    bench.run(secs(30));
+    assert_eq!(bench.serving(), 1);
+}
+
 /// The weight store bears so many loads at once and no more; the most wanted go first.
 #[test]
 fn loads_are_paced_by_priority() {
