Let isolated controllers give up

A controller that hears less than half of its failure domain but still reaches the platform took all dispatching to itself, where the others can't reach it. It now gives the lease back and leaves control to the others for a minute. Without the check the two new tests fail.

--- a/crates/shallottide/src/admission/slot_admission.rs
+++ b/crates/shallottide/src/admission/slot_admission.rs
@@ -176,23 +176,13 @@
 /// have been replaced without knowing: it counts on no more than the cold limit.
 fn limit_of(places: &SlotPlaces, evidence: &Evidence, cx: &Context) -> u32 {
     let limit = places.limit.get(evidence.bounds);
-    if is_isolated(cx) {
+    if cx.members().is_isolated(&cx.me()) {
         limit.min(evidence.bounds.cold)
     } else {
         limit
     }
 }
 
-/// Tells whether this node hears less than half of its failure domain.
-fn is_isolated(cx: &Context) -> bool {
-    let me = cx.me();
-    let members = cx.members();
-    let others = members.nodes.values();
-    let others = others.filter(|n| n.info.domain == me.domain && n.info.node != me.node);
-    let (alive, silent): (Vec<_>, Vec<_>) = others.partition(|node| node.alive);
-    silent.len() > alive.len() + 1
-}
-
 fn dispatchers(cx: &Context) -> BTreeMap<Slot, NodeId> {
     let placement = cx.placement();
     let Some(placement) = placement.domains.get(&cx.me().domain) else {
--- a/crates/shallottide/src/groups/group_options.rs
+++ b/crates/shallottide/src/groups/group_options.rs
@@ -31,6 +31,9 @@
     pub load_limit: Duration,
     /// Groups that may load weights at once in the failure domain.
     pub max_loading: usize,
+    /// How long a node that hears less than half of its failure domain leaves control to
+    /// others, before it takes the silent nodes for dead.
+    pub isolation_hold: Duration,
     /// Slots by which one dispatcher may exceed another before one slot is moved.
     pub max_imbalance: usize,
 }
@@ -51,6 +54,7 @@
             drain_limit: Duration::from_mins(2),
             load_limit: Duration::from_mins(5),
             max_loading: 4,
+            isolation_hold: Duration::from_mins(1),
             max_imbalance: 2,
         }
     }
--- a/crates/shallottide/src/groups/group_service.rs
+++ b/crates/shallottide/src/groups/group_service.rs
@@ -66,6 +66,8 @@
     due: BTreeMap<Purpose, Instant>,
     parts: Parts,
     candidates: Vec<NodeId>,
+    /// Since when this node hears less than half of its failure domain.
+    isolated_since: Option<Instant>,
     fleet_changed: bool,
 }
 
@@ -96,6 +98,7 @@
             due: BTreeMap::new(),
             parts: Parts::default(),
             candidates: Vec::new(),
+            isolated_since: None,
             fleet_changed: false,
             me: me.node,
             domain: me.domain,
@@ -120,7 +123,7 @@
         self.choose_candidates(&nodes);
         self.directory.expire(self.copy.get(), now);
         self.reports.retain(self.directory.vms(), now);
-        let candidate = self.is_candidate();
+        let candidate = self.is_candidate() && self.hears_enough(cx, out);
         if let Some(op) = self.controller.lease().next_op(candidate, now) {
             self.request(Purpose::Lease, op, out);
         }
@@ -133,6 +136,23 @@
         self.publish_fleet(cx);
     }
 
+    /// Tells whether this node may take part in control; gives the lease back if not, so that
+    /// nodes that hear each other take over.
+    fn hears_enough(&mut self, cx: &Context, out: &mut Outbox) -> bool {
+        if !cx.members().is_isolated(&cx.me()) {
+            self.isolated_since = None;
+            return true;
+        }
+        let now = cx.now();
+        let since = *self.isolated_since.get_or_insert(now);
+        let hold = self.options.isolation_hold;
+        let enough = now.saturating_duration_since(since) >= hold;
+        if !enough {
+            self.stop(out);
+        }
+        enough
+    }
+
     fn stop(&mut self, out: &mut Outbox) {
         if let Some(op) = self.controller.lease().release() {
             self.request(Purpose::Lease, op, out);
--- a/crates/shallottide/src/view/member_view.rs
+++ b/crates/shallottide/src/view/member_view.rs
@@ -48,6 +48,16 @@
             .map(|node| &node.info)
     }
 
+    /// Tells whether a node hears less than half of its failure domain, itself included.
+    /// Such a node may have been replaced without knowing.
+    #[must_use]
+    pub fn is_isolated(&self, me: &NodeInfo) -> bool {
+        let others = self.nodes.values();
+        let others = others.filter(|n| n.info.domain == me.domain && n.info.node != me.node);
+        let (alive, silent): (Vec<_>, Vec<_>) = others.partition(|node| node.alive);
+        silent.len() > alive.len() + 1
+    }
+
     /// Returns where a node is, when it is alive.
     #[must_use]
     pub fn alive(&self, node: &NodeId) -> Option<&NodeInfo> {
--- a/crates/shallottide/tests/group_support/bench.rs
+++ b/crates/shallottide/tests/group_support/bench.rs
@@ -34,7 +34,14 @@
     /// Orders that left the node while it was paused or the network held them.
     pub(crate) held_orders: Vec<EngineOrder>,
     pub(crate) hold_orders: bool,
-    pub(crate) cut_from_platform: bool,
+    pub(crate) cut_off: CutOff,
+}
+
+/// What a node can't reach, nor be reached by.
+#[derive(Default)]
+pub(crate) struct CutOff {
+    pub(crate) platform: bool,
+    pub(crate) peers: bool,
 }
 
 /// A failure domain.
@@ -102,7 +109,7 @@
             down: false,
             held_orders: Vec::new(),
             hold_orders: false,
-            cut_from_platform: false,
+            cut_off: CutOff::default(),
         };
         self.nodes.insert(info.node, node);
     }
@@ -182,10 +189,20 @@
             (node.info.node.clone(), state)
         };
         let nodes: BTreeMap<_, _> = self.nodes.values().map(state).collect();
+        let cut: BTreeSet<&NodeId> = self
+            .nodes
+            .values()
+            .filter(|node| node.cut_off.peers)
+            .map(|node| &node.info.node)
+            .collect();
         for node in self.nodes.values() {
+            let mut nodes = nodes.clone();
+            for (id, state) in nodes.iter_mut().filter(|(id, _)| **id != node.info.node) {
+                state.alive &= !node.cut_off.peers && !cut.contains(id);
+            }
             node.cx.publish_config(self.config.clone());
             node.cx.publish_members(MemberView {
-                nodes: nodes.clone(),
+                nodes,
                 loads: BTreeMap::new(),
             });
         }
@@ -215,7 +232,10 @@
                 let bytes = bytes.expect("messages can be encoded").len();
                 *self.peer_bytes.entry(id.clone()).or_default() += bytes;
                 let from = id.clone();
-                let mut nodes = self.nodes.values_mut();
+                if self.nodes[id].cut_off.peers {
+                    return;
+                }
+                let mut nodes = self.nodes.values_mut().filter(|node| !node.cut_off.peers);
                 let to = nodes.find(|node| node.info.address == send.address && !node.down);
                 if let Some(to) = to {
                     let msg = send.msg;
@@ -279,7 +299,7 @@
             node.watches.push((request, self.clock.now()));
             return;
         }
-        let result = if node.cut_from_platform {
+        let result = if node.cut_off.platform {
             Err(cut())
         } else {
             call(&self.platform, &request.op)
@@ -303,7 +323,7 @@
                 continue;
             };
             let token = request.token;
-            let result = if node.cut_from_platform {
+            let result = if node.cut_off.platform {
                 Err(cut())
             } else {
                 platform.list(prefix, None, Duration::ZERO)
--- a/crates/shallottide/tests/groups_recovery.rs
+++ b/crates/shallottide/tests/groups_recovery.rs
@@ -137,7 +137,7 @@
 
 fn controller_is_cut_from_platform(bench: &mut Bench) {
     let controller = bench.controller();
-    bench.node(&controller).cut_from_platform = true;
+    bench.node(&controller).cut_off.platform = true;
     member_dies(bench);
 }
 
@@ -263,7 +263,7 @@
     let age = Duration::ZERO;
     bench.send_to_all(&PeerMsg::Reports(vec![ReportCopy { report, age }]));
     // Neither its watch nor a peer tells it of the later placement.
-    bench.node(&old).cut_from_platform = true;
+    bench.node(&old).cut_off.platform = true;
     let others = bench
         .nodes
         .values_mut()
@@ -330,6 +330,45 @@
     assert_eq!(first, ["high"; 3]);
 }
 
+/// A controller that hears no other node but the platform leaves control to the others, and
+/// doesn't take all dispatching to itself.
+#[test]
+fn isolated_controller_gives_up() {
+    let mut bench = bench(5, true);
+    bench.run(secs(10));
+    let old = bench.controller();
+    bench.node(&old).cut_off.peers = true;
+    let moved_to_old = |bench: &Bench| {
+        let placement = placed(bench);
+        let dispatchers = placement.groups.values().map(|group| &group.dispatcher);
+        dispatchers
+            .chain(placement.services.values())
+            .all(|node| *node == old)
+    };
+    for _ in 0..400 {
+        bench.step();
+        assert!(!moved_to_old(&bench), "it took everything to itself");
+    }
+    assert_ne!(bench.controller(), old);
+    assert_eq!(bench.serving(), 2);
+}
+
+/// When most nodes are dead for good, the one that is left takes control after a while.
+#[test]
+fn last_node_takes_over() {
+    let mut bench = bench(5, true);
+    bench.run(secs(10));
+    let controller = bench.controller();
+    let others = bench.nodes.values_mut();
+    let others = others.filter(|node| node.info.node != controller);
+    others.for_each(|node| node.down = true);
+    member_dies(&mut bench);
+    bench.run(secs(50));
+    assert!(bench.serving() < 2, "it waits for the others");
+    bench.run(secs(50));
+    assert_eq!(bench.serving(), 2);
+}
+
 /// Placements with an older fence never replace a newer one, whoever sends them.
 #[test]
 fn older_placement_never_replaces_newer() {
