Start cold after a slot could not serve

A domain taken out, a leaving upstream and a group with a silent member came back with the limit they had; now they ramp again. Without the step four tests fail.

--- a/crates/shallottide/src/admission/slot_admission.rs
+++ b/crates/shallottide/src/admission/slot_admission.rs
@@ -84,6 +84,10 @@
         }
         places.present = true;
         places.observe(evidence, &self.options, now);
+        if evidence::check_ready(slot, cx).is_err() {
+            // Caches empty while it stands still; on its return it ramps again.
+            places.fall_back(evidence, now);
+        }
     }
 
     /// Tells whether another dispatcher, or an earlier start of this one, may have sent work
--- a/crates/shallottide/src/admission/slot_places.rs
+++ b/crates/shallottide/src/admission/slot_places.rs
@@ -65,6 +65,12 @@
         self.in_flight.saturating_add(self.inherited.places())
     }
 
+    /// Goes back to the cold limit; answers to earlier requests don't ramp it.
+    pub(super) fn fall_back(&mut self, evidence: &Evidence, now: Instant) {
+        self.limit.fall_back(evidence.bounds);
+        self.cold_since = now;
+    }
+
     /// Takes in what reports say now.
     pub(super) fn observe(
         &mut self,
@@ -73,8 +79,7 @@
         now: Instant,
     ) {
         if evidence.start.differs(&self.start) || evidence.reports_cold {
-            self.limit.fall_back(evidence.bounds);
-            self.cold_since = now;
+            self.fall_back(evidence, now);
         }
         let learned = evidence.start.incarnations.iter().all(Option::is_some);
         if learned || evidence.start.formed != self.start.formed {
--- a/crates/shallottide/tests/admission_limits.rs
+++ b/crates/shallottide/tests/admission_limits.rs
@@ -160,6 +160,26 @@
     });
 }
 
+fn domain_out_and_back(desk: &mut Desk, slot: &Slot) {
+    domain_out(desk, slot);
+    let record = domain_record(DOMAIN, DomainState::Serving);
+    desk.config.insert(Record::Domain(record));
+    desk.publish();
+}
+
+fn upstream_leaving_and_back(desk: &mut Desk, slot: &Slot) {
+    upstream_leaving(desk, slot);
+    for record in desk.config.upstreams.values_mut() {
+        record.state = UpstreamState::Serving;
+    }
+    desk.publish();
+}
+
+fn member_silent_and_back(desk: &mut Desk, slot: &Slot) {
+    member_silent(desk, slot);
+    desk.wait(secs(1));
+}
+
 fn dispatched_elsewhere(desk: &mut Desk, _: &Slot) {
     desk.move_to_peer();
 }
@@ -191,6 +211,10 @@
     restarted_node_counts_server_as_loaded: &server("u0"), node_restarts, 0;
     domain_out_gives_group_nothing: &group("g0"), domain_out, 0;
     domain_out_gives_server_nothing: &server("u0"), domain_out, 0;
+    domain_back_starts_group_cold: &group("g0"), domain_out_and_back, COLD;
+    domain_back_starts_server_cold: &server("u0"), domain_out_and_back, COLD;
+    returned_upstream_starts_cold: &server("u0"), upstream_leaving_and_back, COLD;
+    returned_member_starts_group_cold: &group("g0"), member_silent_and_back, COLD;
     leaving_upstream_gets_nothing: &server("u0"), upstream_leaving, 0;
     group_with_leaving_member_gets_nothing: &group("g0"), member_leaving, 0;
     silent_member_stops_group: &group("g0"), member_silent, 0;
