--- a/crates/shallottide/src/groups.rs
+++ b/crates/shallottide/src/groups.rs
@@ -9,12 +9,15 @@
 mod controller_lease;
 mod group_options;
 mod group_service;
+mod member_index;
 mod order_book;
+mod parts;
 mod placement_copy;
 mod placement_store;
 mod planner;
 pub mod rendezvous;
 mod report_book;
+mod slow_members;
 mod vm_directory;
 
 pub use group_options::GroupOptions;
--- a/crates/shallottide/src/groups/group_service.rs
+++ b/crates/shallottide/src/groups/group_service.rs
@@ -5,26 +5,22 @@
 
 use shallottide_types::id::{DomainId, NodeId, StoreIndex};
 use shallottide_types::peer::{NodeInfo, PeerMsg};
-use shallottide_types::placement::Placement;
-use shallottide_types::platform::{Listing, PlatformError, Vm};
 
 use super::GroupOptions;
 use super::alive_nodes::AliveNodes;
 use super::controller::{ControlInput, Controller};
+use super::parts::Parts;
 use super::placement_copy::PlacementCopy;
-use super::placement_store::{parse, placement_key};
 use super::report_book::ReportBook;
 use super::vm_directory::VmDirectory;
 use crate::kernel::names::{ENGINES, GROUPS, PEERS, PLATFORM};
 use crate::kernel::{Context, Name, Outbox, Service};
 use crate::message::{
-    EnginePoll, EngineReported, Message, PeerReceived, PeerSend, PlatformAnswer, PlatformOp,
-    PlatformReply, PlatformRequest,
+    Message, PeerReceived, PeerSend, PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest,
 };
-use crate::view::{FleetView, PlacementView};
 
-/// Wait after a failed platform call of the watch or the VM list.
-const RETRY: Duration = Duration::from_secs(1);
+mod polling;
+mod spread;
 
 /// Forms groups, orders their engines about, polls them and tells everyone.
 pub struct GroupService {
@@ -68,9 +64,10 @@
     purposes: BTreeMap<u64, Purpose>,
     watch_index: Option<StoreIndex>,
     due: BTreeMap<Purpose, Instant>,
-    /// The part of the VM list last sent to each node.
-    parts: BTreeMap<NodeId, (Vec<Vm>, Instant)>,
+    parts: Parts,
     candidates: Vec<NodeId>,
+    /// Since when this node hears less than half of its failure domain.
+    isolated_since: Option<Instant>,
     fleet_changed: bool,
 }
 
@@ -82,6 +79,8 @@
     Watch,
     VmList,
     Push,
+    Parts,
+    Poll,
 }
 
 impl State {
@@ -97,8 +96,9 @@
             purposes: BTreeMap::new(),
             watch_index: None,
             due: BTreeMap::new(),
-            parts: BTreeMap::new(),
+            parts: Parts::default(),
             candidates: Vec::new(),
+            isolated_since: None,
             fleet_changed: false,
             me: me.node,
             domain: me.domain,
@@ -123,7 +123,7 @@
         self.choose_candidates(&nodes);
         self.directory.expire(self.copy.get(), now);
         self.reports.retain(self.directory.vms(), now);
-        let candidate = self.is_candidate();
+        let candidate = self.is_candidate() && self.hears_enough(cx, out);
         if let Some(op) = self.controller.lease().next_op(candidate, now) {
             self.request(Purpose::Lease, op, out);
         }
@@ -136,6 +136,23 @@
         self.publish_fleet(cx);
     }
 
+    /// Tells whether this node may take part in control; gives the lease back if not, so that
+    /// nodes that hear each other take over.
+    fn hears_enough(&mut self, cx: &Context, out: &mut Outbox) -> bool {
+        if !cx.members().is_isolated(&cx.me()) {
+            self.isolated_since = None;
+            return true;
+        }
+        let now = cx.now();
+        let since = *self.isolated_since.get_or_insert(now);
+        let hold = self.options.isolation_hold;
+        let enough = now.saturating_duration_since(since) >= hold;
+        if !enough {
+            self.stop(out);
+        }
+        enough
+    }
+
     fn stop(&mut self, out: &mut Outbox) {
         if let Some(op) = self.controller.lease().release() {
             self.request(Purpose::Lease, op, out);
@@ -186,19 +203,6 @@
         due
     }
 
-    /// Keeps one watch of the placement for the whole failure domain.
-    fn watch(&mut self, now: Instant, out: &mut Outbox) {
-        let idle = !self.is_under_way(Purpose::Watch);
-        if self.is_first() && idle && self.is_due(Purpose::Watch, Duration::ZERO, now) {
-            let op = PlatformOp::List {
-                prefix: placement_key(&self.domain),
-                after: self.watch_index,
-                wait: self.options.watch_wait,
-            };
-            self.request(Purpose::Watch, op, out);
-        }
-    }
-
     fn read_vms(&mut self, now: Instant, out: &mut Outbox) {
         let every = self.options.vm_list_every;
         let idle = !self.is_under_way(Purpose::VmList);
@@ -226,95 +230,6 @@
         }
     }
 
-    /// Polls engines, and tells candidates what they report.
-    fn poll(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
-        let placement = self.copy.get();
-        let mine = if self.is_candidate() {
-            self.directory.polled_by(&self.me, &nodes.ids, placement)
-        } else {
-            self.directory.polled_here(&self.me, placement)
-        };
-        let copies = self.reports.take_due_copies(&mine, placement, now);
-        let mut polled = mine;
-        if self.controller.is_held(now) {
-            polled.extend(self.suspects(&polled, now));
-        }
-        for vm in self.reports.due(&polled, now) {
-            let (vm, address) = (vm.id.clone(), vm.address);
-            out.send(ENGINES, EnginePoll { vm, address });
-        }
-        let others = self.candidates.iter().filter(|node| **node != self.me);
-        for info in others.filter_map(|node| nodes.info(node)) {
-            if !copies.is_empty() {
-                send_peer(info, PeerMsg::Reports(copies.clone()), out);
-            }
-        }
-    }
-
-    /// Returns VMs that their pollers are silent about, or say are silent.
-    fn suspects(&self, mine: &[Vm], now: Instant) -> Vec<Vm> {
-        let vms = self.directory.vms().values();
-        let others = vms.filter(|vm| !mine.contains(vm));
-        let suspects = others.filter(|vm| self.reports.is_suspect(&vm.id, now));
-        suspects.cloned().collect()
-    }
-
-    /// Sends each node the VMs that it polls, and the second candidate all.
-    fn send_parts(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
-        self.parts.retain(|node, _| nodes.ids.contains(node));
-        if !self.is_first() {
-            return;
-        }
-        for info in nodes.infos.iter().filter(|info| info.node != self.me) {
-            let part: Vec<Vm> = if self.candidates.contains(&info.node) {
-                self.directory.vms().values().cloned().collect()
-            } else {
-                let placement = self.copy.get();
-                self.directory.polled_by(&info.node, &nodes.ids, placement)
-            };
-            let due = self.parts.get(&info.node).is_none_or(|(sent, at)| {
-                *sent != part || now.saturating_duration_since(*at) >= self.options.repeat_every
-            });
-            if due {
-                send_peer(info, PeerMsg::Vms(part.clone()), out);
-                self.parts.insert(info.node.clone(), (part, now));
-            }
-        }
-    }
-
-    /// Tells nodes that came alive the placement, and another peer from time to time.
-    fn push_placement(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
-        let mut peers = self.copy.newcomers(&self.me, &nodes.infos);
-        if !self.is_candidate() {
-            peers.clear();
-        }
-        if self.is_due(Purpose::Push, self.options.repeat_every, now) {
-            peers.extend(self.copy.next_peer(&self.me, &nodes.infos));
-        }
-        for info in peers {
-            self.send_placement(&info, out);
-        }
-    }
-
-    fn send_placement(&self, to: &NodeInfo, out: &mut Outbox) {
-        if let Some(placement) = self.copy.get() {
-            send_peer(to, PeerMsg::Placement(placement.clone()), out);
-        }
-    }
-
-    /// Puts a placement in force if it is newer, and passes it on.
-    fn adopt(&mut self, placement: &Placement, first: bool, cx: &Context, out: &mut Outbox) {
-        if placement.domain != self.domain || !self.copy.adopt(placement) {
-            return;
-        }
-        let domains = BTreeMap::from([(self.domain.clone(), placement.clone())]);
-        cx.publish_placement(PlacementView { domains });
-        let nodes = AliveNodes::of(cx);
-        for info in self.copy.children(&self.me, first, &nodes.infos) {
-            self.send_placement(&info, out);
-        }
-    }
-
     fn platform_reply(&mut self, reply: PlatformReply, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
         match self.purposes.remove(&reply.token) {
@@ -335,25 +250,6 @@
         }
     }
 
-    fn watched(
-        &mut self,
-        result: Result<PlatformAnswer, PlatformError>,
-        cx: &Context,
-        out: &mut Outbox,
-    ) {
-        let Ok(PlatformAnswer::Listing(Listing { index, entries })) = result else {
-            self.watch_index = None;
-            self.due.insert(Purpose::Watch, cx.now() + RETRY);
-            return;
-        };
-        self.watch_index = Some(index);
-        let key = placement_key(&self.domain);
-        let entry = entries.iter().find(|entry| entry.key == key);
-        if let Some(placement) = entry.and_then(|entry| parse(&self.domain, entry)) {
-            self.adopt(&placement, true, cx, out);
-        }
-    }
-
     fn peer_received(&mut self, received: PeerReceived, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
         match received.msg {
@@ -373,36 +269,6 @@
             _ => {}
         }
     }
-
-    /// Adopts a peer's placement; a peer with an older one gets this node's.
-    fn placement_received(
-        &mut self,
-        placement: &Placement,
-        from: &NodeId,
-        cx: &Context,
-        out: &mut Outbox,
-    ) {
-        self.adopt(placement, false, cx, out);
-        let older = placement.domain == self.domain && placement.fence < self.copy.fence();
-        if let Some(info) = cx.members().alive(from).filter(|_| older) {
-            self.send_placement(info, out);
-        }
-    }
-
-    fn engine_reported(&mut self, reported: EngineReported, cx: &Context) {
-        self.reports.polled(&reported.vm, reported.result, cx.now());
-        self.fleet_changed = true;
-        self.publish_fleet(cx);
-    }
-
-    fn publish_fleet(&mut self, cx: &Context) {
-        if std::mem::take(&mut self.fleet_changed) {
-            cx.publish_fleet(FleetView {
-                vms: self.directory.vms().clone(),
-                reports: self.reports.reports().clone(),
-            });
-        }
-    }
 }
 
 fn send_peer(to: &NodeInfo, msg: PeerMsg, out: &mut Outbox) {
--- a/crates/shallottide/tests/group_support/bench.rs
+++ b/crates/shallottide/tests/group_support/bench.rs
@@ -34,7 +34,14 @@
     /// Orders that left the node while it was paused or the network held them.
     pub(crate) held_orders: Vec<EngineOrder>,
     pub(crate) hold_orders: bool,
-    pub(crate) cut_from_platform: bool,
+    pub(crate) cut_off: CutOff,
+}
+
+/// What a node can't reach, nor be reached by.
+#[derive(Default)]
+pub(crate) struct CutOff {
+    pub(crate) platform: bool,
+    pub(crate) peers: bool,
 }
 
 /// A failure domain.
@@ -48,6 +55,12 @@
     /// What each engine is ready for, and since when.
     held: BTreeMap<VmId, (Option<Fence>, Instant)>,
     pub(crate) options: GroupOptions,
+    /// Calls that the nodes made to the platform, a waiting watch as one.
+    pub(crate) platform_calls: u64,
+    /// Processor time of each node's service, for measurements only.
+    pub(crate) work: BTreeMap<NodeId, Duration>,
+    /// Bytes of the messages that each node sent to peers.
+    pub(crate) peer_bytes: BTreeMap<NodeId, usize>,
 }
 
 impl Bench {
@@ -73,6 +86,9 @@
             vms,
             held: BTreeMap::new(),
             options: GroupOptions::default(),
+            platform_calls: 0,
+            peer_bytes: BTreeMap::new(),
+            work: BTreeMap::new(),
         };
         for number in 0..nodes {
             bench.add_node(&format!("entry-{number}"));
@@ -93,7 +109,7 @@
             down: false,
             held_orders: Vec::new(),
             hold_orders: false,
-            cut_from_platform: false,
+            cut_off: CutOff::default(),
         };
         self.nodes.insert(info.node, node);
     }
@@ -173,10 +189,20 @@
             (node.info.node.clone(), state)
         };
         let nodes: BTreeMap<_, _> = self.nodes.values().map(state).collect();
+        let cut: BTreeSet<&NodeId> = self
+            .nodes
+            .values()
+            .filter(|node| node.cut_off.peers)
+            .map(|node| &node.info.node)
+            .collect();
         for node in self.nodes.values() {
+            let mut nodes = nodes.clone();
+            for (id, state) in nodes.iter_mut().filter(|(id, _)| **id != node.info.node) {
+                state.alive &= !node.cut_off.peers && !cut.contains(id);
+            }
             node.cx.publish_config(self.config.clone());
             node.cx.publish_members(MemberView {
-                nodes: nodes.clone(),
+                nodes,
                 loads: BTreeMap::new(),
             });
         }
@@ -188,9 +214,11 @@
         let mut messages = std::mem::take(&mut node.inbox);
         messages.push(Message::Tick);
         let mut out = Outbox::default();
+        let started = Instant::now();
         for message in messages {
             node.service.handle(message, &node.cx, &mut out);
         }
+        *self.work.entry(id.clone()).or_default() += started.elapsed();
         for (_, message) in out.take() {
             self.carry(id, message);
         }
@@ -200,8 +228,14 @@
         match message {
             Message::PlatformRequest(request) => self.platform_call(id, request),
             Message::PeerSend(send) => {
+                let bytes = bincode::serde::encode_to_vec(&send.msg, bincode::config::standard());
+                let bytes = bytes.expect("messages can be encoded").len();
+                *self.peer_bytes.entry(id.clone()).or_default() += bytes;
                 let from = id.clone();
-                let mut nodes = self.nodes.values_mut();
+                if self.nodes[id].cut_off.peers {
+                    return;
+                }
+                let mut nodes = self.nodes.values_mut().filter(|node| !node.cut_off.peers);
                 let to = nodes.find(|node| node.info.address == send.address && !node.down);
                 if let Some(to) = to {
                     let msg = send.msg;
@@ -259,12 +293,13 @@
     }
 
     fn platform_call(&mut self, id: &NodeId, request: PlatformRequest) {
+        self.platform_calls += 1;
         let node = self.nodes.get_mut(id).expect("known node");
         if let PlatformOp::List { after: Some(_), .. } = &request.op {
             node.watches.push((request, self.clock.now()));
             return;
         }
-        let result = if node.cut_from_platform {
+        let result = if node.cut_off.platform {
             Err(cut())
         } else {
             call(&self.platform, &request.op)
@@ -288,7 +323,7 @@
                 continue;
             };
             let token = request.token;
-            let result = if node.cut_from_platform {
+            let result = if node.cut_off.platform {
                 Err(cut())
             } else {
                 platform.list(prefix, None, Duration::ZERO)
--- a/crates/shallottide/tests/groups_recovery.rs
+++ b/crates/shallottide/tests/groups_recovery.rs
@@ -12,7 +12,6 @@
 use shallottide_types::peer::{PeerMsg, ReportCopy};
 use shallottide_types::placement::Placement;
 use shallottide_types::record::Record;
-use standin::platform::CallKind;
 
 fn secs(count: u64) -> Duration {
     Duration::from_secs(count)
@@ -138,7 +137,7 @@
 
 fn controller_is_cut_from_platform(bench: &mut Bench) {
     let controller = bench.controller();
-    bench.node(&controller).cut_from_platform = true;
+    bench.node(&controller).cut_off.platform = true;
     member_dies(bench);
 }
 
@@ -264,7 +263,7 @@
     let age = Duration::ZERO;
     bench.send_to_all(&PeerMsg::Reports(vec![ReportCopy { report, age }]));
     // Neither its watch nor a peer tells it of the later placement.
-    bench.node(&old).cut_from_platform = true;
+    bench.node(&old).cut_off.platform = true;
     let others = bench
         .nodes
         .values_mut()
@@ -274,6 +273,31 @@
     assert!(bench.node(&old).held_orders.is_empty(), "its lease is over");
 }
 
+/// A member that answers but never finishes its load is replaced by a spare, and is not
+/// taken again until its engine restarts.
+#[test]
+fn member_that_never_loads_is_replaced() {
+    let records = vec![Record::Model(model("tide", 2, 1, 1))];
+    let mut bench = Bench::new(0, vms(&[("rack-a", 3)]), records);
+    bench.options.load_limit = secs(20);
+    bench.add_node("entry-0");
+    bench.engine(0).load_time = secs(100_000);
+    bench.run(secs(60));
+    assert_eq!(bench.serving(), 1);
+    assert_eq!(
+        members(&bench, 0).iter().sum::<usize>(),
+        3,
+        "the two others serve"
+    );
+    bench.engine(1).dead = true;
+    bench.run(secs(30));
+    assert_eq!(bench.serving(), 0);
+    bench.engine(0).restart();
+    bench.engine(0).load_time = secs(2);
+    bench.run(secs(30));
+    assert_eq!(bench.serving(), 1);
+}
+
 /// The weight store bears so many loads at once and no more; the most wanted go first.
 #[test]
 fn loads_are_paced_by_priority() {
@@ -306,6 +330,45 @@
     assert_eq!(first, ["high"; 3]);
 }
 
+/// A controller that hears no other node but the platform leaves control to the others, and
+/// doesn't take all dispatching to itself.
+#[test]
+fn isolated_controller_gives_up() {
+    let mut bench = bench(5, true);
+    bench.run(secs(10));
+    let old = bench.controller();
+    bench.node(&old).cut_off.peers = true;
+    let moved_to_old = |bench: &Bench| {
+        let placement = placed(bench);
+        let dispatchers = placement.groups.values().map(|group| &group.dispatcher);
+        dispatchers
+            .chain(placement.services.values())
+            .all(|node| *node == old)
+    };
+    for _ in 0..400 {
+        bench.step();
+        assert!(!moved_to_old(&bench), "it took everything to itself");
+    }
+    assert_ne!(bench.controller(), old);
+    assert_eq!(bench.serving(), 2);
+}
+
+/// When most nodes are dead for good, the one that is left takes control after a while.
+#[test]
+fn last_node_takes_over() {
+    let mut bench = bench(5, true);
+    bench.run(secs(10));
+    let controller = bench.controller();
+    let others = bench.nodes.values_mut();
+    let others = others.filter(|node| node.info.node != controller);
+    others.for_each(|node| node.down = true);
+    member_dies(&mut bench);
+    bench.run(secs(50));
+    assert!(bench.serving() < 2, "it waits for the others");
+    bench.run(secs(50));
+    assert_eq!(bench.serving(), 2);
+}
+
 /// Placements with an older fence never replace a newer one, whoever sends them.
 #[test]
 fn older_placement_never_replaces_newer() {
@@ -371,12 +434,9 @@
     let calls = |nodes| {
         let mut bench = bench(nodes, true);
         bench.run(secs(15));
-        let before = bench.platform.counts();
+        let before = bench.platform_calls;
         bench.run(secs(60));
-        let after = bench.platform.counts();
-        let kinds = after.by_kind.keys().copied();
-        let grown = kinds.map(|kind: CallKind| after.of(kind) - before.of(kind));
-        grown.sum::<u64>()
+        bench.platform_calls - before
     };
     let (few, many) = (calls(3), calls(24));
     println!("platform calls a minute: {few} with 3 nodes, {many} with 24");
