--- a/crates/shallottide/src/front/connection.rs
+++ b/crates/shallottide/src/front/connection.rs
@@ -58,7 +58,7 @@
     let id = front.next_call_id();
     let CallRequest { mut head, key } =
         read_call(&parts, &body, id, front.options.limits.call_timeout)?;
-    let span = CallSpan::start("front", &head.id, head.trace);
+    let span = CallSpan::start("front", &head.id, head.trace, &front.options.metrics);
     head.trace = span.trace();
     let (guard, mut events) = front.desk.wait();
     let call = CallArrived {
@@ -83,7 +83,7 @@
         Some(ReplyEvent::Head(head)) => Ok(with_events(&head, events, guard, span)),
         Some(ReplyEvent::Fail(refusal)) => {
             guard.end();
-            span.set_outcome(refusal.to_string());
+            span.set_outcome(refusal.kind, refusal.to_string());
             Err(refusal)
         }
         _ => {
--- a/crates/shallottide/src/front/front_border.rs
+++ b/crates/shallottide/src/front/front_border.rs
@@ -19,12 +19,13 @@
 use crate::message::{Message, ReplyTo};
 use crate::replies::ReplyDesk;
 use crate::settings::Limits;
+use crate::telemetry::Metrics;
 
 /// Wait after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What the border needs to know of its node.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct FrontOptions {
     /// The node, part of each call's id.
     pub node: NodeId,
@@ -32,6 +33,8 @@
     pub incarnation: Incarnation,
     /// Bounds on callers.
     pub limits: Limits,
+    /// Where calls are counted.
+    pub metrics: Metrics,
 }
 
 /// State shared by all connections.
--- a/crates/shallottide/src/front/reply_body.rs
+++ b/crates/shallottide/src/front/reply_body.rs
@@ -1,5 +1,6 @@
 //! The body of an answer, passed on as its events arrive.
 
+use std::fmt::Display;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -48,26 +49,26 @@
         match std::task::ready!(self.events.poll_recv(cx)) {
             Some(ReplyEvent::Data(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
             Some(ReplyEvent::End) => {
-                self.end("complete");
+                self.end("complete", "");
                 Poll::Ready(None)
             }
             Some(ReplyEvent::Fail(refusal)) => {
-                self.end(&refusal.to_string());
+                self.end(refusal.kind, &refusal.to_string());
                 Poll::Ready(Some(self.fail(&refusal)))
             }
             Some(ReplyEvent::Head(_)) => self.poll_event(cx),
             None => {
                 self.ended = true;
-                self.span.set_outcome("caller too slow");
+                self.span.set_outcome("slow_caller", "");
                 Poll::Ready(Some(Err(CutError("caller too slow".into()))))
             }
         }
     }
 
-    fn end(&mut self, outcome: &str) {
+    fn end(&mut self, outcome: impl Display, detail: &str) {
         self.ended = true;
         self.guard.end();
-        self.span.set_outcome(outcome);
+        self.span.set_outcome(outcome, detail);
     }
 
     fn fail(&self, refusal: &Refusal) -> Result<Frame<Bytes>, CutError> {
--- a/crates/shallottide/src/kernel/names.rs
+++ b/crates/shallottide/src/kernel/names.rs
@@ -26,6 +26,8 @@
 pub const CLAIMS: Name = Name("claims");
 /// Service: the operators' status page.
 pub const STATUS: Name = Name("status");
+/// Service: gauges for the operators' metrics.
+pub const GAUGES: Name = Name("gauges");
 /// Border: connections from callers.
 pub const FRONT: Name = Name("front");
 /// Border: connections to and from entry VMs.
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -31,6 +31,7 @@
 use crate::routing::{RoutingOptions, SlotRouter};
 use crate::settings::NodeSettings;
 use crate::status::StatusService;
+use crate::telemetry::{GaugeService, Metrics};
 use crate::upstreams::UpstreamBorder;
 
 /// Why a node can't start.
@@ -52,6 +53,9 @@
     /// The peer key can't be used.
     #[error("peer_key: {0}")]
     PeerKey(#[from] PeerKeyError),
+    /// Metrics can't be sent.
+    #[error("metrics.statsd: {0}: write the server's IP number and UDP port")]
+    Metrics(#[from] cadence::MetricError),
     /// The kernel thread ended before it was up.
     #[error("the kernel thread ended at its start: see the log")]
     Kernel,
@@ -67,6 +71,7 @@
     callers: TcpListener,
     peers: TcpListener,
     flags: NodeFlags,
+    metrics: Metrics,
 }
 
 /// What the kernel's thread reports once it is up.
@@ -93,6 +98,7 @@
         address: peers.local_addr()?,
         stopping: false,
     };
+    let metrics = Metrics::new(settings.metrics.statsd)?;
     let flags = NodeFlags::new(settings.limits.connections);
     let stop = settings.stop.clone();
     let mut addresses = NodeAddresses {
@@ -109,6 +115,7 @@
         callers,
         peers,
         flags: flags.clone(),
+        metrics,
     };
     let (started, kernel_thread) = spawn_kernel(parts)?;
     addresses.operators = started.operators;
@@ -210,6 +217,11 @@
     kernel.add_service(Box::new(AuthService));
     kernel.add_service(Box::new(CallService::new(call_options, router, admission)));
     kernel.add_service(Box::new(StatusService::default()));
+    kernel.add_service(Box::new(GaugeService::new(
+        parts.metrics.clone(),
+        parts.flags.calls.clone(),
+        parts.flags.claims.clone(),
+    )));
 }
 
 fn seed(me: &NodeInfo) -> u64 {
@@ -225,10 +237,12 @@
 ) -> Result<std::net::SocketAddr, NodeError> {
     let handle = kernel.handle();
     let flags = parts.flags;
+    let metrics = parts.metrics;
     let front_options = FrontOptions {
         node: parts.me.node.clone(),
         incarnation: parts.me.incarnation,
         limits: parts.settings.limits,
+        metrics: metrics.clone(),
     };
     let front = FrontBorder::new(
         front_options,
@@ -241,12 +255,13 @@
         address: parts.me.address,
         key: parts.peer_key,
         gate: flags.peers.clone(),
+        metrics: metrics.clone(),
         clock: parts.clock,
     };
     let peers = PeerBorder::new(peer_options, handle.clone(), runtime.handle().clone());
-    let upstreams = UpstreamBorder::new(handle.clone());
+    let upstreams = UpstreamBorder::new(handle.clone(), metrics.clone());
     let engines = EngineBorder::new(handle.clone())?;
-    let platform = PlatformBorder::new(handle.clone(), parts.platform)?;
+    let platform = PlatformBorder::new(handle.clone(), parts.platform, metrics)?;
     let operators =
         OperatorBorder::new(handle, parts.settings.operator_tokens, flags.ready.clone());
     let operators_address = operators
--- a/crates/shallottide/src/peers/incoming.rs
+++ b/crates/shallottide/src/peers/incoming.rs
@@ -20,6 +20,7 @@
 use crate::message::{CallArrived, PeerReceived};
 use crate::peer_codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode_frame};
 use crate::replies::{GoneGuard, ReplyDesk};
+use crate::telemetry::{CallSpan, Metrics};
 
 /// Longest wait for a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -64,6 +65,7 @@
     pub(super) kernel: KernelHandle,
     pub(super) desk: ReplyDesk,
     pub(super) gate: ConnectionGate,
+    pub(super) metrics: Metrics,
 }
 
 impl Incoming {
@@ -145,9 +147,11 @@
         body: &[u8],
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), RequestError> {
-        let call: ForwardedCall = decode(body)?;
+        let mut call: ForwardedCall = decode(body)?;
         self.prover.take_once(proof)?;
         let stream = respond.send_response(self.accepted(proof), false)?;
+        let span = CallSpan::start("peer", &call.head.id, call.head.trace, &self.metrics);
+        call.head.trace = span.trace();
         let (guard, events) = self.desk.wait();
         let arrived = CallArrived {
             reply_to: guard.reply_to(),
@@ -157,7 +161,7 @@
             resume_from: call.resume_from,
         };
         self.kernel.send(names::CALLS, arrived);
-        send_events(stream, events, guard).await;
+        send_events(stream, events, guard, span).await;
         Ok(())
     }
 
@@ -192,6 +196,7 @@
     mut stream: SendStream<Bytes>,
     mut events: mpsc::Receiver<ReplyEvent>,
     mut guard: GoneGuard,
+    mut span: CallSpan,
 ) {
     loop {
         let event = tokio::select! {
@@ -210,6 +215,10 @@
         }
         if last {
             guard.end();
+            match &event {
+                ReplyEvent::Fail(refusal) => span.set_outcome(refusal.kind, refusal.to_string()),
+                _ => span.set_outcome("complete", ""),
+            }
             return;
         }
     }
--- a/crates/shallottide/src/peers/outgoing.rs
+++ b/crates/shallottide/src/peers/outgoing.rs
@@ -16,6 +16,7 @@
 use super::proof::{Proof, Prover};
 use crate::message::{AttemptEvent, AttemptFailure, Forward};
 use crate::peer_codec::{FrameReader, decode, encode};
+use crate::telemetry::Metrics;
 
 /// Longest wait for the answer to a control message.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -24,12 +25,14 @@
 pub(super) struct Outgoing {
     pub(super) links: LinkPool,
     pub(super) prover: Prover,
+    pub(super) metrics: Metrics,
 }
 
 impl Outgoing {
     /// Sends a control message; it may be lost.
     pub(super) async fn control(&self, address: SocketAddr, msg: &PeerMsg) {
         let body = Bytes::from(encode(msg));
+        let bytes = u64::try_from(body.len()).unwrap_or(u64::MAX);
         let exchange = async {
             let link = self
                 .links
@@ -47,7 +50,9 @@
             }
             answer.map(drop)
         };
-        if let Err(e) = exchange.await {
+        let sent: Result<(), String> = exchange.await;
+        self.metrics.control_sent(kind(msg), bytes, sent.is_ok());
+        if let Err(e) = sent {
             tracing::debug!(%address, error = e, "control message lost");
         }
     }
@@ -116,6 +121,18 @@
     }
 }
 
+/// Names a control message in metrics.
+fn kind(msg: &PeerMsg) -> &'static str {
+    match msg {
+        PeerMsg::Heartbeat(_) => "heartbeat",
+        PeerMsg::Records(_) | PeerMsg::RecordsWanted { .. } | PeerMsg::RecordsSince(_) => "records",
+        PeerMsg::Placement(_) => "placement",
+        PeerMsg::Reports(_) => "reports",
+        PeerMsg::Vms(_) => "vms",
+        PeerMsg::Claim(_) | PeerMsg::Claimed { .. } | PeerMsg::ClaimEnded(_) => "claims",
+    }
+}
+
 fn build_request(
     address: SocketAddr,
     path: &str,
--- a/crates/shallottide/src/peers/peer_border.rs
+++ b/crates/shallottide/src/peers/peer_border.rs
@@ -20,6 +20,7 @@
 use crate::message::{Forward, Message, PeerSend, ReplyTo};
 use crate::peer_codec::PeerKey;
 use crate::replies::ReplyDesk;
+use crate::telemetry::Metrics;
 
 /// Wait after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -34,6 +35,8 @@
     pub key: PeerKey,
     /// Lets peers in.
     pub gate: ConnectionGate,
+    /// Where messages are counted.
+    pub metrics: Metrics,
     /// Gives the time of proofs.
     pub clock: Arc<dyn Clock>,
 }
@@ -59,10 +62,12 @@
             kernel: kernel.clone(),
             desk: ReplyDesk::new(kernel.clone(), ReplyTo::Peer),
             gate: options.gate,
+            metrics: options.metrics.clone(),
         };
         let outgoing = Outgoing {
             links: LinkPool::default(),
             prover,
+            metrics: options.metrics,
         };
         Self {
             kernel,
--- a/crates/shallottide/src/platform_border.rs
+++ b/crates/shallottide/src/platform_border.rs
@@ -1,11 +1,13 @@
 //! Border: calls to the platform's key-value service and VM list.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use shallottide_types::platform::{Platform, PlatformError};
 
 use crate::kernel::KernelHandle;
 use crate::message::{Message, PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest};
+use crate::telemetry::Metrics;
 use crate::worker_pool::WorkerPool;
 
 /// Threads for calls that don't wait for a change.
@@ -20,6 +22,7 @@
 pub struct PlatformBorder {
     kernel: KernelHandle,
     platform: Arc<dyn Platform>,
+    metrics: Metrics,
     workers: WorkerPool,
     watchers: WorkerPool,
 }
@@ -29,10 +32,15 @@
     ///
     /// # Errors
     /// Those of starting threads.
-    pub fn new(kernel: KernelHandle, platform: Arc<dyn Platform>) -> std::io::Result<Self> {
+    pub fn new(
+        kernel: KernelHandle,
+        platform: Arc<dyn Platform>,
+        metrics: Metrics,
+    ) -> std::io::Result<Self> {
         Ok(Self {
             kernel,
             platform,
+            metrics,
             workers: WorkerPool::new("platform", THREADS)?,
             watchers: WorkerPool::new("watch", WATCH_THREADS)?,
         })
@@ -54,7 +62,11 @@
     }
 
     fn run(&self, request: PlatformRequest) {
+        let started = Instant::now();
+        let operation = operation_name(&request.op);
         let result = self.call(request.op);
+        self.metrics
+            .platform_called(operation, result.is_ok(), started.elapsed());
         if let Err(e) = &result {
             tracing::warn!(error = %e, service = %request.reply_to, "platform call failed");
         }
@@ -96,3 +108,19 @@
         })
     }
 }
+
+/// Names an operation in metrics.
+fn operation_name(op: &PlatformOp) -> &'static str {
+    match op {
+        PlatformOp::Get(_) => "get",
+        PlatformOp::List { after: None, .. } => "list",
+        PlatformOp::List { .. } => "watch",
+        PlatformOp::Swap { .. } => "swap",
+        PlatformOp::Remove { .. } => "remove",
+        PlatformOp::OpenSession(_) => "open_session",
+        PlatformOp::RenewSession(_) => "renew_session",
+        PlatformOp::Acquire { .. } => "acquire",
+        PlatformOp::Release { .. } => "release",
+        PlatformOp::Vms(_) => "vms",
+    }
+}
--- a/crates/shallottide/src/telemetry/call_span.rs
+++ b/crates/shallottide/src/telemetry/call_span.rs
@@ -1,10 +1,14 @@
 //! The span of one hop of a call, joined to the others by the trace id.
 
+use std::fmt::Display;
 use std::time::Instant;
 
+use compact_str::{CompactString, format_compact};
 use shallottide_types::call::Trace;
 use shallottide_types::id::CallId;
 
+use super::Metrics;
+
 /// One hop of a call; ends and is logged when dropped.
 #[derive(Debug)]
 pub struct CallSpan {
@@ -13,13 +17,17 @@
     parent: Trace,
     trace: Trace,
     started: Instant,
-    outcome: String,
+    /// A word for metrics.
+    outcome: CompactString,
+    /// A sentence for logs.
+    detail: String,
+    metrics: Metrics,
 }
 
 impl CallSpan {
     /// Starts the span of a hop below the hop that sent `parent`.
     #[must_use]
-    pub fn start(hop: &'static str, call: &CallId, parent: Trace) -> Self {
+    pub fn start(hop: &'static str, call: &CallId, parent: Trace, metrics: &Metrics) -> Self {
         let trace = Trace {
             trace_id: parent.trace_id,
             span_id: rand::random::<u64>().max(1),
@@ -31,6 +39,8 @@
             trace,
             started: Instant::now(),
             outcome: "dropped".into(),
+            detail: String::new(),
+            metrics: metrics.clone(),
         }
     }
 
@@ -40,22 +50,26 @@
         self.trace
     }
 
-    /// Sets how the hop ended.
-    pub fn set_outcome(&mut self, outcome: impl Into<String>) {
-        self.outcome = outcome.into();
+    /// Sets how the hop ended: a word for metrics and a sentence for logs.
+    pub fn set_outcome(&mut self, outcome: impl Display, detail: impl Into<String>) {
+        self.outcome = format_compact!("{outcome}");
+        self.detail = detail.into();
     }
 }
 
 impl Drop for CallSpan {
     fn drop(&mut self) {
+        let duration = self.started.elapsed();
+        self.metrics.call_ended(self.hop, &self.outcome, duration);
         tracing::info!(
             hop = self.hop,
             call = %self.call,
             trace_id = format!("{:032x}", self.trace.trace_id),
             span_id = format!("{:016x}", self.trace.span_id),
             parent_span_id = format!("{:016x}", self.parent.span_id),
-            duration_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX),
-            outcome = self.outcome,
+            duration_us = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX),
+            outcome = %self.outcome,
+            detail = self.detail,
             "span"
         );
     }
--- /dev/null
+++ b/crates/shallottide/src/telemetry/gauge_service.rs
@@ -0,0 +1,63 @@
+//! Service: sends the node's gauges once a second.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::Metrics;
+use crate::calls::CallCounts;
+use crate::claims::ClaimCounts;
+use crate::kernel::{Context, Name, Outbox, Service, names};
+use crate::message::Message;
+
+/// Time between two sets of gauges.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Sends gauges of calls, claims, records and nodes.
+pub struct GaugeService {
+    metrics: Metrics,
+    calls: Arc<CallCounts>,
+    claims: Arc<ClaimCounts>,
+    next: Option<Instant>,
+}
+
+impl GaugeService {
+    /// Creates the service.
+    #[must_use]
+    pub fn new(metrics: Metrics, calls: Arc<CallCounts>, claims: Arc<ClaimCounts>) -> Self {
+        Self {
+            metrics,
+            calls,
+            claims,
+            next: None,
+        }
+    }
+
+    fn send(&self, cx: &Context) {
+        let members = cx.members();
+        let alive = members.nodes.values().filter(|node| node.alive).count();
+        let count = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
+        self.metrics
+            .gauge("calls.in_flight", count(self.calls.in_flight()));
+        self.metrics
+            .gauge("calls.forwarded", count(self.calls.forwarded()));
+        self.metrics
+            .gauge("claims.pending", count(self.claims.pending()));
+        self.metrics.gauge("nodes.alive", count(alive));
+        self.metrics.gauge("config.index", cx.config().index.0);
+    }
+}
+
+impl Service for GaugeService {
+    fn name(&self) -> Name {
+        names::GAUGES
+    }
+
+    fn handle(&mut self, message: Message, cx: &Context, _: &mut Outbox) {
+        let now = cx.now();
+        if !matches!(message, Message::Tick) || self.next.is_some_and(|next| now < next) {
+            return;
+        }
+        self.next = Some(now + PERIOD);
+        self.send(cx);
+    }
+}
--- a/crates/shallottide/src/telemetry/metrics.rs
+++ b/crates/shallottide/src/telemetry/metrics.rs
@@ -11,7 +11,7 @@
 const PREFIX: &str = "shallottide";
 
 /// A cheap cloneable handle that sends metrics; losing them is harmless.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct Metrics {
     client: Arc<StatsdClient>,
 }
@@ -23,7 +23,7 @@
     /// Those of opening a local UDP socket.
     pub fn new(statsd: Option<SocketAddr>) -> Result<Self, cadence::MetricError> {
         let client = match statsd {
-            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            None => return Ok(Self::none()),
             Some(address) => {
                 let socket = UdpSocket::bind("0.0.0.0:0")?;
                 socket.set_nonblocking(true)?;
@@ -35,27 +35,44 @@
         })
     }
 
-    /// Adds one to a counter.
-    pub fn count(&self, name: &str) {
-        let _ = self.client.count(name, 1);
+    /// Creates a handle that sends nowhere.
+    #[must_use]
+    pub fn none() -> Self {
+        Self {
+            client: Arc::new(StatsdClient::from_sink(PREFIX, NopMetricSink)),
+        }
     }
 
-    /// Adds one to a counter, with a tag.
-    pub fn count_tagged(&self, name: &str, tag: &str, value: &str) {
-        let _ = self
-            .client
-            .count_with_tags(name, 1)
-            .with_tag(tag, value)
-            .try_send();
+    /// Records `call.duration` in milliseconds, tagged by hop and outcome.
+    pub fn call_ended(&self, hop: &str, outcome: &str, duration: Duration) {
+        self.client
+            .time_with_tags("call.duration", duration)
+            .with_tag("hop", hop)
+            .with_tag("outcome", outcome)
+            .send();
+    }
+
+    /// Records `platform.duration` in milliseconds, tagged by operation and outcome.
+    pub fn platform_called(&self, operation: &str, ok: bool, duration: Duration) {
+        self.client
+            .time_with_tags("platform.duration", duration)
+            .with_tag("operation", operation)
+            .with_tag("outcome", if ok { "ok" } else { "failed" })
+            .send();
+    }
+
+    /// Records `peer.bytes`, the size of one control message, tagged by kind and outcome.
+    pub fn control_sent(&self, kind: &str, bytes: u64, ok: bool) {
+        self.client
+            .histogram_with_tags("peer.bytes", bytes)
+            .with_tag("kind", kind)
+            .with_tag("outcome", if ok { "sent" } else { "lost" })
+            .send();
     }
 
     /// Sets a gauge.
     pub fn gauge(&self, name: &str, value: u64) {
+        // A gauge that is lost is sent again within a second.
         let _ = self.client.gauge(name, value);
     }
-
-    /// Records a duration in milliseconds.
-    pub fn time(&self, name: &str, duration: Duration) {
-        let _ = self.client.time(name, duration);
-    }
 }
--- a/crates/shallottide/src/upstreams/upstream_border.rs
+++ b/crates/shallottide/src/upstreams/upstream_border.rs
@@ -12,7 +12,7 @@
 use super::attempt_agent::AttemptAgent;
 use crate::kernel::{KernelHandle, names};
 use crate::message::{AttemptEvent, AttemptFailure, Dispatch, Message};
-use crate::telemetry::CallSpan;
+use crate::telemetry::{CallSpan, Metrics};
 
 /// Header with the call's own id, echoed by upstreams.
 const REQUEST_ID: &str = "x-request-id";
@@ -26,15 +26,17 @@
 #[derive(Clone)]
 pub struct UpstreamBorder {
     kernel: KernelHandle,
+    metrics: Metrics,
     running: Running,
 }
 
 impl UpstreamBorder {
     /// Creates the border; it reports to the kernel's `calls` service.
     #[must_use]
-    pub fn new(kernel: KernelHandle) -> Self {
+    pub fn new(kernel: KernelHandle, metrics: Metrics) -> Self {
         Self {
             kernel,
+            metrics,
             running: Running::default(),
         }
     }
@@ -73,16 +75,18 @@
     }
 
     fn run(&self, dispatch: &Dispatch, client: &AttemptAgent) {
-        let mut span = CallSpan::start("upstream", &dispatch.head.id, dispatch.head.trace);
+        let mut span = CallSpan::start(
+            "upstream",
+            &dispatch.head.id,
+            dispatch.head.trace,
+            &self.metrics,
+        );
         let result = self.exchange(dispatch, client, &span);
         let event = match result {
             Ok(()) => AttemptEvent::End,
             Err(failure) => AttemptEvent::Failed(failure),
         };
-        span.set_outcome(match &event {
-            AttemptEvent::Failed(failure) => format!("{failure:?}"),
-            _ => "complete".into(),
-        });
+        set_outcome(&mut span, &event);
         self.finish(dispatch.attempt, event);
     }
 
@@ -130,6 +134,19 @@
     }
 }
 
+fn set_outcome(span: &mut CallSpan, event: &AttemptEvent) {
+    let AttemptEvent::Failed(failure) = event else {
+        span.set_outcome("complete", "");
+        return;
+    };
+    match failure {
+        AttemptFailure::NotSent(why) => span.set_outcome("not_sent", why),
+        AttemptFailure::NotRun(why) => span.set_outcome("not_run", why),
+        AttemptFailure::Lost(why) => span.set_outcome("lost", why),
+        AttemptFailure::Refused(refusal) => span.set_outcome(refusal.kind, refusal.to_string()),
+    }
+}
+
 /// What tells where a body ends.
 enum Framing {
     Length(u64),
--- /dev/null
+++ b/crates/shallottide/tests/auth.rs
@@ -0,0 +1,103 @@
+//! Teams' keys: which calls go on, and what the others are told.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use shallottide::auth::AuthService;
+use shallottide::kernel::{Context, Outbox, Service};
+use shallottide::message::{CallArrived, CallPresented, Message, ReplyTo};
+use shallottide::view::ConfigView;
+use shallottide_types::call::{CallHead, ReplyEvent, Target, Trace};
+use shallottide_types::cases;
+use shallottide_types::clock::ManualClock;
+use shallottide_types::id::Incarnation;
+use shallottide_types::peer::NodeInfo;
+use shallottide_types::record::{Document, KeyHash, Record};
+use shallottide_types::refusal::{Ran, RefusalKind};
+
+const KEY: &str = "depot-key";
+
+fn config() -> ConfigView {
+    let hash = KeyHash::of(KEY);
+    let toml = format!(
+        "kind = \"team\"\nschema = 1\nid = \"depot\"\nkey_hashes = [\"{hash}\"]\n\
+         rate = \"1/s\"\nmax_in_flight = 1"
+    );
+    let document = Document::from_toml(&toml).unwrap();
+    let mut config = ConfigView::default();
+    config.insert(Record::from_document(&document).unwrap());
+    config
+}
+
+fn context(config: ConfigView) -> Context {
+    let me = NodeInfo {
+        node: "node-1".parse().unwrap(),
+        incarnation: Incarnation(1),
+        domain: "jkpg".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        stopping: false,
+    };
+    let cx = Context::new(Arc::new(ManualClock::default()), me);
+    cx.publish_config(config);
+    cx
+}
+
+fn presented(key: Option<&str>) -> CallPresented {
+    let head = CallHead {
+        id: "call-1".parse().unwrap(),
+        team: "unknown".parse().unwrap(),
+        target: Target::Service("bookings".parse().unwrap()),
+        method: "POST".into(),
+        path: "/".into(),
+        content_type: None,
+        key: None,
+        stream: false,
+        prefix: None,
+        time_left: Duration::from_secs(1),
+        trace: Trace::default(),
+    };
+    CallPresented {
+        key: key.map(KeyHash::of),
+        call: CallArrived {
+            reply_to: ReplyTo::Front(1),
+            head,
+            body: Bytes::new(),
+            slot: None,
+            resume_from: 0,
+        },
+    }
+}
+
+fn answer(config: ConfigView, key: Option<&str>) -> Message {
+    let mut out = Outbox::default();
+    AuthService.handle(presented(key).into(), &context(config), &mut out);
+    let mut sent = out.take();
+    assert_eq!(sent.len(), 1);
+    sent.remove(0).1
+}
+
+#[test]
+fn valid_key_gives_the_team() {
+    let Message::CallArrived(call) = answer(config(), Some(KEY)) else {
+        panic!("the call did not go on");
+    };
+    assert_eq!(call.head.team.as_str(), "depot");
+}
+
+fn refused(config: ConfigView, key: Option<&str>, kind: RefusalKind) {
+    let Message::Reply(reply) = answer(config, key) else {
+        panic!("the call went on");
+    };
+    let ReplyEvent::Fail(refusal) = reply.event else {
+        panic!("no refusal");
+    };
+    assert_eq!((refusal.kind, refusal.ran), (kind, Ran::No));
+}
+
+cases! {
+    refused;
+    no_key: config(), None, RefusalKind::Unauthorized;
+    unknown_key: config(), Some("other"), RefusalKind::Unauthorized;
+    key_before_any_record_is_known: ConfigView::default(), Some(KEY), RefusalKind::NoUpstream;
+}
--- a/crates/shallottide/tests/front/front_node.rs
+++ b/crates/shallottide/tests/front/front_node.rs
@@ -11,6 +11,7 @@
 use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
 use shallottide::message::{CallArrived, Message, Reply, ReplyTo};
 use shallottide::settings::Limits;
+use shallottide::telemetry::Metrics;
 use shallottide_types::call::ReplyEvent;
 use shallottide_types::clock::SystemClock;
 use shallottide_types::id::Incarnation;
@@ -71,6 +72,7 @@
                 node: node_info().node,
                 incarnation: Incarnation(1),
                 limits,
+                metrics: Metrics::none(),
             };
             let ready = Arc::new(AtomicBool::new(true));
             let border = FrontBorder::new(options, kernel.handle(), ready, nodes_gate);
--- a/crates/shallottide/tests/peers/peer_node.rs
+++ b/crates/shallottide/tests/peers/peer_node.rs
@@ -12,6 +12,7 @@
 use shallottide::message::{CallArrived, Forward, Message, Reply};
 use shallottide::peer_codec::PeerKey;
 use shallottide::peers::{PeerBorder, PeerOptions};
+use shallottide::telemetry::Metrics;
 use shallottide_types::call::{CallHead, ReplyEvent, ReplyHead, Target, Trace};
 use shallottide_types::clock::SystemClock;
 use shallottide_types::id::{AttemptId, Incarnation};
@@ -139,6 +140,7 @@
         address: info.address,
         key: PeerKey::new(key.as_bytes()).expect("long enough"),
         gate: ConnectionGate::new(16),
+        metrics: Metrics::none(),
         clock: Arc::new(SystemClock),
     };
     let border = PeerBorder::new(options, kernel.handle(), runtime.handle().clone());
--- a/crates/shallottide/tests/upstreams/scripted_upstream.rs
+++ b/crates/shallottide/tests/upstreams/scripted_upstream.rs
@@ -8,6 +8,7 @@
 
 use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
 use shallottide::message::Message;
+use shallottide::telemetry::Metrics;
 use shallottide::upstreams::UpstreamBorder;
 use shallottide_types::call::{CallHead, Target, Trace};
 use shallottide_types::clock::SystemClock;
@@ -102,7 +103,7 @@
         std::thread::spawn(move || {
             let mut kernel = Kernel::new(Context::new(Arc::new(SystemClock), node()));
             kernel.add_service(Box::new(Recorder(tx)));
-            let _ = border_tx.send(UpstreamBorder::new(kernel.handle()));
+            let _ = border_tx.send(UpstreamBorder::new(kernel.handle(), Metrics::none()));
             kernel.run(|_| false);
         });
         Self {
