--- a/crates/shallottide/src/claims/codec.rs
+++ b/crates/shallottide/src/claims/codec.rs
@@ -3,6 +3,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Longest value that is read, in bytes.
+const MAX_VALUE_BYTES: usize = 2 << 20;
+
 /// First byte of every value; a reader refuses any other.
 const FORMAT: u8 = 1;
 
@@ -28,7 +31,7 @@
         Some(&other) => return Err(CodecError::Format(other)),
         None => return Err(CodecError::Malformed("empty".into())),
     }
-    let config = bincode::config::standard();
+    let config = bincode::config::standard().with_limit::<MAX_VALUE_BYTES>();
     let (value, _) = bincode::serde::decode_from_slice(&bytes[1..], config)
         .map_err(|e| CodecError::Malformed(e.to_string()))?;
     Ok(value)
--- a/crates/shallottide/tests/call_support/platform.rs
+++ b/crates/shallottide/tests/call_support/platform.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Changes the format byte of each value, as another program version would.
+    pub(crate) fn change_formats(&mut self) {
+        for (value, _) in self.values.values_mut() {
+            value[0] ^= 0xff;
+        }
+    }
+
     /// Lets delayed writes reach the store.
     pub(crate) fn land_delayed(&mut self) {
         for (key, value, expect) in std::mem::take(&mut self.delayed) {
--- a/crates/shallottide/tests/claims_rules.rs
+++ b/crates/shallottide/tests/claims_rules.rs
@@ -222,6 +222,21 @@
     assert_eq!(fleet.runs_by_key["key"], 1);
 }
 
+/// Another program version has written the partition.
+#[test]
+fn value_of_another_format_is_left_alone() {
+    let mut fleet = Fleet::new(2, ClaimOptions::default());
+    assert_eq!(book(&mut fleet, 0, "key"), None);
+    fleet.platform.change_formats();
+    fleet.restart(0);
+    fleet.restart(1);
+    let down = Some(RefusalKind::PlatformDown);
+    assert_eq!(book(&mut fleet, 0, "key"), down);
+    fleet.platform.change_formats();
+    assert_eq!(book(&mut fleet, 0, "key"), None);
+    assert_eq!(fleet.runs_by_key["key"], 1);
+}
+
 /// A fresh start gets the answer to a question of the one before it.
 #[test]
 fn late_grant_to_an_earlier_start_grants_nothing() {
