Spare the claims' writer work that changes nothing

Before: after its own write a node decoded the whole value again, and worked a round with an empty queue. Ruled out as a cause: the search for outdated keys, which now stops early as well. What is left is copying and encoding the value for each write.

--- a/crates/shallottide/src/claims/partition.rs
+++ b/crates/shallottide/src/claims/partition.rs
@@ -48,10 +48,18 @@
     WriteRecent {
         expect: Expect,
         batch: Vec<(Job, ClaimAnswer)>,
+        next: Written,
     },
     WriteOld,
 }
 
+/// A value and its stored form, as this node wrote it.
+#[derive(Debug)]
+pub(super) struct Written {
+    pub(super) bytes: Vec<u8>,
+    pub(super) value: RecentClaims,
+}
+
 /// One partition.
 ///
 /// An answer is given only after a swap that took effect, or from a read begun after the
@@ -60,6 +68,8 @@
 pub(super) struct Partition {
     pub(super) number: u16,
     pub(super) recent: Option<Known<RecentClaims>>,
+    /// What this node wrote last, so that it need not be decoded when it is read back.
+    written: Option<Written>,
     pub(super) old: Option<Known<OldClaims>>,
     /// Jobs that wait, oldest first.
     pub(super) queue: Vec<Job>,
@@ -82,6 +92,7 @@
         Self {
             number,
             recent: None,
+            written: None,
             old: None,
             queue: Vec::new(),
             busy: None,
@@ -125,7 +136,14 @@
             BusyOp::ReadRecent => (self.on_recent(result, busy.as_of), Vec::new()),
             BusyOp::ReadOld => (self.on_old(result, busy.as_of), Vec::new()),
             BusyOp::WriteOld => (self.on_old_written(&result), Vec::new()),
-            BusyOp::WriteRecent { expect, batch } => self.on_recent_written(&result, expect, batch),
+            BusyOp::WriteRecent {
+                expect,
+                batch,
+                next,
+            } => {
+                self.written = Some(next);
+                self.on_recent_written(&result, expect, batch)
+            }
         };
         self.refresh &= done;
         if !done {
@@ -148,7 +166,9 @@
     }
 
     fn on_recent(&mut self, result: Result<PlatformAnswer, PlatformError>, as_of: u64) -> bool {
-        let Some(known) = known::<RecentClaims>(result, as_of) else {
+        let written = self.written.take();
+        let Some(known) = read_back(written, &result, as_of).or_else(|| known(result, as_of))
+        else {
             return false;
         };
         if self.lost.is_some_and(|lost| lost != known.expect) {
@@ -235,6 +255,23 @@
     }
 }
 
+/// Takes the value that this node wrote itself, if that is what was read.
+fn read_back(
+    written: Option<Written>,
+    result: &Result<PlatformAnswer, PlatformError>,
+    as_of: u64,
+) -> Option<Known<RecentClaims>> {
+    let Ok(PlatformAnswer::Entry(Some(entry))) = result else {
+        return None;
+    };
+    let written = written.filter(|written| written.bytes == entry.value)?;
+    Some(Known {
+        value: written.value,
+        expect: Expect::Index(entry.index),
+        as_of,
+    })
+}
+
 fn known<T: serde::de::DeserializeOwned + Default>(
     result: Result<PlatformAnswer, PlatformError>,
     as_of: u64,
--- a/crates/shallottide/src/claims/partition_round.rs
+++ b/crates/shallottide/src/claims/partition_round.rs
@@ -1,11 +1,12 @@
 //! What a partition does next at the platform.
 
 use shallottide_types::peer::ClaimAnswer;
+use shallottide_types::platform::Expect;
 
 use super::ClaimOptions;
 use super::codec;
 use super::job::{Answered, Job, Moment};
-use super::partition::{Busy, BusyOp, Partition};
+use super::partition::{Busy, BusyOp, Partition, Written};
 use super::recent_claims::RecentClaims;
 use crate::message::PlatformOp;
 
@@ -16,8 +17,9 @@
     pub(super) answered: Vec<Answered>,
 }
 
-/// All waiting jobs carried out on a copy of the recent claims.
+/// All waiting jobs carried out on the recent claims.
 struct Plan {
+    expect: Expect,
     next: RecentClaims,
     answers: Vec<ClaimAnswer>,
     changed: bool,
@@ -88,6 +90,9 @@
     /// Answers what can be answered and starts the write or read that the rest needs.
     fn work(&mut self, token: u64, moment: &Moment, options: &ClaimOptions, round: &mut Round) {
         self.refresh = false;
+        if self.queue.is_empty() {
+            return;
+        }
         let may_write = self.is_paced(moment);
         if may_write && let Some(value) = self.next_old(moment, options) {
             self.pace(moment, options);
@@ -97,11 +102,12 @@
         let Some(plan) = self.plan(moment, options) else {
             return;
         };
+        if plan.changed && may_write {
+            self.pace(moment, options);
+            round.op = Some(self.write_recent(token, moment, plan));
+            return;
+        }
         if plan.changed {
-            if may_write {
-                self.pace(moment, options);
-                round.op = self.write_recent(token, moment, plan);
-            }
             return;
         }
         round.answered = self.answer_fresh(plan.answers);
@@ -120,8 +126,10 @@
         self.not_before = Some(moment.now + options.round_interval);
     }
 
+    /// Carries out the waiting jobs on a copy.
     fn plan(&self, moment: &Moment, options: &ClaimOptions) -> Option<Plan> {
         let (recent, old) = (self.recent.as_ref()?, self.old.as_ref()?);
+        let expect = recent.expect;
         let mut next = recent.value.clone();
         let outdated = next.outdated(moment, options);
         let mut changed = next.drop_old(&outdated, &old.value);
@@ -132,6 +140,7 @@
             answers.push(applied.answer);
         }
         Some(Plan {
+            expect,
             next,
             answers,
             changed,
@@ -169,13 +178,22 @@
         Some(PlatformOp::Swap { key, value, expect })
     }
 
-    fn write_recent(&mut self, token: u64, moment: &Moment, plan: Plan) -> Option<PlatformOp> {
-        let expect = self.recent.as_ref()?.expect;
+    fn write_recent(&mut self, token: u64, moment: &Moment, plan: Plan) -> PlatformOp {
+        let expect = plan.expect;
         let jobs = std::mem::take(&mut self.queue);
         let batch = jobs.into_iter().zip(plan.answers).collect();
-        self.start(token, moment, BusyOp::WriteRecent { expect, batch });
         let (key, value) = (self.recent_key(), codec::encode(&plan.next));
-        Some(PlatformOp::Swap { key, value, expect })
+        let next = Written {
+            bytes: value.clone(),
+            value: plan.next,
+        };
+        let op = BusyOp::WriteRecent {
+            expect,
+            batch,
+            next,
+        };
+        self.start(token, moment, op);
+        PlatformOp::Swap { key, value, expect }
     }
 
     /// Takes out the jobs whose answers need no further read.
--- a/crates/shallottide/src/claims/recent_claims.rs
+++ b/crates/shallottide/src/claims/recent_claims.rs
@@ -141,20 +141,15 @@
         } else {
             0
         };
-        let mut over: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.is_over(moment))
-            .collect();
-        over.sort_by_key(|(_, entry)| entry.claimed_at);
         let age_s = |entry: &ClaimEntry| moment.unix_s.saturating_sub(entry.claimed_at);
         let retention_s = options.retention.as_secs();
-        let is_worth_it = |&(_, entry): &(_, &ClaimEntry)| {
-            is_filling || age_s(entry) > retention_s + DROP_SLACK_S
-        };
-        if !over.first().is_some_and(is_worth_it) {
+        let is_long_past = |entry: &ClaimEntry| age_s(entry) > retention_s + DROP_SLACK_S;
+        if !is_filling && !self.entries.values().any(is_long_past) {
             return Vec::new();
         }
+        let is_over = |(_, entry): &(_, &ClaimEntry)| entry.is_over(moment);
+        let mut over: Vec<_> = self.entries.iter().filter(is_over).collect();
+        over.sort_by_key(|(_, entry)| entry.claimed_at);
         over.retain(|(_, entry)| {
             let due = excess > 0 || age_s(entry) > retention_s;
             excess = excess.saturating_sub(entry.size());
