Match claims' answers by key as well as by call id

Cause: an answer to a claim found its call by the request id alone. A grant still on its way to a call that had ended would have let a new call with the same id run under another key's claim. Front hands out fresh ids, so this needs a second fault. Without the check grant_of_another_key_dispatches_nothing fails.

Shared types: ClaimReply gains claim.

--- a/crates/shallottide/src/calls/claiming.rs
+++ b/crates/shallottide/src/calls/claiming.rs
@@ -93,10 +93,11 @@
         let Some((number, mut call)) = self.calls.take_by_id(&claim_reply.call) else {
             return;
         };
-        let Claim::Waiting(claim) = call.claim else {
+        let claim = claim_reply.claim;
+        if call.claim != Claim::Waiting(claim) {
             self.calls.put(number, call);
             return;
-        };
+        }
         if claim_reply.answer != ClaimAnswer::Granted {
             self.answer_from_claim(call, claim_reply.answer, out);
             return;
--- a/crates/shallottide/src/claims/claim_service.rs
+++ b/crates/shallottide/src/claims/claim_service.rs
@@ -98,8 +98,10 @@
     }
 
     fn on_done(&mut self, done: ClaimDone, cx: &Context, out: &mut Outbox) {
-        if let Some(held) = self.held.remove(&done.call) {
-            self.record_end(held.claim, held.holder, done.end, cx, out);
+        let is_held = |held: &Held| held.claim == done.claim;
+        if self.held.get(&done.call).is_some_and(is_held) {
+            let held = self.held.remove(&done.call);
+            self.record_held(held, done.end, cx, out);
         } else if let Some(token) = self.waiting.remove(&done.call) {
             self.abandon(token, cx, out);
         }
@@ -157,8 +159,13 @@
 
     /// Gives back a claim that was granted after it was given up.
     pub(super) fn give_back(&mut self, token: u64, cx: &Context, out: &mut Outbox) {
-        if let Some(held) = self.given_up.remove(&token) {
-            self.record_end(held.claim, held.holder, ClaimEnd::NotRun, cx, out);
+        let held = self.given_up.remove(&token);
+        self.record_held(held, ClaimEnd::NotRun, cx, out);
+    }
+
+    fn record_held(&mut self, held: Option<Held>, end: ClaimEnd, cx: &Context, out: &mut Outbox) {
+        if let Some(held) = held {
+            self.record_end(held.claim, held.holder, end, cx, out);
         }
     }
 
@@ -289,7 +296,13 @@
         if answer == ClaimAnswer::Unknown {
             self.give_back_unknown(&request, cx, out);
         }
-        out.send(names::CALLS, ClaimReply { call, answer });
+        let claim = request.task.claim();
+        let reply = ClaimReply {
+            call,
+            claim,
+            answer,
+        };
+        out.send(names::CALLS, reply);
     }
 
     /// Gives up what took too long.
--- a/crates/shallottide/src/message/call_messages.rs
+++ b/crates/shallottide/src/message/call_messages.rs
@@ -123,6 +123,8 @@
 pub struct ClaimReply {
     /// The call that claimed.
     pub call: CallId,
+    /// Team and key, hashed.
+    pub claim: ClaimId,
     /// The answer.
     pub answer: ClaimAnswer,
 }
--- a/crates/shallottide/tests/call_support/mod.rs
+++ b/crates/shallottide/tests/call_support/mod.rs
@@ -13,13 +13,13 @@
 use shallottide::admission::{Admission, Finished};
 use shallottide::calls::{CallOptions, CallService};
 use shallottide::kernel::{Context, Name, Outbox, Service};
-use shallottide::message::{CallArrived, Message, ReplyTo};
+use shallottide::message::{CallArrived, ClaimReply, ClaimWanted, Message, ReplyTo};
 use shallottide::routing::{Route, RouteQuery, Router};
 use shallottide::view::ConfigView;
 use shallottide_types::call::{CallHead, Target, Trace};
 use shallottide_types::clock::ManualClock;
 use shallottide_types::id::{Incarnation, TeamId};
-use shallottide_types::peer::{LoadSummary, NodeInfo, Slot};
+use shallottide_types::peer::{ClaimAnswer, LoadSummary, NodeInfo, Slot};
 use shallottide_types::record::{CallRule, ModelRecord, Record, ServiceRecord};
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
 
@@ -112,6 +112,15 @@
     Driven { cx, clock, service }
 }
 
+pub(crate) fn claim_reply(wanted: &ClaimWanted, answer: ClaimAnswer) -> ClaimReply {
+    let (call, claim) = (wanted.call.clone(), wanted.claim);
+    ClaimReply {
+        call,
+        claim,
+        answer,
+    }
+}
+
 pub(crate) fn node_info(node: &str, domain: &str) -> NodeInfo {
     NodeInfo {
         node: node.parse().unwrap(),
--- a/crates/shallottide/tests/calls_faults.rs
+++ b/crates/shallottide/tests/calls_faults.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use call_support::{Borders, Driven, Kind, SharedBorders, TIME_LEFT, arrived, calls_node};
+use call_support::{
+    Borders, Driven, Kind, SharedBorders, TIME_LEFT, arrived, calls_node, claim_reply,
+};
 use call_support::{local, peer};
 use shallottide::calls::CallOptions;
 use shallottide::kernel::Name;
-use shallottide::message::{AttemptEvent, AttemptFailure, ClaimReply, Message, ReplyTo};
+use shallottide::message::{AttemptEvent, AttemptFailure, Message, ReplyTo};
 use shallottide::routing::Route;
 use shallottide_types::call::{ReplyEvent, ReplyHead};
 use shallottide_types::cases;
@@ -138,8 +140,7 @@
             Message::Reply(reply) => self.replies.push(reply.event),
             Message::ClaimWanted(wanted) => {
                 self.reach(Claimed, AttemptId(0));
-                let (call, answer) = (wanted.call, ClaimAnswer::Granted);
-                self.send(ClaimReply { call, answer });
+                self.send(claim_reply(&wanted, ClaimAnswer::Granted));
             }
             Message::ClaimDone(done) => self.ends.push(done.end),
             Message::Dispatch(dispatch) => self.serve(dispatch.attempt, dispatch.resume_from),
--- a/crates/shallottide/tests/calls_rules.rs
+++ b/crates/shallottide/tests/calls_rules.rs
@@ -4,11 +4,11 @@
 
 use std::time::Duration;
 
-use call_support::{Driven, Kind, SharedBorders, TIME_LEFT, arrived, calls_node};
+use call_support::{Driven, Kind, SharedBorders, TIME_LEFT, arrived, calls_node, claim_reply};
 use call_support::{domain, local, peer, slot};
 use shallottide::calls::CallOptions;
 use shallottide::kernel::{Name, names};
-use shallottide::message::{AttemptEvent, AttemptFailure, CallArrived, ClaimReply, ClaimWanted};
+use shallottide::message::{AttemptEvent, AttemptFailure, CallArrived, ClaimWanted};
 use shallottide::message::{Dispatch, Forward, Message, ReplyTo};
 use shallottide::routing::Route;
 use shallottide_types::call::{ReplyEvent, ReplyHead, Target};
@@ -131,8 +131,7 @@
 fn check_claim_answer(answer: ClaimAnswer, kind: RefusalKind, ran: Ran) {
     let mut node = plain_node();
     let sent = node.send(arrived(Kind::Booking, FRONT));
-    let call = claim_wanted(&sent).unwrap().call.clone();
-    let sent = node.send(ClaimReply { call, answer });
+    let sent = node.send(claim_reply(claim_wanted(&sent).unwrap(), answer));
     assert_eq!(kind_and_ran(&sent), Some((kind, ran)));
     assert!(dispatches(&sent).is_empty());
 }
@@ -158,14 +157,13 @@
 fn recorded_answer_is_replayed() {
     let mut node = plain_node();
     let sent = node.send(arrived(Kind::Booking, FRONT));
-    let call = claim_wanted(&sent).unwrap().call.clone();
+    let wanted = claim_wanted(&sent).unwrap();
     let end = ClaimEnd::Ran {
         status: 201,
         content_type: "text/plain".into(),
         body: Some("booked".into()),
     };
-    let answer = ClaimAnswer::Ended(end);
-    let sent = node.send(ClaimReply { call, answer });
+    let sent = node.send(claim_reply(wanted, ClaimAnswer::Ended(end)));
     let events: Vec<_> = sent
         .iter()
         .filter_map(|(_, message)| match message {
@@ -185,15 +183,20 @@
 fn second_grant_dispatches_nothing() {
     let mut node = plain_node();
     let sent = node.send(arrived(Kind::Booking, FRONT));
-    let call = claim_wanted(&sent).unwrap().call.clone();
-    let grant = ClaimReply {
-        call,
-        answer: ClaimAnswer::Granted,
-    };
+    let grant = claim_reply(claim_wanted(&sent).unwrap(), ClaimAnswer::Granted);
     assert_eq!(dispatches(&node.send(grant.clone())).len(), 1);
     assert!(dispatches(&node.send(grant)).is_empty());
 }
 
+#[test]
+fn grant_of_another_key_dispatches_nothing() {
+    let mut node = plain_node();
+    let sent = node.send(arrived(Kind::Booking, FRONT));
+    let mut grant = claim_reply(claim_wanted(&sent).unwrap(), ClaimAnswer::Granted);
+    grant.claim.0 += 1;
+    assert!(dispatches(&node.send(grant)).is_empty());
+}
+
 #[test]
 fn same_request_id_in_flight_is_refused() {
     let mut node = plain_node();
@@ -238,9 +241,8 @@
     let routes = vec![domain("dom-2"), domain("dom-3")];
     let (mut node, _) = node(routes, CallOptions::default());
     let sent = node.send(arrived(Kind::Booking, FRONT));
-    let call = claim_wanted(&sent).unwrap().call.clone();
-    let answer = ClaimAnswer::Granted;
-    let sent = node.send(ClaimReply { call, answer });
+    let grant = claim_reply(claim_wanted(&sent).unwrap(), ClaimAnswer::Granted);
+    let sent = node.send(grant);
     assert_eq!(forward(&sent).unwrap().node.domain.as_str(), "dom-2");
     let full = Refusal::new(RefusalKind::Overloaded, Ran::No, "full");
     let sent = node.send(failed(1, AttemptFailure::Refused(full)));
