--- a/crates/shallottide/src/claims.rs
+++ b/crates/shallottide/src/claims.rs
@@ -9,6 +9,8 @@
 mod claim_options;
 mod claim_service;
 mod codec;
+mod ending;
+mod held;
 mod job;
 mod old_claims;
 mod partition;
--- a/crates/shallottide/src/claims/claim_service.rs
+++ b/crates/shallottide/src/claims/claim_service.rs
@@ -4,11 +4,10 @@
 use std::time::{Duration, Instant};
 
 use shallottide_types::id::{CallId, NodeId};
-use shallottide_types::peer::{
-    ClaimAnswer, ClaimEnd, ClaimId, ClaimOutcome, ClaimRequest, PeerMsg,
-};
+use shallottide_types::peer::{ClaimAnswer, ClaimId, ClaimRequest, PeerMsg};
 
 use super::ClaimOptions;
+use super::held::Held;
 use super::job::{Answered, Asker, Job, Moment, Task};
 use super::partition::Partition;
 use super::relaying::relay;
@@ -16,9 +15,7 @@
 use super::token_source::TokenSource;
 use super::writer_choice::preferred_writer;
 use crate::kernel::{Context, Name, Outbox, Service, names};
-use crate::message::{
-    ClaimDone, ClaimReply, ClaimWanted, Message, PeerSend, PlatformReply, PlatformRequest,
-};
+use crate::message::{ClaimReply, ClaimWanted, Message, PeerSend, PlatformReply, PlatformRequest};
 use crate::view::MemberView;
 
 /// Number of partitions. Never changed: keys would be looked for in the wrong one.
@@ -36,30 +33,20 @@
     pub(super) partitions: Vec<Partition>,
     pub(super) requests: BTreeMap<u64, Request>,
     /// Granted claims whose calls have not ended.
-    held: BTreeMap<CallId, Held>,
+    pub(super) held: BTreeMap<CallId, Held>,
     /// Claims asked of a writer and given up. One that is granted late is given back.
-    given_up: BTreeMap<u64, Held>,
+    pub(super) given_up: BTreeMap<u64, Held>,
     /// The request of each call that waits for its claim.
-    waiting: BTreeMap<CallId, u64>,
+    pub(super) waiting: BTreeMap<CallId, u64>,
     /// Writers that gave no answer, and until when they are passed over.
     pub(super) suspects: BTreeMap<NodeId, Instant>,
     /// The partition of each platform call under way.
     ops: BTreeMap<u64, u16>,
-    tokens: TokenSource,
+    pub(super) tokens: TokenSource,
     /// When timeouts were last looked for.
     expired_at: Option<Instant>,
 }
 
-/// A claim that may be written for this node.
-#[derive(Debug)]
-struct Held {
-    claim: ClaimId,
-    /// The call's name in the claim; no other request of any start has the same.
-    holder: CallId,
-    /// When it is forgotten here; the claim itself then expires.
-    until: Instant,
-}
-
 impl ClaimService {
     /// Creates the service.
     #[must_use]
@@ -97,35 +84,8 @@
         self.submit(token, request, cx, out);
     }
 
-    fn on_done(&mut self, done: ClaimDone, cx: &Context, out: &mut Outbox) {
-        let is_held = |held: &Held| held.claim == done.claim;
-        if self.held.get(&done.call).is_some_and(is_held) {
-            let held = self.held.remove(&done.call);
-            self.record_held(held, done.end, cx, out);
-        } else if let Some(token) = self.waiting.remove(&done.call) {
-            self.abandon(token, cx, out);
-        }
-    }
-
-    /// Gives up a claim whose call ended before the answer: what may be written is given back.
-    fn abandon(&mut self, token: u64, cx: &Context, out: &mut Outbox) {
-        let Some((request, _)) = self.remove_request(token) else {
-            return;
-        };
-        self.give_up(token, &request, cx);
-        self.give_back_unknown(&request, cx, out);
-    }
-
-    /// Frees the key of a claim that may be written for a call that won't run.
-    fn give_back_unknown(&mut self, request: &Request, cx: &Context, out: &mut Outbox) {
-        if let Task::Claim(claimed) = &request.task {
-            let (claim, holder) = (claimed.claim, claimed.call.clone());
-            self.record_end(claim, holder, ClaimEnd::NotRun, cx, out);
-        }
-    }
-
     /// Removes a request with its waiting job, and tells which call waits for it.
-    fn remove_request(&mut self, token: u64) -> Option<(Request, Option<CallId>)> {
+    pub(super) fn remove_request(&mut self, token: u64) -> Option<(Request, Option<CallId>)> {
         let request = self.requests.remove(&token)?;
         let partition = usize::from(partition_of(request.task.claim()));
         self.partitions[partition].forget(Asker::Local(token));
@@ -136,59 +96,6 @@
         Some((request, call))
     }
 
-    /// Remembers a claim that a writer may still write.
-    fn give_up(&mut self, token: u64, request: &Request, cx: &Context) {
-        if request.asked.is_empty() {
-            return;
-        }
-        if let Some(held) = self.held_by(request, cx) {
-            self.given_up.insert(token, held);
-        }
-    }
-
-    fn held_by(&self, request: &Request, cx: &Context) -> Option<Held> {
-        let Task::Claim(claimed) = &request.task else {
-            return None;
-        };
-        Some(Held {
-            claim: claimed.claim,
-            holder: claimed.call.clone(),
-            until: cx.now() + claimed.time_left + self.options.outcome_timeout,
-        })
-    }
-
-    /// Gives back a claim that was granted after it was given up.
-    pub(super) fn give_back(&mut self, token: u64, cx: &Context, out: &mut Outbox) {
-        let held = self.given_up.remove(&token);
-        self.record_held(held, ClaimEnd::NotRun, cx, out);
-    }
-
-    fn record_held(&mut self, held: Option<Held>, end: ClaimEnd, cx: &Context, out: &mut Outbox) {
-        if let Some(held) = held {
-            self.record_end(held.claim, held.holder, end, cx, out);
-        }
-    }
-
-    fn record_end(
-        &mut self,
-        claim: ClaimId,
-        holder: CallId,
-        end: ClaimEnd,
-        cx: &Context,
-        out: &mut Outbox,
-    ) {
-        let token = self.tokens.next(cx);
-        let outcome = ClaimOutcome {
-            token,
-            claim,
-            call: holder,
-            end,
-        };
-        let deadline = cx.now() + self.options.outcome_timeout;
-        let request = Request::new(None, Task::End(outcome), deadline);
-        self.submit(token, request, cx, out);
-    }
-
     /// Gives a request to the partition's preferred writer, which may be this node.
     pub(super) fn submit(
         &mut self,
