Count only recent and unplanned silence as isolation

Members keep dead nodes in their view for half an hour; after a rolling replacement a node would have counted on cold limits until then. Stopping nodes and nodes silent for 5 minutes no longer count. Summaries count for 8 s, because heartbeats pass them on over several nodes.

--- a/crates/shallottide/src/admission/slot_admission.rs
+++ b/crates/shallottide/src/admission/slot_admission.rs
@@ -180,7 +180,7 @@
 /// have been replaced without knowing: it counts on no more than the cold limit.
 fn limit_of(places: &SlotPlaces, evidence: &Evidence, cx: &Context) -> u32 {
     let limit = places.limit.get(evidence.bounds);
-    if cx.members().is_isolated(&cx.me()) {
+    if cx.members().is_isolated(&cx.me(), cx.now()) {
         limit.min(evidence.bounds.cold)
     } else {
         limit
--- a/crates/shallottide/src/groups/group_service.rs
+++ b/crates/shallottide/src/groups/group_service.rs
@@ -139,7 +139,7 @@
     /// Tells whether this node may take part in control; gives the lease back if not, so that
     /// nodes that hear each other take over.
     fn hears_enough(&mut self, cx: &Context, out: &mut Outbox) -> bool {
-        if !cx.members().is_isolated(&cx.me()) {
+        if !cx.members().is_isolated(&cx.me(), cx.now()) {
             self.isolated_since = None;
             return true;
         }
--- a/crates/shallottide/src/routing/routing_options.rs
+++ b/crates/shallottide/src/routing/routing_options.rs
@@ -25,7 +25,7 @@
 impl Default for RoutingOptions {
     fn default() -> Self {
         Self {
-            stale_after: Duration::from_secs(4),
+            stale_after: Duration::from_secs(8),
             affinity_slack_percent: 25,
             choices: 2,
             straggler_factor: 3,
--- a/crates/shallottide/src/view/member_view.rs
+++ b/crates/shallottide/src/view/member_view.rs
@@ -1,7 +1,7 @@
 //! The entry VMs and the loads they report.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use shallottide_types::id::{DomainId, NodeId, StoreIndex};
 use shallottide_types::peer::{LoadSummary, NodeInfo, Slot};
@@ -40,6 +40,9 @@
 }
 
 impl MemberView {
+    /// Silence after which a dead node no longer counts in [`Self::is_isolated`].
+    const FORGET_SILENT: Duration = Duration::from_mins(5);
+
     /// Returns the nodes of a failure domain that are alive and not stopping, in id order.
     pub fn alive_in<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a NodeInfo> {
         self.nodes
@@ -49,11 +52,18 @@
     }
 
     /// Tells whether a node hears less than half of its failure domain, itself included.
-    /// Such a node may have been replaced without knowing.
+    /// Such a node may have been replaced without knowing. Nodes that said that they stop, or
+    /// that have been silent for long, don't count.
     #[must_use]
-    pub fn is_isolated(&self, me: &NodeInfo) -> bool {
-        let others = self.nodes.values();
-        let others = others.filter(|n| n.info.domain == me.domain && n.info.node != me.node);
+    pub fn is_isolated(&self, me: &NodeInfo, now: Instant) -> bool {
+        let counts = |node: &&NodeState| {
+            let silence = now.saturating_duration_since(node.heard_at);
+            node.info.domain == me.domain
+                && node.info.node != me.node
+                && !node.info.stopping
+                && (node.alive || silence < Self::FORGET_SILENT)
+        };
+        let others = self.nodes.values().filter(counts);
         let (alive, silent): (Vec<_>, Vec<_>) = others.partition(|node| node.alive);
         silent.len() > alive.len() + 1
     }
--- a/crates/shallottide/tests/admission_limits.rs
+++ b/crates/shallottide/tests/admission_limits.rs
@@ -112,6 +112,20 @@
     desk.publish();
 }
 
+fn heard_few_nodes_long_ago(desk: &mut Desk, slot: &Slot) {
+    hears_few_nodes(desk, slot);
+    desk.wait(secs(300));
+    desk.warm_up(slot);
+}
+
+fn many_nodes_stop(desk: &mut Desk, slot: &Slot) {
+    hears_few_nodes(desk, slot);
+    for node in desk.members.nodes.values_mut().filter(|node| !node.alive) {
+        node.info.stopping = true;
+    }
+    desk.publish();
+}
+
 fn other_work_is_reported(desk: &mut Desk, _: &Slot) {
     // Two reports without own work, then one of another's.
     desk.wait(secs(1));
@@ -204,6 +218,8 @@
     taken_over_group_ignores_early_report: &group("g0"), away_and_back_then_early_report, 0;
     taken_over_group_is_cold_after_report: &group("g0"), away_and_back_then_idle_report, COLD;
     dispatcher_that_hears_few_nodes_counts_on_cold: &group("g0"), hears_few_nodes, COLD;
+    nodes_long_dead_do_not_count: &group("g0"), heard_few_nodes_long_ago, FULL;
+    stopping_nodes_do_not_count: &group("g0"), many_nodes_stop, FULL;
     work_of_an_unknown_dispatcher_counts: &group("g0"), other_work_is_reported, FULL - 10;
     taken_over_group_counts_reported_work: &group("g0"), away_and_back_then_busy_report, COLD - 1;
     taken_over_server_is_cold_after_a_time: &server("u0"), away_and_back_then_time, COLD;
