--- a/crates/shallottide/tests/peers/main.rs
+++ b/crates/shallottide/tests/peers/main.rs
@@ -2,6 +2,8 @@
 
 mod peer_node;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
@@ -136,3 +138,26 @@
         .recv_timeout(LONG)
         .expect("the peer hears of it");
 }
+
+#[test]
+fn replayed_call_is_taken_once() {
+    let (first, second, wire) = pair(KEY, Answer::Whole);
+    first.border.send(forward(1, wire.address(), LONG).into());
+    assert_eq!(outcome(&first), whole());
+    let mut replay = TcpStream::connect(second.listens).expect("the peer listens");
+    replay.write_all(&wire.captured()).expect("open");
+    let mut answer = Vec::new();
+    // The status 401 in the answer's header block: a literal on its first use.
+    while !answer.windows(3).any(|w| w == b"401") && !huffman_401(&answer) {
+        let mut buf = [0; 1024];
+        let n = replay.read(&mut buf).expect("open");
+        assert!(n > 0, "closed without a refusal");
+        answer.extend_from_slice(&buf[..n]);
+    }
+    assert_eq!(second.arrivals.try_iter().count(), 1);
+}
+
+/// Finds the digits 401 as HPACK's Huffman code writes them: 011010 00000 00001.
+fn huffman_401(bytes: &[u8]) -> bool {
+    bytes.windows(2).any(|w| w == [0b0110_1000, 0b0000_0001])
+}
--- a/crates/standin/src/wire.rs
+++ b/crates/standin/src/wire.rs
@@ -5,6 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 
+/// Most bytes that a wire keeps of what passed it.
+const MAX_CAPTURED_BYTES: usize = 64 << 10;
+
 /// Forwards connections to a target.
 pub struct Wire {
     address: SocketAddr,
@@ -17,6 +20,8 @@
     target: Option<SocketAddr>,
     closed: bool,
     severed: bool,
+    /// What came from the near end, up to [`MAX_CAPTURED_BYTES`].
+    captured: Arc<Mutex<Vec<u8>>>,
     open: Vec<Open>,
 }
 
@@ -50,7 +55,8 @@
                     continue;
                 };
                 if let Ok(far) = TcpStream::connect(target) {
-                    state.open.push(Open::start(near, far));
+                    let open = Open::start(near, far, &state.captured);
+                    state.open.push(open);
                 }
             }
         });
@@ -75,6 +81,16 @@
         self.state.lock().expect("wire lock").target = Some(target);
     }
 
+    /// Returns what came from the near ends so far, so that a test can send it again.
+    ///
+    /// # Panics
+    /// If a thread of the wire panicked.
+    #[must_use]
+    pub fn captured(&self) -> Vec<u8> {
+        let state = self.state.lock().expect("wire lock");
+        state.captured.lock().expect("captured lock").clone()
+    }
+
     /// Lets open connections pass nothing more, without closing them; new ones work.
     ///
     /// # Panics
@@ -126,16 +142,21 @@
 }
 
 impl Open {
-    fn start(near: TcpStream, far: TcpStream) -> Self {
+    fn start(near: TcpStream, far: TcpStream, captured: &Arc<Mutex<Vec<u8>>>) -> Self {
         let frozen = Arc::new(Mutex::new(false));
         let clone = |stream: &TcpStream| stream.try_clone().expect("a file descriptor");
-        copy(clone(&near), clone(&far), frozen.clone());
-        copy(clone(&far), clone(&near), frozen.clone());
+        copy(clone(&near), clone(&far), frozen.clone(), captured.clone());
+        copy(clone(&far), clone(&near), frozen.clone(), Arc::default());
         Self { near, far, frozen }
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, frozen: Arc<Mutex<bool>>) {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    frozen: Arc<Mutex<bool>>,
+    captured: Arc<Mutex<Vec<u8>>>,
+) {
     std::thread::spawn(move || {
         let mut buf = [0; 4096];
         while let Ok(n) = from.read(&mut buf) {
@@ -146,6 +167,7 @@
             if *frozen.lock().expect("frozen lock") {
                 continue;
             }
+            capture(&captured, &buf[..n]);
             if to.write_all(&buf[..n]).is_err() {
                 break;
             }
@@ -153,3 +175,9 @@
         let _ = to.shutdown(Shutdown::Both);
     });
 }
+
+fn capture(captured: &Mutex<Vec<u8>>, bytes: &[u8]) {
+    let mut captured = captured.lock().expect("captured lock");
+    let room = MAX_CAPTURED_BYTES.saturating_sub(captured.len());
+    captured.extend_from_slice(&bytes[..bytes.len().min(room)]);
+}
