--- a/crates/shallottide/src/settings/loader.rs
+++ b/crates/shallottide/src/settings/loader.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use super::NodeSettings;
+use super::{Limits, NodeSettings};
 
 /// Least length of `peer_key` in bytes.
 const MIN_PEER_KEY_BYTES: usize = 16;
@@ -62,59 +62,52 @@
     Ok(settings)
 }
 
+/// A key, the value found, and what to write.
+type Fault = (&'static str, String, &'static str);
+
 fn check(path: &Path, settings: &NodeSettings) -> Result<(), SettingsError> {
-    let refuse = |key, value: String, remedy| {
-        Err(SettingsError::Range {
-            path: path.into(),
-            key,
-            value,
-            remedy,
-        })
+    let fault = fault_of_node(settings).or_else(|| fault_of_limits(&settings.limits));
+    let Some((key, value, remedy)) = fault else {
+        return Ok(());
     };
+    Err(SettingsError::Range {
+        path: path.into(),
+        key,
+        value,
+        remedy,
+    })
+}
+
+fn fault_of_node(settings: &NodeSettings) -> Option<Fault> {
     if settings.platform.is_empty() {
-        return refuse("platform", "[]".into(), "name at least one base address");
+        return Some(("platform", "[]".into(), "name at least one base address"));
     }
-    if let Some(base) = settings
-        .platform
-        .iter()
-        .find(|base| !base.starts_with("http://"))
-    {
-        return refuse(
-            "platform",
-            format!("{base:?}"),
-            "begin with http:// and an IP number",
-        );
+    let lacks_scheme = |base: &&String| !base.starts_with("http://");
+    if let Some(base) = settings.platform.iter().find(lacks_scheme) {
+        let remedy = "begin with http:// and an IP number";
+        return Some(("platform", format!("{base:?}"), remedy));
     }
     if settings.peer_key.len() < MIN_PEER_KEY_BYTES {
         let value = format!("of {} bytes", settings.peer_key.len());
-        return refuse("peer_key", value, "use at least 16 random characters");
+        return Some(("peer_key", value, "use at least 16 random characters"));
     }
     if settings.operator_tokens.is_empty() {
         let remedy = "add one hash, made by `shallottide hash-key`";
-        return refuse("operator_tokens", "[]".into(), remedy);
+        return Some(("operator_tokens", "[]".into(), remedy));
     }
-    check_limits(path, settings)
+    None
 }
 
-fn check_limits(path: &Path, settings: &NodeSettings) -> Result<(), SettingsError> {
-    let limits = &settings.limits;
-    let refuse = |key, value: String, remedy| {
-        Err(SettingsError::Range {
-            path: path.into(),
-            key,
-            value,
-            remedy,
-        })
-    };
+fn fault_of_limits(limits: &Limits) -> Option<Fault> {
     if limits.header_size.0 < MIN_HEADER_BYTES {
         let value = limits.header_size.to_string();
-        return refuse("limits.header_size", value, "write at least 8KiB");
+        return Some(("limits.header_size", value, "write at least 8KiB"));
     }
     if limits.connections == 0 {
-        return refuse("limits.connections", "0".into(), "write at least 1");
+        return Some(("limits.connections", "0".into(), "write at least 1"));
     }
     if limits.calls == 0 {
-        return refuse("limits.calls", "0".into(), "write at least 1");
+        return Some(("limits.calls", "0".into(), "write at least 1"));
     }
-    Ok(())
+    None
 }
--- a/crates/shallottide_demo/src/demo_run.rs
+++ b/crates/shallottide_demo/src/demo_run.rs
@@ -83,6 +83,15 @@
     let operators = cluster.addresses(0).operators;
     let key = cluster.team_key();
     let token = cluster.operator_token();
+    let platform = cluster.platform.address();
+    writeln!(
+        out,
+        "\nsettings of the command line (shallottide.toml):\n\
+         platform = [\"http://{platform}\"]\n\
+         nodes = [\"{operators}\"]\n\
+         operator = \"demo\"\n\
+         token = \"{token}\""
+    )?;
     writeln!(
         out,
         "\ncurl -N http://{callers}/v1/completions -H 'Authorization: Bearer {key}' \
