Offer outcomes to the writers again

Cause: a node cut off from the platform kept an outcome in its own queue once the preferred writer had been silent for a moment, though that writer could have recorded it; a claim written by a writer whose answer was lost blocked its key. Found by claim_of_a_silent_writer_is_given_back, which failed before.

Also proves that a second writer is asked. Guards taken out: the open writers of a request and the second writer; each failed its test.

--- a/crates/shallottide/src/claims/claim_service.rs
+++ b/crates/shallottide/src/claims/claim_service.rs
@@ -79,16 +79,14 @@
         };
         let patience = wanted.time_left.min(self.options.claim_timeout);
         self.waiting.insert(wanted.call.clone(), token);
-        let deadline = cx.now() + patience;
-        let request = Request::new(Some(wanted.call), Task::Claim(request), deadline);
+        let (now, task) = (cx.now(), Task::Claim(request));
+        let request = Request::new(Some(wanted.call), task, now, now + patience);
         self.submit(token, request, cx, out);
     }
 
     /// Removes a request with its waiting job, and tells which call waits for it.
     pub(super) fn remove_request(&mut self, token: u64) -> Option<(Request, Option<CallId>)> {
-        let request = self.requests.remove(&token)?;
-        let partition = usize::from(partition_of(request.task.claim()));
-        self.partitions[partition].forget(Asker::Local(token));
+        let request = self.withdraw(token)?;
         let call = request.call.clone();
         if let Some(call) = &call {
             self.waiting.remove(call);
@@ -96,6 +94,14 @@
         Some((request, call))
     }
 
+    /// Takes a request back from this node's own queue.
+    pub(super) fn withdraw(&mut self, token: u64) -> Option<Request> {
+        let request = self.requests.remove(&token)?;
+        let partition = usize::from(partition_of(request.task.claim()));
+        self.partitions[partition].forget(Asker::Local(token));
+        Some(request)
+    }
+
     /// Gives a request to the partition's preferred writer, which may be this node.
     pub(super) fn submit(
         &mut self,
@@ -125,6 +131,7 @@
         out: &mut Outbox,
     ) {
         request.via = Via::Direct;
+        request.since = cx.now();
         let task = request.task.clone();
         let deadline = request.deadline;
         self.requests.insert(token, request);
--- a/crates/shallottide/src/claims/ending.rs
+++ b/crates/shallottide/src/claims/ending.rs
@@ -88,8 +88,8 @@
             call: holder,
             end,
         };
-        let deadline = cx.now() + self.options.outcome_timeout;
-        let request = Request::new(None, Task::End(outcome), deadline);
+        let (now, task) = (cx.now(), Task::End(outcome));
+        let request = Request::new(None, task, now, now + self.options.outcome_timeout);
         self.submit(token, request, cx, out);
     }
 }
--- a/crates/shallottide/src/claims/relaying.rs
+++ b/crates/shallottide/src/claims/relaying.rs
@@ -49,7 +49,7 @@
         if answer == ClaimAnswer::NotClaimed {
             request.open.remove(from);
         }
-        let is_with = matches!(&request.via, Via::Peer { node, .. } if node == from);
+        let is_with = matches!(&request.via, Via::Peer(node) if node == from);
         match answer {
             ClaimAnswer::NotClaimed | ClaimAnswer::Unknown if is_with => {
                 self.take_over(token, cx, out);
@@ -63,21 +63,31 @@
     pub(super) fn expire_relays(&mut self, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
         let options = &self.options;
-        let silent = |request: &Request| match &request.via {
-            Via::Peer { node, since } if now >= *since + options.patience(&request.task) => {
-                Some(node.clone())
-            }
-            _ => None,
-        };
-        let silent: Vec<_> = self
+        let is_late = |request: &Request| now >= request.since + options.patience(&request.task);
+        let late: Vec<_> = self
             .requests
             .iter()
-            .filter_map(|(token, request)| Some((*token, silent(request)?)))
+            .filter(|(_, request)| is_late(request))
+            .map(|(token, request)| (*token, request.via.clone(), request.task.is_claim()))
             .collect();
-        for (token, writer) in silent {
-            self.suspects
-                .insert(writer, now + self.options.suspect_time);
-            self.ask_next(token, cx, out);
+        for (token, via, is_claim) in late {
+            match via {
+                Via::Peer(writer) => {
+                    let until = now + self.options.suspect_time;
+                    self.suspects.insert(writer, until);
+                    self.ask_next(token, cx, out);
+                }
+                Via::Direct if !is_claim => self.begin_anew(token, cx, out),
+                Via::Direct => {}
+            }
+        }
+    }
+
+    /// Asks the writers again to record an outcome that this node can't record by itself.
+    fn begin_anew(&mut self, token: u64, cx: &Context, out: &mut Outbox) {
+        if let Some(mut request) = self.withdraw(token) {
+            request.asked.clear();
+            self.submit(token, request, cx, out);
         }
     }
 
--- a/crates/shallottide/src/claims/request.rs
+++ b/crates/shallottide/src/claims/request.rs
@@ -12,12 +12,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Via {
     /// The preferred writer.
-    Peer {
-        /// The writer.
-        node: NodeId,
-        /// When it was asked.
-        since: Instant,
-    },
+    Peer(NodeId),
     /// This node's own partition queue.
     Direct,
 }
@@ -29,6 +24,8 @@
     pub(super) call: Option<CallId>,
     pub(super) task: Task,
     pub(super) via: Via,
+    /// When it was given to whom it is with.
+    pub(super) since: Instant,
     /// The writers that were asked.
     pub(super) asked: Vec<NodeId>,
     /// The writers that did not say they won't write.
@@ -38,11 +35,12 @@
 
 impl Request {
     /// Creates a request that nobody was asked for yet.
-    pub(super) fn new(call: Option<CallId>, task: Task, deadline: Instant) -> Self {
+    pub(super) fn new(call: Option<CallId>, task: Task, since: Instant, deadline: Instant) -> Self {
         Self {
             call,
             task,
             via: Via::Direct,
+            since,
             asked: Vec::new(),
             open: BTreeSet::new(),
             deadline,
@@ -54,7 +52,8 @@
         let node = node.clone();
         self.asked.push(node.clone());
         self.open.insert(node.clone());
-        self.via = Via::Peer { node, since };
+        self.via = Via::Peer(node);
+        self.since = since;
     }
 
     /// Returns the answer for the call: a claim that a writer may still write is not surely
--- a/crates/shallottide/tests/claims_faults.rs
+++ b/crates/shallottide/tests/claims_faults.rs
@@ -400,3 +400,36 @@
     }
     assert!(fleet.runs_by_key.is_empty());
 }
+
+/// Loses the answer of a writer that wrote the claim, while the asker can't reach the platform.
+#[test]
+fn claim_of_a_silent_writer_is_given_back() {
+    let key = &key_written_by(Third);
+    let mut fleet = Fleet::new(3, ClaimOptions::default());
+    fleet.publish_view(0, |node| node != 1);
+    let call = fleet.book(0, key);
+    assert!(fleet.settle(Event::is_claim_answer));
+    fleet.events.clear();
+    strike(&mut fleet, 0, CutOff);
+    fleet.pass(Duration::from_secs(10));
+    assert_eq!(outcome(&fleet, call), DOWN);
+    fleet.pass(LONG);
+    let retry = fleet.book(1, key);
+    fleet.pass(Duration::from_secs(5));
+    assert_eq!(outcome(&fleet, retry), Whole);
+    fleet.check();
+}
+
+/// Stops the first writer, while the asker can't reach the platform.
+#[test]
+fn second_writer_claims() {
+    let key = &key_written_by(Third);
+    let mut fleet = Fleet::new(3, ClaimOptions::default());
+    fleet.publish_view(0, |node| node != 0);
+    let call = fleet.book(0, key);
+    strike(&mut fleet, 2, Pause);
+    strike(&mut fleet, 0, CutOff);
+    fleet.pass(Duration::from_secs(5));
+    assert_eq!(outcome(&fleet, call), Whole);
+    fleet.check();
+}
