Pass placements to stopping nodes and below the origin

A stopping node dispatched on by its old placement beside its successor, because only nodes that don't stop were told of the next one. And the tree by which a placement spreads left out the branch below the node that had written it. Both were found by the new tests, which fail without the corrections. Engines that drain are reported on at each poll.

--- a/crates/shallottide/src/groups/alive_nodes.rs
+++ b/crates/shallottide/src/groups/alive_nodes.rs
@@ -1,4 +1,4 @@
-//! The nodes of this failure domain that are alive and not stopping.
+//! The nodes of this failure domain that are alive.
 
 use shallottide_types::id::{DomainId, NodeId};
 use shallottide_types::peer::NodeInfo;
@@ -9,9 +9,13 @@
 /// Nodes of a failure domain that try to become its controller.
 const CANDIDATES: usize = 2;
 
-/// The alive nodes as seen at one moment, this one included unless it is stopping.
+/// The alive nodes as seen at one moment, this one included.
 pub(super) struct AliveNodes {
+    /// All of them. Stopping ones have to learn that they were replaced.
+    pub(super) listeners: Vec<NodeInfo>,
+    /// Those that are not stopping.
     pub(super) infos: Vec<NodeInfo>,
+    /// The ids of those that are not stopping.
     pub(super) ids: Vec<NodeId>,
 }
 
@@ -19,14 +23,20 @@
     pub(super) fn of(cx: &Context) -> Self {
         let me = cx.me();
         let members = cx.members();
-        let mut infos: Vec<NodeInfo> = members.alive_in(&me.domain).cloned().collect();
-        infos.retain(|info| info.node != me.node);
-        if !me.stopping {
-            infos.push(me);
-        }
-        infos.sort_by(|a, b| a.node.cmp(&b.node));
+        let others = members.nodes.values().filter(|state| {
+            state.alive && state.info.domain == me.domain && state.info.node != me.node
+        });
+        let mut listeners: Vec<NodeInfo> = others.map(|state| state.info.clone()).collect();
+        listeners.push(me);
+        listeners.sort_by(|a, b| a.node.cmp(&b.node));
+        let serving = listeners.iter().filter(|info| !info.stopping);
+        let infos: Vec<NodeInfo> = serving.cloned().collect();
         let ids = infos.iter().map(|info| info.node.clone()).collect();
-        Self { infos, ids }
+        Self {
+            listeners,
+            infos,
+            ids,
+        }
     }
 
     pub(super) fn info(&self, node: &NodeId) -> Option<&NodeInfo> {
--- a/crates/shallottide/src/groups/group_service/spread.rs
+++ b/crates/shallottide/src/groups/group_service/spread.rs
@@ -52,12 +52,12 @@
 
     /// Tells nodes that came alive the placement, and another peer from time to time.
     pub(super) fn push_placement(&mut self, nodes: &AliveNodes, now: Instant, out: &mut Outbox) {
-        let mut peers = self.copy.newcomers(&self.me, &nodes.infos);
+        let mut peers = self.copy.newcomers(&self.me, &nodes.listeners);
         if !self.is_candidate() {
             peers.clear();
         }
         if self.is_due(Purpose::Push, self.options.repeat_every, now) {
-            peers.extend(self.copy.next_peer(&self.me, &nodes.infos));
+            peers.extend(self.copy.next_peer(&self.me, &nodes.listeners));
         }
         for info in peers {
             self.send_placement(&info, out);
@@ -74,7 +74,7 @@
     pub(super) fn adopt(
         &mut self,
         placement: &Placement,
-        first: bool,
+        origin: bool,
         cx: &Context,
         out: &mut Outbox,
     ) {
@@ -84,7 +84,7 @@
         let domains = BTreeMap::from([(self.domain.clone(), placement.clone())]);
         cx.publish_placement(PlacementView { domains });
         let nodes = AliveNodes::of(cx);
-        for info in self.copy.children(&self.me, first, &nodes.infos) {
+        for info in self.copy.children(&self.me, origin, &nodes.listeners) {
             self.send_placement(&info, out);
         }
     }
--- a/crates/shallottide/src/groups/placement_copy.rs
+++ b/crates/shallottide/src/groups/placement_copy.rs
@@ -39,18 +39,22 @@
     }
 
     /// Returns the peers to which this node passes its placement on, once each fence.
-    /// All nodes that see the same nodes alive share one tree for each fence.
-    pub(super) fn children(&self, me: &NodeId, first: bool, nodes: &[NodeInfo]) -> Vec<NodeInfo> {
+    /// All nodes that see the same nodes alive share one tree for each fence; the node that
+    /// has it from the platform is the `origin` and sends it to the top of the tree as well.
+    pub(super) fn children(&self, me: &NodeId, origin: bool, nodes: &[NodeInfo]) -> Vec<NodeInfo> {
         let mut order: Vec<&NodeInfo> = nodes.iter().collect();
         rendezvous::sort(self.fence().0, &mut order, |info| info.node.as_str());
+        let top = if origin { FAN_OUT } else { 0 };
         let position = order.iter().position(|info| info.node == *me);
-        let start = match position {
-            _ if first => 0,
-            Some(position) => FAN_OUT * (position + 1),
-            None => return Vec::new(),
+        let own = position.map_or(0..0, |position| {
+            let first = FAN_OUT * (position + 1);
+            first..first + FAN_OUT
+        });
+        let chosen = |(index, info): &(usize, &NodeInfo)| {
+            (*index < top || own.contains(index)) && info.node != *me
         };
-        let peers = order.into_iter().skip(start).take(FAN_OUT);
-        peers.filter(|info| info.node != *me).cloned().collect()
+        let peers = order.into_iter().enumerate().filter(chosen);
+        peers.map(|(_, info)| info.clone()).collect()
     }
 
     /// Returns nodes that came alive since the last call.
--- a/crates/shallottide/src/groups/report_book.rs
+++ b/crates/shallottide/src/groups/report_book.rs
@@ -10,6 +10,7 @@
 use shallottide_types::platform::Vm;
 
 use super::GroupOptions;
+use super::member_index::MemberIndex;
 use crate::view::TimedReport;
 
 /// Age from which a report is shared as stale and other nodes poll the engine themselves.
@@ -44,6 +45,7 @@
 #[derive(Debug)]
 struct Shared {
     at: Instant,
+    read_at: Instant,
     report: EngineReport,
     stale: bool,
 }
@@ -188,6 +190,7 @@
         placement: Option<&Placement>,
         now: Instant,
     ) -> Vec<ReportCopy> {
+        let members = MemberIndex::of(placement);
         let mut copies = Vec::new();
         for vm in polled {
             let Some(timed) = self.reports.get(&vm.id) else {
@@ -199,12 +202,14 @@
             let due = told.is_none_or(|told| {
                 now.saturating_duration_since(told.at) >= self.repeat_every
                     || told.stale != stale
-                    || differs(&told.report, &timed.report, placement)
+                    || differs(&told.report, &timed.report)
+                    || (told.read_at < timed.read_at && drains(&timed.report, &members))
             });
             if due {
                 let report = timed.report.clone();
                 let shared = Shared {
                     at: now,
+                    read_at: timed.read_at,
                     report: report.clone(),
                     stale,
                 };
@@ -221,16 +226,17 @@
     }
 }
 
-/// Tells whether two reports differ in what the controller acts on. The load matters only
-/// while an engine ends the work of an assignment that it is to give up.
-fn differs(told: &EngineReport, now: &EngineReport, placement: Option<&Placement>) -> bool {
-    let idle = |report: &EngineReport| report.running + report.queued == 0;
-    let placed = placement.and_then(|p| p.group_of(&now.vm));
-    let placed = placed.map(|(_, group)| group.formed);
-    let held = now.assignment.as_ref().map(|held| held.formed);
-    let drains = held.is_some() && held != placed;
+/// Tells whether two reports differ in more than their load.
+fn differs(told: &EngineReport, now: &EngineReport) -> bool {
     told.incarnation != now.incarnation
         || told.assignment != now.assignment
         || told.state != now.state
-        || (drains && idle(told) != idle(now))
+}
+
+/// Tells whether an engine is to give up what it holds: the controller waits for its work
+/// to end.
+fn drains(report: &EngineReport, members: &MemberIndex<'_>) -> bool {
+    let placed = members.get(&report.vm).map(|member| member.group.formed);
+    let held = report.assignment.as_ref().map(|held| held.formed);
+    held.is_some() && held != placed
 }
--- a/crates/shallottide/tests/group_support/bench.rs
+++ b/crates/shallottide/tests/group_support/bench.rs
@@ -116,6 +116,14 @@
         self.nodes.insert(info.node, node);
     }
 
+    /// Lets a node begin its planned stop.
+    pub(crate) fn stop_node(&mut self, id: &NodeId) {
+        let node = self.nodes.get_mut(id).expect("known node");
+        node.info.stopping = true;
+        node.cx.set_stopping();
+        node.inbox.push(Message::Stop);
+    }
+
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
     }
--- a/crates/shallottide/tests/groups_recovery.rs
+++ b/crates/shallottide/tests/groups_recovery.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use group_support::{Bench, model, upstream, vms};
+use group_support::{Bench, model, node_ids, upstream, vms};
 use shallottide_types::cases;
 use shallottide_types::peer::{PeerMsg, ReportCopy};
 use shallottide_types::placement::Placement;
@@ -353,6 +353,34 @@
     assert_eq!(bench.serving(), 2);
 }
 
+/// A stopping node gives up the lease and its slots, and learns that it did.
+fn stopping_node_hands_over(number: usize) {
+    let mut bench = bench(4, true);
+    bench.run(secs(10));
+    let old = node_ids(4)[number].clone();
+    bench.stop_node(&old);
+    bench.run(secs(8));
+    assert_ne!(bench.controller(), old);
+    let placement = placed(&bench);
+    let groups = placement.groups.values().map(|group| &group.dispatcher);
+    assert!(
+        !groups
+            .chain(placement.services.values())
+            .any(|node| *node == old)
+    );
+    let view = bench.node(&old).cx.placement();
+    assert_eq!(view.domains.values().next(), Some(&placement));
+    assert_eq!(bench.serving(), 2);
+}
+
+cases! {
+    stopping_node_hands_over;
+    first_node_stops: 0;
+    second_node_stops: 1;
+    third_node_stops: 2;
+    fourth_node_stops: 3;
+}
+
 /// When most nodes are dead for good, the one that is left takes control after a while.
 #[test]
 fn last_node_takes_over() {
@@ -369,6 +397,24 @@
     assert_eq!(bench.serving(), 2);
 }
 
+/// A write reaches every node of a large failure domain within seconds.
+#[test]
+fn placement_reaches_all_nodes() {
+    let mut bench = bench(40, true);
+    bench.run(secs(15));
+    let fence = placed(&bench).fence;
+    member_dies(&mut bench);
+    while placed(&bench).fence == fence {
+        bench.step();
+    }
+    bench.run(Duration::from_millis(600));
+    let newest = placed(&bench);
+    for (node, state) in &bench.nodes {
+        let view = state.cx.placement();
+        assert_eq!(view.domains.values().next(), Some(&newest), "at {node}");
+    }
+}
+
 /// Placements with an older fence never replace a newer one, whoever sends them.
 #[test]
 fn older_placement_never_replaces_newer() {
