Replace groups of an earlier size one by one

A changed vms_per_group broke up all groups of the model in one plan. Now one of them gives its VMs up at a time, once all groups of the new size are complete; without either condition new_group_size_rolls_out fails.

--- a/crates/shallottide/examples/recovery_compare.rs
+++ b/crates/shallottide/examples/recovery_compare.rs
@@ -175,6 +175,7 @@
             upstreams: &BTreeSet::new(),
             vms: self.vms,
             answering: &answering,
+            complete: &BTreeSet::new(),
             lost,
             nodes: &nodes,
             max_imbalance: 2,
--- a/crates/shallottide/src/groups/controller.rs
+++ b/crates/shallottide/src/groups/controller.rs
@@ -128,12 +128,15 @@
         lost.extend(input.reports.lost(input.now));
         let mut answering = input.reports.answering(input.now);
         answering.retain(|vm| !lost.contains(vm));
+        let previous = self.store.known()?;
+        let complete = input.reports.complete_groups(previous);
         Planner::plan(&PlanInput {
-            previous: self.store.known()?,
+            previous,
             models: &input.config.models,
             upstreams: &upstreams,
             vms: input.directory.vms(),
             answering: &answering,
+            complete: &complete,
             lost: &lost,
             nodes: input.nodes,
             max_imbalance: self.options.max_imbalance,
--- a/crates/shallottide/src/groups/planner.rs
+++ b/crates/shallottide/src/groups/planner.rs
@@ -29,6 +29,8 @@
     pub vms: &'a BTreeMap<VmId, Vm>,
     /// VMs that answer; only these join a group anew.
     pub answering: &'a BTreeSet<VmId>,
+    /// Groups whose members are all ready.
+    pub complete: &'a BTreeSet<GroupId>,
     /// VMs that certainly don't answer.
     pub lost: &'a BTreeSet<VmId>,
     /// Nodes that may dispatch.
@@ -85,26 +87,45 @@
         usize::try_from(wanted).unwrap_or(usize::MAX)
     }
 
-    /// Splits the previous groups into whole, broken and surplus ones.
+    /// Splits the previous groups into those that stay, broken and surplus ones.
     fn sort_groups(&mut self, models: &[&ModelRecord]) {
         for model in models {
             let size = usize::from(model.vms_per_group);
             let mine = self.input.previous.groups.iter();
-            let mine = mine.filter(|(_, g)| g.model == model.id && g.members.len() == size);
-            let (whole, broken): (Vec<_>, Vec<_>) = mine.partition(|(_, g)| self.is_whole(g));
-            let clone = |(id, group): (&GroupId, &Group)| (id.clone(), group.clone());
-            let all = whole.into_iter().map(|g| (true, g));
-            let all = all.chain(broken.into_iter().map(|g| (false, g)));
-            for (is_whole, group) in all.take(self.wanted(model)) {
-                if is_whole {
-                    self.groups.extend([clone(group)]);
+            let mine = mine.filter(|(_, group)| group.model == model.id);
+            let (fitting, outdated): (Vec<_>, Vec<_>) =
+                mine.partition(|(_, group)| group.members.len() == size);
+            let outdated = self.outdated_to_keep(&fitting, outdated);
+            let (whole, broken): (Vec<_>, Vec<_>) = fitting
+                .into_iter()
+                .partition(|(_, group)| self.is_whole(group));
+            let stay = whole.into_iter().chain(outdated).map(|group| (true, group));
+            let all = stay.chain(broken.into_iter().map(|group| (false, group)));
+            for (stays, (id, group)) in all.take(self.wanted(model)) {
+                if stays {
+                    self.groups.insert(id.clone(), group.clone());
                 } else {
-                    self.broken.push(clone(group));
+                    self.broken.push((id.clone(), group.clone()));
                 }
             }
         }
     }
 
+    /// Returns the groups of an earlier size that still serve. They are replaced one by one:
+    /// the next gives its VMs up once all groups of the new size are complete.
+    fn outdated_to_keep(
+        &self,
+        fitting: &[(&'a GroupId, &'a Group)],
+        outdated: Vec<(&'a GroupId, &'a Group)>,
+    ) -> Vec<(&'a GroupId, &'a Group)> {
+        let complete = |(id, _): &(&GroupId, &Group)| self.input.complete.contains(*id);
+        let next = usize::from(fitting.iter().all(complete));
+        let whole = outdated
+            .into_iter()
+            .filter(|(_, group)| self.is_whole(group));
+        whole.skip(next).collect()
+    }
+
     fn is_whole(&self, group: &Group) -> bool {
         let members = &group.members;
         members.iter().all(|vm| self.may_stay(vm)) && self.one_fabric(members)
--- a/crates/shallottide/src/groups/report_book.rs
+++ b/crates/shallottide/src/groups/report_book.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use shallottide_types::engine::EngineReport;
-use shallottide_types::id::VmId;
+use shallottide_types::id::{GroupId, VmId};
 use shallottide_types::peer::ReportCopy;
-use shallottide_types::placement::Placement;
+use shallottide_types::placement::{Group, Placement};
 use shallottide_types::platform::Vm;
 
 use super::GroupOptions;
@@ -175,6 +175,18 @@
         vms.filter(|vm| !failed(vm)).collect()
     }
 
+    /// Returns the groups whose members hold their assignment and are ready.
+    pub(super) fn complete_groups(&self, placement: &Placement) -> BTreeSet<GroupId> {
+        let ready = |vm: &VmId, group: &Group| {
+            let report = self.report(vm).filter(|report| report.state.is_ready());
+            let held = report.and_then(|report| report.assignment.as_ref());
+            held.is_some_and(|held| held.formed == group.formed)
+        };
+        let groups = placement.groups.iter();
+        let complete = groups.filter(|(_, group)| group.members.iter().all(|vm| ready(vm, group)));
+        complete.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Time since the last sign of an engine, or since its VM was first seen.
     fn age(&self, vm: &VmId, now: Instant) -> Duration {
         let read_at = self.reports.get(vm).map(|timed| timed.read_at);
--- a/crates/shallottide/tests/groups_planner.rs
+++ b/crates/shallottide/tests/groups_planner.rs
@@ -7,7 +7,7 @@
 use group_support::{domain, id, model, node_ids, vms};
 use shallottide::groups::{PlanInput, Planner, rendezvous};
 use shallottide_types::cases;
-use shallottide_types::id::{Fence, ModelId, NodeId, UpstreamId, VmId};
+use shallottide_types::id::{Fence, GroupId, ModelId, NodeId, UpstreamId, VmId};
 use shallottide_types::placement::Placement;
 use shallottide_types::platform::Vm;
 use shallottide_types::record::ModelRecord;
@@ -18,6 +18,7 @@
     models: BTreeMap<ModelId, ModelRecord>,
     upstreams: BTreeSet<UpstreamId>,
     vms: BTreeMap<VmId, Vm>,
+    complete: BTreeSet<GroupId>,
     lost: BTreeSet<VmId>,
     nodes: Vec<NodeId>,
 }
@@ -31,6 +32,7 @@
             models: models.collect(),
             upstreams: (0..5).map(|n| id(&format!("depot-{n}"))).collect(),
             vms: vms.collect(),
+            complete: BTreeSet::new(),
             lost: BTreeSet::new(),
             nodes: node_ids(4),
         }
@@ -48,6 +50,7 @@
             upstreams: &self.upstreams,
             vms: &self.vms,
             answering: &self.answering(),
+            complete: &self.complete,
             lost: &self.lost,
             nodes: &self.nodes,
             max_imbalance: 2,
@@ -269,6 +272,24 @@
     assert_eq!(members("brook"), b);
 }
 
+/// Groups of an earlier size are replaced one by one, each after the last one is complete.
+#[test]
+fn new_group_size_rolls_out() {
+    let mut world = World::new(&[("a", 8)], &[model("tide", 2, 3, 0)]);
+    world.settle();
+    let tide = world.models.get_mut(&id("tide")).expect("known");
+    tide.vms_per_group = 1;
+    for replaced in 1..=3 {
+        while let Some(next) = world.plan() {
+            world.previous = next;
+        }
+        let groups = world.previous.groups.iter();
+        let (new, old): (Vec<_>, Vec<_>) = groups.partition(|(_, g)| g.members.len() == 1);
+        assert_eq!((new.len(), old.len()), (replaced, 3 - replaced));
+        world.complete = new.into_iter().map(|(id, _)| id.clone()).collect();
+    }
+}
+
 #[test]
 fn most_wanted_model_forms_first() {
     let models = [model("low", 4, 1, 0), model("tide", 4, 1, 9)];
