--- /dev/null
+++ b/crates/shallottide/examples/domain_move_compare.rs
@@ -0,0 +1,522 @@
+//! Compares policies while operators take a failure domain out and bring it back:
+//! `cargo run --release -p shallottide --example domain_move_compare`.
+//!
+//! Three failure domains with one entry node each, which dispatches to its domain's groups.
+//! Engines of the domain that was out come back cold: one that gets more than it bears then
+//! falls over, which fails all that runs on it. Simulated time, no sockets.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use shallottide::admission::{Admission, AdmissionOptions, Finished, SlotAdmission};
+use shallottide::groups::rendezvous;
+use shallottide::kernel::Context;
+use shallottide::routing::{Route, RouteQuery, Router, RoutingOptions, SlotRouter};
+use shallottide::view::{ConfigView, FleetView, MemberView, NodeState, PlacementView, TimedReport};
+use shallottide_types::call::{CallHead, Target, Trace};
+use shallottide_types::clock::{Clock, ManualClock};
+use shallottide_types::engine::{Assignment, EngineReport, EngineState};
+use shallottide_types::id::{DomainId, Fence, Incarnation, StoreIndex, TeamId, VmId};
+use shallottide_types::peer::{LoadSummary, NodeInfo, Slot};
+use shallottide_types::placement::{Group, Placement};
+use shallottide_types::platform::Vm;
+use shallottide_types::record::{DomainRecord, DomainState, ModelRecord, Record};
+use shallottide_types::refusal::Refusal;
+
+const DOMAINS: usize = 3;
+const GROUPS: usize = 6;
+const COLD: u32 = 2;
+const FULL: u32 = 16;
+/// Whole answers after which a cold engine is warm.
+const ANSWERS_TO_WARM: u32 = 30;
+/// Time that an engine that fell over takes to come back, in milliseconds.
+const FALL_OVER_MS: u64 = 10_000;
+const STEP_MS: u64 = 10;
+/// When the first domain goes out and comes back, and when the run ends, in seconds.
+const OUT: u64 = 60;
+const BACK: u64 = 180;
+const END: u64 = 300;
+/// Calls a second at each entry node.
+const CALLS: u64 = 12;
+/// Time until a record is in force at a node, in milliseconds, times its number.
+const NEWS_MS: u64 = 1_000;
+const FIRST_TOKEN_MS: u64 = 150;
+/// One way between failure domains, in milliseconds.
+const HOP_MS: u64 = 5;
+/// A first token after this is late.
+const LATE_MS: u64 = 800;
+
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("valid id")
+}
+
+fn domain(index: usize) -> DomainId {
+    id(["jkpg", "vmo", "hlm"][index])
+}
+
+fn slot(number: usize) -> Slot {
+    Slot::Group(id(&format!("g{number}")))
+}
+
+/// Admits up to the full limit at once, whatever state the engine is in.
+struct NoRamp(BTreeMap<Slot, u32>);
+
+impl Admission for NoRamp {
+    fn acquire(&mut self, slot: &Slot, _: &TeamId, _: &Context) -> Result<(), Refusal> {
+        let count = self.0.entry(slot.clone()).or_default();
+        if *count < FULL {
+            *count += 1;
+            return Ok(());
+        }
+        let kind = shallottide_types::refusal::RefusalKind::Overloaded;
+        Err(Refusal::new(
+            kind,
+            shallottide_types::refusal::Ran::No,
+            "full",
+        ))
+    }
+
+    fn release(&mut self, slot: &Slot, _: &TeamId, _: &Finished, _: &Context) {
+        *self.0.entry(slot.clone()).or_default() -= 1;
+    }
+
+    fn tick(&mut self, _: &Context) {}
+
+    fn loads(&self, _: &Context) -> Vec<LoadSummary> {
+        Vec::new()
+    }
+}
+
+struct Running {
+    route: Route,
+    arrived_ms: u64,
+    first_ms: u64,
+    ends_ms: u64,
+}
+
+#[derive(Default)]
+struct Engine {
+    running: Vec<Running>,
+    /// Whole answers since it was last cold.
+    answers: u32,
+    down_until_ms: u64,
+}
+
+impl Engine {
+    fn is_cold(&self) -> bool {
+        self.answers < ANSWERS_TO_WARM
+    }
+
+    fn state(&self, now_ms: u64) -> EngineState {
+        match (now_ms < self.down_until_ms, self.is_cold()) {
+            (true, _) => EngineState::Loading,
+            (false, true) => EngineState::Cold,
+            (false, false) => EngineState::Warm,
+        }
+    }
+}
+
+struct Node {
+    info: NodeInfo,
+    cx: Context,
+    router: SlotRouter,
+    admission: Box<dyn Admission>,
+    engines: Vec<Engine>,
+    config: ConfigView,
+    reports: BTreeMap<VmId, TimedReport>,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Phase {
+    served: u64,
+    late: u64,
+    refused: u64,
+    failed: u64,
+}
+
+struct World {
+    clock: ManualClock,
+    nodes: Vec<Node>,
+    drawn: u64,
+    seed: u64,
+    phases: [Phase; 3],
+}
+
+fn vm(node: usize, number: usize) -> Vm {
+    let port = u16::try_from(10_000 + node * 100 + number).expect("small");
+    Vm {
+        id: id(&format!("vm-{node}-{number}")),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: domain(node),
+        fabric: id("rack"),
+        accelerators: 8,
+        fences_orders: true,
+        leaving: false,
+    }
+}
+
+impl Node {
+    fn new(index: usize, clock: &ManualClock, other_domains: bool, ramps: bool) -> Self {
+        let info = NodeInfo {
+            node: id(&format!("entry-{index}")),
+            incarnation: Incarnation(1),
+            domain: domain(index),
+            address: ([127, 0, 0, 1], 7_000 + u16::try_from(index).expect("small")).into(),
+            stopping: false,
+        };
+        let mut config = ConfigView::default();
+        let counts = (0..DOMAINS).map(|d| (domain(d), u32::try_from(GROUPS).expect("small")));
+        config.insert(Record::Model(ModelRecord {
+            id: id("tide"),
+            vms_per_group: 1,
+            groups: counts.collect(),
+            cold_limit: COLD,
+            full_limit: FULL,
+            priority: 0,
+            resumable: true,
+            other_domains,
+            split: None,
+        }));
+        let cx = Context::new(Arc::new(clock.clone()), info.clone());
+        let mut placement = Placement::empty(info.domain.clone());
+        let empty = [(info.domain.clone(), placement.clone())].into();
+        cx.publish_placement(PlacementView { domains: empty });
+        let mut admission: Box<dyn Admission> = if ramps {
+            Box::new(SlotAdmission::new(AdmissionOptions::default()))
+        } else {
+            Box::new(NoRamp(BTreeMap::new()))
+        };
+        admission.tick(&cx);
+        placement.fence = Fence(1);
+        for number in 0..GROUPS {
+            let group = Group {
+                model: id("tide"),
+                members: vec![vm(index, number).id],
+                formed: Fence(1),
+                dispatcher: info.node.clone(),
+            };
+            placement.groups.insert(id(&format!("g{number}")), group);
+        }
+        let domains = [(info.domain.clone(), placement)].into();
+        cx.publish_placement(PlacementView { domains });
+        let engine = || Engine {
+            answers: ANSWERS_TO_WARM,
+            ..Engine::default()
+        };
+        Self {
+            info,
+            cx,
+            router: SlotRouter::new(RoutingOptions::default()),
+            admission,
+            engines: std::iter::repeat_with(engine).take(GROUPS).collect(),
+            config,
+            reports: BTreeMap::new(),
+        }
+    }
+
+    /// Reads the engines' reports, as each second.
+    fn report(&mut self, index: usize, now_ms: u64) {
+        let mut vms = BTreeMap::new();
+        for (number, engine) in self.engines.iter().enumerate() {
+            let vm = vm(index, number);
+            let report = EngineReport {
+                vm: vm.id.clone(),
+                incarnation: Incarnation(1),
+                fence: Fence(1),
+                assignment: Some(Assignment {
+                    group: id(&format!("g{number}")),
+                    model: id("tide"),
+                    formed: Fence(1),
+                    rank: 0,
+                    members: vec![vm.address],
+                }),
+                state: engine.state(now_ms),
+                running: u32::try_from(engine.running.len()).expect("few"),
+                queued: 0,
+                lag_ms: 0,
+            };
+            let read_at = self.cx.now();
+            let timed = TimedReport { report, read_at };
+            self.reports.insert(vm.id.clone(), timed);
+            vms.insert(vm.id.clone(), vm);
+        }
+        let reports = self.reports.clone();
+        self.cx.publish_fleet(FleetView { vms, reports });
+        self.cx.publish_config(self.config.clone());
+        self.admission.tick(&self.cx);
+    }
+
+    fn set_domain(&mut self, state: DomainState) {
+        self.config.insert(Record::Domain(DomainRecord {
+            id: domain(0),
+            region: id("se-south"),
+            state,
+        }));
+        self.cx.publish_config(self.config.clone());
+    }
+
+    /// Tries to start a call on a local group.
+    fn start(&mut self, route: &Route, call: &Arrival<'_>) -> bool {
+        let Route::Local { slot: chosen, .. } = route else {
+            return false;
+        };
+        if self
+            .admission
+            .acquire(chosen, &id("depot"), &self.cx)
+            .is_err()
+        {
+            return false;
+        }
+        self.router.started(route, &self.cx);
+        let index = (0..GROUPS).position(|n| slot(n) == *chosen).expect("known");
+        let first_ms = call.now_ms + FIRST_TOKEN_MS;
+        self.engines[index].running.push(Running {
+            route: route.clone(),
+            arrived_ms: call.arrived_ms,
+            first_ms,
+            ends_ms: first_ms + call.tokens_ms,
+        });
+        true
+    }
+}
+
+impl World {
+    fn new(seed: u64, other_domains: bool, ramps: bool) -> Self {
+        let clock = ManualClock::default();
+        let node = |index| Node::new(index, &clock, other_domains, ramps);
+        let nodes: Vec<Node> = (0..DOMAINS).map(node).collect();
+        let state = |node: &Node| NodeState {
+            info: node.info.clone(),
+            heard_at: clock.now(),
+            alive: true,
+            config: StoreIndex(1),
+        };
+        let members = MemberView {
+            nodes: nodes
+                .iter()
+                .map(|n| (n.info.node.clone(), state(n)))
+                .collect(),
+            loads: BTreeMap::new(),
+        };
+        for node in &nodes {
+            node.cx.publish_members(members.clone());
+        }
+        Self {
+            clock,
+            nodes,
+            drawn: 0,
+            seed,
+            phases: [Phase::default(); 3],
+        }
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.drawn += 1;
+        rendezvous::weight(self.seed, &self.drawn.to_string()) % bound
+    }
+
+    /// Before, while and after the domain is out, by when the call arrived.
+    fn phase(&mut self, arrived_ms: u64) -> &mut Phase {
+        let second = arrived_ms / 1_000;
+        &mut self.phases[usize::from(second >= OUT) + usize::from(second >= BACK)]
+    }
+
+    fn run(mut self) -> [Phase; 3] {
+        for step in 0..END * 1_000 / STEP_MS {
+            let now_ms = step * STEP_MS;
+            self.clock.advance(Duration::from_millis(STEP_MS));
+            self.change_records(now_ms);
+            for index in 0..DOMAINS {
+                if now_ms.is_multiple_of(1_000) {
+                    self.nodes[index].report(index, now_ms);
+                }
+                self.step_engines(index, now_ms);
+                if self.below(1_000) < CALLS * STEP_MS {
+                    self.arrive(index, now_ms);
+                }
+            }
+        }
+        self.phases
+    }
+
+    fn change_records(&mut self, now_ms: u64) {
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            let delay = NEWS_MS * index as u64;
+            if now_ms == OUT * 1_000 + delay {
+                node.set_domain(DomainState::Out);
+            }
+            if now_ms == BACK * 1_000 + delay {
+                node.set_domain(DomainState::Serving);
+            }
+        }
+        if now_ms == BACK * 1_000 {
+            self.nodes[0].engines.iter_mut().for_each(|e| e.answers = 0);
+        }
+    }
+
+    /// Ends calls that are done, and lets cold engines with too many of them fall over.
+    fn step_engines(&mut self, index: usize, now_ms: u64) {
+        for number in 0..GROUPS {
+            let engine = &mut self.nodes[index].engines[number];
+            let too_many = engine.running.len() > COLD as usize && engine.is_cold();
+            let down = now_ms < engine.down_until_ms;
+            let ended: Vec<Running> = if too_many || down {
+                if too_many && !down {
+                    engine.down_until_ms = now_ms + FALL_OVER_MS;
+                    engine.answers = 0;
+                }
+                std::mem::take(&mut engine.running)
+            } else {
+                let done = |call: &mut Running| call.ends_ms <= now_ms;
+                engine.running.extract_if(.., done).collect()
+            };
+            let complete = !(too_many || down);
+            for call in ended {
+                self.ended(index, number, &call, complete);
+            }
+        }
+    }
+
+    fn ended(&mut self, index: usize, number: usize, call: &Running, complete: bool) {
+        let node = &mut self.nodes[index];
+        let finished = Finished {
+            complete,
+            started: self.clock.now(),
+            first_byte: complete.then(|| Duration::from_millis(FIRST_TOKEN_MS)),
+        };
+        node.admission
+            .release(&slot(number), &id("depot"), &finished, &node.cx);
+        node.router.finished(&call.route, &finished, &node.cx);
+        if complete {
+            node.engines[number].answers += 1;
+        }
+        let late = call.first_ms - call.arrived_ms > LATE_MS;
+        let phase = self.phase(call.arrived_ms);
+        phase.served += u64::from(complete);
+        phase.late += u64::from(complete && late);
+        phase.failed += u64::from(!complete);
+    }
+
+    /// Serves a call at the node that it reached, else at a node of another domain.
+    fn arrive(&mut self, index: usize, now_ms: u64) {
+        let head = head(self.drawn);
+        let tokens_ms = 500 + self.below(3_000);
+        let call = |hops: u64, own_domain_only: bool| Arrival {
+            head: &head,
+            arrived_ms: now_ms,
+            now_ms: now_ms + hops * HOP_MS,
+            tokens_ms,
+            own_domain_only,
+        };
+        let mut tried_domains = BTreeSet::new();
+        loop {
+            match self.nodes[index].serve(&call(0, false), &tried_domains) {
+                Served::Here => return,
+                Served::Nowhere => break,
+                Served::Elsewhere(domain) => {
+                    let other = self.nodes.iter().position(|n| n.info.domain == domain);
+                    let other = &mut self.nodes[other.expect("known domain")];
+                    if let Served::Here = other.serve(&call(1, true), &BTreeSet::new()) {
+                        return;
+                    }
+                    tried_domains.insert(domain);
+                }
+            }
+        }
+        self.phase(now_ms).refused += 1;
+    }
+}
+
+/// A call that reached a node.
+struct Arrival<'a> {
+    head: &'a CallHead,
+    arrived_ms: u64,
+    now_ms: u64,
+    tokens_ms: u64,
+    own_domain_only: bool,
+}
+
+/// What became of a call at one node.
+enum Served {
+    Here,
+    Elsewhere(DomainId),
+    Nowhere,
+}
+
+impl Node {
+    /// Routes a call; groups that are full are passed over.
+    fn serve(&mut self, call: &Arrival<'_>, tried_domains: &BTreeSet<DomainId>) -> Served {
+        let mut tried = BTreeSet::new();
+        loop {
+            let query = RouteQuery {
+                head: call.head,
+                chosen: None,
+                tried: &tried,
+                tried_domains,
+                own_domain_only: call.own_domain_only,
+            };
+            match self.router.route(&query, &self.cx) {
+                Ok(Route::Domain { node }) => return Served::Elsewhere(node.domain),
+                Ok(route) => {
+                    if self.start(&route, call) {
+                        return Served::Here;
+                    }
+                    tried.extend(slot_of(&route));
+                }
+                Err(_) => return Served::Nowhere,
+            }
+        }
+    }
+}
+
+fn slot_of(route: &Route) -> Option<Slot> {
+    match route {
+        Route::Local { slot, .. } | Route::Peer { slot, .. } => Some(slot.clone()),
+        Route::Domain { .. } => None,
+    }
+}
+
+fn head(number: u64) -> CallHead {
+    CallHead {
+        id: id(&format!("call-{number}")),
+        team: id("depot"),
+        target: Target::Model(id("tide")),
+        method: "POST".into(),
+        path: "/v1/completions".into(),
+        content_type: None,
+        key: None,
+        stream: true,
+        prefix: None,
+        time_left: Duration::from_secs(30),
+        trace: Trace::default(),
+    }
+}
+
+fn main() {
+    println!("| seed | policy | phase | served | served/s | late | refused | failed |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for seed in 1..=2 {
+        for (name, other_domains, ramps) in [
+            ("at home only, no ramp", false, false),
+            ("other domains, no ramp", true, false),
+            ("SlotRouter and SlotAdmission", true, true),
+        ] {
+            let phases = World::new(seed, other_domains, ramps).run();
+            let lengths = [OUT, BACK - OUT, END - BACK];
+            for (index, phase) in phases.into_iter().enumerate() {
+                let when = ["before", "out", "back"][index];
+                let rate = phase.served / lengths[index];
+                let Phase {
+                    served,
+                    late,
+                    refused,
+                    failed,
+                } = phase;
+                println!(
+                    "| {seed} | {name} | {when} | {served} | {rate} | {late} | {refused} | {failed} |"
+                );
+            }
+        }
+    }
+}
