--- a/crates/shallottide/examples/domain_move_compare.rs
+++ b/crates/shallottide/examples/domain_move_compare/main.rs
@@ -5,24 +5,25 @@
 //! Engines of the domain that was out come back cold: one that gets more than it bears then
 //! falls over, which fails all that runs on it. Simulated time, no sockets.
 
+mod engine;
+mod no_ramp;
+mod node;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
-use shallottide::admission::{Admission, AdmissionOptions, Finished, SlotAdmission};
+use shallottide::admission::Finished;
 use shallottide::groups::rendezvous;
-use shallottide::kernel::Context;
-use shallottide::routing::{Route, RouteQuery, Router, RoutingOptions, SlotRouter};
-use shallottide::view::{ConfigView, FleetView, MemberView, NodeState, PlacementView, TimedReport};
+use shallottide::routing::Router;
+use shallottide::view::{MemberView, NodeState};
 use shallottide_types::call::{CallHead, Target, Trace};
 use shallottide_types::clock::{Clock, ManualClock};
-use shallottide_types::engine::{Assignment, EngineReport, EngineState};
-use shallottide_types::id::{DomainId, Fence, Incarnation, StoreIndex, TeamId, VmId};
-use shallottide_types::peer::{LoadSummary, NodeInfo, Slot};
-use shallottide_types::placement::{Group, Placement};
-use shallottide_types::platform::Vm;
-use shallottide_types::record::{DomainRecord, DomainState, ModelRecord, Record};
-use shallottide_types::refusal::Refusal;
+use shallottide_types::id::{DomainId, StoreIndex};
+use shallottide_types::peer::Slot;
+use shallottide_types::record::DomainState;
+
+use engine::Running;
+use node::{Arrival, Node, Served};
 
 const DOMAINS: usize = 3;
 const GROUPS: usize = 6;
@@ -59,74 +60,6 @@
     Slot::Group(id(&format!("g{number}")))
 }
 
-/// Admits up to the full limit at once, whatever state the engine is in.
-struct NoRamp(BTreeMap<Slot, u32>);
-
-impl Admission for NoRamp {
-    fn acquire(&mut self, slot: &Slot, _: &TeamId, _: &Context) -> Result<(), Refusal> {
-        let count = self.0.entry(slot.clone()).or_default();
-        if *count < FULL {
-            *count += 1;
-            return Ok(());
-        }
-        let kind = shallottide_types::refusal::RefusalKind::Overloaded;
-        Err(Refusal::new(
-            kind,
-            shallottide_types::refusal::Ran::No,
-            "full",
-        ))
-    }
-
-    fn release(&mut self, slot: &Slot, _: &TeamId, _: &Finished, _: &Context) {
-        *self.0.entry(slot.clone()).or_default() -= 1;
-    }
-
-    fn tick(&mut self, _: &Context) {}
-
-    fn loads(&self, _: &Context) -> Vec<LoadSummary> {
-        Vec::new()
-    }
-}
-
-struct Running {
-    route: Route,
-    arrived_ms: u64,
-    first_ms: u64,
-    ends_ms: u64,
-}
-
-#[derive(Default)]
-struct Engine {
-    running: Vec<Running>,
-    /// Whole answers since it was last cold.
-    answers: u32,
-    down_until_ms: u64,
-}
-
-impl Engine {
-    fn is_cold(&self) -> bool {
-        self.answers < ANSWERS_TO_WARM
-    }
-
-    fn state(&self, now_ms: u64) -> EngineState {
-        match (now_ms < self.down_until_ms, self.is_cold()) {
-            (true, _) => EngineState::Loading,
-            (false, true) => EngineState::Cold,
-            (false, false) => EngineState::Warm,
-        }
-    }
-}
-
-struct Node {
-    info: NodeInfo,
-    cx: Context,
-    router: SlotRouter,
-    admission: Box<dyn Admission>,
-    engines: Vec<Engine>,
-    config: ConfigView,
-    reports: BTreeMap<VmId, TimedReport>,
-}
-
 #[derive(Debug, Default, Clone, Copy)]
 struct Phase {
     served: u64,
@@ -143,144 +76,6 @@
     phases: [Phase; 3],
 }
 
-fn vm(node: usize, number: usize) -> Vm {
-    let port = u16::try_from(10_000 + node * 100 + number).expect("small");
-    Vm {
-        id: id(&format!("vm-{node}-{number}")),
-        address: ([127, 0, 0, 1], port).into(),
-        domain: domain(node),
-        fabric: id("rack"),
-        accelerators: 8,
-        fences_orders: true,
-        leaving: false,
-    }
-}
-
-impl Node {
-    fn new(index: usize, clock: &ManualClock, other_domains: bool, ramps: bool) -> Self {
-        let info = NodeInfo {
-            node: id(&format!("entry-{index}")),
-            incarnation: Incarnation(1),
-            domain: domain(index),
-            address: ([127, 0, 0, 1], 7_000 + u16::try_from(index).expect("small")).into(),
-            stopping: false,
-        };
-        let mut config = ConfigView::default();
-        let counts = (0..DOMAINS).map(|d| (domain(d), u32::try_from(GROUPS).expect("small")));
-        config.insert(Record::Model(ModelRecord {
-            id: id("tide"),
-            vms_per_group: 1,
-            groups: counts.collect(),
-            cold_limit: COLD,
-            full_limit: FULL,
-            priority: 0,
-            resumable: true,
-            other_domains,
-            split: None,
-        }));
-        let cx = Context::new(Arc::new(clock.clone()), info.clone());
-        let mut placement = Placement::empty(info.domain.clone());
-        let empty = [(info.domain.clone(), placement.clone())].into();
-        cx.publish_placement(PlacementView { domains: empty });
-        let mut admission: Box<dyn Admission> = if ramps {
-            Box::new(SlotAdmission::new(AdmissionOptions::default()))
-        } else {
-            Box::new(NoRamp(BTreeMap::new()))
-        };
-        admission.tick(&cx);
-        placement.fence = Fence(1);
-        for number in 0..GROUPS {
-            let group = Group {
-                model: id("tide"),
-                members: vec![vm(index, number).id],
-                formed: Fence(1),
-                dispatcher: info.node.clone(),
-            };
-            placement.groups.insert(id(&format!("g{number}")), group);
-        }
-        let domains = [(info.domain.clone(), placement)].into();
-        cx.publish_placement(PlacementView { domains });
-        let engine = || Engine {
-            answers: ANSWERS_TO_WARM,
-            ..Engine::default()
-        };
-        Self {
-            info,
-            cx,
-            router: SlotRouter::new(RoutingOptions::default()),
-            admission,
-            engines: std::iter::repeat_with(engine).take(GROUPS).collect(),
-            config,
-            reports: BTreeMap::new(),
-        }
-    }
-
-    /// Reads the engines' reports, as each second.
-    fn report(&mut self, index: usize, now_ms: u64) {
-        let mut vms = BTreeMap::new();
-        for (number, engine) in self.engines.iter().enumerate() {
-            let vm = vm(index, number);
-            let report = EngineReport {
-                vm: vm.id.clone(),
-                incarnation: Incarnation(1),
-                fence: Fence(1),
-                assignment: Some(Assignment {
-                    group: id(&format!("g{number}")),
-                    model: id("tide"),
-                    formed: Fence(1),
-                    rank: 0,
-                    members: vec![vm.address],
-                }),
-                state: engine.state(now_ms),
-                running: u32::try_from(engine.running.len()).expect("few"),
-                queued: 0,
-                lag_ms: 0,
-            };
-            let read_at = self.cx.now();
-            let timed = TimedReport { report, read_at };
-            self.reports.insert(vm.id.clone(), timed);
-            vms.insert(vm.id.clone(), vm);
-        }
-        let reports = self.reports.clone();
-        self.cx.publish_fleet(FleetView { vms, reports });
-        self.cx.publish_config(self.config.clone());
-        self.admission.tick(&self.cx);
-    }
-
-    fn set_domain(&mut self, state: DomainState) {
-        self.config.insert(Record::Domain(DomainRecord {
-            id: domain(0),
-            region: id("se-south"),
-            state,
-        }));
-        self.cx.publish_config(self.config.clone());
-    }
-
-    /// Tries to start a call on a local group.
-    fn start(&mut self, route: &Route, call: &Arrival<'_>) -> bool {
-        let Route::Local { slot: chosen, .. } = route else {
-            return false;
-        };
-        if self
-            .admission
-            .acquire(chosen, &id("depot"), &self.cx)
-            .is_err()
-        {
-            return false;
-        }
-        self.router.started(route, &self.cx);
-        let index = (0..GROUPS).position(|n| slot(n) == *chosen).expect("known");
-        let first_ms = call.now_ms + FIRST_TOKEN_MS;
-        self.engines[index].running.push(Running {
-            route: route.clone(),
-            arrived_ms: call.arrived_ms,
-            first_ms,
-            ends_ms: first_ms + call.tokens_ms,
-        });
-        true
-    }
-}
-
 impl World {
     fn new(seed: u64, other_domains: bool, ramps: bool) -> Self {
         let clock = ManualClock::default();
@@ -428,55 +223,6 @@
     }
 }
 
-/// A call that reached a node.
-struct Arrival<'a> {
-    head: &'a CallHead,
-    arrived_ms: u64,
-    now_ms: u64,
-    tokens_ms: u64,
-    own_domain_only: bool,
-}
-
-/// What became of a call at one node.
-enum Served {
-    Here,
-    Elsewhere(DomainId),
-    Nowhere,
-}
-
-impl Node {
-    /// Routes a call; groups that are full are passed over.
-    fn serve(&mut self, call: &Arrival<'_>, tried_domains: &BTreeSet<DomainId>) -> Served {
-        let mut tried = BTreeSet::new();
-        loop {
-            let query = RouteQuery {
-                head: call.head,
-                chosen: None,
-                tried: &tried,
-                tried_domains,
-                own_domain_only: call.own_domain_only,
-            };
-            match self.router.route(&query, &self.cx) {
-                Ok(Route::Domain { node }) => return Served::Elsewhere(node.domain),
-                Ok(route) => {
-                    if self.start(&route, call) {
-                        return Served::Here;
-                    }
-                    tried.extend(slot_of(&route));
-                }
-                Err(_) => return Served::Nowhere,
-            }
-        }
-    }
-}
-
-fn slot_of(route: &Route) -> Option<Slot> {
-    match route {
-        Route::Local { slot, .. } | Route::Peer { slot, .. } => Some(slot.clone()),
-        Route::Domain { .. } => None,
-    }
-}
-
 fn head(number: u64) -> CallHead {
     CallHead {
         id: id(&format!("call-{number}")),
--- /dev/null
+++ b/crates/shallottide/examples/domain_move_compare/no_ramp.rs
@@ -0,0 +1,40 @@
+//! An admission without ramp, to compare with.
+
+use std::collections::BTreeMap;
+
+use shallottide::admission::{Admission, Finished};
+use shallottide::kernel::Context;
+use shallottide_types::id::TeamId;
+use shallottide_types::peer::{LoadSummary, Slot};
+use shallottide_types::refusal::Refusal;
+
+use super::FULL;
+
+/// Admits up to the full limit at once, whatever state the engine is in.
+pub(super) struct NoRamp(pub(super) BTreeMap<Slot, u32>);
+
+impl Admission for NoRamp {
+    fn acquire(&mut self, slot: &Slot, _: &TeamId, _: &Context) -> Result<(), Refusal> {
+        let count = self.0.entry(slot.clone()).or_default();
+        if *count < FULL {
+            *count += 1;
+            return Ok(());
+        }
+        let kind = shallottide_types::refusal::RefusalKind::Overloaded;
+        Err(Refusal::new(
+            kind,
+            shallottide_types::refusal::Ran::No,
+            "full",
+        ))
+    }
+
+    fn release(&mut self, slot: &Slot, _: &TeamId, _: &Finished, _: &Context) {
+        *self.0.entry(slot.clone()).or_default() -= 1;
+    }
+
+    fn tick(&mut self, _: &Context) {}
+
+    fn loads(&self, _: &Context) -> Vec<LoadSummary> {
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/shallottide/examples/routing_compare/baselines.rs
@@ -0,0 +1,77 @@
+//! Common policies to compare with.
+
+use std::collections::BTreeMap;
+
+use shallottide::admission::Finished;
+use shallottide::groups::rendezvous;
+use shallottide::kernel::Context;
+use shallottide::routing::{Route, RouteQuery, Router};
+use shallottide_types::peer::{NodeInfo, Slot};
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+use super::{GROUPS, slot};
+
+/// Takes groups in turn.
+pub(super) struct RoundRobin {
+    pub(super) next: usize,
+    pub(super) dispatcher: NodeInfo,
+}
+
+impl Router for RoundRobin {
+    fn route(&mut self, query: &RouteQuery<'_>, _: &Context) -> Result<Route, Refusal> {
+        for _ in 0..GROUPS {
+            self.next = (self.next + 1) % GROUPS;
+            if !query.tried.contains(&slot(self.next)) {
+                return Ok(peer(slot(self.next), &self.dispatcher));
+            }
+        }
+        Err(full())
+    }
+
+    fn started(&mut self, _: &Route, _: &Context) {}
+
+    fn finished(&mut self, _: &Route, _: &Finished, _: &Context) {}
+}
+
+/// Takes the group with the fewest requests of the own node in flight.
+pub(super) struct LeastInFlight {
+    pub(super) in_flight: BTreeMap<Slot, u32>,
+    pub(super) dispatcher: NodeInfo,
+}
+
+impl Router for LeastInFlight {
+    fn route(&mut self, query: &RouteQuery<'_>, _: &Context) -> Result<Route, Refusal> {
+        let key = rendezvous::hash(query.head.id.as_str());
+        let open = (0..GROUPS)
+            .map(slot)
+            .filter(|slot| !query.tried.contains(slot));
+        let least = open.min_by_key(|slot| {
+            let count = self.in_flight.get(slot).copied().unwrap_or(0);
+            (count, rendezvous::weight(key, &format!("{slot:?}")))
+        });
+        least
+            .map(|slot| peer(slot, &self.dispatcher))
+            .ok_or_else(full)
+    }
+
+    fn started(&mut self, route: &Route, _: &Context) {
+        if let Route::Peer { slot, .. } = route {
+            *self.in_flight.entry(slot.clone()).or_default() += 1;
+        }
+    }
+
+    fn finished(&mut self, route: &Route, _: &Finished, _: &Context) {
+        if let Route::Peer { slot, .. } = route {
+            *self.in_flight.entry(slot.clone()).or_default() -= 1;
+        }
+    }
+}
+
+pub(super) fn peer(slot: Slot, dispatcher: &NodeInfo) -> Route {
+    let node = dispatcher.clone();
+    Route::Peer { slot, node }
+}
+
+pub(super) fn full() -> Refusal {
+    Refusal::new(RefusalKind::Overloaded, Ran::No, "full")
+}
--- a/crates/shallottide/examples/routing_compare.rs
+++ b/crates/shallottide/examples/routing_compare/main.rs
@@ -5,6 +5,10 @@
 //! straggles. Every group takes at most its limit; a call tries three groups, then it is
 //! refused. Simulated time, no sockets.
 
+mod baselines;
+mod engine;
+mod views;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,14 +17,14 @@
 use shallottide::groups::rendezvous;
 use shallottide::kernel::Context;
 use shallottide::routing::{Route, RouteQuery, Router, RoutingOptions, SlotRouter};
-use shallottide::view::{ConfigView, DispatcherLoad, MemberView, NodeState, PlacementView};
-use shallottide_types::call::{CallHead, Target, Trace};
+use shallottide::view::{DispatcherLoad, MemberView, NodeState};
 use shallottide_types::clock::{Clock, ManualClock};
-use shallottide_types::id::{DomainId, Fence, Incarnation, NodeId, StoreIndex};
+use shallottide_types::id::StoreIndex;
 use shallottide_types::peer::{LoadSummary, NodeInfo, Slot};
-use shallottide_types::placement::{Group, Placement};
-use shallottide_types::record::{ModelRecord, Record};
-use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+
+use baselines::{LeastInFlight, RoundRobin};
+use engine::{Engine, Running};
+use views::{head, node, publish};
 
 /// Entry VMs that callers reach, and one more that dispatches to all groups.
 const ENTRIES: usize = 7;
@@ -63,127 +67,6 @@
     Slot::Group(id(&format!("g{number:02}")))
 }
 
-/// Takes groups in turn.
-struct RoundRobin {
-    next: usize,
-    dispatcher: NodeInfo,
-}
-
-impl Router for RoundRobin {
-    fn route(&mut self, query: &RouteQuery<'_>, _: &Context) -> Result<Route, Refusal> {
-        for _ in 0..GROUPS {
-            self.next = (self.next + 1) % GROUPS;
-            if !query.tried.contains(&slot(self.next)) {
-                return Ok(peer(slot(self.next), &self.dispatcher));
-            }
-        }
-        Err(full())
-    }
-
-    fn started(&mut self, _: &Route, _: &Context) {}
-
-    fn finished(&mut self, _: &Route, _: &Finished, _: &Context) {}
-}
-
-/// Takes the group with the fewest requests of the own node in flight.
-struct LeastInFlight {
-    in_flight: BTreeMap<Slot, u32>,
-    dispatcher: NodeInfo,
-}
-
-impl Router for LeastInFlight {
-    fn route(&mut self, query: &RouteQuery<'_>, _: &Context) -> Result<Route, Refusal> {
-        let key = rendezvous::hash(query.head.id.as_str());
-        let open = (0..GROUPS)
-            .map(slot)
-            .filter(|slot| !query.tried.contains(slot));
-        let least = open.min_by_key(|slot| {
-            let count = self.in_flight.get(slot).copied().unwrap_or(0);
-            (count, rendezvous::weight(key, &format!("{slot:?}")))
-        });
-        least
-            .map(|slot| peer(slot, &self.dispatcher))
-            .ok_or_else(full)
-    }
-
-    fn started(&mut self, route: &Route, _: &Context) {
-        if let Route::Peer { slot, .. } = route {
-            *self.in_flight.entry(slot.clone()).or_default() += 1;
-        }
-    }
-
-    fn finished(&mut self, route: &Route, _: &Finished, _: &Context) {
-        if let Route::Peer { slot, .. } = route {
-            *self.in_flight.entry(slot.clone()).or_default() -= 1;
-        }
-    }
-}
-
-fn peer(slot: Slot, dispatcher: &NodeInfo) -> Route {
-    let node = dispatcher.clone();
-    Route::Peer { slot, node }
-}
-
-fn full() -> Refusal {
-    Refusal::new(RefusalKind::Overloaded, Ran::No, "full")
-}
-
-/// A call on an engine.
-struct Running {
-    entry: usize,
-    route: Route,
-    started_ms: u64,
-    prefill_left: f64,
-    first_token_ms: Option<u64>,
-    tokens_left: f64,
-    tokens: f64,
-}
-
-#[derive(Default)]
-struct Engine {
-    running: Vec<Running>,
-    cache: Vec<u64>,
-    slow: f64,
-}
-
-impl Engine {
-    /// Returns the work before the first token, and puts the prefix into the cache.
-    fn prefill(&mut self, prefix: u64) -> f64 {
-        let hit = self.cache.iter().position(|cached| *cached == prefix);
-        if let Some(index) = hit {
-            self.cache.remove(index);
-        } else if self.cache.len() == CACHE {
-            self.cache.remove(0);
-        }
-        self.cache.push(prefix);
-        if hit.is_some() {
-            PREFILL_HIT_MS
-        } else {
-            PREFILL_MISS_MS
-        }
-    }
-
-    /// Works for one step; returns the calls that ended.
-    #[expect(clippy::cast_precision_loss, reason = "small counts")]
-    fn step(&mut self, now_ms: u64) -> Vec<Running> {
-        let others = self.running.len().saturating_sub(1) as f64;
-        let token_ms = (TOKEN_MS + TOKEN_MS_PER_OTHER * others) * self.slow;
-        let step = STEP_MS as f64;
-        let share = TOKEN_MS / token_ms;
-        for call in &mut self.running {
-            if call.prefill_left > 0.0 {
-                call.prefill_left -= step * share;
-            } else {
-                call.first_token_ms.get_or_insert(now_ms);
-                call.tokens_left -= step / token_ms;
-            }
-        }
-        self.running
-            .extract_if(.., |call| call.tokens_left <= 0.0)
-            .collect()
-    }
-}
-
 struct World {
     clock: ManualClock,
     entries: Vec<(Context, Box<dyn Router>)>,
@@ -202,16 +85,6 @@
     tries: u64,
 }
 
-fn node(name: &str) -> NodeInfo {
-    NodeInfo {
-        node: id(name),
-        incarnation: Incarnation(1),
-        domain: id("jkpg"),
-        address: ([127, 0, 0, 1], 1).into(),
-        stopping: false,
-    }
-}
-
 impl World {
     fn new(seed: u64, router: &dyn Fn(&NodeInfo) -> Box<dyn Router>) -> Self {
         let clock = ManualClock::default();
@@ -360,51 +233,6 @@
     }
 }
 
-fn publish(cx: &Context, dispatcher: &NodeId) {
-    let domain: DomainId = id("jkpg");
-    let mut config = ConfigView::default();
-    config.insert(Record::Model(ModelRecord {
-        id: id("tide"),
-        vms_per_group: 1,
-        groups: BTreeMap::from([(domain.clone(), 12)]),
-        cold_limit: 2,
-        full_limit: LIMIT,
-        priority: 0,
-        resumable: true,
-        other_domains: false,
-        split: None,
-    }));
-    cx.publish_config(config);
-    let mut placement = Placement::empty(domain.clone());
-    for number in 0..GROUPS {
-        let group = Group {
-            model: id("tide"),
-            members: vec![id(&format!("vm-{number}"))],
-            formed: Fence(1),
-            dispatcher: dispatcher.clone(),
-        };
-        placement.groups.insert(id(&format!("g{number:02}")), group);
-    }
-    let domains = BTreeMap::from([(domain, placement)]);
-    cx.publish_placement(PlacementView { domains });
-}
-
-fn head(number: u64, prefix: u64) -> CallHead {
-    CallHead {
-        id: id(&format!("call-{number}")),
-        team: id("depot"),
-        target: Target::Model(id("tide")),
-        method: "POST".into(),
-        path: "/v1/completions".into(),
-        content_type: None,
-        key: None,
-        stream: true,
-        prefix: Some(rendezvous::hash(&prefix.to_string())),
-        time_left: Duration::from_secs(30),
-        trace: Trace::default(),
-    }
-}
-
 fn percentile(values: &mut [u64], percent: usize) -> u64 {
     values.sort_unstable();
     let index = (values.len().saturating_sub(1)) * percent / 100;
