--- a/crates/shallottide/src/groups/controller.rs
+++ b/crates/shallottide/src/groups/controller.rs
@@ -29,6 +29,8 @@
     store: PlacementStore,
     orders: OrderBook,
     slow: SlowMembers,
+    /// Highest fence that an engine is known to have seen.
+    fence_floor: Fence,
     next_plan: Option<Instant>,
     next_read: Option<Instant>,
 }
@@ -53,6 +55,7 @@
             store: PlacementStore::new(domain.clone()),
             orders: OrderBook::new(options),
             slow: SlowMembers::new(options),
+            fence_floor: Fence(0),
             next_plan: None,
             next_read: None,
         }
@@ -77,8 +80,9 @@
     /// Takes the result of an order. An engine that has seen a later fence proves that the
     /// placement here is old.
     pub(super) fn ordered(&mut self, ordered: &EngineOrdered) {
-        if self.orders.ordered(ordered) {
+        if let Some(seen) = self.orders.ordered(ordered) {
             self.store.forget();
+            self.fence_floor = self.fence_floor.max(seen);
         }
     }
 
@@ -107,12 +111,28 @@
             return (None, Vec::new());
         }
         self.next_plan = Some(input.now + self.options.plan_every);
-        match self.plan(input).and_then(|next| self.store.swap_op(next)) {
+        match self
+            .next_placement(input)
+            .and_then(|next| self.store.swap_op(next))
+        {
             Some(op) => (Some(op), Vec::new()),
             None => (None, self.order(input)),
         }
     }
 
+    /// Returns the placement to write next. Engines may have seen later fences than the
+    /// platform holds, as after its restore from a backup; then the fence leaps over theirs.
+    fn next_placement(&mut self, input: &ControlInput<'_>) -> Option<Placement> {
+        let known = self.store.known()?;
+        if known.fence >= self.fence_floor {
+            return self.plan(input);
+        }
+        Some(Placement {
+            fence: self.fence_floor.next(),
+            ..known.clone()
+        })
+    }
+
     /// Plans, unless records or VMs are unknown: such a plan would break up every group.
     fn plan(&mut self, input: &ControlInput<'_>) -> Option<Placement> {
         let read_at = input.directory.read_at()?;
--- a/crates/shallottide/src/groups/order_book.rs
+++ b/crates/shallottide/src/groups/order_book.rs
@@ -101,14 +101,16 @@
         }
     }
 
-    /// Takes the result of an order; tells whether the placement must be read again, because
-    /// the engine has seen a later one.
-    pub(super) fn ordered(&mut self, ordered: &EngineOrdered) -> bool {
+    /// Takes the result of an order; returns the later fence that the engine has seen.
+    pub(super) fn ordered(&mut self, ordered: &EngineOrdered) -> Option<Fence> {
         let unanswered = matches!(ordered.result, Err(OrderError::NoAnswer(_)));
         if let Some(sent) = self.sent.get_mut(&ordered.vm) {
             sent.answered = !unanswered;
         }
-        matches!(ordered.result, Err(OrderError::Stale { .. }))
+        match ordered.result {
+            Err(OrderError::Stale { seen }) => Some(seen),
+            _ => None,
+        }
     }
 
     /// Returns the orders to send now, for engines that hold something else than placed.
--- a/crates/shallottide/tests/groups_recovery.rs
+++ b/crates/shallottide/tests/groups_recovery.rs
@@ -9,6 +9,7 @@
 
 use group_support::{Bench, model, node_ids, upstream, vms};
 use shallottide_types::cases;
+use shallottide_types::id::Fence;
 use shallottide_types::peer::{PeerMsg, ReportCopy};
 use shallottide_types::placement::Placement;
 use shallottide_types::record::Record;
@@ -415,13 +416,27 @@
     }
 }
 
+/// Engines that have seen higher fences than the platform holds, as after its restore from a
+/// backup, are ordered by a fence above theirs.
+#[test]
+fn fence_rises_above_what_engines_have_seen() {
+    let mut bench = started();
+    for engine in bench.engines.values_mut() {
+        engine.seen = Fence(1_000);
+    }
+    member_restarts(&mut bench);
+    bench.run(secs(20));
+    assert!(placed(&bench).fence > Fence(1_000));
+    assert_eq!(bench.serving(), 2);
+}
+
 /// Placements with an older fence never replace a newer one, whoever sends them.
 #[test]
 fn older_placement_never_replaces_newer() {
     let mut bench = started();
     let newest = placed(&bench);
     let older = Placement {
-        fence: shallottide_types::id::Fence(newest.fence.0 - 1),
+        fence: Fence(newest.fence.0 - 1),
         ..newest.clone()
     };
     bench.send_to_all(&PeerMsg::Placement(older));
