Fuzz callers' requests; end the daemon when its kernel has ended

Cause: a panic in a service would end the kernel thread and leave a daemon that serves nobody and still holds its ports. It now ends with exit code 5, and panics go to the log as JSON lines. No test brings a panic about.

--- a/crates/shallottide/src/front.rs
+++ b/crates/shallottide/src/front.rs
@@ -6,4 +6,5 @@
 mod reply_body;
 mod stall_guard;
 
+pub use call_request::{CallRequest, read_call};
 pub use front_border::{FrontBorder, FrontOptions};
--- a/crates/shallottide/src/front/call_request.rs
+++ b/crates/shallottide/src/front/call_request.rs
@@ -37,16 +37,18 @@
 }
 
 /// A call as read from HTTP.
-pub(super) struct CallRequest {
-    pub(super) head: CallHead,
-    pub(super) key: Option<KeyHash>,
+pub struct CallRequest {
+    /// The call; its team is not known yet.
+    pub head: CallHead,
+    /// Hash of the bearer key.
+    pub key: Option<KeyHash>,
 }
 
 /// Reads a call from a request's head and body.
 ///
 /// # Errors
 /// A refusal with `Ran::No` naming the header or field.
-pub(super) fn read_call(
+pub fn read_call(
     parts: &Parts,
     body: &Bytes,
     id: CallId,
--- a/crates/shallottide/src/node/running_node.rs
+++ b/crates/shallottide/src/node/running_node.rs
@@ -74,6 +74,12 @@
         self.addresses
     }
 
+    /// Tells whether the kernel still runs; it ends early only by a fault of its own.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        !self.kernel_thread.is_finished()
+    }
+
     /// Stops the node gracefully. Blocks until calls in flight have ended, the deadline
     /// has passed or `hurry` is set.
     pub fn stop(self, hurry: &AtomicBool) -> StopReport {
--- a/crates/shallottide/src/telemetry/logging.rs
+++ b/crates/shallottide/src/telemetry/logging.rs
@@ -29,7 +29,7 @@
     },
 }
 
-/// Sends all logs of this process as JSON lines to a file or standard error.
+/// Sends all logs of this process, panics too, as JSON lines to a file or standard error.
 ///
 /// Does nothing when logs were set up before.
 ///
@@ -48,6 +48,7 @@
         .finish();
     // A second node in the same process keeps the first one's logs.
     let _ = tracing::subscriber::set_global_default(subscriber);
+    std::panic::set_hook(Box::new(|panic| tracing::error!(%panic, "thread panicked")));
     Ok(())
 }
 
--- a/crates/shallottided/src/main.rs
+++ b/crates/shallottided/src/main.rs
@@ -20,6 +20,8 @@
 const EXIT_START: u8 = 3;
 /// Exit code when calls were left running at the end of a stop.
 const EXIT_CUT: u8 = 4;
+/// Exit code when the node ended by a fault of its own.
+const EXIT_FAULT: u8 = 5;
 
 /// Pause between looks at signals.
 const POLL: Duration = Duration::from_millis(20);
@@ -45,6 +47,8 @@
     Platform(#[from] PlatformOptionsError),
     #[error(transparent)]
     Node(#[from] NodeError),
+    #[error("the node ended by a fault of its own: see the log, restart it and report the fault")]
+    Fault,
     #[error("signals can't be watched ({0}): check the process's limits")]
     Signals(std::io::Error),
 }
@@ -54,6 +58,7 @@
         match self {
             Self::Settings(_) | Self::Logging(_) | Self::Platform(_) => EXIT_SETTINGS,
             Self::Node(_) | Self::Signals(_) => EXIT_START,
+            Self::Fault => EXIT_FAULT,
         }
     }
 }
@@ -99,6 +104,9 @@
         })
     );
     while !first.load(Ordering::Acquire) {
+        if !node.is_running() {
+            return Err(DaemonError::Fault);
+        }
         std::thread::sleep(POLL);
     }
     Ok(node.stop(&later))
