--- a/crates/shallottide/src/members/gossip.rs
+++ b/crates/shallottide/src/members/gossip.rs
@@ -5,7 +5,7 @@
 
 use shallottide_types::id::{DomainId, NodeId, StoreIndex};
 use shallottide_types::peer::{
-    Heartbeat, LoadSummary, NodeNews, NodeTag, Sighting, Slot, SlotLoad, SlotTag,
+    Heartbeat, LoadSummary, NodeNews, Sighting, Slot, SlotLoad, SlotTag,
 };
 use shallottide_types::placement::Placement;
 
@@ -31,24 +31,29 @@
 }
 
 impl Gossip {
-    /// Chooses sightings for a peer of this failure domain: first those told least often
-    /// since they became known, among them the youngest.
+    /// Chooses sightings for a peer of this failure domain. One half are those told least
+    /// often since they became known, among them the youngest, so that news travel fast; the
+    /// other half are those not told for longest, so that none is left out.
     pub(super) fn sightings(
         table: &mut MemberTable,
         to: Option<&NodeId>,
-        scope: &Scope<'_>,
+        scope: &Scope,
         options: &MemberOptions,
     ) -> Vec<Sighting> {
-        let told = scope.nodes(table);
-        let mut chosen: Vec<_> = told
-            .into_iter()
-            .filter(|node| Some(node) != to)
+        let mut chosen: Vec<_> = scope
+            .told
+            .iter()
+            .filter(|node| Some(*node) != to)
             .filter_map(|node| {
-                let member = table.members().get(&node)?;
-                Some((member.sightings_sent, member.age(scope.now)?, node))
+                let member = table.members().get(node)?;
+                Some((member.sightings_sent, member.age(scope.now)?, node.clone()))
             })
             .collect();
         chosen.sort_unstable();
+        let urgent = options.max_sightings / 2;
+        if let Some(others) = chosen.get_mut(urgent..) {
+            others.sort_by_key(|(_, _, node)| table.members().get(node).and_then(|m| m.told_at));
+        }
         chosen.truncate(options.max_sightings);
         let mut sightings = Vec::new();
         for (_, age, node) in chosen {
@@ -56,6 +61,7 @@
                 continue;
             };
             member.sightings_sent += 1;
+            member.told_at = Some(scope.now);
             sightings.push(sighting(member, age, scope.config, options));
         }
         sightings
@@ -66,10 +72,10 @@
         &mut self,
         table: &mut MemberTable,
         to: Option<&NodeId>,
-        scope: &Scope<'_>,
+        scope: &Scope,
         count: usize,
     ) -> Vec<NodeNews> {
-        let mut told = scope.nodes(table);
+        let mut told = scope.told.clone();
         told.retain(|node| Some(node) != to);
         let hot = |node: &&NodeId| {
             let member = table.members().get(*node);
@@ -91,42 +97,46 @@
     }
 }
 
-/// Which nodes are told of.
+/// Which nodes are told of in one beat.
 #[derive(Debug)]
-pub(super) struct Scope<'a> {
-    /// The sender's failure domain.
-    pub(super) domain: &'a DomainId,
-    /// Whether the receiver is of another failure domain.
-    pub(super) abroad: bool,
+pub(super) struct Scope {
+    /// The nodes in id order. Within the domain: all of its nodes and the contacts of other
+    /// domains. To another domain: the contacts of this one.
+    told: Vec<NodeId>,
     /// The sender's store index.
-    pub(super) config: StoreIndex,
+    config: StoreIndex,
     /// The time.
-    pub(super) now: Instant,
+    now: Instant,
 }
 
-impl Scope<'_> {
-    /// Returns the nodes in id order. Within the domain: all of its nodes and the contacts of
-    /// other domains. To another domain: the contacts of this one.
-    fn nodes(&self, table: &MemberTable) -> Vec<NodeId> {
+impl Scope {
+    /// Collects the nodes that are told of within `domain` or, from there, `abroad`.
+    pub(super) fn new(
+        table: &MemberTable,
+        domain: &DomainId,
+        abroad: bool,
+        config: StoreIndex,
+        now: Instant,
+    ) -> Self {
         let mut by_domain: BTreeMap<&DomainId, Vec<&NodeId>> = BTreeMap::new();
         for member in table.members().values() {
-            if table.counts_alive(member, self.now) {
+            let relevant = !abroad || member.info.domain == *domain;
+            if relevant && table.counts_alive(member, now) {
                 let nodes = by_domain.entry(&member.info.domain).or_default();
                 nodes.push(&member.info.node);
             }
         }
         let mut told = Vec::new();
-        for (domain, nodes) in by_domain {
-            let own = domain == self.domain;
-            if own && !self.abroad {
+        for (of, nodes) in by_domain {
+            if of == domain && !abroad {
                 told.extend(nodes.into_iter().cloned());
-            } else if own == self.abroad {
+            } else {
                 let contacts = ring::first_ranked(CONTACT_PURPOSE, nodes, CONTACTS);
                 told.extend(contacts.into_iter().cloned());
             }
         }
         told.sort_unstable();
-        told
+        Self { told, config, now }
     }
 }
 
@@ -158,7 +168,8 @@
 /// Finds the slots of this failure domain by their tags.
 #[derive(Debug, Default)]
 pub(super) struct SlotTags {
-    slots: BTreeMap<SlotTag, Slot>,
+    /// The slot of each tag; `None` when two share it.
+    slots: BTreeMap<SlotTag, Option<Slot>>,
 }
 
 impl SlotTags {
@@ -166,16 +177,16 @@
     pub(super) fn of(placement: &Placement) -> Self {
         let groups = placement.groups.keys().cloned().map(Slot::Group);
         let services = placement.services.keys().cloned().map(Slot::Service);
-        Self {
-            slots: groups
-                .chain(services)
-                .map(|slot| (ring::slot_tag(&slot), slot))
-                .collect(),
+        let mut slots = BTreeMap::new();
+        for slot in groups.chain(services) {
+            let known = slots.entry(ring::slot_tag(&slot));
+            known.and_modify(|one| *one = None).or_insert(Some(slot));
         }
+        Self { slots }
     }
 
     fn get(&self, tag: SlotTag) -> Option<&Slot> {
-        self.slots.get(&tag)
+        self.slots.get(&tag)?.as_ref()
     }
 }
 
@@ -195,7 +206,7 @@
 ) -> Sighting {
     let loads = member.current_loads().take(options.max_sighting_loads);
     Sighting {
-        node: NodeTag(member.tag.0),
+        node: member.tag,
         age_ds: age_to_send(age),
         behind: config.0.saturating_sub(member.config.0),
         loads: loads
@@ -219,7 +230,7 @@
 
 /// Rounds an age up, with a tenth of a second for the way, so that a dead node's sign of life
 /// doesn't grow younger from teller to teller.
-fn age_to_send(age: Duration) -> u16 {
+fn age_to_send(age: Duration) -> u8 {
     let tenths = age.as_millis().div_ceil(DECISECOND.as_millis()) + 1;
-    u16::try_from(tenths).unwrap_or(u16::MAX)
+    u8::try_from(tenths).unwrap_or(u8::MAX)
 }
--- a/crates/shallottide/src/members/heartbeat_targets.rs
+++ b/crates/shallottide/src/members/heartbeat_targets.rs
@@ -14,6 +14,9 @@
 /// Nodes of a failure domain that talk to each other domain, and whom they talk to there.
 const LINKS: usize = 2;
 
+/// Heartbeats within the failure domain to one to another.
+const BEATS_ABROAD: u64 = 2;
+
 /// One receiver of a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Target {
@@ -41,7 +44,10 @@
 pub(super) struct HeartbeatTargets {
     rng: StdRng,
     seeds: Vec<SocketAddr>,
-    successors: usize,
+    fanout: usize,
+    beats: u64,
+    /// The binary logarithm of the last distance on the ring.
+    step: u32,
 }
 
 impl HeartbeatTargets {
@@ -50,7 +56,9 @@
         Self {
             rng: StdRng::seed_from_u64(options.seed),
             seeds: options.seeds.clone(),
-            successors: options.successors,
+            fanout: options.fanout,
+            beats: 0,
+            step: 0,
         }
     }
 
@@ -62,18 +70,27 @@
         now: Instant,
     ) -> Vec<Target> {
         let mut targets = self.in_domain(me, table, now);
-        targets.extend(self.abroad(me, table, now));
-        targets.extend(self.seed(me, table));
+        self.beats += 1;
+        if self.beats.is_multiple_of(BEATS_ABROAD) {
+            targets.extend(self.abroad(me, table, now));
+        }
+        if table.alive_in(&me.domain, now).next().is_none() {
+            targets.extend(self.seed(me, table));
+        }
         targets
     }
 
-    /// Chooses the next nodes on the ring, one other, and one that counts as dead.
+    /// Chooses nodes at doubling distances on the ring, a few in each beat, and one node that
+    /// counts as dead. So every node gets as many heartbeats as it sends, and news reach all
+    /// in about as many steps as the number of nodes has binary digits.
     fn in_domain(&mut self, me: &NodeInfo, table: &MemberTable, now: Instant) -> Vec<Target> {
         let alive = table.alive_in(&me.domain, now).map(|member| &member.info);
         let ring = ring::ring_after(&me.node, alive);
-        let (near, far) = ring.split_at(self.successors.min(ring.len()));
-        let mut chosen = near.to_vec();
-        chosen.extend(self.any(far).copied());
+        let mut chosen = if ring.len() <= self.fanout {
+            ring
+        } else {
+            self.at_doubling_distances(&ring)
+        };
         let dead: Vec<&NodeInfo> = table
             .members_of(&me.domain)
             .filter(|member| !table.counts_alive(member, now))
@@ -86,6 +103,17 @@
             .collect()
     }
 
+    /// Takes the next few of the nodes at distances 1, 2, 4 and so on. The ring is not empty.
+    fn at_doubling_distances<'a>(&mut self, ring: &[&'a NodeInfo]) -> Vec<&'a NodeInfo> {
+        let steps = ring.len().ilog2() + 1;
+        let mut chosen = Vec::new();
+        for _ in 0..self.fanout {
+            self.step = (self.step + 1) % steps;
+            chosen.push(ring[(1 << self.step) - 1]);
+        }
+        chosen
+    }
+
     /// Chooses nodes of other failure domains, where this node is a link to them. To a domain
     /// without a node known to be alive, any of its nodes is tried.
     fn abroad(&mut self, me: &NodeInfo, table: &MemberTable, now: Instant) -> Vec<Target> {
@@ -118,7 +146,8 @@
             .collect()
     }
 
-    /// Chooses a seed that no known node has as its address.
+    /// Chooses a seed that no known node has as its address. Seeds are tried only by a node
+    /// without another of its failure domain, so that they aren't flooded.
     fn seed(&mut self, me: &NodeInfo, table: &MemberTable) -> Option<Target> {
         let known: BTreeSet<SocketAddr> = table
             .members()
--- a/crates/shallottide/src/members/member.rs
+++ b/crates/shallottide/src/members/member.rs
@@ -9,7 +9,7 @@
 use super::ring;
 
 /// Shortest rise of the time a node was heard that is told on as new.
-const FRESH_STEP: Duration = Duration::from_millis(500);
+const FRESH_STEP: Duration = Duration::from_millis(1500);
 
 /// What is known of one other entry VM.
 #[derive(Debug, Clone)]
@@ -31,6 +31,8 @@
     pub loads: BTreeMap<Slot, (LoadSummary, Instant)>,
     /// How often its latest sign of life was told on.
     pub(super) sightings_sent: u32,
+    /// When a sign of life of it was last told on.
+    pub(super) told_at: Option<Instant>,
     /// How often where it is was told on.
     pub(super) news_sent: u32,
     sightings_since: Option<Instant>,
@@ -49,6 +51,7 @@
             config: StoreIndex(0),
             loads: BTreeMap::new(),
             sightings_sent: 0,
+            told_at: None,
             news_sent: 0,
             sightings_since: None,
         }
--- a/crates/shallottide/src/members/member_options.rs
+++ b/crates/shallottide/src/members/member_options.rs
@@ -10,8 +10,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time between two heartbeats.
     pub period: Duration,
-    /// Next nodes on the ring of the failure domain that get every heartbeat.
-    pub successors: usize,
+    /// Nodes of the failure domain that get a heartbeat in each period.
+    pub fanout: usize,
     /// Heartbeats without which a node counts as dead, in a domain where all hear all.
     pub missed_beats: u32,
     /// Sightings in one heartbeat.
@@ -26,6 +26,9 @@
     pub max_introductions: usize,
     /// Age at which a slot's load is dropped.
     pub max_load_age: Duration,
+    /// Time from the start until the list of nodes is read again, for those that started at
+    /// the same time.
+    pub second_list_after: Duration,
     /// Time between two reads of the list of nodes by the node that does so for its domain.
     pub list_interval: Duration,
     /// How long a node of this domain is dead before it is removed from the platform.
@@ -43,14 +46,15 @@
         Self {
             seeds: Vec::new(),
             period: Duration::from_secs(1),
-            successors: 2,
+            fanout: 2,
             missed_beats: 3,
-            max_sightings: 16,
+            max_sightings: 32,
             max_sighting_loads: 8,
             max_own_loads: 32,
             max_news: 1,
             max_introductions: 24,
             max_load_age: Duration::from_secs(10),
+            second_list_after: Duration::from_secs(5),
             list_interval: Duration::from_mins(1),
             remove_after: Duration::from_mins(30),
             first_backoff: Duration::from_millis(500),
--- a/crates/shallottide/src/members/member_service.rs
+++ b/crates/shallottide/src/members/member_service.rs
@@ -1,6 +1,7 @@
 //! The service that knows the entry VMs and their loads.
 
-use std::time::Instant;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use shallottide_types::id::Fence;
 use shallottide_types::peer::{Heartbeat, NodeInfo, PeerMsg};
@@ -11,7 +12,7 @@
 use super::member_table::{Heard, dispatcher_load};
 use super::own_loads::OwnLoads;
 use super::registration::{self, Registration};
-use super::{MemberOptions, MemberTable, ring};
+use super::{Member, MemberOptions, MemberTable, ring};
 use crate::kernel::{Context, Name, Outbox, Service, names};
 use crate::message::{Message, PeerSend};
 use crate::view::NodeState;
@@ -19,6 +20,15 @@
 /// Purpose by which the node is ranked that lists the nodes for its failure domain.
 const LIST_PURPOSE: &str = "node-list";
 
+/// Nodes introduced in a heartbeat to another failure domain, which tells nothing else.
+const NEWS_ABROAD: usize = 2;
+
+/// Entries of dead nodes removed after one listing.
+const MAX_REMOVALS: usize = 4;
+
+/// Shortest time between two views, which are built whole.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Knows the entry VMs, tells which are alive and spreads the loads of slots.
 #[derive(Debug)]
 pub struct MemberService {
@@ -32,6 +42,9 @@
     seq: u64,
     next_beat: Option<Instant>,
     next_list: Option<Instant>,
+    listed_twice: bool,
+    changed: bool,
+    next_publish: Option<Instant>,
     table: Option<MemberTable>,
 }
 
@@ -49,6 +62,9 @@
             seq: 0,
             next_beat: None,
             next_list: None,
+            listed_twice: false,
+            changed: true,
+            next_publish: None,
             table: None,
             options,
         }
@@ -67,10 +83,15 @@
         if self.next_beat.is_none_or(|at| now >= at) {
             self.next_beat = Some(now + self.options.period);
             self.beat(&me, cx, out);
+            self.changed = true;
         }
         self.list_when_due(&me, cx);
         self.registration.tick(&me, now, out);
-        self.publish(cx);
+        if self.changed && self.next_publish.is_none_or(|at| now >= at) {
+            self.changed = false;
+            self.next_publish = Some(now + PUBLISH_INTERVAL);
+            self.publish(cx);
+        }
     }
 
     /// Sends this beat's heartbeats.
@@ -83,53 +104,59 @@
         let targets = self.targets.choose(me, table, now);
         self.seq += 1;
         self.own_loads.next_turn(self.options.max_own_loads);
+        let config = cx.config().index;
+        let home = Scope::new(table, &me.domain, false, config, now);
+        let abroad = Scope::new(table, &me.domain, true, config, now);
+        let news = self.options.max_news;
         for target in targets {
-            let news = self.options.max_news;
-            self.send_heartbeat(&target, news, cx, out);
+            let scope = if target.abroad { &abroad } else { &home };
+            self.send_heartbeat(&target, scope, news, cx, out);
         }
     }
 
-    fn send_heartbeat(&mut self, to: &Target, news: usize, cx: &Context, out: &mut Outbox) {
-        let me = cx.me();
-        let config = cx.config().index;
-        let scope = Scope {
-            domain: &me.domain,
-            abroad: to.abroad,
-            config,
-            now: cx.now(),
-        };
+    fn send_heartbeat(
+        &mut self,
+        to: &Target,
+        scope: &Scope,
+        news: usize,
+        cx: &Context,
+        out: &mut Outbox,
+    ) {
         let Some(table) = &mut self.table else {
             return;
         };
         let node = to.node.as_ref();
-        let news = if to.abroad { gossip::CONTACTS } else { news };
-        let news = self.gossip.news(table, node, &scope, news);
-        let sightings = if to.abroad {
-            Vec::new()
-        } else {
-            Gossip::sightings(table, node, &scope, &self.options)
-        };
-        let loads = if to.abroad {
-            0
+        let news = if to.abroad {
+            news.max(NEWS_ABROAD)
         } else {
-            self.options.max_own_loads
+            news
         };
-        let beat = Heartbeat {
-            seq: self.seq,
-            config,
+        let mut beat = Self::bare_beat(self.seq, cx);
+        beat.news = self.gossip.news(table, node, scope, news);
+        if !to.abroad {
+            beat.sightings = Gossip::sightings(table, node, scope, &self.options);
+            beat.loads = self.own_loads.part(self.options.max_own_loads);
+        }
+        send(to, beat, out);
+    }
+
+    /// Returns a heartbeat that tells of this node only.
+    fn bare_beat(seq: u64, cx: &Context) -> Heartbeat {
+        let me = cx.me();
+        Heartbeat {
+            seq,
+            config: cx.config().index,
             placement: own_fence(&me, cx),
-            news,
-            loads: self.own_loads.part(loads),
-            sightings,
+            news: Vec::new(),
+            loads: Vec::new(),
+            sightings: Vec::new(),
             from: me,
-        };
-        let address = to.address;
-        let msg = PeerMsg::Heartbeat(beat);
-        out.send(names::PEERS, PeerSend { address, msg });
+        }
     }
 
     fn heartbeat(&mut self, beat: &Heartbeat, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
+        self.changed = true;
         self.table(cx);
         let Some(table) = &mut self.table else {
             return;
@@ -151,13 +178,24 @@
         }
         gossip::absorb(table, beat, &self.slots, now);
         if heard == Heard::Returned {
-            let target = Target::of(&beat.from, &cx.me().domain);
-            self.seq += 1;
-            let news = self.options.max_introductions;
-            self.send_heartbeat(&target, news, cx, out);
+            self.introduce(&beat.from, cx, out);
         }
     }
 
+    /// Tells a node that was not alive before where others are.
+    fn introduce(&mut self, to: &NodeInfo, cx: &Context, out: &mut Outbox) {
+        let me = cx.me();
+        let Some(table) = &self.table else {
+            return;
+        };
+        let target = Target::of(to, &me.domain);
+        let config = cx.config().index;
+        let scope = Scope::new(table, &me.domain, target.abroad, config, cx.now());
+        self.seq += 1;
+        let news = self.options.max_introductions;
+        self.send_heartbeat(&target, &scope, news, cx, out);
+    }
+
     /// Tells all nodes of this failure domain at once that this node is stopping.
     fn stop(&mut self, cx: &Context, out: &mut Outbox) {
         cx.set_stopping();
@@ -173,50 +211,79 @@
             .collect();
         self.seq += 1;
         for target in targets {
-            let beat = Heartbeat {
-                from: me.clone(),
-                seq: self.seq,
-                config: cx.config().index,
-                placement: own_fence(&me, cx),
-                news: Vec::new(),
-                loads: Vec::new(),
-                sightings: Vec::new(),
-            };
-            let address = target.address;
-            let msg = PeerMsg::Heartbeat(beat);
-            out.send(names::PEERS, PeerSend { address, msg });
+            send(&target, Self::bare_beat(self.seq, cx), out);
         }
     }
 
     fn list_when_due(&mut self, me: &NodeInfo, cx: &Context) {
         let now = cx.now();
-        if self.next_list.is_none() {
-            self.next_list = Some(now + self.options.list_interval);
-        }
-        if self.next_list.is_some_and(|at| now < at) {
+        let Some(next_list) = self.next_list else {
+            self.next_list = Some(now + self.options.second_list_after);
+            return;
+        };
+        if now < next_list {
             return;
         }
         self.next_list = Some(now + self.options.list_interval);
-        let alive = self.table(cx).alive_in(&me.domain, now);
-        let nodes = alive.map(|member| &member.info.node).chain([&me.node]);
-        if ring::first_ranked(LIST_PURPOSE, nodes, 1) == [&me.node] {
+        if !std::mem::replace(&mut self.listed_twice, true) {
+            self.registration.list_again();
+            return;
+        }
+        if self.is_lister(me, cx) {
             self.registration.list_again();
         }
     }
 
-    fn listed(&mut self, listing: &Listing, cx: &Context) {
+    /// Tells whether this node lists the nodes for its failure domain.
+    fn is_lister(&mut self, me: &NodeInfo, cx: &Context) -> bool {
+        let alive = self.table(cx).alive_in(&me.domain, cx.now());
+        let nodes = alive.map(|member| &member.info.node).chain([&me.node]);
+        ring::first_ranked(LIST_PURPOSE, nodes, 1) == [&me.node]
+    }
+
+    fn listed(&mut self, listing: &Listing, cx: &Context, out: &mut Outbox) {
         let now = cx.now();
-        let table = self.table(cx);
+        self.changed = true;
         for entry in &listing.entries {
             let Some(info) = registration::read_node(entry) else {
                 tracing::warn!(key = entry.key, "node entry can't be read");
                 continue;
             };
-            if let Some(member) = table.learn(&info, now) {
+            if let Some(member) = self.table(cx).learn(&info, now) {
                 // Every node can read the list, so that there is no need to tell of it.
                 member.news_sent = gossip::NEWS_SENDS;
             }
         }
+        self.remove_dead(listing, cx, out);
+    }
+
+    /// Removes entries of nodes of this failure domain that are dead for long, a few at a time,
+    /// and forgets nodes that are dead for long and not listed.
+    fn remove_dead(&mut self, listing: &Listing, cx: &Context, out: &mut Outbox) {
+        let me = cx.me();
+        let is_lister = self.is_lister(&me, cx);
+        let remove_after = self.options.remove_after;
+        let now = cx.now();
+        let mut listed = BTreeMap::new();
+        for entry in &listing.entries {
+            if let Some(info) = registration::read_node(entry) {
+                listed.insert(info.node, entry);
+            }
+        }
+        let dead_long = |member: &&Member| now >= member.known_at + remove_after;
+        let members = self.table(cx).members().values().filter(dead_long);
+        let dead: Vec<NodeInfo> = members.map(|member| member.info.clone()).collect();
+        let mut removals = MAX_REMOVALS;
+        for info in dead {
+            match listed.get(&info.node) {
+                None => self.table(cx).forget(&info.node),
+                Some(entry) if is_lister && info.domain == me.domain && removals > 0 => {
+                    removals -= 1;
+                    self.registration.remove(entry, out);
+                }
+                Some(_) => {}
+            }
+        }
     }
 
     fn update_slots(&mut self, cx: &Context) {
@@ -260,10 +327,13 @@
         match message {
             Message::Tick => self.tick(cx, out),
             Message::Stop => self.stop(cx, out),
-            Message::OwnLoads(loads) => self.own_loads.replace(loads, cx.now()),
+            Message::OwnLoads(loads) => {
+                self.own_loads.replace(loads, cx.now());
+                self.changed = true;
+            }
             Message::PlatformReply(reply) => {
                 if let Some(listing) = self.registration.finish(reply, &cx.me(), cx.now()) {
-                    self.listed(&listing, cx);
+                    self.listed(&listing, cx, out);
                 }
             }
             Message::PeerReceived(received) => {
@@ -278,6 +348,12 @@
     }
 }
 
+fn send(to: &Target, beat: Heartbeat, out: &mut Outbox) {
+    let address = to.address;
+    let msg = PeerMsg::Heartbeat(beat);
+    out.send(names::PEERS, PeerSend { address, msg });
+}
+
 fn own_fence(me: &NodeInfo, cx: &Context) -> Fence {
     let placement = cx.placement();
     let own = placement.domains.get(&me.domain);
--- a/crates/shallottide/src/members/member_table.rs
+++ b/crates/shallottide/src/members/member_table.rs
@@ -9,14 +9,20 @@
 use super::{Member, MemberOptions};
 use crate::view::{DispatcherLoad, MemberView, NodeState};
 
+/// Further beats after which a node of another failure domain counts as dead.
+const ABROAD_BEATS: u32 = 6;
+
+/// Multiple of the age of a dead node at which it is introduced to others anew.
+const STRANGER_FACTOR: u32 = 3;
+
 /// What happened to a member when something was heard of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Heard {
     /// Nothing new, or of an older start of the node.
     Nothing,
-    /// It is alive, as it was before.
+    /// It is alive, as it was not long ago.
     StillAlive,
-    /// It is alive and was not before.
+    /// It is alive and was not for long, so that it may know little of others.
     Returned,
 }
 
@@ -29,6 +35,8 @@
     missed_beats: u32,
     max_load_age: Duration,
     members: BTreeMap<NodeId, Member>,
+    /// Number of members of this failure domain.
+    own_members: usize,
     /// The member of each tag; `None` when two share it.
     tags: BTreeMap<NodeTag, Option<NodeId>>,
 }
@@ -44,6 +52,7 @@
             missed_beats: options.missed_beats,
             max_load_age: options.max_load_age,
             members: BTreeMap::new(),
+            own_members: 0,
             tags: BTreeMap::new(),
         }
     }
@@ -81,6 +90,7 @@
             self.forget(&info.node);
             let member = Member::new(info.clone(), now);
             self.add_tag(&member);
+            self.own_members += usize::from(info.domain == self.domain);
             self.members.insert(info.node.clone(), member);
         }
         let member = self.members.get_mut(&info.node)?;
@@ -99,14 +109,15 @@
         config: StoreIndex,
         now: Instant,
     ) -> Heard {
-        let was_alive = self.is_alive(&info.node, now);
+        let long = self.dead_after(&info.domain) * STRANGER_FACTOR;
         let Some(member) = self.learn(info, now) else {
             return Heard::Nothing;
         };
+        let was_known = member.age(now).is_some_and(|age| age <= long);
         if !member.hear(at, config) {
             return Heard::Nothing;
         }
-        if was_alive {
+        if was_known {
             Heard::StillAlive
         } else {
             Heard::Returned
@@ -115,9 +126,11 @@
 
     /// Forgets a node.
     pub fn forget(&mut self, node: &NodeId) {
-        if let Some(member) = self.members.remove(node)
-            && self.tags.get(&member.tag) == Some(&Some(node.clone()))
-        {
+        let Some(member) = self.members.remove(node) else {
+            return;
+        };
+        self.own_members -= usize::from(member.info.domain == self.domain);
+        if self.tags.get(&member.tag) == Some(&Some(node.clone())) {
             self.tags.remove(&member.tag);
         }
     }
@@ -128,13 +141,6 @@
         self.tags.insert(member.tag, owner);
     }
 
-    /// Tells whether a member counts as alive.
-    #[must_use]
-    pub fn is_alive(&self, node: &NodeId, now: Instant) -> bool {
-        let member = self.members.get(node);
-        member.is_some_and(|member| self.counts_alive(member, now))
-    }
-
     /// Tells whether a member counts as alive by its latest known sign of life.
     #[must_use]
     pub fn counts_alive(&self, member: &Member, now: Instant) -> bool {
@@ -146,9 +152,12 @@
     /// some missed heartbeats, and the beats that news take to spread in a domain this large.
     #[must_use]
     pub fn dead_after(&self, domain: &DomainId) -> Duration {
-        let own = self.members_of(&self.domain).count() + 1;
-        let spread = spread_beats(own);
-        let abroad = if *domain == self.domain { 0 } else { 2 };
+        let spread = spread_beats(self.own_members + 1);
+        let abroad = if *domain == self.domain {
+            0
+        } else {
+            ABROAD_BEATS
+        };
         self.period * (self.missed_beats + spread + abroad)
     }
 
@@ -215,6 +224,11 @@
 /// Returns the heartbeats by which news have spread among so many nodes.
 fn spread_beats(nodes: usize) -> u32 {
     /// Nodes that all send to each other.
-    const DIRECT: usize = 4;
-    nodes.div_ceil(DIRECT).next_power_of_two().ilog2()
+    const DIRECT: usize = 3;
+    /// Beats for news that lost some way.
+    const SPARE: u32 = 2;
+    if nodes <= DIRECT {
+        return 0;
+    }
+    nodes.next_power_of_two().ilog2() + SPARE
 }
--- a/crates/shallottide/src/members/registration.rs
+++ b/crates/shallottide/src/members/registration.rs
@@ -90,6 +90,21 @@
         out.send(names::PLATFORM, request);
     }
 
+    /// Removes a node's entry, unless it was changed since. Its result doesn't matter: what is
+    /// left is removed after a later listing.
+    pub(super) fn remove(&mut self, entry: &Entry, out: &mut Outbox) {
+        self.last_token += 1;
+        let request = PlatformRequest {
+            reply_to: names::MEMBERS,
+            token: self.last_token,
+            op: PlatformOp::Remove {
+                key: entry.key.clone(),
+                expect: entry.index,
+            },
+        };
+        out.send(names::PLATFORM, request);
+    }
+
     /// Takes a call's result; returns the listing when it was one.
     pub(super) fn finish(
         &mut self,
--- a/crates/shallottide/src/members/ring.rs
+++ b/crates/shallottide/src/members/ring.rs
@@ -1,6 +1,5 @@
 //! Orders of nodes that all nodes agree on without talking.
 
-use sha2::{Digest, Sha256};
 use shallottide_types::id::NodeId;
 use shallottide_types::peer::{NodeInfo, NodeTag, Slot, SlotTag};
 
@@ -63,18 +62,24 @@
     }))
 }
 
+/// Hashes texts the same on all nodes and in all releases: FNV-1a, then the finalizer of
+/// `SplitMix64` to spread similar ids. Nothing secret depends on it.
 fn hash(parts: &[&str]) -> u64 {
-    let mut hasher = Sha256::new();
+    const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+    let mut hash = FNV_OFFSET;
     for part in parts {
-        hasher.update(part.as_bytes());
         // Ids hold no zero byte, so that different parts never give the same input.
-        hasher.update([0]);
+        for byte in part.bytes().chain([0]) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        }
     }
-    let digest = hasher.finalize();
-    let first = digest.first_chunk().expect("a SHA-256 digest has 32 bytes");
-    u64::from_be_bytes(*first)
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
 
-fn short(hash: u64) -> u32 {
-    u32::try_from(hash >> 32).expect("the upper half has 32 bits")
+fn short(hash: u64) -> [u8; 3] {
+    let [a, b, c, ..] = hash.to_be_bytes();
+    [a, b, c]
 }
--- /dev/null
+++ b/crates/shallottide/tests/members.rs
@@ -0,0 +1,190 @@
+//! Which nodes count as alive, and which loads are known, under faults.
+
+mod config_cluster;
+
+use std::time::Duration;
+
+use config_cluster::{Cluster, Reach};
+use shallottide::kernel::names;
+use shallottide::message::Message;
+use shallottide_types::cases;
+use shallottide_types::id::{Fence, NodeId};
+use shallottide_types::peer::{LoadSummary, Slot};
+use shallottide_types::placement::Placement;
+
+const NODES: usize = 9;
+const SETTLE: Duration = Duration::from_secs(20);
+const SOON: Duration = Duration::from_secs(15);
+
+/// One failure domain, in which all nodes know all others.
+fn settled() -> Cluster {
+    let mut cluster = Cluster::new(1, NODES, 3);
+    let all = |c: &Cluster| (0..NODES).all(|to| seen_by_all(c, to));
+    assert!(cluster.run_until(SETTLE, all).is_some());
+    cluster
+}
+
+fn id(c: &Cluster, node: usize) -> NodeId {
+    c.nodes[node].cx.me().node
+}
+
+fn sees(c: &Cluster, by: usize, node: usize) -> bool {
+    c.nodes[by].cx.members().alive(&id(c, node)).is_some()
+}
+
+fn others(c: &Cluster, node: usize) -> impl Iterator<Item = usize> {
+    let up: Vec<bool> = c.nodes.iter().map(|n| n.up && !n.paused).collect();
+    (0..c.nodes.len()).filter(move |&i| i != node && up[i])
+}
+
+fn seen_by_all(c: &Cluster, node: usize) -> bool {
+    others(c, node).all(|by| sees(c, by, node))
+}
+
+fn seen_by_none(c: &Cluster, node: usize) -> bool {
+    !others(c, node).any(|by| sees(c, by, node))
+}
+
+fn expect(c: &mut Cluster, done: impl Fn(&Cluster) -> bool) {
+    assert!(c.run_until(SOON, done).is_some());
+}
+
+fn death(c: &mut Cluster) {
+    c.nodes[4].up = false;
+    expect(c, |c| seen_by_none(c, 4));
+    c.run(SETTLE);
+    assert!(seen_by_none(c, 4), "told to be alive after its death");
+}
+
+fn pause_and_return(c: &mut Cluster) {
+    c.nodes[4].paused = true;
+    expect(c, |c| seen_by_none(c, 4));
+    c.nodes[4].paused = false;
+    expect(c, |c| {
+        seen_by_all(c, 4) && (0..NODES).all(|node| node == 4 || sees(c, 4, node))
+    });
+}
+
+fn restart_under_the_same_id(c: &mut Cluster) {
+    let before = c.nodes[4].cx.me().incarnation;
+    c.restart(4);
+    let node = id(c, 4);
+    expect(c, |c| {
+        let knows_new = |by: usize| {
+            let members = c.nodes[by].cx.members();
+            members
+                .alive(&node)
+                .is_some_and(|info| info.incarnation > before)
+        };
+        others(c, 4).all(knows_new)
+    });
+}
+
+fn partition(c: &mut Cluster) {
+    c.link = Box::new(|from, to| (from < 4) == (to < 4));
+    expect(c, |c| {
+        (0..NODES).all(|by| (0..NODES).all(|n| sees(c, by, n) == ((by < 4) == (n < 4))))
+    });
+    c.run(Duration::from_hours(1));
+    c.link = Box::new(|_, _| true);
+    expect(c, |c| (0..NODES).all(|node| seen_by_all(c, node)));
+}
+
+fn start_in_an_outage(c: &mut Cluster) {
+    c.platform
+        .reach
+        .insert("domain-0".parse().unwrap(), Reach::Down);
+    c.restart(4);
+    expect(c, |c| (0..NODES).all(|node| sees(c, 4, node)));
+}
+
+fn stop_is_told_at_once(c: &mut Cluster) {
+    c.give(4, names::MEMBERS, Message::Stop);
+    c.run(Duration::from_secs(1));
+    let node = id(c, 4);
+    for by in others(c, 4) {
+        assert!(c.nodes[by].cx.members().nodes[&node].info.stopping);
+    }
+}
+
+fn load(slot: &str, in_flight: u32) -> LoadSummary {
+    let slot = Slot::Service(slot.parse().unwrap());
+    LoadSummary {
+        slot,
+        in_flight,
+        limit: 8,
+    }
+}
+
+/// Loads reach all nodes, and vanish when their dispatcher dies.
+fn loads_spread_and_vanish(c: &mut Cluster) {
+    for node in 0..NODES {
+        let mut placement = Placement::empty("domain-0".parse().unwrap());
+        placement.fence = Fence(1);
+        placement
+            .services
+            .insert("tally-1".parse().unwrap(), id(c, 4));
+        let mut view = shallottide::view::PlacementView::default();
+        view.domains.insert(placement.domain.clone(), placement);
+        c.nodes[node].cx.publish_placement(view);
+    }
+    c.run(Duration::from_secs(1));
+    let slot = load("tally-1", 0).slot;
+    for in_flight in 1..=12 {
+        let loads = vec![load("tally-1", in_flight)];
+        c.give(4, names::MEMBERS, Message::OwnLoads(loads));
+        c.run(Duration::from_secs(1));
+    }
+    for node in 0..NODES {
+        let held = &c.nodes[node].cx.members().loads[&slot];
+        assert_eq!(held.node, id(c, 4));
+        assert!(held.load.in_flight > 6, "node {node} has {held:?}");
+    }
+    c.nodes[4].up = false;
+    expect(c, |c| {
+        others(c, 4).all(|by| !c.nodes[by].cx.members().loads.contains_key(&slot))
+    });
+}
+
+fn dead_entry_is_removed(c: &mut Cluster) {
+    let key = format!("nodes/domain-0/{}", id(c, 4));
+    assert!(c.platform.get(&key).is_some());
+    c.nodes[4].up = false;
+    c.run(Duration::from_mins(25));
+    assert!(c.platform.get(&key).is_some());
+    c.run(Duration::from_mins(10));
+    assert!(c.platform.get(&key).is_none());
+    let listed = c.platform.listing("nodes/").entries.len();
+    assert_eq!(listed, NODES - 1);
+}
+
+fn check(fault: impl Fn(&mut Cluster)) {
+    fault(&mut settled());
+}
+
+cases! { check;
+    dead_node_is_noticed_by_all: death;
+    paused_node_is_dead_until_it_returns: pause_and_return;
+    later_start_replaces_an_earlier_one: restart_under_the_same_id;
+    partition_is_seen_and_heals_after_an_hour: partition;
+    node_started_in_an_outage_finds_others_by_seeds: start_in_an_outage;
+    stop_reaches_all_nodes_at_once: stop_is_told_at_once;
+    loads_reach_all_and_vanish_with_their_dispatcher: loads_spread_and_vanish;
+    entry_of_a_dead_node_is_removed: dead_entry_is_removed;
+}
+
+#[test]
+fn nodes_of_other_domains_are_known_within_bounds() {
+    let mut cluster = Cluster::new(3, 8, 5);
+    cluster.run(SETTLE);
+    for node in &cluster.nodes {
+        for domain in ["domain-0", "domain-1", "domain-2"] {
+            let known = node.cx.members().alive_in(&domain.parse().unwrap()).count();
+            assert!(
+                known >= 2,
+                "{} knows {known} in {domain}",
+                node.cx.me().node
+            );
+        }
+    }
+}
--- a/crates/shallottide_types/src/peer.rs
+++ b/crates/shallottide_types/src/peer.rs
@@ -66,7 +66,7 @@
         /// Short hash of the node and its incarnation.
         pub node: NodeTag,
         /// How long ago the node itself was heard, in tenths of a second, rounded up.
-        pub age_ds: u16,
+        pub age_ds: u8,
         /// How much lower the node's store index is than that of the heartbeat's sender.
         pub behind: u64,
         /// Load of what the node dispatches to, as of then.
@@ -85,11 +85,11 @@
 
     /// Short hash of a node and its incarnation. Two nodes may share one.
     #[derive(Copy, PartialOrd, Ord)]
-    pub struct NodeTag(pub u32);
+    pub struct NodeTag(pub [u8; 3]);
 
     /// Short hash of a slot. Two slots may share one.
     #[derive(Copy, PartialOrd, Ord)]
-    pub struct SlotTag(pub u32);
+    pub struct SlotTag(pub [u8; 3]);
 
     /// Where a node is.
     pub struct NodeInfo {
