--- a/crates/shallottide/src/node/running_node.rs
+++ b/crates/shallottide/src/node/running_node.rs
@@ -11,6 +11,7 @@
 use crate::connection_gate::ConnectionGate;
 use crate::kernel::{KernelHandle, names};
 use crate::message::Message;
+use crate::peers::PeerTraffic;
 use crate::settings::StopSettings;
 
 /// Most connections from peers; each node has one to each that it talks to.
@@ -51,6 +52,8 @@
     pub(super) callers: ConnectionGate,
     /// Lets peers in.
     pub(super) peers: ConnectionGate,
+    /// Counts what is exchanged with peers.
+    pub(super) traffic: Arc<PeerTraffic>,
 }
 
 impl NodeFlags {
@@ -63,6 +66,7 @@
             claims: Arc::default(),
             callers: ConnectionGate::new(callers),
             peers: ConnectionGate::new(MAX_PEER_CONNECTIONS),
+            traffic: Arc::default(),
         }
     }
 }
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -209,7 +209,7 @@
     kernel.add_service(Box::new(ClaimService::new(claim_options)));
     kernel.add_service(Box::new(AuthService));
     kernel.add_service(Box::new(CallService::new(call_options, router, admission)));
-    kernel.add_service(Box::new(StatusService::default()));
+    kernel.add_service(Box::new(StatusService::new(parts.flags.traffic.clone())));
 }
 
 fn seed(me: &NodeInfo) -> u64 {
@@ -242,6 +242,7 @@
         key: parts.peer_key,
         gate: flags.peers.clone(),
         clock: parts.clock,
+        traffic: flags.traffic.clone(),
     };
     let peers = PeerBorder::new(peer_options, handle.clone(), runtime.handle().clone());
     let upstreams = UpstreamBorder::new(handle.clone());
--- a/crates/shallottide/src/peers/incoming.rs
+++ b/crates/shallottide/src/peers/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -14,6 +15,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::PeerTraffic;
+use super::counted_stream::CountedStream;
 use super::proof::{Proof, ProofError, Prover};
 use crate::connection_gate::ConnectionGate;
 use crate::kernel::{KernelHandle, Name, names};
@@ -64,6 +67,7 @@
     pub(super) kernel: KernelHandle,
     pub(super) desk: ReplyDesk,
     pub(super) gate: ConnectionGate,
+    pub(super) traffic: Arc<PeerTraffic>,
 }
 
 impl Incoming {
@@ -74,7 +78,7 @@
             .max_concurrent_streams(MAX_STREAMS)
             .initial_window_size(WINDOW_BYTES)
             .initial_connection_window_size(WINDOW_BYTES)
-            .handshake(stream);
+            .handshake(CountedStream::new(stream, self.traffic.clone()));
         let Ok(Ok(mut connection)) = timeout(BODY_TIMEOUT, handshake).await else {
             return;
         };
@@ -130,6 +134,7 @@
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), RequestError> {
         let msg: PeerMsg = decode(body)?;
+        self.traffic.control_received();
         let received = PeerReceived {
             from: proof.sender.clone(),
             msg,
@@ -147,6 +152,7 @@
     ) -> Result<(), RequestError> {
         let call: ForwardedCall = decode(body)?;
         self.prover.take_once(proof)?;
+        self.traffic.call_received();
         let stream = respond.send_response(self.accepted(proof), false)?;
         let (guard, events) = self.desk.wait();
         let arrived = CallArrived {
--- a/crates/shallottide/src/peers/link.rs
+++ b/crates/shallottide/src/peers/link.rs
@@ -1,7 +1,7 @@
 //! One h2 connection to a peer.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -11,6 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::PeerTraffic;
+use super::counted_stream::CountedStream;
+
 /// Longest wait for a connection and its first exchange.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -44,20 +47,23 @@
 
 impl Link {
     /// Connects to a peer.
-    pub(super) async fn connect(address: SocketAddr) -> Result<Self, LinkError> {
-        timeout(CONNECT_TIMEOUT, Self::open(address))
+    pub(super) async fn connect(
+        address: SocketAddr,
+        traffic: Arc<PeerTraffic>,
+    ) -> Result<Self, LinkError> {
+        timeout(CONNECT_TIMEOUT, Self::open(address, traffic))
             .await
             .map_err(|_| LinkError::Silent(address))?
     }
 
-    async fn open(address: SocketAddr) -> Result<Self, LinkError> {
+    async fn open(address: SocketAddr, traffic: Arc<PeerTraffic>) -> Result<Self, LinkError> {
         let connect = |e| LinkError::Connect(address, e);
         let stream = TcpStream::connect(address).await.map_err(connect)?;
         stream.set_nodelay(true).map_err(connect)?;
         let (requests, mut connection) = h2::client::Builder::new()
             .initial_window_size(WINDOW_BYTES)
             .initial_connection_window_size(WINDOW_BYTES)
-            .handshake(stream)
+            .handshake(CountedStream::new(stream, traffic))
             .await
             .map_err(|e| LinkError::Protocol(address, e))?;
         let pings = connection.ping_pong().expect("taken once per connection");
--- a/crates/shallottide/src/peers/link_pool.rs
+++ b/crates/shallottide/src/peers/link_pool.rs
@@ -6,17 +6,26 @@
 
 use tokio::sync::Mutex;
 
+use super::PeerTraffic;
 use super::link::{Link, LinkError};
 
 type Seat = Arc<Mutex<Option<Arc<Link>>>>;
 
 /// Connections by address.
-#[derive(Default)]
 pub(super) struct LinkPool {
+    traffic: Arc<PeerTraffic>,
     seats: Mutex<BTreeMap<SocketAddr, Seat>>,
 }
 
 impl LinkPool {
+    /// Creates a pool without connections.
+    pub(super) fn new(traffic: Arc<PeerTraffic>) -> Self {
+        Self {
+            traffic,
+            seats: Mutex::default(),
+        }
+    }
+
     /// Returns a connection that was heard from just now, a new one if need be.
     pub(super) async fn proven(&self, address: SocketAddr) -> Result<Arc<Link>, LinkError> {
         let seat = self.seats.lock().await.entry(address).or_default().clone();
@@ -27,7 +36,7 @@
             }
             *seat = None;
         }
-        let link = Arc::new(Link::connect(address).await?);
+        let link = Arc::new(Link::connect(address, self.traffic.clone()).await?);
         *seat = Some(link.clone());
         Ok(link)
     }
--- a/crates/shallottide/src/peers/outgoing.rs
+++ b/crates/shallottide/src/peers/outgoing.rs
@@ -11,6 +11,7 @@
 use shallottide_types::peer::PeerMsg;
 use tokio::time::timeout;
 
+use super::PeerTraffic;
 use super::link::Link;
 use super::link_pool::LinkPool;
 use super::proof::{Proof, Prover};
@@ -24,11 +25,13 @@
 pub(super) struct Outgoing {
     pub(super) links: LinkPool,
     pub(super) prover: Prover,
+    pub(super) traffic: Arc<PeerTraffic>,
 }
 
 impl Outgoing {
     /// Sends a control message; it may be lost.
     pub(super) async fn control(&self, address: SocketAddr, msg: &PeerMsg) {
+        self.traffic.control_sent();
         let body = Bytes::from(encode(msg));
         let exchange = async {
             let link = self
@@ -67,6 +70,7 @@
         report: &impl Fn(AttemptEvent),
     ) -> Result<(), AttemptFailure> {
         let address = forward.node.address;
+        self.traffic.call_sent();
         let link = self.links.proven(address).await;
         let link = link.map_err(|e| AttemptFailure::NotSent(e.to_string()))?;
         let body = Bytes::from(encode(&forward.call));
--- a/crates/shallottide/src/peers/peer_border.rs
+++ b/crates/shallottide/src/peers/peer_border.rs
@@ -11,6 +11,7 @@
 use tokio::runtime::Handle;
 use tokio::task::AbortHandle;
 
+use super::PeerTraffic;
 use super::incoming::Incoming;
 use super::link_pool::LinkPool;
 use super::outgoing::{Outgoing, SharedOutgoing};
@@ -36,6 +37,8 @@
     pub gate: ConnectionGate,
     /// Gives the time of proofs.
     pub clock: Arc<dyn Clock>,
+    /// Counts what is exchanged.
+    pub traffic: Arc<PeerTraffic>,
 }
 
 /// The border towards other entry VMs; a cheap cloneable handle.
@@ -59,10 +62,12 @@
             kernel: kernel.clone(),
             desk: ReplyDesk::new(kernel.clone(), ReplyTo::Peer),
             gate: options.gate,
+            traffic: options.traffic.clone(),
         };
         let outgoing = Outgoing {
-            links: LinkPool::default(),
+            links: LinkPool::new(options.traffic.clone()),
             prover,
+            traffic: options.traffic,
         };
         Self {
             kernel,
--- a/crates/shallottide/src/status/status_page.rs
+++ b/crates/shallottide/src/status/status_page.rs
@@ -10,6 +10,7 @@
 use shallottide_types::record::{Generation, UpstreamState};
 
 use crate::kernel::Context;
+use crate::peers::PeerTotals;
 use crate::view::ConfigView;
 
 data! {
@@ -41,6 +42,9 @@
         pub records: RecordCounts,
         /// Stored records that can't be used.
         pub invalid: Vec<InvalidRecord>,
+        /// What was exchanged with peers since the node's start.
+        #[serde(default)]
+        pub peer_traffic: PeerTotals,
     }
 
     /// One entry VM.
@@ -124,9 +128,9 @@
 }
 
 impl StatusPage {
-    /// Collects the status from the published views.
+    /// Collects the status from the published views and the counts of peer traffic.
     #[must_use]
-    pub fn of(cx: &Context) -> Self {
+    pub fn of(cx: &Context, peer_traffic: PeerTotals) -> Self {
         let me = cx.me();
         let config = cx.config();
         let loads = loads(cx);
@@ -149,6 +153,7 @@
             teams: config.teams.len(),
             records: RecordCounts::of(&config),
             invalid: invalid.collect(),
+            peer_traffic,
             node: me.node,
             failure_domain: me.domain,
         }
--- a/crates/shallottide/src/status/status_service.rs
+++ b/crates/shallottide/src/status/status_service.rs
@@ -1,18 +1,23 @@
 //! The service that answers operators who ask for the status.
 
+use std::sync::Arc;
+
 use super::StatusPage;
 use crate::kernel::{Context, Name, Outbox, Service, names};
 use crate::message::{Message, StatusReply};
+use crate::peers::PeerTraffic;
 
 /// Answers operators who ask for the status.
 #[derive(Debug, Default)]
-pub struct StatusService {}
+pub struct StatusService {
+    traffic: Arc<PeerTraffic>,
+}
 
 impl StatusService {
-    /// Creates the service.
+    /// Creates the service; it tells what `traffic` has counted.
     #[must_use]
-    pub fn new() -> Self {
-        Self {}
+    pub fn new(traffic: Arc<PeerTraffic>) -> Self {
+        Self { traffic }
     }
 }
 
@@ -25,7 +30,7 @@
         if let Message::StatusWanted(wanted) = message {
             let reply = StatusReply {
                 token: wanted.token,
-                json: StatusPage::of(cx).to_json(),
+                json: StatusPage::of(cx, self.traffic.totals()).to_json(),
             };
             out.send(names::OPERATORS, reply);
         }
--- a/crates/shallottide/tests/peers/peer_node.rs
+++ b/crates/shallottide/tests/peers/peer_node.rs
@@ -140,6 +140,7 @@
         key: PeerKey::new(key.as_bytes()).expect("long enough"),
         gate: ConnectionGate::new(16),
         clock: Arc::new(SystemClock),
+        traffic: Arc::default(),
     };
     let border = PeerBorder::new(options, kernel.handle(), runtime.handle().clone());
     runtime.spawn(border.clone().serve(listener));
--- /dev/null
+++ b/crates/shallottide_e2e/examples/overhead_run.rs
@@ -0,0 +1,174 @@
+//! Measures what entry nodes add to a call, against the same calls sent straight to the engine:
+//! `cargo build --release --workspace --bins`, then
+//! `cargo run --release -p shallottide_e2e --example overhead_run`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+
+use argh::FromArgs;
+use serde_json::Value;
+use shallottide_bench::{Spread, load_average};
+use shallottide_e2e::{ClusterOptions, ProcessCluster, TEAM_KEY, listening, program_path};
+
+/// Ways of a call, in the order in which they take turns.
+const WAYS: [&str; 3] = ["straight", "one node", "two nodes"];
+
+/// What is measured of each call, as the load tool names it.
+const TIMES: [&str; 3] = ["first_token", "between_tokens", "whole_answer"];
+
+/// Percentiles, as the load tool names them.
+const PERCENTILES: [&str; 2] = ["p50_us", "p99_us"];
+
+/// Measures what entry nodes add to a call.
+#[derive(FromArgs)]
+struct Args {
+    /// calls that arrive in a second
+    #[argh(option, default = "50")]
+    rate: u32,
+    /// seconds of each run
+    #[argh(option, default = "8")]
+    seconds: u32,
+    /// runs of each way
+    #[argh(option, default = "5")]
+    runs: u32,
+    /// tokens of each completion
+    #[argh(option, default = "16")]
+    max_tokens: u32,
+}
+
+/// Where the calls of each way go.
+struct Targets {
+    ways: Vec<(&'static str, SocketAddr)>,
+}
+
+impl Targets {
+    /// Finds the engine of the only group, its dispatcher and another node.
+    fn find(cluster: &ProcessCluster) -> Self {
+        let status = cluster.status(&cluster.nodes[0]).expect("the node answers");
+        let group = &status["groups"][0];
+        let first = group["members"][0].as_str().expect("a group of VMs");
+        let number = first.strip_prefix("vm-").and_then(|n| n.parse().ok());
+        let number: usize = number.expect("a numbered VM");
+        let dispatcher = group["dispatcher"].as_str().expect("a dispatcher");
+        let number_of = |name: &str| name.strip_prefix("node-").and_then(|n| n.parse().ok());
+        let dispatcher: usize = number_of(dispatcher).expect("a numbered node");
+        let other = (dispatcher + 1) % cluster.nodes.len();
+        let addresses = [
+            listening(&cluster.engines[number]),
+            cluster.nodes[dispatcher].callers,
+            cluster.nodes[other].callers,
+        ];
+        Self {
+            ways: WAYS.into_iter().zip(addresses).collect(),
+        }
+    }
+}
+
+fn load(args: &Args, target: SocketAddr, seed: u32) -> Value {
+    let mut command = Command::new(program_path("shallottide-load"));
+    let mut add = |name: &str, value: String| {
+        command.arg(format!("--{name}")).arg(value);
+    };
+    add("target", target.to_string());
+    add("key", TEAM_KEY.into());
+    add("model", "tide".into());
+    add("rate", args.rate.to_string());
+    add("seconds", args.seconds.to_string());
+    add("seed", seed.to_string());
+    add("max-tokens", args.max_tokens.to_string());
+    let output = command.arg("--json").output();
+    let output = output.expect("shallottide-load is built");
+    serde_json::from_slice(&output.stdout).expect("a report")
+}
+
+type Key = (&'static str, &'static str, &'static str);
+
+/// Results of all runs.
+#[derive(Default)]
+struct Results {
+    by_key: BTreeMap<Key, Vec<f64>>,
+    whole: BTreeMap<&'static str, (u64, u64)>,
+    loads: Vec<f64>,
+}
+
+impl Results {
+    fn add(&mut self, way: &'static str, report: &Value) {
+        for time in TIMES {
+            for percentile in PERCENTILES {
+                let value = report[time][percentile].as_f64().expect("a latency");
+                let key = (way, time, percentile);
+                self.by_key.entry(key).or_default().push(value);
+            }
+        }
+        let whole = self.whole.entry(way).or_default();
+        whole.0 += report["whole"].as_u64().expect("a count");
+        whole.1 += report["arrived"].as_u64().expect("a count");
+        self.loads.push(load_average());
+    }
+
+    fn print(&self) {
+        for time in TIMES {
+            for percentile in PERCENTILES {
+                let straight = &self.by_key[&("straight", time, percentile)];
+                println!(
+                    "| {time} {percentile} | straight | {:.0} |  |  |",
+                    Spread::of(straight.clone())
+                );
+                for way in &WAYS[1..] {
+                    let own = &self.by_key[&(*way, time, percentile)];
+                    let pairs = || own.iter().zip(straight);
+                    let added = pairs().map(|(own, straight)| own - straight);
+                    let ratio = pairs().map(|(own, straight)| own / straight);
+                    println!(
+                        "| {time} {percentile} | {way} | {:.0} | {:.0} | {:.3} |",
+                        Spread::of(own.clone()),
+                        Spread::of(added.collect()),
+                        Spread::of(ratio.collect())
+                    );
+                }
+            }
+        }
+        for (way, (whole, arrived)) in &self.whole {
+            println!("{way}: {whole} of {arrived} answers whole");
+        }
+        println!("load average: {:.1}", Spread::of(self.loads.clone()));
+    }
+}
+
+fn main() {
+    let args: Args = argh::from_env();
+    let cluster = ProcessCluster::start(ClusterOptions {
+        nodes: 2,
+        engines: 4,
+        engine_args: vec![
+            "--load-time",
+            "200ms",
+            "--token-time",
+            "10ms",
+            "--batch-percent",
+            "0",
+        ],
+        ..ClusterOptions::new(PathBuf::from("target/overhead_run"))
+    });
+    cluster.wait_until_serving();
+    let targets = Targets::find(&cluster);
+    for (_, target) in &targets.ways {
+        let _warm_up = load(&args, *target, 1);
+    }
+    let mut results = Results::default();
+    for run in 0..args.runs {
+        for (way, target) in &targets.ways {
+            let report = load(&args, *target, 100 + run);
+            results.add(way, &report);
+        }
+    }
+    println!(
+        "Median (lowest–highest) of {} runs of {} s, {} calls/s, {} tokens each, in microseconds.",
+        args.runs, args.seconds, args.rate, args.max_tokens
+    );
+    println!("| time | way | measured | added | ratio |");
+    println!("| --- | --- | --- | --- | --- |");
+    results.print();
+}
