--- a/crates/shallottide/src/peers/outgoing.rs
+++ b/crates/shallottide/src/peers/outgoing.rs
@@ -11,6 +11,7 @@
 use shallottide_types::peer::PeerMsg;
 use tokio::time::timeout;
 
+use super::PeerTraffic;
 use super::link::Link;
 use super::link_pool::LinkPool;
 use super::proof::{Proof, Prover};
@@ -26,11 +27,13 @@
     pub(super) links: LinkPool,
     pub(super) prover: Prover,
     pub(super) metrics: Metrics,
+    pub(super) traffic: Arc<PeerTraffic>,
 }
 
 impl Outgoing {
     /// Sends a control message; it may be lost.
     pub(super) async fn control(&self, address: SocketAddr, msg: &PeerMsg) {
+        self.traffic.control_sent();
         let body = Bytes::from(encode(msg));
         let bytes = u64::try_from(body.len()).unwrap_or(u64::MAX);
         let exchange = async {
@@ -72,6 +75,7 @@
         report: &impl Fn(AttemptEvent),
     ) -> Result<(), AttemptFailure> {
         let address = forward.node.address;
+        self.traffic.call_sent();
         let link = self.links.proven(address).await;
         let link = link.map_err(|e| AttemptFailure::NotSent(e.to_string()))?;
         let body = Bytes::from(encode(&forward.call));
--- a/crates/shallottide/src/peers/peer_border.rs
+++ b/crates/shallottide/src/peers/peer_border.rs
@@ -11,6 +11,7 @@
 use tokio::runtime::Handle;
 use tokio::task::AbortHandle;
 
+use super::PeerTraffic;
 use super::incoming::Incoming;
 use super::link_pool::LinkPool;
 use super::outgoing::{Outgoing, SharedOutgoing};
@@ -39,6 +40,8 @@
     pub metrics: Metrics,
     /// Gives the time of proofs.
     pub clock: Arc<dyn Clock>,
+    /// Counts what is exchanged.
+    pub traffic: Arc<PeerTraffic>,
 }
 
 /// The border towards other entry VMs; a cheap cloneable handle.
@@ -63,11 +66,13 @@
             desk: ReplyDesk::new(kernel.clone(), ReplyTo::Peer),
             gate: options.gate,
             metrics: options.metrics.clone(),
+            traffic: options.traffic.clone(),
         };
         let outgoing = Outgoing {
-            links: LinkPool::default(),
+            links: LinkPool::new(options.traffic.clone()),
             prover,
             metrics: options.metrics,
+            traffic: options.traffic,
         };
         Self {
             kernel,
--- a/crates/shallottide/tests/peers/peer_node.rs
+++ b/crates/shallottide/tests/peers/peer_node.rs
@@ -142,6 +142,7 @@
         gate: ConnectionGate::new(16),
         metrics: Metrics::none(),
         clock: Arc::new(SystemClock),
+        traffic: Arc::default(),
     };
     let border = PeerBorder::new(options, kernel.handle(), runtime.handle().clone());
     runtime.spawn(border.clone().serve(listener));
--- a/crates/shallottide/tests/status.rs
+++ b/crates/shallottide/tests/status.rs
@@ -50,7 +50,7 @@
     cx.publish_members(members);
     let mut out = Outbox::default();
     let wanted = StatusWanted { token: 5 };
-    StatusService::new().handle(wanted.into(), &cx, &mut out);
+    StatusService::new(Arc::default()).handle(wanted.into(), &cx, &mut out);
     let Some((_, Message::StatusReply(reply))) = out.take().pop() else {
         panic!("no reply");
     };
