Write the latest placement again after a restore of the platform

The controller never read the stored placement again without a cause, and when it did, a lower fence made it read for ever. It now reads it every 15 s; if it is still behind after that, it writes the latest one that it holds with a higher fence. The new test failed before.

--- a/crates/shallottide/src/groups/controller.rs
+++ b/crates/shallottide/src/groups/controller.rs
@@ -1,7 +1,7 @@
 //! What the holder of the controller lease does.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use shallottide_types::id::{DomainId, Fence, NodeId, StoreIndex, UpstreamId};
 use shallottide_types::placement::Placement;
@@ -18,6 +18,9 @@
 use crate::message::{EngineOrder, EngineOrdered, PlatformAnswer, PlatformOp};
 use crate::view::ConfigView;
 
+/// Time between two reads of the stored placement when nothing else calls for one.
+const READ_EVERY: Duration = Duration::from_secs(15);
+
 /// Reads of the VM list that may fail in a row before planning stops.
 const MISSED_VM_LISTS: u32 = 5;
 
@@ -31,6 +34,8 @@
     slow: SlowMembers,
     /// Highest fence that an engine is known to have seen.
     fence_floor: Fence,
+    /// The fence in force for which the stored placement was last read again.
+    read_for: Fence,
     next_plan: Option<Instant>,
     next_read: Option<Instant>,
 }
@@ -41,8 +46,8 @@
     pub(super) config: &'a ConfigView,
     pub(super) directory: &'a VmDirectory,
     pub(super) reports: &'a ReportBook,
-    /// Fence of the placement in force at this node.
-    pub(super) in_force: Fence,
+    /// The placement in force at this node.
+    pub(super) in_force: Option<&'a Placement>,
     pub(super) now: Instant,
 }
 
@@ -56,6 +61,7 @@
             orders: OrderBook::new(options),
             slow: SlowMembers::new(options),
             fence_floor: Fence(0),
+            read_for: Fence(0),
             next_plan: None,
             next_read: None,
         }
@@ -95,11 +101,7 @@
             self.store.forget();
             return (None, Vec::new());
         }
-        // A later placement is in force: the stored one is read before anything is done.
-        let known = self.store.known().map(|placement| placement.fence);
-        if known.is_some_and(|fence| fence < input.in_force) {
-            self.store.forget();
-        }
+        self.read_again_if_late(input);
         if self.next_read.is_none_or(|at| input.now >= at)
             && let Some(op) = self.store.read_op()
         {
@@ -120,16 +122,35 @@
         }
     }
 
-    /// Returns the placement to write next. Engines may have seen later fences than the
-    /// platform holds, as after its restore from a backup; then the fence leaps over theirs.
+    /// Reads the stored placement anew, once for each later one that is in force here, and
+    /// from time to time.
+    fn read_again_if_late(&mut self, input: &ControlInput<'_>) {
+        let in_force = input.in_force.map_or(Fence(0), |placement| placement.fence);
+        let known = self.store.known().map(|placement| placement.fence);
+        let late = known.is_some_and(|fence| fence < in_force) && self.read_for < in_force;
+        let old = self
+            .next_read
+            .is_some_and(|at| input.now >= at + READ_EVERY);
+        if late || old {
+            self.read_for = in_force;
+            self.store.forget();
+        }
+    }
+
+    /// Returns the placement to write next. Nodes and engines may know later fences than the
+    /// platform holds, as after its restore from a backup; then the latest placement is
+    /// written again with a fence above them all. If the read was stale, the swap fails.
     fn next_placement(&mut self, input: &ControlInput<'_>) -> Option<Placement> {
         let known = self.store.known()?;
-        if known.fence >= self.fence_floor {
+        let latest = input.in_force.filter(|latest| latest.fence > known.fence);
+        let latest = latest.unwrap_or(known);
+        let highest = latest.fence.max(self.fence_floor);
+        if known.fence >= highest {
             return self.plan(input);
         }
         Some(Placement {
-            fence: self.fence_floor.next(),
-            ..known.clone()
+            fence: highest.next(),
+            ..latest.clone()
         })
     }
 
--- a/crates/shallottide/src/groups/group_service.rs
+++ b/crates/shallottide/src/groups/group_service.rs
@@ -219,7 +219,7 @@
             config: &cx.config(),
             directory: &self.directory,
             reports: &self.reports,
-            in_force: self.copy.fence(),
+            in_force: self.copy.get(),
             now: cx.now(),
         });
         if let Some(op) = op {
--- a/crates/shallottide/tests/groups_recovery.rs
+++ b/crates/shallottide/tests/groups_recovery.rs
@@ -430,6 +430,24 @@
     assert_eq!(bench.serving(), 2);
 }
 
+/// When the platform is restored from a backup, the later placement that the nodes hold is
+/// written again, and no group moves.
+#[test]
+fn restored_platform_gets_newest_placement() {
+    let mut bench = started();
+    let backup = placed(&bench);
+    member_dies(&mut bench);
+    bench.run(secs(20));
+    let newest = placed(&bench);
+    assert!(newest.fence > backup.fence);
+    bench.restore(&backup);
+    bench.run(secs(20));
+    let written = placed(&bench);
+    assert!(written.fence > newest.fence);
+    assert_eq!(written.groups, newest.groups);
+    assert_eq!(bench.serving(), 2);
+}
+
 /// Placements with an older fence never replace a newer one, whoever sends them.
 #[test]
 fn older_placement_never_replaces_newer() {
