Keep ids of calls unique for long node ids

Cause, found by reading: the id of a call took the first 64 bytes of the node's id, so two nodes whose long ids begin alike could give two calls the same id. The settings now refuse such ids.

--- a/crates/shallottide/src/front/front_border.rs
+++ b/crates/shallottide/src/front/front_border.rs
@@ -54,10 +54,9 @@
             node, incarnation, ..
         } = &self.options;
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let node = &node.as_str()[..node.as_str().len().min(64)];
         format!("{node}.{incarnation}.{number}")
             .parse()
-            .expect("a node id and two numbers are a valid id")
+            .expect("settings keep node ids short enough for two numbers behind them")
     }
 }
 
--- a/crates/shallottide/src/settings/loader.rs
+++ b/crates/shallottide/src/settings/loader.rs
@@ -7,6 +7,9 @@
 /// Least length of `peer_key` in bytes.
 const MIN_PEER_KEY_BYTES: usize = 16;
 
+/// Longest node id in bytes; ids of calls add two numbers to it.
+const MAX_NODE_BYTES: usize = 64;
+
 /// Least `limits.header_size` in bytes, which the HTTP library needs.
 const MIN_HEADER_BYTES: u64 = 8 << 10;
 
@@ -79,6 +82,10 @@
 }
 
 fn fault_of_node(settings: &NodeSettings) -> Option<Fault> {
+    if settings.node.as_str().len() > MAX_NODE_BYTES {
+        let value = settings.node.to_string();
+        return Some(("node", value, "use at most 64 characters"));
+    }
     if settings.platform.is_empty() {
         return Some(("platform", "[]".into(), "name at least one base address"));
     }
--- a/crates/shallottide_types/src/clock.rs
+++ b/crates/shallottide_types/src/clock.rs
@@ -12,7 +12,7 @@
     fn unix_time(&self) -> Duration;
 }
 
-/// The machine's own clock.
+/// The VM's own clock.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SystemClock;
 
--- a/crates/shallottide_types/src/id.rs
+++ b/crates/shallottide_types/src/id.rs
@@ -35,7 +35,7 @@
     NodeId,
     /// One VM that runs a model engine.
     VmId,
-    /// One back end: an engine VM or a plain service's server.
+    /// What requests are sent to: an engine VM or a plain service's server.
     UpstreamId,
     /// One failure domain.
     DomainId,
--- a/crates/shallottided/tests/settings.rs
+++ b/crates/shallottided/tests/settings.rs
@@ -54,6 +54,7 @@
     malformed_token: "bad_token", "e3b0c442", "xyz", &["operator_tokens", "64 hex digits"];
     unknown_key: "unknown_key", "region", "regoin", &["regoin", "OPERATING.md"];
     malformed_id: "bad_id", "jkpg-1", "jkpg 1", &["node", "jkpg 1", "letters, digits"];
+    long_node_id: "long_id", "jkpg-1", &"j".repeat(65), &["node", "at most 64"];
     malformed_address: "bad_address", r#"callers = "127.0.0.1:0""#, r#"callers = "localhost""#, &["callers", "socket address"];
     no_connections: "no_connections", "region", "limits.connections = 0\nregion", &["limits.connections", "0", "at least 1"];
     small_header: "small_header", "region", "limits.header_size = \"1KiB\"\nregion", &["limits.header_size", "1KiB", "8KiB"];
