Send the platform's access token; keep secrets out of messages and logs

The platform client had no way to prove who calls. The token goes with each call as X-Consul-Token, in the daemon's and the command line's settings. Keys and tokens are a type of their own whose Debug form hides them; a malformed one used to be shown with its line by the daemon, which now names only the key, as the command line did; both use the same code. How upstream attempts tell 'not sent' now uses the platform client's connector, which did the same job; the twin is gone.

--- a/crates/shallottide/src/platform_client/connect_errors.rs
+++ b/crates/shallottide/src/http_connect.rs
@@ -6,14 +6,14 @@
 /// A connection that could not be opened; no byte was sent.
 #[derive(Debug, thiserror::Error)]
 #[error("{0}")]
-pub(super) struct NotConnected(String);
+pub(crate) struct NotConnected(String);
 
 /// Opens connections and marks every failure to do so as [`NotConnected`].
 ///
 /// The kinds of I/O errors alone don't tell: an open connection can fail with "host
 /// unreachable" too, after bytes were sent.
 #[derive(Debug, Default)]
-pub(super) struct MarkingConnector(DefaultConnector);
+pub(crate) struct MarkingConnector(DefaultConnector);
 
 impl Connector for MarkingConnector {
     type Out = Box<dyn Transport>;
@@ -30,7 +30,7 @@
 }
 
 /// Returns the reason when a call failed before any byte was sent.
-pub(super) fn not_connected(error: &Error) -> Option<String> {
+pub(crate) fn not_connected(error: &Error) -> Option<String> {
     match error {
         Error::Other(source) => Some(source.downcast_ref::<NotConnected>()?.to_string()),
         Error::HostNotFound | Error::Timeout(ureq::Timeout::Resolve) => Some(error.to_string()),
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -107,7 +107,7 @@
         operators: settings.operators,
     };
     let parts = Parts {
-        peer_key: PeerKey::new(settings.peer_key.as_bytes())?,
+        peer_key: PeerKey::new(settings.peer_key.expose().as_bytes())?,
         settings,
         platform,
         clock,
--- a/crates/shallottide/src/platform_client.rs
+++ b/crates/shallottide/src/platform_client.rs
@@ -1,6 +1,5 @@
 //! The platform's key-value service and VM list over HTTP.
 
-mod connect_errors;
 mod consul_platform;
 mod http_call;
 mod platform_options;
--- a/crates/shallottide/src/platform_client/http_call.rs
+++ b/crates/shallottide/src/platform_client/http_call.rs
@@ -8,12 +8,15 @@
 use ureq::Agent;
 use ureq::unversioned::resolver::DefaultResolver;
 
-use super::connect_errors::{MarkingConnector, not_connected};
 use super::platform_options::PlatformOptions;
+use crate::http_connect::{MarkingConnector, not_connected};
 
 /// Header with the store's index.
 const INDEX_HEADER: &str = "x-consul-index";
 
+/// Header with the platform's access token.
+const TOKEN_HEADER: &str = "x-consul-token";
+
 /// Most characters of an unexpected answer that are shown in an error.
 const SHOWN_CHARS: usize = 80;
 
@@ -127,9 +130,12 @@
     address: &str,
     call: &HttpCall<'_>,
 ) -> Result<http::Response<ureq::Body>, ureq::Error> {
-    let request = http::Request::builder()
+    let mut request = http::Request::builder()
         .method(call.method.clone())
         .uri(format!("{address}{}", call.path));
+    if !options.token.is_empty() {
+        request = request.header(TOKEN_HEADER, options.token.expose());
+    }
     let timeout = options.connect_timeout + options.answer_timeout + call.wait;
     if call.body.is_empty() && call.method != Method::PUT {
         let request = agent
--- a/crates/shallottide/src/platform_client/platform_options.rs
+++ b/crates/shallottide/src/platform_client/platform_options.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
+use shallottide_types::secret::Secret;
+
 /// Where the platform is and how long a call to it may take.
 #[derive(Debug, Clone)]
 pub struct PlatformOptions {
     /// Base addresses such as `http://10.0.0.1:8500`, tried in turn. Never empty.
     pub addresses: Vec<String>,
+    /// Access token; empty when the platform asks for none.
+    pub token: Secret,
     /// Longest time to open a connection.
     pub connect_timeout: Duration,
     /// Longest time from the open connection to the end of the answer, on top of a watch's wait.
@@ -19,6 +23,7 @@
     fn default() -> Self {
         Self {
             addresses: Vec::new(),
+            token: Secret::default(),
             connect_timeout: Duration::from_millis(500),
             answer_timeout: Duration::from_secs(2),
             max_answer_bytes: 64 << 20,
@@ -34,6 +39,13 @@
         self
     }
 
+    /// Sets the access token.
+    #[must_use]
+    pub fn token(mut self, token: Secret) -> Self {
+        self.token = token;
+        self
+    }
+
     /// Sets the longest time to open a connection.
     #[must_use]
     pub fn connect_timeout(mut self, timeout: Duration) -> Self {
--- a/crates/shallottide/src/settings/loader.rs
+++ b/crates/shallottide/src/settings/loader.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use super::{Limits, NodeSettings};
+use super::{Limits, NodeSettings, toml_error_text};
 
 /// Least length of `peer_key` in bytes.
 const MIN_PEER_KEY_BYTES: usize = 16;
@@ -26,7 +26,7 @@
     },
     /// The file is no valid TOML, or a key is missing, unknown or of the wrong form.
     #[error(
-        "settings {path}: {message}\nremedy: correct the marked place; docs/OPERATING.md lists all keys"
+        "settings {path}: {message}\nremedy: correct this line; docs/OPERATING.md lists all keys"
     )]
     Form {
         /// The file.
@@ -59,7 +59,7 @@
     })?;
     let settings = toml::from_str(&text).map_err(|e| SettingsError::Form {
         path: path.into(),
-        message: e.to_string(),
+        message: toml_error_text(&text, &e),
     })?;
     check(path, &settings)?;
     Ok(settings)
@@ -94,8 +94,8 @@
         let remedy = "begin with http:// and an IP number";
         return Some(("platform", format!("{base:?}"), remedy));
     }
-    if settings.peer_key.len() < MIN_PEER_KEY_BYTES {
-        let value = format!("of {} bytes", settings.peer_key.len());
+    if settings.peer_key.expose().len() < MIN_PEER_KEY_BYTES {
+        let value = format!("of {} bytes", settings.peer_key.expose().len());
         return Some(("peer_key", value, "use at least 16 random characters"));
     }
     if settings.operator_tokens.is_empty() {
--- a/crates/shallottide/src/settings/node_settings.rs
+++ b/crates/shallottide/src/settings/node_settings.rs
@@ -8,6 +8,7 @@
 use shallottide_types::duration_text;
 use shallottide_types::id::{DomainId, NodeId, RegionId};
 use shallottide_types::record::KeyHash;
+use shallottide_types::secret::Secret;
 
 use super::Limits;
 
@@ -29,8 +30,11 @@
     pub operators: SocketAddr,
     /// Base addresses of the platform, such as `http://10.0.0.1:8500`. At least one.
     pub platform: Vec<String>,
+    /// Access token of the platform, when it asks for one.
+    #[serde(default)]
+    pub platform_token: Secret,
     /// Secret shared by all entry VMs, at least 16 characters.
-    pub peer_key: String,
+    pub peer_key: Secret,
     /// SHA-256 hashes of the operators' tokens. At least one.
     pub operator_tokens: Vec<KeyHash>,
     /// Peer addresses to try at the start besides those the platform lists.
--- a/crates/shallottide/src/upstreams/upstream_border.rs
+++ b/crates/shallottide/src/upstreams/upstream_border.rs
@@ -9,7 +9,8 @@
 use ureq::{Agent, Body};
 
 use super::answer_reader::{AnswerError, read_events, read_plain};
-use super::attempt_agent::AttemptAgent;
+use super::attempt_agent::attempt_agent;
+use crate::http_connect::not_connected;
 use crate::kernel::{KernelHandle, names};
 use crate::message::{AttemptEvent, AttemptFailure, Dispatch, Message};
 use crate::telemetry::{CallSpan, Metrics};
@@ -59,29 +60,29 @@
 
     fn dispatch(&self, dispatch: Dispatch) {
         let attempt = dispatch.attempt;
-        let client = AttemptAgent::new(dispatch.head.time_left, dispatch.idle_timeout);
+        let agent = attempt_agent(dispatch.head.time_left, dispatch.idle_timeout);
         self.running
             .lock()
             .expect("running lock")
-            .insert(attempt, client.agent.clone());
+            .insert(attempt, agent.clone());
         let border = self.clone();
         let spawned = std::thread::Builder::new()
             .name("upstream".into())
-            .spawn(move || border.run(&dispatch, &client));
+            .spawn(move || border.run(&dispatch, &agent));
         if let Err(e) = spawned {
             let failure = AttemptFailure::NotSent(format!("no thread for the call: {e}"));
             self.finish(attempt, AttemptEvent::Failed(failure));
         }
     }
 
-    fn run(&self, dispatch: &Dispatch, client: &AttemptAgent) {
+    fn run(&self, dispatch: &Dispatch, agent: &Agent) {
         let mut span = CallSpan::start(
             "upstream",
             &dispatch.head.id,
             dispatch.head.trace,
             &self.metrics,
         );
-        let result = self.exchange(dispatch, client, &span);
+        let result = self.exchange(dispatch, agent, &span);
         let event = match result {
             Ok(()) => AttemptEvent::End,
             Err(failure) => AttemptEvent::Failed(failure),
@@ -103,16 +104,13 @@
     fn exchange(
         &self,
         dispatch: &Dispatch,
-        client: &AttemptAgent,
+        agent: &Agent,
         span: &CallSpan,
     ) -> Result<(), AttemptFailure> {
         let request = build_request(dispatch, span)?;
-        let response = client.agent.run(request).map_err(|e| {
-            if client.may_have_sent() {
-                AttemptFailure::Lost(format!("no answer from the upstream: {e}"))
-            } else {
-                AttemptFailure::NotSent(format!("the upstream can't be reached: {e}"))
-            }
+        let response = agent.run(request).map_err(|e| match not_connected(&e) {
+            Some(why) => AttemptFailure::NotSent(format!("the upstream can't be reached: {why}")),
+            None => AttemptFailure::Lost(format!("no answer from the upstream: {e}")),
         })?;
         check_head(dispatch, &response)?;
         let head = ReplyHead {
--- a/crates/shallottide/tests/platform_client/main.rs
+++ b/crates/shallottide/tests/platform_client/main.rs
@@ -2,6 +2,9 @@
 
 mod scripted_server;
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::thread;
 use std::time::Duration;
 
 use scripted_server::{ClosedPort, FullPort, ScriptedServer, Step};
@@ -284,3 +287,28 @@
     assert_eq!(kind(&platform.get("a")), "lost");
     assert_eq!(store.counts().of(CallKind::Swap), 2);
 }
+
+#[test]
+fn access_token_goes_with_each_call() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = format!("http://{}", listener.local_addr().expect("bound"));
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a call");
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).expect("a whole head");
+            head.push(byte[0]);
+        }
+        let answer = b"HTTP/1.1 404 X\r\nX-Consul-Index: 1\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(answer).expect("open");
+        String::from_utf8(head).expect("text").to_lowercase()
+    });
+    let options = PlatformOptions::default()
+        .addresses([address])
+        .token("t0ken".into());
+    let platform = ConsulPlatform::new(options).expect("options");
+    assert_eq!(platform.get(KEY), Ok(None));
+    let head = server.join().expect("the server ends");
+    assert!(head.contains("x-consul-token: t0ken\r\n"), "{head}");
+}
--- a/crates/shallottide_cli/src/failure.rs
+++ b/crates/shallottide_cli/src/failure.rs
@@ -21,7 +21,7 @@
     },
     /// A file holds no settings.
     #[error(
-        "settings {path}: {message}\nallowed keys: platform = [\"http://HOST:PORT\"], nodes = [\"IP:PORT\"], operator = \"NAME\", token = \"TEXT\", settle_timeout = \"10s\"",
+        "settings {path}: {message}\nallowed keys: platform = [\"http://HOST:PORT\"], nodes = [\"IP:PORT\"], operator = \"NAME\", token = \"TEXT\", platform_token = \"TEXT\", settle_timeout = \"10s\"",
         path = path.display()
     )]
     Settings {
--- a/crates/shallottide_cli/src/node_client.rs
+++ b/crates/shallottide_cli/src/node_client.rs
@@ -6,10 +6,9 @@
 
 use serde::Serialize;
 use shallottide::operate::NodeStatus;
+use shallottide_types::secret::Secret;
 use ureq::Agent;
 
-use crate::settings::Token;
-
 /// Longest time for one node's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -33,7 +32,7 @@
 
 impl NodeAnswers {
     /// Asks all nodes at the same time.
-    pub(crate) fn ask(nodes: &[SocketAddr], token: &Token) -> Self {
+    pub(crate) fn ask(nodes: &[SocketAddr], token: &Secret) -> Self {
         let agent = agent();
         let results = thread::scope(|scope| {
             let ask = |&node| {
@@ -70,9 +69,10 @@
         .into()
 }
 
-fn ask(agent: &Agent, node: SocketAddr, token: &Token) -> Result<NodeStatus, String> {
+fn ask(agent: &Agent, node: SocketAddr, token: &Secret) -> Result<NodeStatus, String> {
     let mut request = agent.get(format!("http://{node}/status"));
-    if let Some(header) = token.header() {
+    if !token.is_empty() {
+        let header = format!("Bearer {}", token.expose());
         request = request.header("authorization", header);
     }
     let mut response = request
--- a/crates/shallottide_cli/src/settings.rs
+++ b/crates/shallottide_cli/src/settings.rs
@@ -1,6 +1,5 @@
 //! Where the platform and the entry nodes are, and who the operator is.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -8,8 +7,10 @@
 use serde::Deserialize;
 use shallottide::operate::WriteOptions;
 use shallottide::platform_client::{ConsulPlatform, PlatformOptions};
+use shallottide::settings::toml_error_text;
 use shallottide_types::duration_text;
 use shallottide_types::id::OperatorId;
+use shallottide_types::secret::Secret;
 
 use crate::failure::Failure;
 
@@ -32,47 +33,15 @@
     settle_timeout: Duration,
     /// Bearer token of the operators' ports.
     #[serde(default)]
-    pub(crate) token: Token,
+    pub(crate) token: Secret,
+    /// Access token of the platform.
+    #[serde(default)]
+    platform_token: Secret,
     /// The file itself.
     #[serde(skip)]
     path: PathBuf,
 }
 
-/// A bearer token, which is never printed.
-#[derive(Clone, Default, Deserialize)]
-#[serde(transparent)]
-pub(crate) struct Token(String);
-
-impl Token {
-    /// Returns the value of the `Authorization` header, if there is a token.
-    pub(crate) fn header(&self) -> Option<String> {
-        (!self.0.is_empty()).then(|| format!("Bearer {}", self.0))
-    }
-}
-
-impl fmt::Debug for Token {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Token(..)")
-    }
-}
-
-/// Names the line, and shows it unless it may hold the token.
-fn error_text(text: &str, error: &toml::de::Error) -> String {
-    let message = error.message();
-    let Some(span) = error.span() else {
-        return message.into();
-    };
-    let before = text.get(..span.start).unwrap_or(text);
-    let number = before.matches('\n').count();
-    let line = text.lines().nth(number).unwrap_or_default();
-    let shown = if line.contains("token") {
-        "token"
-    } else {
-        line
-    };
-    format!("line {}: {shown}: {message}", number + 1)
-}
-
 fn default_settle_timeout() -> Duration {
     WriteOptions::default().settle_timeout
 }
@@ -87,14 +56,16 @@
         })?;
         let settings = toml::from_str::<Self>(&text).map_err(|e| Failure::Settings {
             path: path.clone(),
-            message: error_text(&text, &e),
+            message: toml_error_text(&text, &e),
         })?;
         Ok(Self { path, ..settings })
     }
 
     /// Creates the platform client.
     pub(crate) fn platform(&self) -> Result<ConsulPlatform, Failure> {
-        let options = PlatformOptions::default().addresses(self.platform.iter().cloned());
+        let options = PlatformOptions::default()
+            .addresses(self.platform.iter().cloned())
+            .token(self.platform_token.clone());
         ConsulPlatform::new(options).map_err(|source| Failure::PlatformAddress {
             path: self.path.clone(),
             source,
--- a/crates/shallottide_demo/src/demo_cluster.rs
+++ b/crates/shallottide_demo/src/demo_cluster.rs
@@ -13,6 +13,7 @@
 use shallottide_types::id::DomainId;
 use shallottide_types::platform::Vm;
 use shallottide_types::record::{Document, KeyHash};
+use shallottide_types::secret::Secret;
 use standin::engine::{EngineOptions, EngineServer};
 use standin::http::ListenOptions;
 use standin::platform::{MemoryPlatform, PlatformOptions as StandinOptions, PlatformServer};
@@ -209,6 +210,7 @@
         peers: any,
         operators: any,
         platform: vec![format!("http://{}", platform.address())],
+        platform_token: Secret::default(),
         peer_key: PEER_KEY.into(),
         operator_tokens: vec![KeyHash::of(OPERATOR_TOKEN)],
         seeds: Vec::new(),
--- a/crates/shallottide_types/src/lib.rs
+++ b/crates/shallottide_types/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod quantity;
 pub mod record;
 pub mod refusal;
+pub mod secret;
 pub mod synthetic;
--- a/crates/shallottided/src/main.rs
+++ b/crates/shallottided/src/main.rs
@@ -91,7 +91,9 @@
 
 fn serve(settings: NodeSettings) -> Result<StopReport, DaemonError> {
     let (first, later) = watch_signals().map_err(DaemonError::Signals)?;
-    let platform_options = PlatformOptions::default().addresses(settings.platform.clone());
+    let platform_options = PlatformOptions::default()
+        .addresses(settings.platform.clone())
+        .token(settings.platform_token.clone());
     let platform = Arc::new(ConsulPlatform::new(platform_options)?);
     let node = node::start(settings, platform)?;
     let addresses = node.addresses();
--- a/crates/shallottided/tests/settings.rs
+++ b/crates/shallottided/tests/settings.rs
@@ -62,6 +62,19 @@
     duration_without_unit: "no_duration_unit", "region", "stop.deadline = \"5\"\nregion", &["stop.deadline", "ms, s, m or h"];
 }
 
+fn hidden(name: &str, from: &str, to: &str, secret: &str) {
+    let (_, output) = check_settings(name, &GOOD.replace(from, to));
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{message}");
+    assert!(!message.contains(secret), "{message}");
+}
+
+cases! {
+    hidden;
+    peer_key_of_the_wrong_form: "hidden_key", r#""0123456789abcdef""#, "[\"s3cret\"]", "s3cret";
+    platform_token_of_the_wrong_form: "hidden_token", "region", "platform_token = [\"s3cret\"]\nregion", "s3cret";
+}
+
 #[test]
 fn good_settings_pass() {
     let (_, output) = check_settings("good", GOOD);
