--- a/crates/shallottide/src/members.rs
+++ b/crates/shallottide/src/members.rs
@@ -6,6 +6,7 @@
 mod member_options;
 mod member_service;
 mod member_table;
+mod node_list;
 mod own_loads;
 mod registration;
 pub mod ring;
--- a/crates/shallottide/src/members/member_service.rs
+++ b/crates/shallottide/src/members/member_service.rs
@@ -1,6 +1,5 @@
 //! The service that knows the entry VMs and their loads.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use shallottide_types::id::Fence;
@@ -10,9 +9,10 @@
 use super::gossip::{self, Gossip, Scope, SlotTags};
 use super::heartbeat_targets::{HeartbeatTargets, Target};
 use super::member_table::{Heard, dispatcher_load};
+use super::node_list::{self, ListReader, NodeList};
 use super::own_loads::OwnLoads;
-use super::registration::{self, Registration};
-use super::{Member, MemberOptions, MemberTable, ring};
+use super::registration::Registration;
+use super::{MemberOptions, MemberTable, ring};
 use crate::kernel::{Context, Name, Outbox, Service, names};
 use crate::message::{Message, PeerSend};
 use crate::view::NodeState;
@@ -23,9 +23,6 @@
 /// Nodes introduced in a heartbeat to another failure domain, which tells nothing else.
 const NEWS_ABROAD: usize = 2;
 
-/// Entries of dead nodes removed after one listing.
-const MAX_REMOVALS: usize = 4;
-
 /// Shortest time between two views, which are built whole.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -41,8 +38,7 @@
     slots_fence: Option<Fence>,
     seq: u64,
     next_beat: Option<Instant>,
-    next_list: Option<Instant>,
-    listed_twice: bool,
+    node_list: NodeList,
     changed: bool,
     next_publish: Option<Instant>,
     table: Option<MemberTable>,
@@ -61,8 +57,7 @@
             slots_fence: None,
             seq: 0,
             next_beat: None,
-            next_list: None,
-            listed_twice: false,
+            node_list: NodeList::new(&options),
             changed: true,
             next_publish: None,
             table: None,
@@ -216,20 +211,12 @@
     }
 
     fn list_when_due(&mut self, me: &NodeInfo, cx: &Context) {
-        let now = cx.now();
-        let Some(next_list) = self.next_list else {
-            self.next_list = Some(now + self.options.second_list_after);
-            return;
+        let wanted = match self.node_list.due(cx.now()) {
+            Some(ListReader::Everyone) => true,
+            Some(ListReader::Lister) => self.is_lister(me, cx),
+            None => false,
         };
-        if now < next_list {
-            return;
-        }
-        self.next_list = Some(now + self.options.list_interval);
-        if !std::mem::replace(&mut self.listed_twice, true) {
-            self.registration.list_again();
-            return;
-        }
-        if self.is_lister(me, cx) {
+        if wanted {
             self.registration.list_again();
         }
     }
@@ -242,47 +229,14 @@
     }
 
     fn listed(&mut self, listing: &Listing, cx: &Context, out: &mut Outbox) {
-        let now = cx.now();
         self.changed = true;
-        for entry in &listing.entries {
-            let Some(info) = registration::read_node(entry) else {
-                tracing::warn!(key = entry.key, "node entry can't be read");
-                continue;
-            };
-            if let Some(member) = self.table(cx).learn(&info, now) {
-                // Every node can read the list, so that there is no need to tell of it.
-                member.news_sent = gossip::NEWS_SENDS;
-            }
-        }
-        self.remove_dead(listing, cx, out);
-    }
-
-    /// Removes entries of nodes of this failure domain that are dead for long, a few at a time,
-    /// and forgets nodes that are dead for long and not listed.
-    fn remove_dead(&mut self, listing: &Listing, cx: &Context, out: &mut Outbox) {
         let me = cx.me();
-        let is_lister = self.is_lister(&me, cx);
         let remove_after = self.options.remove_after;
-        let now = cx.now();
-        let mut listed = BTreeMap::new();
-        for entry in &listing.entries {
-            if let Some(info) = registration::read_node(entry) {
-                listed.insert(info.node, entry);
-            }
-        }
-        let dead_long = |member: &&Member| now >= member.known_at + remove_after;
-        let members = self.table(cx).members().values().filter(dead_long);
-        let dead: Vec<NodeInfo> = members.map(|member| member.info.clone()).collect();
-        let mut removals = MAX_REMOVALS;
-        for info in dead {
-            match listed.get(&info.node) {
-                None => self.table(cx).forget(&info.node),
-                Some(entry) if is_lister && info.domain == me.domain && removals > 0 => {
-                    removals -= 1;
-                    self.registration.remove(entry, out);
-                }
-                Some(_) => {}
-            }
+        let is_lister = self.is_lister(&me, cx);
+        let table = self.table(cx);
+        let dead = node_list::take_in(table, listing, &me, cx.now(), remove_after);
+        for entry in dead.into_iter().filter(|_| is_lister) {
+            self.registration.remove(entry, out);
         }
     }
 
