--- a/crates/shallottide/src/config/config_options.rs
+++ b/crates/shallottide/src/config/config_options.rs
@@ -34,8 +34,8 @@
 impl Default for ConfigOptions {
     fn default() -> Self {
         Self {
-            watch_wait: Duration::from_secs(10),
-            call_margin: Duration::from_secs(5),
+            watch_wait: Duration::from_secs(5),
+            call_margin: Duration::from_secs(3),
             watch_interval: Duration::from_millis(250),
             deputy_interval: Duration::from_secs(5),
             first_backoff: Duration::from_millis(200),
--- a/crates/shallottide/tests/config.rs
+++ b/crates/shallottide/tests/config.rs
@@ -194,6 +194,17 @@
     }
 }
 
+/// The other domain is cut off as a whole, so that it can't help.
+fn one_node_cut_off_from_the_platform(c: &mut Cluster) {
+    cut_platform(c, &["domain-1"], Reach::Down);
+    for node in 0..3 {
+        c.platform.cut = [node].into();
+        c.platform
+            .put_upstream(UPSTREAM, 6 + u32::try_from(node).unwrap());
+        expect(c, Some(6 + u32::try_from(node).unwrap()));
+    }
+}
+
 fn domain_cut_off_from_the_platform(c: &mut Cluster) {
     cut_platform(c, &["domain-1"], Reach::Down);
     for limit in 6..9 {
@@ -231,6 +242,7 @@
     old_and_new_schema_live_side_by_side: old_schema_beside_new;
     two_watchers_are_harmless: two_watchers;
     next_node_watches_when_the_watcher_dies: watcher_dies;
+    deputy_reads_when_a_node_alone_is_cut_off: one_node_cut_off_from_the_platform;
     domain_cut_off_from_the_platform_learns_from_others: domain_cut_off_from_the_platform;
     lost_messages_are_made_up_for: message_loss;
 }
--- a/crates/shallottide/tests/config_cluster/fake_platform.rs
+++ b/crates/shallottide/tests/config_cluster/fake_platform.rs
@@ -1,6 +1,6 @@
 //! The platform's key-value service as far as the two services use it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use shallottide::kernel::Name;
@@ -33,6 +33,10 @@
 pub(crate) struct FakePlatform {
     pub(crate) calls: usize,
     pub(crate) reach: BTreeMap<DomainId, Reach>,
+    /// Nodes that alone don't reach the platform.
+    pub(crate) cut: BTreeSet<usize>,
+    /// Loses the answers of writes, which take effect.
+    pub(crate) lose_answers: bool,
     /// Answers listings from an old state instead of the present one.
     pub(crate) stale: Option<Listing>,
     index: u64,
@@ -90,7 +94,9 @@
     ) -> Option<PlatformReply> {
         self.calls += 1;
         let token = request.token;
-        match self.reach.get(domain).copied().unwrap_or(Reach::Up) {
+        let reach = self.reach.get(domain).copied().unwrap_or(Reach::Up);
+        match reach {
+            Reach::Up if self.cut.contains(&node) => return None,
             Reach::Up => {}
             Reach::Silent => return None,
             Reach::Down => {
@@ -130,6 +136,9 @@
                 if fits {
                     self.put(&key, value);
                 }
+                if self.lose_answers {
+                    return None;
+                }
                 PlatformAnswer::Swap(outcome(fits))
             }
             PlatformOp::Remove { key, expect } => {
@@ -155,6 +164,7 @@
         let due: Vec<Waiting> = due;
         due.into_iter()
             // Whoever is cut off while it waits gets no answer.
+            .filter(|w| !self.cut.contains(&w.node))
             .filter(|w| self.reach.get(&w.domain).copied().unwrap_or(Reach::Up) == Reach::Up)
             .map(|w| {
                 let result = Ok(PlatformAnswer::Listing(self.listing(&w.prefix)));
--- a/crates/shallottide/tests/members.rs
+++ b/crates/shallottide/tests/members.rs
@@ -183,18 +183,42 @@
     });
 }
 
+#[test]
+fn registration_whose_answer_is_lost_is_read_back() {
+    let mut cluster = Cluster::new(1, NODES, 3);
+    cluster.platform.lose_answers = true;
+    cluster.run(Duration::from_mins(1));
+    let listing = cluster.platform.listing("nodes/");
+    assert_eq!(listing.entries.len(), NODES);
+    let writes = usize::try_from(listing.index.0).unwrap();
+    assert_eq!(writes, NODES, "one write per start");
+    assert!((0..NODES).all(|node| seen_by_all(&cluster, node)));
+}
+
+/// Each node knows at least this many alive nodes of each domain.
+fn knows_in_each_domain(c: &Cluster, domains: usize, least: usize) -> bool {
+    let known = |node: usize, domain: usize| {
+        let domain = format!("domain-{domain}").parse().unwrap();
+        c.nodes[node].cx.members().alive_in(&domain).count()
+    };
+    let all = |node| (0..domains).all(|domain| known(node, domain) >= least);
+    (0..c.nodes.len()).all(all)
+}
+
 #[test]
 fn nodes_of_other_domains_are_known_within_bounds() {
     let mut cluster = Cluster::new(3, 8, 5);
     cluster.run(SETTLE);
-    for node in &cluster.nodes {
-        for domain in ["domain-0", "domain-1", "domain-2"] {
-            let known = node.cx.members().alive_in(&domain.parse().unwrap()).count();
-            assert!(
-                known >= 2,
-                "{} knows {known} in {domain}",
-                node.cx.me().node
-            );
-        }
-    }
+    assert!(knows_in_each_domain(&cluster, 3, 2));
+}
+
+#[test]
+fn domains_cut_off_for_an_hour_find_each_other_again() {
+    let mut cluster = Cluster::new(3, 4, 5);
+    cluster.run(SETTLE);
+    cluster.link = Box::new(|from, to| from / 4 == to / 4);
+    cluster.run(Duration::from_hours(1));
+    assert!(!knows_in_each_domain(&cluster, 3, 1));
+    cluster.link = Box::new(|_, _| true);
+    expect(&mut cluster, |c| knows_in_each_domain(c, 3, 2));
 }
