Let peers answer a starting node before it reads the platform

Before: a node that starts knows no other node, so it took itself for the watcher and read the platform at its first tick. With the guard removed, restarted_node_leaves_it_to_peers_first fails.

--- a/crates/shallottide/src/config/config_service.rs
+++ b/crates/shallottide/src/config/config_service.rs
@@ -60,7 +60,7 @@
         self.started.get_or_insert(now);
         let have = self.store.is_synced().then(|| self.store.have());
         self.spread.catch_up(have, cx, out);
-        if self.watch.is_free(now) {
+        if self.watch.is_free(now) && !self.leaves_it_to_peers(now) {
             self.read_platform(now, cx, out);
         }
     }
@@ -81,11 +81,14 @@
 
     /// Tells whether a node that isn't the watcher reads the platform now.
     fn wants_own_read(&self, place: Option<usize>, now: Instant) -> bool {
-        if self.store.is_synced() {
-            return place == Some(DEPUTY) && self.next_deputy_read.is_none_or(|at| now >= at);
-        }
+        let due = self.next_deputy_read.is_none_or(|at| now >= at);
+        !self.store.is_synced() || (place == Some(DEPUTY) && due)
+    }
+
+    /// Tells whether a node that knows nothing gives peers time to answer first.
+    fn leaves_it_to_peers(&self, now: Instant) -> bool {
         let started = self.started.unwrap_or(now);
-        now.duration_since(started) >= self.options.peers_first
+        !self.store.is_synced() && now.duration_since(started) < self.options.peers_first
     }
 
     fn platform_reply(&mut self, reply: PlatformReply, cx: &Context, out: &mut Outbox) {
--- a/crates/shallottide/tests/config.rs
+++ b/crates/shallottide/tests/config.rs
@@ -116,6 +116,15 @@
     expect(c, Some(5));
 }
 
+/// Peers answer a restarted node before it reads the platform, which then isn't asked.
+fn restart_without_reads(c: &mut Cluster) {
+    c.run(SOON);
+    c.restart(2);
+    c.platform.record_reads_of = Some(2);
+    expect(c, Some(5));
+    assert_eq!(c.platform.record_reads, 0);
+}
+
 fn platform_down_long(c: &mut Cluster) {
     cut_platform(c, &["domain-0", "domain-1"], Reach::Down);
     let calls = c.platform.calls;
@@ -235,6 +244,7 @@
     never_reverts_by_a_peer_with_older_state: peer_with_older_state;
     deletion_is_not_undone_by_an_old_copy: deletion_then_old_copy;
     restarted_node_learns_from_peers_in_an_outage: restart_in_an_outage;
+    restarted_node_leaves_it_to_peers_first: restart_without_reads;
     last_state_stays_while_the_platform_is_down_long: platform_down_long;
     last_good_record_stays_beside_an_invalid_one: invalid_record;
     last_good_record_stays_beside_one_of_another_key: record_under_another_key;
--- a/crates/shallottide/tests/config_cluster/fake_platform.rs
+++ b/crates/shallottide/tests/config_cluster/fake_platform.rs
@@ -35,6 +35,9 @@
     pub(crate) reach: BTreeMap<DomainId, Reach>,
     /// Nodes that alone don't reach the platform.
     pub(crate) cut: BTreeSet<usize>,
+    /// Counts the reads of records by this node.
+    pub(crate) record_reads_of: Option<usize>,
+    pub(crate) record_reads: usize,
     /// Loses the answers of writes, which take effect.
     pub(crate) lose_answers: bool,
     /// Answers listings from an old state instead of the present one.
@@ -93,6 +96,8 @@
         now: Instant,
     ) -> Option<PlatformReply> {
         self.calls += 1;
+        let reads = matches!(&request.op, PlatformOp::List { prefix, .. } if prefix == "records/");
+        self.record_reads += usize::from(reads && self.record_reads_of == Some(node));
         let token = request.token;
         let reach = self.reach.get(domain).copied().unwrap_or(Reach::Up);
         match reach {
