Run load while processes are killed, frozen and cut off

fault_run starts a cluster of processes and prints one row for each fault. The load tool can leave out targets that aren't ready, as a balancer would, and tells the deadline of its calls. A key whose caller was told "not run" last counts as false when it ran, whatever was said before. Wires forget closed connections: before, a long run had no file descriptors left. Operators' port is served by hyper with the code of callers' port.

--- a/crates/shallottide/src/front.rs
+++ b/crates/shallottide/src/front.rs
@@ -4,6 +4,5 @@
 mod connection;
 mod front_border;
 mod reply_body;
-mod stall_guard;
 
 pub use front_border::{FrontBorder, FrontOptions};
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engines;
 pub mod front;
 pub mod groups;
+mod http_server;
 pub mod kernel;
 pub mod members;
 pub mod message;
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -251,7 +251,7 @@
         OperatorBorder::new(handle, parts.settings.operator_tokens, flags.ready.clone());
     let operators_address = operators
         .clone()
-        .start(parts.settings.operators, flags.ended.clone())
+        .start(parts.settings.operators, runtime.handle())
         .map_err(|source| NodeError::Bind {
             key: "operators",
             address: parts.settings.operators,
--- /dev/null
+++ b/crates/shallottide_e2e/examples/fault_run.rs
@@ -0,0 +1,177 @@
+//! Runs `shallottide-load` against a cluster of processes while faults happen, one row each.
+//!
+//! `cargo build --release --workspace --bins`, then
+//! `cargo run --release -p shallottide_e2e --example fault_run -- --rate 100 --seconds 20`
+
+mod fault_run_support;
+
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use fault_run_support::{FAULTS, Fault, Row, Stage, heading, together};
+use serde_json::Value;
+use shallottide_e2e::{ClusterOptions, ProcessCluster, TEAM_KEY, listening, program_path};
+
+/// Longest wait after a fault until each node serves again.
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Runs load against a cluster of processes while faults happen.
+#[derive(FromArgs)]
+struct Args {
+    /// calls that arrive in a second
+    #[argh(option, default = "100")]
+    rate: u32,
+    /// seconds of load around each fault
+    #[argh(option, default = "20")]
+    seconds: u32,
+    /// seconds until the fault begins
+    #[argh(option, default = "3")]
+    before: u64,
+    /// seconds that the fault lasts
+    #[argh(option, default = "8")]
+    lasts: u64,
+    /// seed of the load and of the choice of processes
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// only faults whose name contains this
+    #[argh(option, default = "String::new()")]
+    only: String,
+    /// rounds of several faults at once
+    #[argh(option, default = "2")]
+    together: u64,
+    /// entry nodes
+    #[argh(option, default = "6")]
+    nodes: usize,
+    /// failure domains
+    #[argh(option, default = "3")]
+    domains: usize,
+    /// print the load tool's reports as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let cluster = ProcessCluster::start(options(&args));
+    cluster.wait_until_serving();
+    let mut stage = Stage::new(cluster, args.seed);
+    let warm_up = load(&args, &stage.cluster, 0, 10).output();
+    warm_up.expect("shallottide-load is built");
+    println!("{}", heading());
+    let mut clean = true;
+    let mut number = 0;
+    let single = FAULTS.iter().map(|fault| vec![*fault]);
+    let seed = args.seed;
+    let several = (0..args.together).map(|round| together(seed + round));
+    for faults in single.chain(several) {
+        number += 1;
+        let names: Vec<_> = faults.iter().map(|fault| fault.name).collect();
+        let name = names.join(" + ");
+        if name.contains(&args.only) {
+            clean &= run(&args, &mut stage, number, &name, &faults);
+        }
+    }
+    println!("seed {seed}, {} calls a second", args.rate);
+    ExitCode::from(u8::from(!clean))
+}
+
+fn options(args: &Args) -> ClusterOptions {
+    ClusterOptions {
+        domains: args.domains,
+        nodes: args.nodes,
+        engines: args.domains * 6,
+        vms_per_group: 2,
+        groups_per_domain: 2,
+        services: args.domains,
+        ..ClusterOptions::new(PathBuf::from("target/fault_run"))
+    }
+}
+
+/// Runs load around faults, prints their row and tells whether it is clean.
+fn run(args: &Args, stage: &mut Stage, number: u64, name: &str, faults: &[Fault]) -> bool {
+    stage.lost_nodes.clear();
+    let seed = args.seed * 1000 + number;
+    let child = load(args, &stage.cluster, seed, args.seconds);
+    let child = started(child);
+    sleep(Duration::from_secs(args.before));
+    for fault in faults {
+        (fault.begin)(stage);
+    }
+    sleep(Duration::from_secs(args.lasts));
+    for fault in faults {
+        (fault.end)(stage);
+    }
+    let report = report(child);
+    if args.json {
+        println!("{report}");
+    }
+    let mut row = Row::new(name, &report, &stage.lost_addresses());
+    row.notes.append(&mut stage.notes);
+    row.notes.extend(recovery(stage));
+    println!("{row}");
+    row.is_clean()
+}
+
+fn started(mut command: Command) -> Child {
+    command
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("shallottide-load is built")
+}
+
+fn report(child: Child) -> Value {
+    let output = child.wait_with_output().expect("a child");
+    serde_json::from_slice(&output.stdout).expect("a report")
+}
+
+/// Returns what is still wrong after a fault has passed.
+fn recovery(stage: &mut Stage) -> Vec<String> {
+    let mut notes = Vec::new();
+    for (number, node) in stage.cluster.nodes.iter_mut().enumerate() {
+        if node.program.has_ended() {
+            notes.push(format!("node-{number} has exited"));
+            continue;
+        }
+        let start = Instant::now();
+        let serves = || {
+            let answer = node.caller().complete("after a fault", 2);
+            answer.is_ok_and(|answer| answer.status == 200)
+        };
+        while !serves() {
+            if start.elapsed() > RECOVERY_TIMEOUT {
+                notes.push(format!("node-{number} does not serve"));
+                break;
+            }
+            sleep(Duration::from_millis(100));
+        }
+    }
+    notes
+}
+
+fn load(args: &Args, cluster: &ProcessCluster, seed: u64, seconds: u32) -> Command {
+    let mut command = Command::new(program_path("shallottide-load"));
+    let mut add = |name: &str, value: String| {
+        command.arg(format!("--{name}")).arg(value);
+    };
+    for node in &cluster.nodes {
+        add("target", node.callers.to_string());
+    }
+    for service in &cluster.services {
+        add("check-runs", listening(service).to_string());
+    }
+    add("key", TEAM_KEY.into());
+    add("model", "tide".into());
+    add("service", "bookings".into());
+    add("mix", "40".into());
+    add("repeat", "30".into());
+    add("timeout", "20s".into());
+    add("deadline", "15s".into());
+    add("rate", args.rate.to_string());
+    add("seconds", seconds.to_string());
+    add("seed", seed.to_string());
+    command.arg("--health-checks").arg("--json");
+    command
+}
--- /dev/null
+++ b/crates/shallottide_e2e/examples/fault_run_support/row.rs
@@ -0,0 +1,107 @@
+//! One line of the table.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde_json::Value;
+
+const NAME_WIDTH: usize = 28;
+const NUMBER_WIDTH: usize = 9;
+
+const COLUMNS: [&str; 13] = [
+    "arrived",
+    "whole",
+    "ran no",
+    "unknown",
+    "ran yes",
+    "in stream",
+    "cut",
+    "no answer",
+    "at lost",
+    "wrong",
+    "double",
+    "false no",
+    "s without",
+];
+
+/// Returns the table's heading.
+pub(crate) fn heading() -> String {
+    let mut text = format!("{:<NAME_WIDTH$}", "fault");
+    for column in COLUMNS {
+        text.push_str(&format!("{column:>NUMBER_WIDTH$}"));
+    }
+    text
+}
+
+/// What became of the calls around one fault.
+pub(crate) struct Row {
+    name: String,
+    numbers: [u64; COLUMNS.len()],
+    clean: bool,
+    pub(crate) notes: Vec<String>,
+}
+
+impl Row {
+    /// Reads a report of the load tool; calls at `lost` nodes that were killed or frozen are
+    /// counted apart.
+    pub(crate) fn new(name: &str, report: &Value, lost: &BTreeSet<String>) -> Self {
+        let number = |field: &str| report[field].as_u64().unwrap_or_default();
+        let ran = |ran: &str| report["refused_by_ran"][ran].as_u64().unwrap_or_default();
+        let at_lost = |field: &str| -> u64 {
+            let of = |node: &String| report[field][node].as_u64();
+            lost.iter().filter_map(of).sum()
+        };
+        let cut_at_lost = at_lost("cut_by_target");
+        let silent_at_lost = at_lost("no_answer_by_target");
+        let cut = number("cut") - cut_at_lost;
+        let no_answer = number("no_answer") - silent_at_lost;
+        let malformed = report["malformed_by_status"].as_object();
+        let malformed = malformed.is_some_and(|statuses| !statuses.is_empty());
+        let faults = ["wrong", "double_runs", "false_not_run", "run_checks_failed"];
+        let faults: u64 = faults.map(number).iter().sum();
+        let mut notes = vec![report["refused_by_kind"].to_string()];
+        if cut + no_answer + faults > 0 || malformed {
+            notes.push(report["examples"].to_string());
+            notes.push(report["malformed_by_status"].to_string());
+        }
+        Self {
+            name: name.into(),
+            numbers: [
+                number("arrived"),
+                number("whole"),
+                ran("no"),
+                ran("unknown"),
+                ran("yes"),
+                number("refused_in_stream"),
+                cut,
+                no_answer,
+                cut_at_lost + silent_at_lost,
+                number("wrong"),
+                number("double_runs"),
+                number("false_not_run"),
+                number("seconds_without_service"),
+            ],
+            clean: cut + no_answer + faults == 0 && !malformed,
+            notes,
+        }
+    }
+
+    /// Tells whether nothing was cut, wrong or run twice, each "not run" was true, and each
+    /// call at a node that ran was answered.
+    pub(crate) fn is_clean(&self) -> bool {
+        self.clean
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:<NAME_WIDTH$}", self.name)?;
+        for number in self.numbers {
+            write!(f, "{number:>NUMBER_WIDTH$}")?;
+        }
+        for note in &self.notes {
+            write!(f, "\n    {note}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/shallottide_e2e/src/process_cluster.rs
+++ b/crates/shallottide_e2e/src/process_cluster.rs
@@ -1,7 +1,8 @@
 //! A platform, engines, services and entry nodes, each a process of its own.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -12,7 +13,7 @@
 use standin::wire::Wire;
 use ureq::Agent;
 
-use crate::Program;
+use crate::program::{Program, program_path};
 use crate::records::{TEAM_KEY, records, stored};
 
 /// Token of the cluster's operator.
@@ -35,6 +36,8 @@
     pub engines: usize,
     /// Members that form one group.
     pub vms_per_group: usize,
+    /// Groups wanted in each failure domain; VMs beyond these are spares.
+    pub groups_per_domain: usize,
     /// Servers of the bookings service.
     pub services: usize,
     /// Further arguments of the engines.
@@ -54,6 +57,7 @@
             nodes: 2,
             engines: 8,
             vms_per_group: 4,
+            groups_per_domain: 64,
             services: 1,
             engine_args: vec!["--load-time", "200ms", "--token-time", "5ms"],
             notice: "200ms",
@@ -83,6 +87,15 @@
 }
 
 impl EntryNode {
+    /// Returns the addresses that a restart of the node listens on.
+    fn addresses(&self) -> NodeAddresses {
+        NodeAddresses {
+            callers: self.callers,
+            peers: address(&self.program.ready, "peers"),
+            operators: self.operators,
+        }
+    }
+
     /// Returns a caller of this node with the team's key.
     #[must_use]
     pub fn caller(&self) -> Caller {
@@ -90,10 +103,31 @@
     }
 }
 
+/// Where a node listens.
+#[derive(Clone, Copy)]
+struct NodeAddresses {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Default for NodeAddresses {
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            callers: any,
+            peers: any,
+            operators: any,
+        }
+    }
+}
+
 /// All processes of a cluster; killed when dropped.
 pub struct ProcessCluster {
     options: ClusterOptions,
     agent: Agent,
+    /// How often engines were started again.
+    engine_starts: u64,
     /// The platform's process.
     pub platform: Program,
     /// The engines' processes.
@@ -123,6 +157,7 @@
             .collect();
         let mut cluster = Self {
             agent: agent(),
+            engine_starts: 0,
             platform,
             engines,
             services,
@@ -137,7 +172,7 @@
         cluster
     }
 
-    /// Starts the node of that number, again if it ran before.
+    /// Starts the node of that number on free ports.
     ///
     /// # Panics
     /// If the process doesn't start.
@@ -145,9 +180,40 @@
     pub fn start_node(&self, number: usize) -> EntryNode {
         let wire = Wire::open().expect("a free port");
         wire.lead_to(listening(&self.platform));
+        self.start_node_at(number, wire, NodeAddresses::default())
+    }
+
+    /// Kills the node of that number if it runs, and starts it again on the same ports.
+    ///
+    /// # Panics
+    /// If the process doesn't start.
+    pub fn restart_node(&mut self, number: usize) {
+        let old = self.nodes.remove(number);
+        let addresses = old.addresses();
+        drop(old.program);
+        let node = self.start_node_at(number, old.platform_wire, addresses);
+        self.nodes.insert(number, node);
+    }
+
+    /// Kills the engine of that number if it runs, and starts it again on the same port.
+    ///
+    /// # Panics
+    /// If the process doesn't start.
+    pub fn restart_engine(&mut self, number: usize) {
+        let old = self.engines.remove(number);
+        let listen = listening(&old).to_string();
+        drop(old);
+        self.engine_starts += 1;
+        let incarnation = (1 + self.engine_starts).to_string();
+        let more = ["--listen", &listen, "--incarnation", &incarnation];
+        let engine = start_engine(&self.options, number, &more);
+        self.engines.insert(number, engine);
+    }
+
+    fn start_node_at(&self, number: usize, wire: Wire, at: NodeAddresses) -> EntryNode {
         let names = self.options.domain_names();
         let domain = names[number % names.len()].clone();
-        let settings = self.settings(number, &domain, wire.address());
+        let settings = self.settings(number, &domain, wire.address(), at);
         let path = self.options.dir.join(format!("node-{number}.toml"));
         std::fs::write(&path, settings).expect("a writable directory");
         let log = self.options.dir.join(format!("node-{number}.log"));
@@ -165,19 +231,36 @@
         }
     }
 
-    fn settings(&self, number: usize, domain: &str, platform: SocketAddr) -> String {
+    fn settings(
+        &self,
+        number: usize,
+        domain: &str,
+        platform: SocketAddr,
+        at: NodeAddresses,
+    ) -> String {
+        let NodeAddresses {
+            callers,
+            peers,
+            operators,
+        } = at;
         let token = KeyHash::of(OPERATOR_TOKEN);
+        let seeds: Vec<_> = self
+            .nodes
+            .iter()
+            .map(|node| node.addresses().peers.to_string())
+            .collect();
         let notice = self.options.notice;
         format!(
             r#"
             node = "node-{number}"
             failure_domain = "{domain}"
             region = "se-south"
-            callers = "127.0.0.1:0"
-            peers = "127.0.0.1:0"
-            operators = "127.0.0.1:0"
+            callers = "{callers}"
+            peers = "{peers}"
+            operators = "{operators}"
             platform = ["http://{platform}"]
             peer_key = "0123456789abcdef"
+            seeds = {seeds:?}
             operator_tokens = ["{token}"]
             [stop]
             notice = "{notice}"
@@ -193,7 +276,7 @@
         let client = client.expect("a valid address");
         let services: Vec<SocketAddr> = self.services.iter().map(listening).collect();
         let names = self.options.domain_names();
-        for text in records(&names, &services, self.options.vms_per_group) {
+        for text in records(&self.options, &names, &services) {
             let (key, value) = stored(&text);
             let written = client.swap(&key, &value, Expect::Absent);
             written.expect("the platform serves");
@@ -244,6 +327,25 @@
         response.body_mut().read_json().expect("JSON")
     }
 
+    /// Runs the operators' command line against this cluster and returns how it ended.
+    ///
+    /// # Panics
+    /// If the program isn't built.
+    #[must_use]
+    pub fn operate(&self, args: &[&str]) -> Output {
+        let nodes: Vec<_> = self.nodes.iter().map(|n| n.operators.to_string()).collect();
+        let platform = listening(&self.platform);
+        let settings = format!(
+            "platform = [\"http://{platform}\"]\nnodes = {nodes:?}\n\
+             operator = \"ana\"\ntoken = \"{OPERATOR_TOKEN}\"\n"
+        );
+        let path = self.options.dir.join("shallottide.toml");
+        std::fs::write(&path, settings).expect("a writable directory");
+        let mut command = Command::new(program_path("shallottide"));
+        command.arg("--settings").arg(path).args(args);
+        command.output().expect("shallottide is built")
+    }
+
     /// Returns how often each key ran on all services together.
     #[must_use]
     pub fn runs_of(&self, key: &str) -> u64 {
@@ -293,15 +395,18 @@
 
 fn start_engines(options: &ClusterOptions) -> Vec<Program> {
     (0..options.engines)
-        .map(|number| {
-            let vm = format!("vm-{number}");
-            let mut args = vec!["engine", "--vm", &vm];
-            args.extend(&options.engine_args);
-            Program::start("standin", &args, &log_path(&options.dir, &vm))
-        })
+        .map(|number| start_engine(options, number, &[]))
         .collect()
 }
 
+fn start_engine(options: &ClusterOptions, number: usize, more: &[&str]) -> Program {
+    let vm = format!("vm-{number}");
+    let mut args = vec!["engine", "--vm", &vm];
+    args.extend(&options.engine_args);
+    args.extend(more);
+    Program::start("standin", &args, &log_path(&options.dir, &vm))
+}
+
 fn log_path(dir: &Path, name: &str) -> PathBuf {
     dir.join(format!("{name}.log"))
 }
--- a/crates/shallottide_e2e/src/program.rs
+++ b/crates/shallottide_e2e/src/program.rs
@@ -63,6 +63,14 @@
         self.child.wait().expect("a child")
     }
 
+    /// Tells whether the process has ended.
+    ///
+    /// # Panics
+    /// If it can't be looked at.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_some()
+    }
+
     /// Returns the process's id.
     #[must_use]
     pub fn id(&self) -> u32 {
--- a/crates/shallottide_e2e/src/records.rs
+++ b/crates/shallottide_e2e/src/records.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
+use crate::ClusterOptions;
 use shallottide_types::record::{Document, KeyHash, Record};
 
 /// Bearer key of the cluster's team.
@@ -10,14 +11,19 @@
 
 /// Returns the documents of all records, as TOML.
 pub(crate) fn records(
+    options: &ClusterOptions,
     domains: &[String],
     services: &[SocketAddr],
-    vms_per_group: usize,
 ) -> Vec<String> {
+    let ClusterOptions {
+        vms_per_group,
+        groups_per_domain,
+        ..
+    } = options;
     let key_hash = KeyHash::of(TEAM_KEY);
     let mut groups = String::new();
     for domain in domains {
-        let _ = write!(groups, "{domain} = 64, ");
+        let _ = write!(groups, "{domain} = {groups_per_domain}, ");
     }
     let groups = groups.trim_end_matches(", ");
     let mut records = vec![
--- a/crates/shallottide_load/src/caller.rs
+++ b/crates/shallottide_load/src/caller.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
+use shallottide_types::duration_text;
 use ureq::http::Response;
 use ureq::{Agent, Body, RequestBuilder};
 
@@ -86,6 +87,10 @@
     fn request(&self, target: SocketAddr, path: &str) -> RequestBuilder<ureq::typestate::WithBody> {
         let request = self.agent.post(format!("http://{target}{path}"));
         let request = request.content_type("application/json");
+        let request = match self.options.deadline {
+            Some(time) => request.header("X-Timeout", duration_text::format(time)),
+            None => request,
+        };
         match &self.options.key {
             Some(key) => request.header("Authorization", format!("Bearer {key}")),
             None => request,
--- a/crates/shallottide_load/src/cli.rs
+++ b/crates/shallottide_load/src/cli.rs
@@ -60,6 +60,12 @@
         from_str_fn(duration_text::parse)
     )]
     timeout: Duration,
+    /// time told to the system for each call, such as 10s; a little less than --timeout
+    #[argh(option, from_str_fn(duration_text::parse))]
+    deadline: Option<Duration>,
+    /// send no calls to targets whose `/readyz` fails, as a balancer would
+    #[argh(switch)]
+    health_checks: bool,
     /// stand-in service asked at the end how often each key ran; may be given several times
     #[argh(option)]
     check_runs: Vec<SocketAddr>,
@@ -84,6 +90,8 @@
             service: self.service.as_deref().map(|name| self.service(name)),
             max_in_flight: self.max_in_flight,
             timeout: self.timeout,
+            deadline: self.deadline,
+            health_checks: self.health_checks,
             check_runs: self.check_runs.clone(),
         }
     }
--- a/crates/shallottide_load/src/load_options.rs
+++ b/crates/shallottide_load/src/load_options.rs
@@ -33,6 +33,10 @@
     pub max_in_flight: usize,
     /// Longest time for one call, and for those still waiting at the end.
     pub timeout: Duration,
+    /// Time told to the system for each call, when it is told one.
+    pub deadline: Option<Duration>,
+    /// Whether targets that aren't ready get no calls, as behind a balancer.
+    pub health_checks: bool,
     /// Stand-in services that are asked at the end how often each key ran.
     pub check_runs: Vec<SocketAddr>,
 }
@@ -63,6 +67,8 @@
             service: None,
             max_in_flight: 512,
             timeout: Duration::from_secs(30),
+            deadline: None,
+            health_checks: false,
             check_runs: Vec::new(),
         }
     }
--- a/crates/shallottide_load/src/recorder.rs
+++ b/crates/shallottide_load/src/recorder.rs
@@ -30,7 +30,7 @@
     seconds: BTreeMap<u64, (u64, u64)>,
     /// Keys that are known to have run more than once.
     double_runs: BTreeSet<String>,
-    /// Keys whose callers were only ever told "not run".
+    /// Keys whose callers were told "not run" last.
     said_not_run: BTreeSet<String>,
 }
 
@@ -86,6 +86,16 @@
             self.note_key(key, outcome, None);
         }
         self.count(outcome);
+        self.count_lost(plan, outcome);
+    }
+
+    fn count_lost(&mut self, plan: &CallPlan, outcome: &Outcome) {
+        let lost = match outcome {
+            Outcome::Cut(_) => &mut self.report.cut_by_target,
+            Outcome::NoAnswer(_) => &mut self.report.no_answer_by_target,
+            _ => return,
+        };
+        *lost.entry(plan.target).or_default() += 1;
     }
 
     /// Counts a service call that was made again.
@@ -103,7 +113,8 @@
         if shows_second_run(first, outcome) {
             self.double_runs.insert(key.into());
         }
-        if first.says_not_run() && outcome.says_not_run() {
+        // A caller that heard "not run" last may use a new key, whatever it heard before.
+        if outcome.says_not_run() {
             self.said_not_run.insert(key.into());
         } else {
             self.said_not_run.remove(key);
--- a/crates/shallottide_load/src/report.rs
+++ b/crates/shallottide_load/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 
 use hdrhistogram::Histogram;
 use shallottide_types::data;
@@ -31,17 +32,21 @@
         pub malformed_by_status: BTreeMap<u16, u64>,
         /// Answers cut without a word.
         pub cut: u64,
+        /// These by the entry VM that was called.
+        pub cut_by_target: BTreeMap<SocketAddr, u64>,
         /// Answers that are not the call's own.
         pub wrong: u64,
         /// Calls without any answer.
         pub no_answer: u64,
+        /// These by the entry VM that was called.
+        pub no_answer_by_target: BTreeMap<SocketAddr, u64>,
         /// Service calls made again with the same key; not counted above.
         pub repeated: u64,
         /// Outcomes of these.
         pub repeated_whole: u64,
         /// Keys that ran more than once.
         pub double_runs: u64,
-        /// Keys whose callers were only told "not run" and that ran; known with `--check-runs`.
+        /// Keys whose callers were told "not run" last and that ran; known with `--check-runs`.
         pub false_not_run: u64,
         /// Servers that could not be asked how often each key ran.
         pub run_checks_failed: u64,
--- a/crates/shallottide_load/src/runner.rs
+++ b/crates/shallottide_load/src/runner.rs
@@ -8,6 +8,7 @@
 use crate::arrivals::Arrivals;
 use crate::call_plan::{CallKind, CallPlan};
 use crate::caller::Caller;
+use crate::health::Health;
 use crate::load_options::{LoadOptions, OptionsError};
 use crate::outcome::{Outcome, Timing};
 use crate::recorder::Recorder;
@@ -29,6 +30,7 @@
     let runner = Runner {
         options,
         caller: Caller::new(options),
+        health: Health::new(&options.targets),
         start: Instant::now(),
         queue: Mutex::default(),
         changed: Condvar::new(),
@@ -41,8 +43,14 @@
                 .spawn_scoped(scope, || runner.make_calls())
                 .expect("the system has threads for the calls in flight");
         }
+        if options.health_checks {
+            for target in &options.targets {
+                scope.spawn(|| runner.health.check(*target));
+            }
+        }
         runner.feed();
         runner.drain();
+        runner.health.end();
     });
     let mut recorder = runner.recorder();
     check_runs(options, &mut recorder);
@@ -52,6 +60,7 @@
 struct Runner<'a> {
     options: &'a LoadOptions,
     caller: Caller<'a>,
+    health: Health,
     start: Instant,
     queue: Mutex<Queue>,
     changed: Condvar,
@@ -105,7 +114,8 @@
     }
 
     fn make_calls(&self) {
-        while let Some(plan) = self.next_call() {
+        while let Some(mut plan) = self.next_call() {
+            plan.target = self.health.choose(plan.target);
             self.make_call(&plan);
             self.queue().in_flight -= 1;
         }
@@ -138,7 +148,7 @@
                 let (first, timing) = self.call_service(plan, key, arrival);
                 self.recorder().ended(plan, &first, &timing);
                 if let Some(target) = repeat_through {
-                    let again = self.call_again(*target, key);
+                    let again = self.call_again(self.health.choose(*target), key);
                     self.recorder().repeated(key, &first, &again);
                 }
             }
--- a/crates/standin/src/wire.rs
+++ b/crates/standin/src/wire.rs
@@ -25,6 +25,8 @@
     near: TcpStream,
     far: TcpStream,
     frozen: Arc<Mutex<bool>>,
+    /// Its two copying threads, whose ends tell that it is closed.
+    copying: [JoinHandle<()>; 2],
 }
 
 impl Wire {
@@ -46,6 +48,7 @@
                 if state.closed {
                     return;
                 }
+                state.open.retain(|open| !open.is_closed());
                 let Some(target) = state.target.filter(|_| !state.severed) else {
                     continue;
                 };
@@ -129,13 +132,24 @@
     fn start(near: TcpStream, far: TcpStream) -> Self {
         let frozen = Arc::new(Mutex::new(false));
         let clone = |stream: &TcpStream| stream.try_clone().expect("a file descriptor");
-        copy(clone(&near), clone(&far), frozen.clone());
-        copy(clone(&far), clone(&near), frozen.clone());
-        Self { near, far, frozen }
+        let copying = [
+            copy(clone(&near), clone(&far), frozen.clone()),
+            copy(clone(&far), clone(&near), frozen.clone()),
+        ];
+        Self {
+            near,
+            far,
+            frozen,
+            copying,
+        }
+    }
+
+    fn is_closed(&self) -> bool {
+        self.copying.iter().all(JoinHandle::is_finished)
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, frozen: Arc<Mutex<bool>>) {
+fn copy(mut from: TcpStream, mut to: TcpStream, frozen: Arc<Mutex<bool>>) -> JoinHandle<()> {
     std::thread::spawn(move || {
         let mut buf = [0; 4096];
         while let Ok(n) = from.read(&mut buf) {
@@ -151,5 +165,5 @@
             }
         }
         let _ = to.shutdown(Shutdown::Both);
-    });
+    })
 }
