Let two writers of a claims partition both get on

Cause: after a conflict, a partition read its value at once but wrote it only after the wait. Another writer, which writes every 200 ms, had then always written in between, so the waiting one met conflict after conflict until its claims were refused. Timeouts of relays made more nodes write by themselves, which kept the conflicts up long after the fault had passed. Ruled out: the platform (its calls failed only while it was cut off), the nodes' views of each other (complete after each fault), a stuck partition (all values went on changing).

--- a/crates/shallottide/src/claims/partition.rs
+++ b/crates/shallottide/src/claims/partition.rs
@@ -177,7 +177,8 @@
         result.is_ok()
     }
 
-    /// Waits longer the more writes met another writer's.
+    /// Tries again at once after the first write that met another writer's, so that two writers
+    /// in step don't keep one of them out; waits longer the more writes meet another's.
     fn count_conflict(
         &mut self,
         result: &Result<PlatformAnswer, PlatformError>,
@@ -187,8 +188,11 @@
         match result {
             Ok(PlatformAnswer::Swap(Swap::Written)) => self.conflicts = 0,
             Ok(PlatformAnswer::Swap(Swap::Conflict)) => {
-                let factor = 1 << self.conflicts.min(MAX_BACKOFF_DOUBLINGS);
-                self.not_before = Some(moment.now + options.round_interval * factor);
+                let wait = self.conflicts.checked_sub(1).map(|more| {
+                    let factor = 1 << more.min(MAX_BACKOFF_DOUBLINGS);
+                    options.round_interval * factor
+                });
+                self.not_before = wait.map(|wait| moment.now + wait);
                 self.conflicts += 1;
             }
             _ => {}
@@ -209,8 +213,10 @@
                 return (true, answered.collect());
             }
             Ok(PlatformAnswer::Swap(Swap::Conflict)) => {
+                // Read again only when the next write is due: a value read before the wait
+                // would be outdated by the other writer's next write.
                 self.recent = None;
-                self.refresh = true;
+                self.refresh = false;
                 self.put_back(batch, false);
                 return (true, Vec::new());
             }
--- a/crates/shallottide/tests/claims_faults.rs
+++ b/crates/shallottide/tests/claims_faults.rs
@@ -400,3 +400,43 @@
     }
     assert!(fleet.runs_by_key.is_empty());
 }
+
+/// Lets two nodes that don't know of each other write one partition again and again.
+#[test]
+fn two_writers_of_a_partition_both_get_their_claims() {
+    let mut fleet = Fleet::new(2, ClaimOptions::default());
+    fleet.publish_view(0, |node| node == 0);
+    fleet.publish_view(1, |node| node == 1);
+    let mut keys = keys_of_one_partition();
+    let mut calls = Vec::new();
+    for _ in 0..100 {
+        for node in 0..2 {
+            calls.push(fleet.book(node, &keys.next().unwrap()));
+        }
+        fleet.pass(Duration::from_millis(100));
+    }
+    fleet.pass(Duration::from_secs(4));
+    let whole = calls
+        .iter()
+        .filter(|call| outcome(&fleet, **call) == Whole)
+        .count();
+    assert_eq!(whole, calls.len());
+    fleet.check();
+}
+
+/// Returns distinct keys whose claims are written to the same value.
+fn keys_of_one_partition() -> impl Iterator<Item = String> {
+    let value_of = |key: &String| {
+        let mut fleet = Fleet::new(1, ClaimOptions::default());
+        fleet.book(0, key);
+        match fleet.next_event() {
+            Some(Event::Platform(_, _, request)) => match request.op {
+                shallottide::message::PlatformOp::Get(value) => value,
+                op => panic!("not a read: {op:?}"),
+            },
+            event => panic!("no platform call: {event:?}"),
+        }
+    };
+    let keys = (0..).map(|i| format!("key-{i}"));
+    keys.filter(move |key| value_of(key) == "claims/00")
+}
