--- a/crates/shallottide_e2e/examples/fault_run.rs
+++ b/crates/shallottide_e2e/examples/fault_run.rs
@@ -7,7 +7,7 @@
 
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitCode, Stdio};
-use std::thread::sleep;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
@@ -18,6 +18,9 @@
 /// Longest wait after a fault until each node serves again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Bookings through each node after a fault.
+const BOOKINGS_AFTER: u32 = 16;
+
 /// Runs load against a cluster of processes while faults happen.
 #[derive(FromArgs)]
 struct Args {
@@ -48,6 +51,12 @@
     /// failure domains
     #[argh(option, default = "3")]
     domains: usize,
+    /// print which nodes each node counts as alive after each fault
+    #[argh(switch)]
+    views: bool,
+    /// seconds for which the cluster stays up afterwards
+    #[argh(option, default = "0")]
+    keep: u64,
     /// print the load tool's reports as JSON
     #[argh(switch)]
     json: bool,
@@ -74,6 +83,16 @@
             clean &= run(&args, &mut stage, number, &name, &faults);
         }
     }
+    if args.keep > 0 {
+        for node in &stage.cluster.nodes {
+            println!(
+                "kept: callers {} operators {}",
+                node.callers, node.operators
+            );
+        }
+        println!("platform {}", listening(&stage.cluster.platform));
+        sleep(Duration::from_secs(args.keep));
+    }
     println!("seed {seed}, {} calls a second", args.rate);
     ExitCode::from(u8::from(!clean))
 }
@@ -111,7 +130,11 @@
     let mut row = Row::new(name, &report, &stage.lost_addresses());
     row.notes.append(&mut stage.notes);
     row.notes.extend(recovery(stage));
+    row.notes.extend(bookings_after(stage, number));
     println!("{row}");
+    if args.views {
+        print_views(stage);
+    }
     row.is_clean()
 }
 
@@ -151,6 +174,45 @@
     notes
 }
 
+/// Books through each node after a fault and returns which nodes refused.
+fn bookings_after(stage: &Stage, number: u64) -> Vec<String> {
+    let refused_of = |node: usize| {
+        let caller = stage.cluster.nodes[node].caller();
+        let refused = (0..BOOKINGS_AFTER).filter(|booking| {
+            let key = format!("after-{number}-{node}-{booking}");
+            let answer = caller.book(&key, 1);
+            !answer.is_ok_and(|answer| answer.status == 200)
+        });
+        refused.count()
+    };
+    thread::scope(|scope| {
+        let nodes = 0..stage.cluster.nodes.len();
+        let threads: Vec<_> = nodes
+            .map(|n| (n, scope.spawn(move || refused_of(n))))
+            .collect();
+        let counts = threads
+            .into_iter()
+            .map(|(n, t)| (n, t.join().expect("no panic")));
+        counts
+            .filter(|(_, refused)| *refused > 0)
+            .map(|(n, refused)| {
+                format!("node-{n} refused {refused} of {BOOKINGS_AFTER} bookings afterwards")
+            })
+            .collect()
+    })
+}
+
+fn print_views(stage: &Stage) {
+    for (number, node) in stage.cluster.nodes.iter().enumerate() {
+        let status = stage.cluster.status(node).unwrap_or_default();
+        let nodes = status["nodes"].as_array().into_iter().flatten();
+        let view: Vec<_> = nodes
+            .map(|node| format!("{}:{}", node["node"], node["alive"]))
+            .collect();
+        println!("    node-{number} ({}): {}", node.domain, view.join(" "));
+    }
+}
+
 fn load(args: &Args, cluster: &ProcessCluster, seed: u64, seconds: u32) -> Command {
     let mut command = Command::new(program_path("shallottide-load"));
     let mut add = |name: &str, value: String| {
--- a/crates/shallottide_e2e/examples/fault_run_support/row.rs
+++ b/crates/shallottide_e2e/examples/fault_run_support/row.rs
@@ -1,7 +1,7 @@
 //! One line of the table.
 
 use std::collections::BTreeSet;
-use std::fmt;
+use std::fmt::{self, Write};
 
 use serde_json::Value;
 
@@ -28,7 +28,7 @@
 pub(crate) fn heading() -> String {
     let mut text = format!("{:<NAME_WIDTH$}", "fault");
     for column in COLUMNS {
-        text.push_str(&format!("{column:>NUMBER_WIDTH$}"));
+        let _ = write!(text, "{column:>NUMBER_WIDTH$}");
     }
     text
 }
@@ -60,6 +60,13 @@
         let faults = ["wrong", "double_runs", "false_not_run", "run_checks_failed"];
         let faults: u64 = faults.map(number).iter().sum();
         let mut notes = vec![report["refused_by_kind"].to_string()];
+        if report["refused_by_second"]
+            .as_object()
+            .is_some_and(|seconds| !seconds.is_empty())
+        {
+            let seconds = &report["refused_by_second"];
+            notes.push(format!("refused by second: {seconds}"));
+        }
         if cut + no_answer + faults > 0 || malformed {
             notes.push(report["examples"].to_string());
             notes.push(report["malformed_by_status"].to_string());
--- a/crates/shallottide_e2e/tests/faults.rs
+++ b/crates/shallottide_e2e/tests/faults.rs
@@ -1,9 +1,10 @@
 //! What must hold with real processes while some are killed, frozen or cut off.
 
-use std::io::Read;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use shallottide_demo::{Answer, Caller};
@@ -42,13 +43,6 @@
     thread::spawn(move || caller.complete("long", max_tokens).expect("an answer"))
 }
 
-fn wait_in_flight(cluster: &ProcessCluster, node: usize) {
-    cluster.wait_until("a call in flight", |cluster| {
-        let status = cluster.status(&cluster.nodes[node]);
-        status.is_some_and(|status| status["in_flight"].as_u64() > Some(0))
-    });
-}
-
 /// Returns how many completions the engines of a domain have run.
 fn engine_runs(cluster: &ProcessCluster, numbers: impl Iterator<Item = usize>) -> usize {
     numbers
@@ -74,7 +68,7 @@
 fn frozen_node_runs_no_claimed_call_twice() {
     let cluster = start(options("frozen_node"));
     let service = listening(&cluster.services[0]);
-    cluster.put(service, "/control", &json!({"faults": {"delay_ms": 100}}));
+    cluster.put(service, "/control", &json!({"faults": {"delay_ms": 300}}));
     let keys: Vec<_> = (0..16).map(|number| format!("frozen-{number}")).collect();
     let first: Vec<_> = keys
         .iter()
@@ -83,30 +77,46 @@
             thread::spawn(move || caller.book(&key, 1))
         })
         .collect();
-    wait_in_flight(&cluster, 0);
+    cluster.wait_until("a booking in flight", |cluster| {
+        let statuses = cluster.nodes.iter().filter_map(|node| cluster.status(node));
+        let mut in_flight = statuses.map(|status| status["in_flight"].as_u64());
+        in_flight.any(|calls| calls > Some(0))
+    });
     cluster.nodes[0].program.signal(Signal::STOP);
     let other = cluster.nodes[1].caller();
-    let again: Vec<_> = keys
+    let during: Vec<_> = keys
         .iter()
         .map(|key| {
             let (other, key) = (other.clone(), key.clone());
-            thread::spawn(move || book_until_settled(&other, &key))
+            thread::spawn(move || other.book(&key, 1).expect("an answer"))
         })
         .collect();
-    let again: Vec<_> = again.into_iter().map(|t| t.join().expect("ends")).collect();
+    cluster.wait_until("the frozen node counts as dead", |cluster| {
+        let status = cluster.status(&cluster.nodes[1]).unwrap_or_default();
+        let mut nodes = status["nodes"].as_array().into_iter().flatten();
+        nodes.any(|node| node["node"] == "node-0" && node["alive"] == false)
+    });
     cluster.nodes[0].program.signal(Signal::CONT);
+    for (key, call) in keys.iter().zip(during) {
+        check_runs(&cluster, key, &call.join().expect("the caller ends"));
+    }
     for call in first {
         let _ = call.join().expect("the caller ends");
     }
-    for (key, answer) in keys.iter().zip(again) {
-        let runs = cluster.runs_of(key);
-        assert!(runs <= 1, "{key} ran {runs} times: {}", answer.body);
-        if answer.status == 200 {
-            assert_eq!(runs, 1, "{key}: {}", answer.body);
-        }
-        if answer.did_not_run() {
-            assert_eq!(runs, 0, "{key}: {}", answer.body);
-        }
+    for key in &keys {
+        check_runs(&cluster, key, &book_until_settled(&other, key));
+    }
+}
+
+/// Compares an answer, the latest for its key, with how often the key ran.
+fn check_runs(cluster: &ProcessCluster, key: &str, answer: &Answer) {
+    let runs = cluster.runs_of(key);
+    assert!(runs <= 1, "{key} ran {runs} times: {}", answer.body);
+    if answer.status == 200 {
+        assert_eq!(runs, 1, "{key}: {}", answer.body);
+    }
+    if answer.did_not_run() {
+        assert_eq!(runs, 0, "{key}: {}", answer.body);
     }
 }
 
@@ -215,22 +225,24 @@
     assert_eq!(cluster.runs_of("lost"), 1);
 }
 
+/// Opens connections at once and keeps them open, so that none can wait for another to close.
 #[test]
 fn operators_port_answers_beside_silent_connections() {
     let cluster = start(options("silent_operators"));
-    let node = &cluster.nodes[0];
-    let connect = |address: SocketAddr| TcpStream::connect(address).expect("the node listens");
-    let silent: Vec<_> = (0..16).map(|_| connect(node.operators)).collect();
-    for _ in 0..16 {
-        assert!(cluster.status(node).is_some(), "a silent connection blocks");
-    }
-    // They were open all the time: nothing was written and none was closed.
-    for mut stream in silent {
-        stream.set_nonblocking(true).expect("a socket");
-        let read = stream.read(&mut [0]);
-        assert_eq!(
-            read.map_err(|e| e.kind()),
-            Err(std::io::ErrorKind::WouldBlock)
-        );
+    let address = cluster.nodes[0].operators;
+    let connect = |_| TcpStream::connect(address).expect("the node listens");
+    let mut connections: Vec<_> = (0..48).map(connect).collect();
+    let mut answered = 0;
+    for stream in &mut connections {
+        let timeout = Some(Duration::from_secs(5));
+        stream.set_read_timeout(timeout).expect("a socket");
+        let request = b"GET /livez HTTP/1.1\r\nHost: node\r\n\r\n";
+        stream.write_all(request).expect("an open connection");
+        let mut buf = [0; 12];
+        if stream.read_exact(&mut buf).is_ok() && buf == *b"HTTP/1.1 200" {
+            answered += 1;
+        }
     }
+    assert_eq!(answered, connections.len());
+    assert!(cluster.status(&cluster.nodes[0]).is_some());
 }
--- a/crates/shallottide_load/src/recorder.rs
+++ b/crates/shallottide_load/src/recorder.rs
@@ -87,6 +87,10 @@
         }
         self.count(outcome);
         self.count_lost(plan, outcome);
+        if matches!(outcome, Outcome::Refused { .. }) {
+            let second = plan.arrival.as_secs();
+            *self.report.refused_by_second.entry(second).or_default() += 1;
+        }
     }
 
     fn count_lost(&mut self, plan: &CallPlan, outcome: &Outcome) {
--- a/crates/shallottide_load/src/report.rs
+++ b/crates/shallottide_load/src/report.rs
@@ -28,6 +28,8 @@
         pub refused_by_ran: BTreeMap<Ran, u64>,
         /// Refusals that came as an event in a stream.
         pub refused_in_stream: u64,
+        /// Refusals by the second of the run in which their calls arrived.
+        pub refused_by_second: BTreeMap<u64, u64>,
         /// Refusals that can't be read, by HTTP status.
         pub malformed_by_status: BTreeMap<u16, u64>,
         /// Answers cut without a word.
