--- a/crates/shallottide_e2e/src/process_cluster.rs
+++ b/crates/shallottide_e2e/src/process_cluster.rs
@@ -217,11 +217,7 @@
         let path = self.options.dir.join(format!("node-{number}.toml"));
         std::fs::write(&path, settings).expect("a writable directory");
         let log = self.options.dir.join(format!("node-{number}.log"));
-        let program = Program::start(
-            "shallottided",
-            &["--config", path.to_str().expect("a text path")],
-            &log,
-        );
+        let program = start_daemon(&path, &log);
         EntryNode {
             callers: address(&program.ready, "callers"),
             operators: address(&program.ready, "operators"),
@@ -393,6 +389,22 @@
     }
 }
 
+/// Starts an entry node. A port of an earlier start may be in use for an outgoing connection
+/// of any process until that ends.
+fn start_daemon(settings: &Path, log: &Path) -> Program {
+    let deadline = Instant::now() + START_TIMEOUT;
+    let args = ["--config", settings.to_str().expect("a text path")];
+    loop {
+        match Program::try_start("shallottided", &args, log) {
+            Ok(program) => return program,
+            Err(e) if !e.contains("Address already in use") || Instant::now() > deadline => {
+                panic!("{e}")
+            }
+            Err(_) => std::thread::sleep(PAUSE),
+        }
+    }
+}
+
 fn start_engines(options: &ClusterOptions) -> Vec<Program> {
     (0..options.engines)
         .map(|number| start_engine(options, number, &[]))
--- a/crates/shallottide_e2e/src/program.rs
+++ b/crates/shallottide_e2e/src/program.rs
@@ -24,6 +24,17 @@
     /// If the program doesn't start or ends at once.
     #[must_use]
     pub fn start(name: &str, args: &[&str], log: &Path) -> Self {
+        Self::try_start(name, args, log).unwrap_or_else(|e| panic!("{e}"))
+    }
+
+    /// Starts a program that may end at once.
+    ///
+    /// # Errors
+    /// What it printed when it didn't start to serve.
+    ///
+    /// # Panics
+    /// If the program isn't built.
+    pub fn try_start(name: &str, args: &[&str], log: &Path) -> Result<Self, String> {
         let log_file = std::fs::File::create(log).expect("a writable directory");
         let mut child = Command::new(program_path(name))
             .args(args)
@@ -36,11 +47,12 @@
         BufReader::new(stdout)
             .read_line(&mut line)
             .expect("readable");
-        let ready = serde_json::from_str(&line).unwrap_or_else(|_| {
-            let errors = std::fs::read_to_string(log).unwrap_or_default();
-            panic!("{name} printed {line:?} at its start: {errors}")
-        });
-        Self { child, ready }
+        if let Ok(ready) = serde_json::from_str(&line) {
+            return Ok(Self { child, ready });
+        }
+        let _ = child.wait();
+        let errors = std::fs::read_to_string(log).unwrap_or_default();
+        Err(format!("{name} printed {line:?} at its start: {errors}"))
     }
 
     /// Sends a signal to the process.
