--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod front;
 pub mod groups;
 mod http_connect;
+mod http_server;
 pub mod kernel;
 pub mod members;
 pub mod message;
--- a/crates/standin/src/wire.rs
+++ b/crates/standin/src/wire.rs
@@ -30,6 +30,8 @@
     near: TcpStream,
     far: TcpStream,
     frozen: Arc<Mutex<bool>>,
+    /// Its two copying threads, whose ends tell that it is closed.
+    copying: [JoinHandle<()>; 2],
 }
 
 impl Wire {
@@ -51,6 +53,7 @@
                 if state.closed {
                     return;
                 }
+                state.open.retain(|open| !open.is_closed());
                 let Some(target) = state.target.filter(|_| !state.severed) else {
                     continue;
                 };
@@ -145,9 +148,20 @@
     fn start(near: TcpStream, far: TcpStream, captured: &Arc<Mutex<Vec<u8>>>) -> Self {
         let frozen = Arc::new(Mutex::new(false));
         let clone = |stream: &TcpStream| stream.try_clone().expect("a file descriptor");
-        copy(clone(&near), clone(&far), frozen.clone(), captured.clone());
-        copy(clone(&far), clone(&near), frozen.clone(), Arc::default());
-        Self { near, far, frozen }
+        let copying = [
+            copy(clone(&near), clone(&far), frozen.clone(), captured.clone()),
+            copy(clone(&far), clone(&near), frozen.clone(), Arc::default()),
+        ];
+        Self {
+            near,
+            far,
+            frozen,
+            copying,
+        }
+    }
+
+    fn is_closed(&self) -> bool {
+        self.copying.iter().all(JoinHandle::is_finished)
     }
 }
 
@@ -156,7 +170,7 @@
     mut to: TcpStream,
     frozen: Arc<Mutex<bool>>,
     captured: Arc<Mutex<Vec<u8>>>,
-) {
+) -> JoinHandle<()> {
     std::thread::spawn(move || {
         let mut buf = [0; 4096];
         while let Ok(n) = from.read(&mut buf) {
@@ -173,7 +187,7 @@
             }
         }
         let _ = to.shutdown(Shutdown::Both);
-    });
+    })
 }
 
 fn capture(captured: &Mutex<Vec<u8>>, bytes: &[u8]) {
