Never turn a stopping node ready again

Cause, found by reading: the kernel's loop set the node ready whenever it knew the records and did not yet know of the stop, so a stop that came between the two could leave readiness at 200 for its whole notice. Known records and stopping are now two facts, and ready is derived from them.

--- a/crates/shallottide/src/front/connection.rs
+++ b/crates/shallottide/src/front/connection.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -42,7 +41,7 @@
 }
 
 fn readiness(front: &Front) -> Response<ReplyBody> {
-    if front.ready.load(Ordering::Acquire) {
+    if front.ready.is_ready() {
         plain(200, "ready\n")
     } else {
         plain(503, "not ready: starting or stopping\n")
--- a/crates/shallottide/src/front/front_border.rs
+++ b/crates/shallottide/src/front/front_border.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use shallottide_types::id::{CallId, Incarnation, NodeId};
 
@@ -11,6 +11,7 @@
 use crate::http_server::{self, HttpLimits, HttpServer};
 use crate::kernel::KernelHandle;
 use crate::message::{Message, ReplyTo};
+use crate::readiness::Readiness;
 use crate::replies::ReplyDesk;
 use crate::settings::Limits;
 use crate::telemetry::Metrics;
@@ -33,7 +34,7 @@
     pub(super) options: FrontOptions,
     pub(super) kernel: KernelHandle,
     pub(super) desk: ReplyDesk,
-    pub(super) ready: Arc<AtomicBool>,
+    pub(super) ready: Readiness,
     gate: ConnectionGate,
     next: AtomicU64,
 }
@@ -58,12 +59,12 @@
 }
 
 impl FrontBorder {
-    /// Creates the border. Its readiness answers 200 while `ready` is set.
+    /// Creates the border. It answers for `ready` at `/readyz`.
     #[must_use]
     pub fn new(
         options: FrontOptions,
         kernel: KernelHandle,
-        ready: Arc<AtomicBool>,
+        ready: Readiness,
         gate: ConnectionGate,
     ) -> Self {
         Self {
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peers;
 pub mod platform_border;
 pub mod platform_client;
+pub mod readiness;
 pub mod replies;
 pub mod routing;
 pub mod settings;
--- a/crates/shallottide/src/node/running_node.rs
+++ b/crates/shallottide/src/node/running_node.rs
@@ -12,6 +12,7 @@
 use crate::kernel::{KernelHandle, names};
 use crate::message::Message;
 use crate::peers::PeerTraffic;
+use crate::readiness::Readiness;
 use crate::settings::StopSettings;
 
 /// Most connections from peers; each node has one to each that it talks to.
@@ -41,7 +42,7 @@
 #[derive(Clone)]
 pub(super) struct NodeFlags {
     /// Whether the balancer may send callers here.
-    pub(super) ready: Arc<AtomicBool>,
+    pub(super) ready: Readiness,
     /// Set once the node's threads are to end.
     pub(super) ended: Arc<AtomicBool>,
     /// Calls in flight on this node.
@@ -60,7 +61,7 @@
     /// Creates the state of a node that takes at most `callers` connections from callers.
     pub(super) fn new(callers: usize) -> Self {
         Self {
-            ready: Arc::default(),
+            ready: Readiness::default(),
             ended: Arc::default(),
             calls: Arc::default(),
             claims: Arc::default(),
@@ -104,7 +105,7 @@
     }
 
     fn end(self) {
-        self.flags.ready.store(false, Ordering::Release);
+        self.flags.ready.stop();
         self.flags.callers.close();
         self.flags.peers.close();
         self.flags.ended.store(true, Ordering::Release);
--- a/crates/shallottide/src/node/stop_sequence.rs
+++ b/crates/shallottide/src/node/stop_sequence.rs
@@ -33,7 +33,7 @@
     /// waits for calls in flight, and lets peers go last.
     pub(super) fn run(&self) -> StopReport {
         tracing::info!(notice = ?self.settings.notice, "stopping");
-        self.flags.ready.store(false, Ordering::Release);
+        self.flags.ready.stop();
         for name in [names::MEMBERS, names::GROUPS, names::CLAIMS, names::CONFIG] {
             self.kernel.send(name, Message::Stop);
         }
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -158,10 +158,8 @@
             let _ = tx.send(Ok(started));
             let ready = flags.ready.clone();
             kernel.run(move |cx| {
-                // Callers are let in once the records are known, and not again after a stop.
-                if !flags.callers.is_closed() && !cx.me().stopping && !cx.config().teams.is_empty()
-                {
-                    ready.store(true, Ordering::Release);
+                if !cx.config().teams.is_empty() {
+                    ready.records_known();
                 }
                 flags.ended.load(Ordering::Acquire)
             });
--- a/crates/shallottide/src/operators/operator_border.rs
+++ b/crates/shallottide/src/operators/operator_border.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -20,6 +19,7 @@
 use crate::http_server::{HttpLimits, HttpServer, bind};
 use crate::kernel::{KernelHandle, names};
 use crate::message::{Message, StatusWanted};
+use crate::readiness::Readiness;
 
 /// Longest wait for the kernel's answer.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,14 +45,14 @@
 pub struct OperatorBorder {
     kernel: KernelHandle,
     tokens: Arc<Vec<KeyHash>>,
-    ready: Arc<AtomicBool>,
+    ready: Readiness,
     state: Arc<Mutex<State>>,
 }
 
 impl OperatorBorder {
     /// Creates the border. `tokens` are the hashes of valid bearer tokens.
     #[must_use]
-    pub fn new(kernel: KernelHandle, tokens: Vec<KeyHash>, ready: Arc<AtomicBool>) -> Self {
+    pub fn new(kernel: KernelHandle, tokens: Vec<KeyHash>, ready: Readiness) -> Self {
         Self {
             kernel,
             tokens: Arc::new(tokens),
@@ -129,7 +129,7 @@
     }
 
     fn readiness(&self) -> (StatusCode, String) {
-        let ready = self.ready.load(Ordering::Acquire);
+        let ready = self.ready.is_ready();
         let status = if ready {
             StatusCode::OK
         } else {
--- a/crates/shallottide/tests/front/front_node.rs
+++ b/crates/shallottide/tests/front/front_node.rs
@@ -2,7 +2,6 @@
 
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
@@ -10,6 +9,7 @@
 use shallottide::front::{FrontBorder, FrontOptions};
 use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
 use shallottide::message::{CallArrived, Message, Reply, ReplyTo};
+use shallottide::readiness::Readiness;
 use shallottide::settings::Limits;
 use shallottide::telemetry::Metrics;
 use shallottide_types::call::ReplyEvent;
@@ -74,7 +74,8 @@
                 limits,
                 metrics: Metrics::none(),
             };
-            let ready = Arc::new(AtomicBool::new(true));
+            let ready = Readiness::default();
+            ready.records_known();
             let border = FrontBorder::new(options, kernel.handle(), ready, nodes_gate);
             let any = "127.0.0.1:0".parse().expect("valid");
             let listener = FrontBorder::bind(any).expect("a free port");
