Grant calls that run once by tickets, without the platform

Cause: a failure domain cut off from the platform refused every call that may not be repeated, because claims are written into the platform.

Before: such calls were refused as platform_down within 3 s. After: POST /tickets mints keys that their minting entry VM grants from memory, once; a claim through another node is relayed to the minter and its outcome reported back. No platform call is made.

Ruled out: a second table in the platform for tickets (no use when it is cut off); replicas of the used tickets on other nodes (two nodes that can't see each other could both grant).

--- a/crates/shallottide/src/auth/auth_service.rs
+++ b/crates/shallottide/src/auth/auth_service.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use shallottide_types::call::ReplyEvent;
+use shallottide_types::id::TeamId;
+use shallottide_types::record::KeyHash;
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
 
 use crate::kernel::{Context, Name, Outbox, Service, names};
-use crate::message::{CallPresented, Message, Reply};
+use crate::message::{CallPresented, Message, Reply, ReplyTo, TicketsWanted};
 
 /// When a caller may try again at a node that has just started.
 const RETRY_STARTING: Duration = Duration::from_secs(1);
@@ -21,21 +23,45 @@
     }
 
     fn handle(&mut self, message: Message, cx: &Context, out: &mut Outbox) {
-        let Message::CallPresented(CallPresented { key, mut call }) = message else {
-            return;
-        };
-        let config = cx.config();
-        let Some(team) = key.and_then(|key| config.team_keys.get(&key)) else {
-            let event = ReplyEvent::Fail(refusal(key.is_some(), config.teams.is_empty()));
-            let reply_to = call.reply_to;
-            out.send(names::FRONT, Reply { reply_to, event });
-            return;
-        };
-        call.head.team = team.clone();
-        out.send(names::CALLS, call);
+        match message {
+            Message::CallPresented(CallPresented { key, mut call }) => {
+                if let Some(team) = team_of(key, call.reply_to, cx, out) {
+                    call.head.team = team;
+                    out.send(names::CALLS, call);
+                }
+            }
+            Message::TicketsPresented(presented) => {
+                let (reply_to, count) = (presented.reply_to, presented.count);
+                if let Some(team) = team_of(presented.key, reply_to, cx, out) {
+                    let wanted = TicketsWanted {
+                        reply_to,
+                        team,
+                        count,
+                    };
+                    out.send(names::CLAIMS, wanted);
+                }
+            }
+            _ => {}
+        }
     }
 }
 
+/// Finds the team of a key, or refuses.
+fn team_of(
+    key: Option<KeyHash>,
+    reply_to: ReplyTo,
+    cx: &Context,
+    out: &mut Outbox,
+) -> Option<TeamId> {
+    let config = cx.config();
+    let team = key.as_ref().and_then(|key| config.team_keys.get(key));
+    if team.is_none() {
+        let event = ReplyEvent::Fail(refusal(key.is_some(), config.teams.is_empty()));
+        out.send(names::FRONT, Reply { reply_to, event });
+    }
+    team.cloned()
+}
+
 fn refusal(has_key: bool, is_starting: bool) -> Refusal {
     if is_starting {
         let message = "this node has no records yet: retry, or call another node";
--- a/crates/shallottide/src/calls.rs
+++ b/crates/shallottide/src/calls.rs
@@ -21,3 +21,4 @@
 pub use call_counts::CallCounts;
 pub use call_options::CallOptions;
 pub use call_service::CallService;
+pub(crate) use claiming::claim_id;
--- a/crates/shallottide/src/calls/arrival.rs
+++ b/crates/shallottide/src/calls/arrival.rs
@@ -4,6 +4,7 @@
 
 use shallottide_types::call::{ReplyEvent, Target};
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+use shallottide_types::ticket::Ticket;
 
 use super::CallService;
 use super::answer::Answer;
@@ -108,10 +109,13 @@
     let head = &arrived.head;
     let is_model = matches!(head.target, Target::Model(_));
     match &head.key {
-        Some(key) if is_model || repeat == Repeat::Never => Ok(Rules {
-            repeat: Repeat::Never,
-            claim: Claim::Waiting(claim_id(&head.team, key)),
-        }),
+        Some(key) if is_model || repeat == Repeat::Never => {
+            Ticket::of_key(key).map_err(|e| rejected(RefusalKind::BadRequest, &e.to_string()))?;
+            Ok(Rules {
+                repeat: Repeat::Never,
+                claim: Claim::Waiting(claim_id(&head.team, key)),
+            })
+        }
         None if repeat == Repeat::Never => Err(rejected(
             RefusalKind::KeyRequired,
             "this call may run at most once: send an Idempotency-Key header",
--- a/crates/shallottide/src/calls/claiming.rs
+++ b/crates/shallottide/src/calls/claiming.rs
@@ -6,6 +6,7 @@
 use shallottide_types::id::{IdempotencyKey, TeamId};
 use shallottide_types::peer::{ClaimAnswer, ClaimEnd, ClaimId};
 use shallottide_types::refusal::Ran;
+use shallottide_types::ticket::Ticket;
 
 use super::CallService;
 use super::call::{Call, Claim};
@@ -15,7 +16,7 @@
 use crate::message::{ClaimDone, ClaimReply, ClaimWanted};
 
 /// Hashes a team and its key. Teams never share keys.
-pub(super) fn claim_id(team: &TeamId, key: &IdempotencyKey) -> ClaimId {
+pub(crate) fn claim_id(team: &TeamId, key: &IdempotencyKey) -> ClaimId {
     let hash = hash_parts(&[team.as_str().as_bytes(), key.as_str().as_bytes()]);
     let (first, _) = hash.split_first_chunk().expect("SHA-256 has 32 bytes");
     ClaimId(u128::from_be_bytes(*first))
@@ -48,6 +49,12 @@
     hasher.finalize().into()
 }
 
+/// Returns the key of a call when it is a ticket; malformed ones were refused on arrival.
+fn ticket_of(call: &Call) -> Option<Ticket> {
+    let key = call.head.key.as_ref()?;
+    Ticket::of_key(key).ok().flatten()
+}
+
 /// Asks for a call's claim.
 pub(super) fn ask_for_claim(call: &Call, claim: ClaimId, cx: &Context, out: &mut Outbox) {
     let wanted = ClaimWanted {
@@ -55,6 +62,7 @@
         claim,
         digest: digest(call),
         time_left: call.time_left(cx.now()),
+        ticket: ticket_of(call),
     };
     out.send(names::CLAIMS, wanted);
 }
--- a/crates/shallottide/src/calls/refusals.rs
+++ b/crates/shallottide/src/calls/refusals.rs
@@ -117,6 +117,17 @@
             Ran::Unknown,
             "the key was used before and its outcome is no longer kept: use a new key",
         ),
+        ClaimAnswer::NoTicket => (
+            RefusalKind::BadRequest,
+            Ran::No,
+            "the ticket was not minted for this team: fetch one by POST /tickets",
+        ),
+        ClaimAnswer::MinterUnreachable => (
+            RefusalKind::MinterUnreachable,
+            Ran::Unknown,
+            "the entry VM that minted the ticket gave no answer; this request did not run, an \
+             earlier one with its ticket may have: retry with the same ticket",
+        ),
         ClaimAnswer::NotClaimed | ClaimAnswer::Unknown | ClaimAnswer::Granted => (
             RefusalKind::PlatformDown,
             Ran::Unknown,
@@ -126,7 +137,9 @@
     };
     let refusal = Refusal::new(kind, ran, message);
     match kind {
-        RefusalKind::Running | RefusalKind::PlatformDown => refusal.retry_after(wait),
+        RefusalKind::Running | RefusalKind::PlatformDown | RefusalKind::MinterUnreachable => {
+            refusal.retry_after(wait)
+        }
         _ => refusal,
     }
 }
--- a/crates/shallottide/src/claims/claim_entry.rs
+++ b/crates/shallottide/src/claims/claim_entry.rs
@@ -4,8 +4,9 @@
 use sha2::{Digest, Sha256};
 use shallottide_types::data;
 use shallottide_types::id::{CallId, Incarnation, NodeId};
-use shallottide_types::peer::{ClaimAnswer, ClaimEnd};
+use shallottide_types::peer::{ClaimAnswer, ClaimEnd, ClaimRequest};
 
+use super::ClaimOptions;
 use super::job::Moment;
 
 data! {
@@ -44,6 +45,26 @@
     /// Size in the stored form without the owner's id and the kept answer, rounded up.
     const FIXED_BYTES: usize = 80;
 
+    /// Creates the entry of a claim that is granted now.
+    pub(super) fn granted(request: &ClaimRequest, moment: &Moment, options: &ClaimOptions) -> Self {
+        let lives = request.time_left.saturating_add(options.expiry_margin);
+        let expires_at = moment.unix_s.saturating_add(lives.as_secs());
+        Self {
+            digest: request.digest,
+            holder: Holder::of(&request.call),
+            owner: request.owner.clone(),
+            incarnation: request.incarnation,
+            claimed_at: moment.unix_s,
+            expires_at: expires_at.saturating_add(1),
+            end: None,
+        }
+    }
+
+    /// Tells whether a call holds the key and may still run.
+    pub(super) fn is_granted_to(&self, request: &ClaimRequest, moment: &Moment) -> bool {
+        self.holder == Holder::of(&request.call) && !self.is_over(moment)
+    }
+
     /// Returns about how many bytes the entry takes.
     pub(super) fn size(&self) -> usize {
         let kept = self.end.as_ref().map_or(0, kept_bytes);
--- a/crates/shallottide/src/claims/claim_options.rs
+++ b/crates/shallottide/src/claims/claim_options.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::ClaimCounts;
 use super::job::Task;
+use super::{ClaimCounts, TicketOptions};
 
 /// Limits and timeouts of the claims service.
 #[derive(Debug, Clone)]
@@ -36,6 +36,8 @@
     pub expiry_margin: Duration,
     /// Most claims and outcomes waiting in one partition.
     pub max_waiting: usize,
+    /// Limits of tickets.
+    pub tickets: TicketOptions,
     /// Counts shared with whoever decides about stopping.
     pub counts: Arc<ClaimCounts>,
 }
@@ -56,6 +58,7 @@
             outcome_timeout: Duration::from_mins(10),
             expiry_margin: Duration::from_secs(5),
             max_waiting: 4_096,
+            tickets: TicketOptions::default(),
             counts: Arc::default(),
         }
     }
--- a/crates/shallottide/src/claims/claim_service.rs
+++ b/crates/shallottide/src/claims/claim_service.rs
@@ -12,6 +12,7 @@
 use super::partition::Partition;
 use super::relaying::relay;
 use super::request::{Request, Via};
+use super::ticket_book::TicketBook;
 use super::token_source::TokenSource;
 use super::writer_choice::preferred_writer;
 use crate::kernel::{Context, Name, Outbox, Service, names};
@@ -43,6 +44,7 @@
     /// The partition of each platform call under way.
     ops: BTreeMap<u64, u16>,
     pub(super) tokens: TokenSource,
+    pub(super) tickets: TicketBook,
     /// When timeouts were last looked for.
     expired_at: Option<Instant>,
 }
@@ -61,6 +63,7 @@
             suspects: BTreeMap::new(),
             ops: BTreeMap::new(),
             tokens: TokenSource::default(),
+            tickets: TicketBook::default(),
             expired_at: None,
         }
     }
@@ -76,6 +79,7 @@
             owner: me.node,
             incarnation: me.incarnation,
             time_left: wanted.time_left,
+            ticket: wanted.ticket,
         };
         let patience = wanted.time_left.min(self.options.claim_timeout);
         self.waiting.insert(wanted.call.clone(), token);
@@ -102,7 +106,8 @@
         Some(request)
     }
 
-    /// Gives a request to the partition's preferred writer, which may be this node.
+    /// Gives a request to the ticket's minter or the partition's preferred writer, which may be
+    /// this node.
     pub(super) fn submit(
         &mut self,
         token: u64,
@@ -110,6 +115,10 @@
         cx: &Context,
         out: &mut Outbox,
     ) {
+        if let Some(minter) = request.task.ticket().cloned() {
+            self.submit_ticket(token, request, &minter, cx, out);
+            return;
+        }
         let partition = partition_of(request.task.claim());
         let members = cx.members();
         match preferred_writer(partition, &members, &self.suspects) {
@@ -178,7 +187,7 @@
         self.pump(number, cx, out);
     }
 
-    fn deliver(&mut self, answered: Vec<Answered>, cx: &Context, out: &mut Outbox) {
+    pub(super) fn deliver(&mut self, answered: Vec<Answered>, cx: &Context, out: &mut Outbox) {
         for (asker, answer) in answered {
             match asker {
                 Asker::Local(token) => self.on_own_answer(token, answer, cx, out),
@@ -207,7 +216,10 @@
         } else {
             self.give_up(token, &request, cx);
         }
-        if answer == ClaimAnswer::Unknown {
+        if matches!(
+            answer,
+            ClaimAnswer::Unknown | ClaimAnswer::MinterUnreachable
+        ) {
             self.give_back_unknown(&request, cx, out);
         }
         let claim = request.task.claim();
@@ -235,8 +247,10 @@
         for partition in &mut self.partitions {
             answered.extend(partition.expire(&moment, &self.options));
         }
+        self.tickets.expire(&moment);
         self.deliver(answered, cx, out);
         self.expire_relays(cx, out);
+        self.expire_ticket_requests(cx, out);
         let is_current = |partition: &Partition, token: &u64| {
             partition
                 .busy
@@ -255,7 +269,7 @@
     }
 }
 
-fn moment<'a>(cx: &Context, members: &'a MemberView) -> Moment<'a> {
+pub(super) fn moment<'a>(cx: &Context, members: &'a MemberView) -> Moment<'a> {
     Moment {
         now: cx.now(),
         unix_s: cx.unix_time().as_secs(),
@@ -280,9 +294,12 @@
             Message::ClaimDone(done) => self.on_done(done, cx, out),
             Message::PlatformReply(reply) => self.on_platform(reply, cx, out),
             Message::PeerReceived(received) => self.on_peer(received, cx, out),
+            Message::TicketsWanted(wanted) => self.on_tickets_wanted(&wanted, cx, out),
             Message::Tick => self.on_tick(cx, out),
+            Message::Stop => self.tickets.stopping = true,
             _ => {}
         }
-        self.options.counts.set_pending(self.requests.len());
+        let pending = self.requests.len() + self.tickets.running();
+        self.options.counts.set_pending(pending);
     }
 }
--- a/crates/shallottide/src/claims/ending.rs
+++ b/crates/shallottide/src/claims/ending.rs
@@ -1,7 +1,6 @@
 //! How claims end: recorded, or given back when their calls won't run.
 
-use shallottide_types::id::CallId;
-use shallottide_types::peer::{ClaimEnd, ClaimId, ClaimOutcome};
+use shallottide_types::peer::{ClaimEnd, ClaimOutcome, ClaimRequest};
 
 use super::ClaimService;
 use super::held::Held;
@@ -34,8 +33,8 @@
     /// Frees the key of a claim that may be written for a call that won't run.
     pub(super) fn give_back_unknown(&mut self, request: &Request, cx: &Context, out: &mut Outbox) {
         if let Task::Claim(claimed) = &request.task {
-            let (claim, holder) = (claimed.claim, claimed.call.clone());
-            self.record_end(claim, holder, ClaimEnd::NotRun, cx, out);
+            let held = self.held(claimed, cx);
+            self.record_held(Some(held), ClaimEnd::NotRun, cx, out);
         }
     }
 
@@ -51,14 +50,19 @@
 
     /// Returns what a request may hold.
     pub(super) fn held_by(&self, request: &Request, cx: &Context) -> Option<Held> {
-        let Task::Claim(claimed) = &request.task else {
-            return None;
-        };
-        Some(Held {
+        match &request.task {
+            Task::Claim(claimed) => Some(self.held(claimed, cx)),
+            Task::End(_) => None,
+        }
+    }
+
+    fn held(&self, claimed: &ClaimRequest, cx: &Context) -> Held {
+        Held {
             claim: claimed.claim,
             holder: claimed.call.clone(),
+            ticket: claimed.ticket.clone(),
             until: cx.now() + claimed.time_left + self.options.outcome_timeout,
-        })
+        }
     }
 
     /// Gives back a claim that was granted after it was given up.
@@ -68,28 +72,23 @@
     }
 
     fn record_held(&mut self, held: Option<Held>, end: ClaimEnd, cx: &Context, out: &mut Outbox) {
-        if let Some(held) = held {
-            self.record_end(held.claim, held.holder, end, cx, out);
-        }
-    }
-
-    fn record_end(
-        &mut self,
-        claim: ClaimId,
-        holder: CallId,
-        end: ClaimEnd,
-        cx: &Context,
-        out: &mut Outbox,
-    ) {
+        let Some(held) = held else {
+            return;
+        };
         let token = self.tokens.next(cx);
+        let patience = match (&held.ticket, &end) {
+            (Some(_), ClaimEnd::NotRun) => self.options.tickets.give_back_timeout,
+            _ => self.options.outcome_timeout,
+        };
         let outcome = ClaimOutcome {
             token,
-            claim,
-            call: holder,
+            claim: held.claim,
+            call: held.holder,
             end,
+            ticket: held.ticket,
         };
         let (now, task) = (cx.now(), Task::End(outcome));
-        let request = Request::new(None, task, now, now + self.options.outcome_timeout);
+        let request = Request::new(None, task, now, now + patience);
         self.submit(token, request, cx, out);
     }
 }
--- a/crates/shallottide/src/claims/job.rs
+++ b/crates/shallottide/src/claims/job.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use shallottide_types::peer::{ClaimAnswer, ClaimId, ClaimOutcome, ClaimRequest};
+use shallottide_types::ticket::Ticket;
 
 use crate::view::MemberView;
 
@@ -35,6 +36,14 @@
         }
     }
 
+    /// Returns the ticket that is used as the key.
+    pub(super) fn ticket(&self) -> Option<&Ticket> {
+        match self {
+            Self::Claim(request) => request.ticket.as_ref(),
+            Self::End(outcome) => outcome.ticket.as_ref(),
+        }
+    }
+
     pub(super) fn is_claim(&self) -> bool {
         matches!(self, Self::Claim(_))
     }
--- a/crates/shallottide/src/claims/recent_claims.rs
+++ b/crates/shallottide/src/claims/recent_claims.rs
@@ -68,8 +68,7 @@
         options: &ClaimOptions,
     ) -> Applied {
         if let Some(entry) = self.entries.get(&request.claim) {
-            let granted = entry.holder == Holder::of(&request.call) && !entry.is_over(moment);
-            if granted {
+            if entry.is_granted_to(request, moment) {
                 return Applied::unchanged(ClaimAnswer::Granted);
             }
             return Applied::unchanged(entry.answer(request.digest, moment));
@@ -80,19 +79,7 @@
         if self.size() >= options.max_recent_bytes || old.len() >= options.max_old_keys {
             return Applied::unchanged(ClaimAnswer::NotClaimed);
         }
-        let lives = request.time_left.saturating_add(options.expiry_margin);
-        let entry = ClaimEntry {
-            digest: request.digest,
-            holder: Holder::of(&request.call),
-            owner: request.owner.clone(),
-            incarnation: request.incarnation,
-            claimed_at: moment.unix_s,
-            expires_at: moment
-                .unix_s
-                .saturating_add(lives.as_secs())
-                .saturating_add(1),
-            end: None,
-        };
+        let entry = ClaimEntry::granted(request, moment, options);
         self.entries.insert(request.claim, entry);
         Applied {
             answer: ClaimAnswer::Granted,
--- a/crates/shallottide/src/claims/relaying.rs
+++ b/crates/shallottide/src/claims/relaying.rs
@@ -46,6 +46,10 @@
             }
             return;
         };
+        if request.task.ticket().is_some() {
+            self.on_minter_answer(from, token, answer, cx, out);
+            return;
+        }
         if answer == ClaimAnswer::NotClaimed {
             request.open.remove(from);
         }
@@ -67,7 +71,7 @@
         let late: Vec<_> = self
             .requests
             .iter()
-            .filter(|(_, request)| is_late(request))
+            .filter(|(_, request)| request.task.ticket().is_none() && is_late(request))
             .map(|(token, request)| (*token, request.via.clone(), request.task.is_claim()))
             .collect();
         for (token, via, is_claim) in late {
@@ -144,6 +148,10 @@
             return;
         };
         let asker = Asker::Peer(node.info.address, token);
+        if let Some(answer) = self.apply_ticket(&task, cx) {
+            self.deliver(vec![(asker, answer)], cx, out);
+            return;
+        }
         let job = Job::new(asker, task, cx.now(), cx.now() + patience);
         self.enqueue(job, cx, out);
     }
--- a/crates/shallottide/src/claims/request.rs
+++ b/crates/shallottide/src/claims/request.rs
@@ -50,7 +50,9 @@
     /// Notes that a writer is asked.
     pub(super) fn ask(&mut self, node: &NodeId, since: Instant) {
         let node = node.clone();
-        self.asked.push(node.clone());
+        if !self.asked.contains(&node) {
+            self.asked.push(node.clone());
+        }
         self.open.insert(node.clone());
         self.via = Via::Peer(node);
         self.since = since;
--- a/crates/shallottide/src/front.rs
+++ b/crates/shallottide/src/front.rs
@@ -5,6 +5,7 @@
 mod front_border;
 mod reply_body;
 mod stall_guard;
+mod ticket_request;
 
 pub use call_request::{CallRequest, read_call};
 pub use front_border::{FrontBorder, FrontOptions};
--- a/crates/shallottide/src/front/call_request.rs
+++ b/crates/shallottide/src/front/call_request.rs
@@ -128,13 +128,13 @@
     Ok(asked.min(default))
 }
 
-fn trace(headers: &HeaderMap) -> Result<Trace, Refusal> {
+pub(super) fn trace(headers: &HeaderMap) -> Result<Trace, Refusal> {
     // A malformed traceparent is ignored, as the W3C recommendation asks.
     let trace = text(headers, "traceparent")?.and_then(|value| value.parse().ok());
     Ok(trace.unwrap_or_else(new_trace))
 }
 
-fn bearer(headers: &HeaderMap) -> Result<Option<&str>, Refusal> {
+pub(super) fn bearer(headers: &HeaderMap) -> Result<Option<&str>, Refusal> {
     Ok(text(headers, AUTHORIZATION.as_str())?
         .and_then(|value| value.strip_prefix("Bearer "))
         .map(str::trim))
@@ -151,6 +151,6 @@
     })
 }
 
-fn bad_request(reason: impl std::fmt::Display) -> Refusal {
+pub(super) fn bad_request(reason: impl std::fmt::Display) -> Refusal {
     Refusal::new(RefusalKind::BadRequest, Ran::No, reason.to_string())
 }
--- a/crates/shallottide/src/front/connection.rs
+++ b/crates/shallottide/src/front/connection.rs
@@ -13,11 +13,12 @@
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
 use tokio::sync::mpsc;
 
-use super::call_request::{CallRequest, read_call};
+use super::call_request::{CallRequest, read_call, trace};
 use super::front_border::Front;
 use super::reply_body::{EventBody, ReplyBody};
+use super::ticket_request::{TicketRequest, read_ticket_request};
 use crate::kernel::names;
-use crate::message::{CallArrived, CallPresented};
+use crate::message::{CallArrived, CallPresented, TicketsPresented};
 use crate::replies::GoneGuard;
 use crate::telemetry::CallSpan;
 
@@ -33,6 +34,9 @@
     let mut response = match request.uri().path() {
         "/livez" => plain(200, "live\n"),
         "/readyz" => readiness(&front),
+        "/tickets" => tickets(&front, request)
+            .await
+            .unwrap_or_else(|e| refuse(&e)),
         _ => call(&front, request).await.unwrap_or_else(|e| refuse(&e)),
     };
     if let Some(id) = caller_id {
@@ -73,6 +77,32 @@
     answer(first, events, guard, span)
 }
 
+/// Mints tickets for the caller's team.
+async fn tickets(
+    front: &Arc<Front>,
+    request: Request<Incoming>,
+) -> Result<Response<ReplyBody>, Refusal> {
+    let (parts, body) = request.into_parts();
+    let body = read_body(front, body).await?;
+    let TicketRequest { key, count } = read_ticket_request(&parts, &body)?;
+    let trace = trace(&parts.headers)?;
+    let span = CallSpan::start(
+        "tickets",
+        &front.next_call_id(),
+        trace,
+        &front.options.metrics,
+    );
+    let (guard, mut events) = front.desk.wait();
+    let presented = TicketsPresented {
+        reply_to: guard.reply_to(),
+        key,
+        count,
+    };
+    front.kernel.send(names::AUTH, presented);
+    let first = events.recv().await;
+    answer(first, events, guard, span)
+}
+
 fn answer(
     first: Option<ReplyEvent>,
     events: mpsc::Receiver<ReplyEvent>,
--- a/crates/shallottide/src/message.rs
+++ b/crates/shallottide/src/message.rs
@@ -5,6 +5,7 @@
 mod operator_messages;
 mod peer_messages;
 mod platform_messages;
+mod ticket_messages;
 
 pub use call_messages::{
     AttemptEvent, AttemptFailure, CallArrived, CallPresented, CancelAttempt, ClaimDone, ClaimReply,
@@ -14,6 +15,7 @@
 pub use operator_messages::{StatusReply, StatusWanted};
 pub use peer_messages::{PeerReceived, PeerSend};
 pub use platform_messages::{PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest};
+pub use ticket_messages::{TicketsPresented, TicketsWanted};
 
 use shallottide_types::id::AttemptId;
 use shallottide_types::peer::LoadSummary;
@@ -47,6 +49,10 @@
     ClaimReply(ClaimReply),
     /// A claimed call ended, from `CALLS` to `CLAIMS`.
     ClaimDone(ClaimDone),
+    /// A caller wants tickets, from `FRONT` to `AUTH`.
+    TicketsPresented(TicketsPresented),
+    /// A known team wants tickets, from `AUTH` to `CLAIMS`.
+    TicketsWanted(TicketsWanted),
     /// A platform call, to `PLATFORM`.
     PlatformRequest(PlatformRequest),
     /// Its result, to the service that asked.
@@ -104,5 +110,7 @@
     EnginePoll,
     EngineReported,
     StatusWanted,
-    StatusReply
+    StatusReply,
+    TicketsPresented,
+    TicketsWanted
 );
--- a/crates/shallottide/src/message/call_messages.rs
+++ b/crates/shallottide/src/message/call_messages.rs
@@ -9,6 +9,7 @@
 use shallottide_types::peer::{ClaimAnswer, ClaimEnd, ClaimId, ForwardedCall, NodeInfo, Slot};
 use shallottide_types::record::KeyHash;
 use shallottide_types::refusal::Refusal;
+use shallottide_types::ticket::Ticket;
 
 /// Where the answer of a call goes: a number that the border handed out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -126,6 +127,8 @@
     pub digest: u64,
     /// How long the caller can wait for the claim.
     pub time_left: Duration,
+    /// The key, when it is a ticket.
+    pub ticket: Option<Ticket>,
 }
 
 /// Answers a claim.
--- a/crates/shallottide/tests/call_support/fleet.rs
+++ b/crates/shallottide/tests/call_support/fleet.rs
@@ -9,7 +9,7 @@
 use shallottide::kernel::{Context, Name, Outbox, Service, names};
 use shallottide::message::{AttemptEvent, AttemptFailure, CallArrived, Message};
 use shallottide::message::{
-    PeerReceived, PeerSend, PlatformAnswer, PlatformReply, PlatformRequest, ReplyTo,
+    PeerReceived, PeerSend, PlatformAnswer, PlatformReply, PlatformRequest, ReplyTo, TicketsWanted,
 };
 use shallottide::routing::Route;
 use shallottide::view::{MemberView, NodeState};
@@ -17,7 +17,7 @@
 use shallottide_types::clock::{Clock, ManualClock};
 use shallottide_types::id::{AttemptId, CallId, Incarnation, StoreIndex};
 use shallottide_types::peer::{NodeInfo, PeerMsg};
-use shallottide_types::refusal::{Ran, RefusalKind};
+use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
 
 use super::platform::{FakePlatform, unreachable};
 use super::{Kind, SharedBorders, arrived, local, node_info, peer, records};
@@ -41,6 +41,13 @@
         matches!(self, Self::Run(..))
     }
 
+    /// Tells whether it is a claim or outcome for a peer.
+    pub(crate) fn is_relay(&self) -> bool {
+        matches!(self, Self::Deliver(_, _, _, message) if matches!(&**message,
+            Message::PeerReceived(received)
+                if matches!(received.msg, PeerMsg::Claim(_) | PeerMsg::ClaimEnded(_))))
+    }
+
     pub(crate) fn is_claim_answer(&self) -> bool {
         let Self::Deliver(_, _, _, message) = self else {
             return false;
@@ -82,6 +89,8 @@
     pub(crate) platform: FakePlatform,
     /// On its way, oldest first.
     pub(crate) events: Vec<Event>,
+    /// Platform calls of all nodes, whether they reached the platform or not.
+    pub(crate) platform_calls: u64,
     pub(crate) runs_by_key: BTreeMap<String, u32>,
     pub(crate) runs_by_call: BTreeMap<CallId, u32>,
     /// What each caller got.
@@ -105,6 +114,7 @@
             nodes: Vec::new(),
             platform: FakePlatform::default(),
             events: Vec::new(),
+            platform_calls: 0,
             runs_by_key: BTreeMap::new(),
             runs_by_call: BTreeMap::new(),
             replies: BTreeMap::new(),
@@ -199,9 +209,14 @@
     }
 
     pub(crate) fn book_body(&mut self, i: usize, key: &str, body: &str) -> u64 {
+        self.book_as("team", i, key, body)
+    }
+
+    pub(crate) fn book_as(&mut self, team: &str, i: usize, key: &str, body: &str) -> u64 {
         self.last += 1;
         let number = self.last;
         let mut call = arrived(Kind::Booking, ReplyTo::Front(number));
+        call.head.team = team.parse().unwrap();
         call.head.key = Some(key.parse().unwrap());
         call.body = body.to_string().into();
         self.calls
@@ -211,6 +226,38 @@
         number
     }
 
+    /// Asks a node for tickets.
+    pub(crate) fn mint(&mut self, i: usize, count: usize) -> Result<Vec<String>, Refusal> {
+        self.mint_for("team", i, count)
+    }
+
+    pub(crate) fn mint_for(
+        &mut self,
+        team: &str,
+        i: usize,
+        count: usize,
+    ) -> Result<Vec<String>, Refusal> {
+        self.last += 1;
+        let number = self.last;
+        let wanted = TicketsWanted {
+            reply_to: ReplyTo::Front(number),
+            team: team.parse().unwrap(),
+            count,
+        };
+        let id = "mint".parse().unwrap();
+        self.calls.insert(number, (id, String::new()));
+        self.send(i, names::CLAIMS, wanted.into());
+        let events = self.replies.remove(&number).unwrap();
+        match events.as_slice() {
+            [ReplyEvent::Fail(refusal)] => Err(refusal.clone()),
+            [ReplyEvent::Head(_), ReplyEvent::Data(body), ReplyEvent::End] => {
+                let body: serde_json::Value = serde_json::from_slice(body).unwrap();
+                Ok(serde_json::from_value(body["tickets"].clone()).unwrap())
+            }
+            other => panic!("not an answer: {other:?}"),
+        }
+    }
+
     pub(crate) fn send(&mut self, i: usize, to: Name, message: Message) {
         let node = &mut self.nodes[i];
         let mut out = Outbox::default();
@@ -228,6 +275,7 @@
         let start = self.nodes[i].info.incarnation.0;
         match message {
             Message::PlatformRequest(request) => {
+                self.platform_calls += 1;
                 self.events.push(Event::Platform(i, start, request));
             }
             Message::PeerSend(PeerSend { address, msg }) => {
--- a/crates/shallottide/tests/front/main.rs
+++ b/crates/shallottide/tests/front/main.rs
@@ -89,6 +89,10 @@
     malformed_timeout: &request("/v1/completions", "x-timeout: 5\r\n", COMPLETION), &["400", "needs a unit"];
     header_outside_ascii: &request("/v1/completions", "idempotency-key: \u{fc}\r\n", COMPLETION), &["400", "ASCII"];
     service_without_name: &request("/services//x", "", ""), &["400", "ServiceId"];
+    tickets_by_get: "GET /tickets HTTP/1.1\r\nhost: x\r\n\r\n", &["404", "POST", r#""ran":"no""#];
+    tickets_of_no_number: &request("/tickets", "", r#"{"count":"x"}"#), &["400", "count", r#""ran":"no""#];
+    tickets_below_none: &request("/tickets", "", r#"{"count":-1}"#), &["400", "count"];
+    tickets_with_unknown_field: &request("/tickets", "", r#"{"amount":1}"#), &["400", "amount"];
     no_http: "hello\r\nhost: x\r\n\r\n", &["400"];
 }
 
--- a/crates/shallottide_types/src/id.rs
+++ b/crates/shallottide_types/src/id.rs
@@ -64,6 +64,8 @@
 number_ids! {
     /// Counts the starts of one process; a higher number is a later start.
     Incarnation,
+    /// Counts the tickets of one start of an entry VM.
+    TicketNumber,
     /// One try at running a call on one upstream.
     AttemptId,
     /// The revision of one record or value, raised by one with every write.
--- a/crates/shallottide_types/src/lib.rs
+++ b/crates/shallottide_types/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`placement`]: which VMs form which group, and who dispatches to it.
 //! - [`peer`]: messages between entry VMs.
 //! - [`synthetic`]: answers of stand-in engines, for checks.
+//! - [`ticket`]: keys that their minting entry VM grants from memory.
 //! - [`platform`] and [`engine`]: traits towards the outside.
 
 mod macros;
@@ -22,3 +23,4 @@
 pub mod record;
 pub mod refusal;
 pub mod synthetic;
+pub mod ticket;
--- a/crates/shallottide_types/src/peer.rs
+++ b/crates/shallottide_types/src/peer.rs
@@ -12,6 +12,7 @@
 use crate::id::{CallId, DomainId, Fence, GroupId, Incarnation, NodeId, StoreIndex, UpstreamId};
 use crate::placement::Placement;
 use crate::platform::Vm;
+use crate::ticket::Ticket;
 
 data! {
     /// A control message from one entry VM to another.
@@ -175,6 +176,8 @@
         pub incarnation: Incarnation,
         /// How long the call may run, as of sending.
         pub time_left: Duration,
+        /// The ticket used as the key; only its minter may grant it.
+        pub ticket: Option<Ticket>,
     }
 
     /// Says how a claimed call ended, so that retries get its outcome.
@@ -187,6 +190,8 @@
         pub call: CallId,
         /// How it ended.
         pub end: ClaimEnd,
+        /// The ticket used as the key; only its minter records the end.
+        pub ticket: Option<Ticket>,
     }
 
     /// How a claimed call ended.
@@ -222,6 +227,10 @@
         NotClaimed,
         /// The write's answer was lost and it could not be read back.
         Unknown,
+        /// No such ticket was minted for the team.
+        NoTicket,
+        /// The ticket's minter gave no answer.
+        MinterUnreachable,
     }
 
     /// Hash of a team and its idempotency key.
--- a/crates/shallottide_types/src/refusal.rs
+++ b/crates/shallottide_types/src/refusal.rs
@@ -67,6 +67,8 @@
     Cancelled,
     /// A fault inside shallottide.
     Internal,
+    /// The entry VM that minted the ticket can't be reached.
+    MinterUnreachable,
 }
 
 impl RefusalKind {
@@ -85,7 +87,11 @@
             Self::Cancelled => 499,
             Self::Internal => 500,
             Self::UpstreamFailed => 502,
-            Self::Overloaded | Self::NoUpstream | Self::PlatformDown | Self::Stopping => 503,
+            Self::Overloaded
+            | Self::NoUpstream
+            | Self::PlatformDown
+            | Self::MinterUnreachable
+            | Self::Stopping => 503,
             Self::DeadlineExceeded => 504,
         }
     }
