--- a/crates/shallottide/tests/auth.rs
+++ b/crates/shallottide/tests/auth.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use shallottide::auth::AuthService;
 use shallottide::kernel::{Context, Outbox, Service};
-use shallottide::message::{CallArrived, CallPresented, Message, ReplyTo};
+use shallottide::message::{CallArrived, CallPresented, Message, ReplyTo, TicketsPresented};
 use shallottide::view::ConfigView;
 use shallottide_types::call::{CallHead, ReplyEvent, Target, Trace};
 use shallottide_types::cases;
@@ -70,8 +70,12 @@
 }
 
 fn answer(config: ConfigView, key: Option<&str>) -> Message {
+    answer_to(presented(key).into(), config)
+}
+
+fn answer_to(message: Message, config: ConfigView) -> Message {
     let mut out = Outbox::default();
-    AuthService.handle(presented(key).into(), &context(config), &mut out);
+    AuthService.handle(message, &context(config), &mut out);
     let mut sent = out.take();
     assert_eq!(sent.len(), 1);
     sent.remove(0).1
@@ -85,8 +89,30 @@
     assert_eq!(call.head.team.as_str(), "depot");
 }
 
+fn tickets(key: Option<&str>) -> Message {
+    let presented = TicketsPresented {
+        reply_to: ReplyTo::Front(1),
+        key: key.map(KeyHash::of),
+        count: 3,
+    };
+    presented.into()
+}
+
+#[test]
+fn tickets_are_for_the_team_of_the_key() {
+    let Message::TicketsWanted(wanted) = answer_to(tickets(Some(KEY)), config()) else {
+        panic!("the request did not go on");
+    };
+    assert_eq!((wanted.team.as_str(), wanted.count), ("depot", 3));
+}
+
 fn refused(config: ConfigView, key: Option<&str>, kind: RefusalKind) {
-    let Message::Reply(reply) = answer(config, key) else {
+    check_refused(answer(config.clone(), key), kind);
+    check_refused(answer_to(tickets(key), config), kind);
+}
+
+fn check_refused(message: Message, kind: RefusalKind) {
+    let Message::Reply(reply) = message else {
         panic!("the call went on");
     };
     let ReplyEvent::Fail(refusal) = reply.event else {
--- a/crates/shallottide_demo/src/caller.rs
+++ b/crates/shallottide_demo/src/caller.rs
@@ -91,6 +91,15 @@
         self.post("/services/bookings/bookings", Some(key), &body)
     }
 
+    /// Fetches tickets, to be used as keys.
+    ///
+    /// # Errors
+    /// [`DemoError::Http`] when there is no whole answer.
+    pub fn tickets(&self, count: usize) -> Result<Answer, DemoError> {
+        let body = serde_json::json!({"count": count});
+        self.post("/tickets", None, &body)
+    }
+
     /// Tries a call again while it is refused without having run.
     ///
     /// # Errors
