--- a/crates/shallottide/tests/tickets.rs
+++ b/crates/shallottide/tests/tickets.rs
@@ -9,9 +9,10 @@
 use call_support::fleet::{Event, Fleet};
 use shallottide::claims::{ClaimOptions, TicketOptions};
 use shallottide::kernel::names;
-use shallottide::message::{Message, ReplyTo};
+use shallottide::message::{Message, PeerReceived, ReplyTo};
 use shallottide_types::call::ReplyEvent;
 use shallottide_types::cases;
+use shallottide_types::peer::{ClaimAnswer, ClaimEnd, PeerMsg};
 use shallottide_types::refusal::{Ran, RefusalKind};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -295,6 +296,108 @@
     assert_eq!(fleet.platform_calls, 0);
 }
 
+/// Takes the next event, which is a message to a peer.
+fn next_peer_message(fleet: &mut Fleet) -> (usize, PeerReceived) {
+    let event = fleet.next_event().unwrap();
+    let Event::Deliver(to, _, _, message) = event else {
+        panic!("not a message: {event:?}");
+    };
+    let Message::PeerReceived(received) = *message else {
+        panic!("not a peer's: {message:?}");
+    };
+    (to, received)
+}
+
+/// Hands a peer's message to a node and returns the node's answer.
+fn answer_to(fleet: &mut Fleet, to: usize, received: PeerReceived) -> ClaimAnswer {
+    assert!(fleet.events.is_empty());
+    fleet.send(to, names::CLAIMS, received.into());
+    let PeerMsg::Claimed { answer, .. } = next_peer_message(fleet).1.msg else {
+        panic!("no answer");
+    };
+    answer
+}
+
+/// Sends a claim to another node, as when the minter's address is another's by now.
+#[test]
+fn node_that_did_not_mint_says_nothing() {
+    let mut fleet = fleet(ClaimOptions::default());
+    let ticket = fleet.mint(MINTER, 1).unwrap().remove(0);
+    let call = fleet.book(OTHER, &ticket);
+    let (_, claim) = next_peer_message(&mut fleet);
+    let answer = answer_to(&mut fleet, THIRD, claim);
+    assert_eq!(answer, ClaimAnswer::MinterUnreachable);
+    fleet.pass(5 * SECOND);
+    assert_eq!(outcome(&fleet, call), Whole);
+}
+
+/// Lets copies of a call's claim and end reach the minter when all is over.
+#[test]
+fn late_copies_change_nothing() {
+    let mut fleet = fleet(ClaimOptions::default());
+    let ticket = fleet.mint(MINTER, 1).unwrap().remove(0);
+    fleet.book(OTHER, &ticket);
+    let (_, claim) = next_peer_message(&mut fleet);
+    fleet.send(MINTER, names::CLAIMS, claim.clone().into());
+    assert!(fleet.settle(Event::is_relay));
+    let (_, mut end) = next_peer_message(&mut fleet);
+    fleet.send(MINTER, names::CLAIMS, end.clone().into());
+    fleet.settle(|_| false);
+    let PeerMsg::ClaimEnded(outcome) = &mut end.msg else {
+        panic!("not an end: {end:?}");
+    };
+    outcome.end = ClaimEnd::NotRun;
+    answer_to(&mut fleet, MINTER, end);
+    let answer = answer_to(&mut fleet, MINTER, claim);
+    let ran = matches!(answer, ClaimAnswer::Ended(ClaimEnd::Ran { .. }));
+    assert!(ran, "{answer:?}");
+}
+
+/// Loses every grant, so that the caller is refused without its call having run.
+#[test]
+fn ticket_that_was_not_used_after_all_is_given_back() {
+    let mut fleet = fleet(ClaimOptions::default());
+    let ticket = fleet.mint(MINTER, 1).unwrap().remove(0);
+    let call = book_up_to(&mut fleet, OTHER, Granted, &ticket);
+    fleet.events.clear();
+    fleet.nodes[MINTER].paused = true;
+    fleet.pass(4 * SECOND);
+    assert_eq!(outcome(&fleet, call), AWAY);
+    fleet.events.clear();
+    fleet.nodes[MINTER].paused = false;
+    fleet.pass(4 * SECOND);
+    assert_eq!(book(&mut fleet, THIRD, &ticket), Whole);
+    fleet.check();
+}
+
+/// Asks while the minter's new start is silent, too.
+#[test]
+fn ticket_of_an_ended_start_needs_no_minter() {
+    let mut fleet = fleet(ClaimOptions::default());
+    let ticket = fleet.mint(MINTER, 1).unwrap().remove(0);
+    fleet.restart(MINTER);
+    fleet.nodes[MINTER].paused = true;
+    assert_eq!(book(&mut fleet, OTHER, &ticket), UNKNOWN);
+}
+
+/// Uses one ticket right before its time is over, another after it.
+#[test]
+fn ticket_in_use_outlives_its_time() {
+    let mut fleet = fleet(ClaimOptions::default());
+    let tickets = fleet.mint(MINTER, 2).unwrap();
+    fleet.pass(Duration::from_secs(10 * 60 - 1));
+    let call = book_up_to(&mut fleet, OTHER, Sent, &tickets[0]);
+    fleet.nodes[OTHER].paused = true;
+    fleet.pass(2 * SECOND);
+    assert_eq!(book(&mut fleet, THIRD, &tickets[0]), RUNNING);
+    assert_eq!(book(&mut fleet, THIRD, &tickets[1]), EXPIRED);
+    fleet.nodes[OTHER].paused = false;
+    fleet.pass(SECOND);
+    assert_eq!(outcome(&fleet, call), Whole);
+    assert_eq!(book(&mut fleet, THIRD, &tickets[0]), Whole);
+    fleet.check();
+}
+
 /// Only the minter's own answer counts, whatever another node says.
 #[test]
 fn answers_of_other_nodes_grant_nothing() {
@@ -302,17 +405,9 @@
     let ticket = fleet.mint(MINTER, 1).unwrap().remove(0);
     let first = fleet.book(OTHER, &ticket);
     assert!(fleet.settle(Event::is_claim_answer));
-    let grant = fleet.next_event().unwrap();
-    let Event::Deliver(to, start, name, message) = grant else {
-        panic!("not a message: {grant:?}");
-    };
-    let Message::PeerReceived(mut received) = *message else {
-        panic!("not a peer's: {message:?}");
-    };
+    let (to, mut received) = next_peer_message(&mut fleet);
     received.from = "node-2".parse().unwrap();
-    let forged = Box::new(received.into());
-    fleet.happen(Event::Deliver(to, start, name, forged));
-    fleet.pass(Duration::ZERO);
+    fleet.send(to, names::CLAIMS, received.into());
     assert_eq!(outcome(&fleet, first), Nothing);
     assert!(fleet.events.is_empty(), "{:?}", fleet.events);
 }
