Forget tickets one by one, not in the order of their numbers

Cause: one long call at the front kept all later tickets remembered, so that a node that had minted its most refused to mint until that call had ended. Before: minting_is_bounded, with a call running past the lifetime of the others, could not be passed in order of numbers; a ticket of an unknown node left a report that nobody could take for 30 s. After: each ticket has its own time; nothing is given back to a node that was not asked.

Guards removed in turn, each failed a test: forgetting (2), forgotten numbers (10), the limits of a team, of a node and of one request, giving back only where asked.

--- a/crates/shallottide/src/claims/claim_service.rs
+++ b/crates/shallottide/src/claims/claim_service.rs
@@ -216,10 +216,12 @@
         } else {
             self.give_up(token, &request, cx);
         }
-        if matches!(
-            answer,
-            ClaimAnswer::Unknown | ClaimAnswer::MinterUnreachable
-        ) {
+        let may_be_granted = match answer {
+            ClaimAnswer::Unknown => true,
+            ClaimAnswer::MinterUnreachable => !request.asked.is_empty(),
+            _ => false,
+        };
+        if may_be_granted {
             self.give_back_unknown(&request, cx, out);
         }
         let claim = request.task.claim();
--- a/crates/shallottide/src/claims/ticket_book.rs
+++ b/crates/shallottide/src/claims/ticket_book.rs
@@ -1,7 +1,7 @@
 //! The tickets that this start of the node minted.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::Duration;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use shallottide_types::id::{TeamId, TicketNumber};
 use shallottide_types::peer::{ClaimAnswer, ClaimEnd};
@@ -17,13 +17,15 @@
 /// When a team without room for tickets may ask again.
 const RETRY_MINTING: Duration = Duration::from_secs(5);
 
-/// The tickets that this start of the node minted, the latest ones by number.
+/// The tickets that this start of the node minted and remembers.
 ///
 /// A ticket is granted at most once, and never after it was forgotten.
 #[derive(Debug, Default)]
 pub(super) struct TicketBook {
-    /// Those remembered, without gaps up to `last`.
-    minted: VecDeque<MintedTicket>,
+    /// Those remembered.
+    minted: BTreeMap<TicketNumber, MintedTicket>,
+    /// When each of them is forgotten.
+    due: BTreeSet<(Instant, TicketNumber)>,
     /// The latest number.
     last: TicketNumber,
     /// How many are remembered for each team.
@@ -64,7 +66,8 @@
             })?;
             let minted = MintedTicket::new(team.clone(), claim_id(team, &key), usable_until);
             self.last = ticket.number;
-            self.minted.push_back(minted);
+            self.due.insert((minted.kept_until, ticket.number));
+            self.minted.insert(ticket.number, minted);
             *self.by_team.entry(team.clone()).or_default() += 1;
             tickets.push(ticket);
         }
@@ -118,11 +121,13 @@
             return ClaimAnswer::Ended(ClaimEnd::Unknown);
         }
         let number = ticket.number;
-        let at = match self.position(number) {
-            Ok(at) => at,
-            Err(answer) => return answer,
+        if number == TicketNumber::default() || number > self.last {
+            return ClaimAnswer::NoTicket;
+        }
+        let Some(minted) = self.minted.get_mut(&number) else {
+            return ClaimAnswer::Expired;
         };
-        let minted = &mut self.minted[at];
+        self.due.remove(&(minted.kept_until, number));
         self.answer_bytes -= minted.answer_bytes();
         let answer = match task {
             Task::Claim(request) => minted.claim(request, moment, options),
@@ -133,6 +138,7 @@
             }
         };
         self.answer_bytes += minted.answer_bytes();
+        self.due.insert((minted.kept_until, number));
         if minted.is_running(moment) {
             self.running.insert(number);
         } else {
@@ -141,34 +147,31 @@
         answer
     }
 
-    /// Finds a number among those remembered, or tells why it is none.
-    fn position(&self, number: TicketNumber) -> Result<usize, ClaimAnswer> {
-        if number == TicketNumber::default() || number > self.last {
-            return Err(ClaimAnswer::NoTicket);
-        }
-        let age = usize::try_from(self.last.0 - number.0).unwrap_or(usize::MAX);
-        let len = self.minted.len();
-        len.checked_sub(1)
-            .and_then(|latest| latest.checked_sub(age))
-            .ok_or(ClaimAnswer::Expired)
-    }
-
-    /// Forgets tickets past their time, in the order of their numbers.
+    /// Forgets tickets past their time.
     pub(super) fn expire(&mut self, moment: &Moment) {
-        let is_due = |ticket: &mut MintedTicket| moment.now >= ticket.kept_until;
-        while let Some(ticket) = self.minted.pop_front_if(is_due) {
-            self.answer_bytes -= ticket.answer_bytes();
-            if let Some(count) = self.by_team.get_mut(&ticket.team) {
-                *count -= 1;
-            }
+        while let Some(&(at, number)) = self.due.first()
+            && at <= moment.now
+        {
+            self.due.pop_first();
+            self.forget(number);
         }
-        self.by_team.retain(|_, count| *count > 0);
-        let first = TicketNumber(self.last.0 + 1 - self.minted.len() as u64);
         let minted = &self.minted;
         self.running.retain(|number| {
-            let at = number.0.checked_sub(first.0).map(usize::try_from);
-            let ticket = at.and_then(Result::ok).and_then(|at| minted.get(at));
+            let ticket = minted.get(number);
             ticket.is_some_and(|ticket| ticket.is_running(moment))
         });
     }
+
+    fn forget(&mut self, number: TicketNumber) {
+        let Some(ticket) = self.minted.remove(&number) else {
+            return;
+        };
+        self.answer_bytes -= ticket.answer_bytes();
+        if let Some(count) = self.by_team.get_mut(&ticket.team) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_team.remove(&ticket.team);
+            }
+        }
+    }
 }
--- a/crates/shallottide/src/claims/ticketing.rs
+++ b/crates/shallottide/src/claims/ticketing.rs
@@ -60,8 +60,10 @@
             self.finish(token, ClaimAnswer::Ended(ClaimEnd::Unknown), cx, out);
             return;
         }
-        request.ask(&minter.node, cx.now());
+        // A node that has just started may come to know the minter in time.
+        request.since = cx.now();
         if let Some(known) = known {
+            request.ask(&minter.node, cx.now());
             relay(known, &request.task, out);
         }
         self.requests.insert(token, request);
--- a/crates/shallottide/tests/tickets.rs
+++ b/crates/shallottide/tests/tickets.rs
@@ -290,6 +290,11 @@
             assert_eq!(book(&mut fleet, node, ended), UNKNOWN, "{ended}");
         }
         assert_eq!(book(&mut fleet, node, "ticket:node-9:1:1"), AWAY);
+        let pending = fleet.nodes[node].claim_options.counts.pending();
+        assert_eq!(
+            pending, 0,
+            "nothing to give back to a node that does not exist"
+        );
     }
     assert!(fleet.runs_by_key.is_empty());
     assert_eq!(book(&mut fleet, OTHER, &ticket), Whole);
@@ -389,6 +394,8 @@
     let call = book_up_to(&mut fleet, OTHER, Sent, &tickets[0]);
     fleet.nodes[OTHER].paused = true;
     fleet.pass(2 * SECOND);
+    let pending = fleet.nodes[MINTER].claim_options.counts.pending();
+    assert_eq!(pending, 1);
     assert_eq!(book(&mut fleet, THIRD, &tickets[0]), RUNNING);
     assert_eq!(book(&mut fleet, THIRD, &tickets[1]), EXPIRED);
     fleet.nodes[OTHER].paused = false;
@@ -467,8 +474,18 @@
         kind(fleet.mint_for("c", MINTER, 2)),
         Err(RefusalKind::Overloaded)
     );
-    fleet.pass(Duration::from_mins(11));
+    let long = fleet.mint_for("b", MINTER, 1).unwrap().remove(0);
+    let used = fleet.book_as("b", OTHER, &long, "body");
+    assert!(fleet.settle(Event::is_claim_granted));
+    fleet.nodes[OTHER].paused = true;
+    fleet.pass(Duration::from_mins(10));
+    assert_eq!(outcome(&fleet, used), Nothing);
+    assert_eq!(kind(fleet.mint_for("c", MINTER, 4)), Ok(4));
     assert_eq!(kind(fleet.mint(MINTER, 4)), Ok(4));
+    assert_eq!(
+        kind(fleet.mint_for("d", MINTER, 1)),
+        Err(RefusalKind::Overloaded)
+    );
     fleet.send(MINTER, names::CLAIMS, Message::Stop);
     assert_eq!(
         kind(fleet.mint_for("b", MINTER, 1)),
