--- a/crates/shallottide/tests/tickets.rs
+++ b/crates/shallottide/tests/tickets.rs
@@ -430,6 +430,22 @@
     assert_eq!(outcome(&fleet, call), reused);
 }
 
+#[test]
+fn answer_without_room_is_not_kept() {
+    let tickets = TicketOptions {
+        max_answer_bytes: 0,
+        ..TicketOptions::default()
+    };
+    let mut fleet = fleet(ClaimOptions {
+        tickets,
+        ..ClaimOptions::default()
+    });
+    let ticket = fleet.mint(MINTER, 1).unwrap().remove(0);
+    assert_eq!(book(&mut fleet, OTHER, &ticket), Whole);
+    let ran = Refused(RefusalKind::OutcomeUnknown, Ran::Yes);
+    assert_eq!(book(&mut fleet, THIRD, &ticket), ran);
+}
+
 #[test]
 fn old_tickets_are_forgotten_and_never_run_again() {
     let mut fleet = fleet(ClaimOptions::default());
