Accept connections in one place

Callers', operators' and peers' borders each had the same loop of accepting until a gate closes. It now stands once, in listener.rs, with the binding of addresses.

--- a/crates/shallottide/src/front/front_border.rs
+++ b/crates/shallottide/src/front/front_border.rs
@@ -1,6 +1,5 @@
 //! Accepts callers' connections and hands answers' events to them.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -8,7 +7,7 @@
 
 use super::connection::serve;
 use crate::connection_gate::ConnectionGate;
-use crate::http_server::{self, HttpLimits, HttpServer};
+use crate::http_server::{HttpLimits, HttpServer};
 use crate::kernel::KernelHandle;
 use crate::message::{Message, ReplyTo};
 use crate::readiness::Readiness;
@@ -107,12 +106,4 @@
         let service = move |request| serve(front.clone(), request);
         server.serve(listener, service).await
     }
-
-    /// Binds a listener that tokio can take over.
-    ///
-    /// # Errors
-    /// Those of binding the address.
-    pub fn bind(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
-        http_server::bind(address)
-    }
 }
--- a/crates/shallottide/src/http_server.rs
+++ b/crates/shallottide/src/http_server.rs
@@ -4,4 +4,4 @@
 mod server;
 mod stall_guard;
 
-pub(crate) use server::{HttpLimits, HttpServer, bind};
+pub(crate) use server::{HttpLimits, HttpServer};
--- a/crates/shallottide/src/http_server/server.rs
+++ b/crates/shallottide/src/http_server/server.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -12,13 +11,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 use super::stall_guard::StallGuard;
 use crate::connection_gate::ConnectionGate;
-
-/// Wait after a failed accept, such as one for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use crate::listener::accept_until_closed;
 
 /// Bounds on each connection.
 #[derive(Debug, Clone)]
@@ -57,39 +54,15 @@
         B: Body<Data = Bytes> + Send + 'static,
         B::Error: std::error::Error + Send + Sync + 'static,
     {
-        let listener = TcpListener::from_std(listener)?;
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                () = self.gate.wait_closed() => return Ok(()),
-            };
-            match accepted {
-                Ok((stream, _)) => self.admit(stream, service.clone()),
-                Err(e) => {
-                    tracing::warn!(error = %e, "accept failed");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    fn admit<S, F, B>(&self, stream: TcpStream, service: S)
-    where
-        S: Fn(Request<Incoming>) -> F + Send + 'static,
-        F: Future<Output = Result<Response<B>, Infallible>> + Send + 'static,
-        B: Body<Data = Bytes> + Send + 'static,
-        B::Error: std::error::Error + Send + Sync + 'static,
-    {
-        // Without room the connection is closed at once, which a balancer sees.
-        let Some(pass) = self.gate.enter() else {
-            tracing::warn!("connection closed: as many are open as allowed");
-            return;
-        };
-        let server = self.clone();
-        tokio::spawn(async move {
-            server.serve_connection(stream, service).await;
-            drop(pass);
-        });
+        accept_until_closed(listener, &self.gate, |stream, pass| {
+            let server = self.clone();
+            let service = service.clone();
+            tokio::spawn(async move {
+                server.serve_connection(stream, service).await;
+                drop(pass);
+            });
+        })
+        .await
     }
 
     async fn serve_connection<S, F, B>(self, stream: TcpStream, service: S)
@@ -120,13 +93,3 @@
         }
     }
 }
-
-/// Binds a listener that tokio can take over.
-///
-/// # Errors
-/// Those of binding the address.
-pub(crate) fn bind(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
-    let listener = std::net::TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
--- a/crates/shallottide/src/lib.rs
+++ b/crates/shallottide/src/lib.rs
@@ -17,6 +17,7 @@
 mod http_connect;
 mod http_server;
 pub mod kernel;
+pub mod listener;
 pub mod members;
 pub mod message;
 pub mod node;
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -23,6 +23,7 @@
 use crate::front::{FrontBorder, FrontOptions};
 use crate::groups::{GroupOptions, GroupService};
 use crate::kernel::{Context, Kernel, KernelHandle, names};
+use crate::listener;
 use crate::members::{MemberOptions, MemberService};
 use crate::operators::OperatorBorder;
 use crate::peer_codec::{PeerKey, PeerKeyError};
@@ -134,7 +135,7 @@
 }
 
 fn bind(key: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, NodeError> {
-    FrontBorder::bind(address).map_err(|source| NodeError::Bind {
+    listener::bind(address).map_err(|source| NodeError::Bind {
         key,
         address,
         source,
--- a/crates/shallottide/src/operators/operator_border.rs
+++ b/crates/shallottide/src/operators/operator_border.rs
@@ -16,8 +16,9 @@
 use tokio::sync::oneshot;
 
 use crate::connection_gate::ConnectionGate;
-use crate::http_server::{HttpLimits, HttpServer, bind};
+use crate::http_server::{HttpLimits, HttpServer};
 use crate::kernel::{KernelHandle, names};
+use crate::listener::bind;
 use crate::message::{Message, StatusWanted};
 use crate::readiness::Readiness;
 
--- a/crates/shallottide/src/peers/peer_border.rs
+++ b/crates/shallottide/src/peers/peer_border.rs
@@ -3,11 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use shallottide_types::clock::Clock;
 use shallottide_types::id::{AttemptId, NodeId};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::task::AbortHandle;
 
@@ -18,14 +16,12 @@
 use super::proof::Prover;
 use crate::connection_gate::ConnectionGate;
 use crate::kernel::{KernelHandle, names};
+use crate::listener::accept_until_closed;
 use crate::message::{Forward, Message, PeerSend, ReplyTo};
 use crate::peer_codec::PeerKey;
 use crate::replies::ReplyDesk;
 use crate::telemetry::Metrics;
 
-/// Wait after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// What the border needs to know of its node.
 pub struct PeerOptions {
     /// This node.
@@ -130,36 +126,18 @@
         registered.insert(attempt, task.abort_handle());
     }
 
-    fn admit(&self, stream: TcpStream) {
-        let Some(pass) = self.incoming.gate.enter() else {
-            tracing::warn!("peer connection closed: too many are open");
-            return;
-        };
-        let incoming = self.incoming.clone();
-        tokio::spawn(async move {
-            incoming.serve(stream).await;
-            drop(pass);
-        });
-    }
-
     /// Accepts peers' connections until the gate closes; open ones then end their streams.
     ///
     /// # Errors
     /// Those of taking over the listener.
     pub async fn serve(self, listener: std::net::TcpListener) -> std::io::Result<()> {
-        let listener = TcpListener::from_std(listener)?;
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                () = self.incoming.gate.wait_closed() => return Ok(()),
-            };
-            match accepted {
-                Ok((stream, _)) => self.admit(stream),
-                Err(e) => {
-                    tracing::warn!(error = %e, "accept failed");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        accept_until_closed(listener, &self.incoming.gate, |stream, pass| {
+            let incoming = self.incoming.clone();
+            tokio::spawn(async move {
+                incoming.serve(stream).await;
+                drop(pass);
+            });
+        })
+        .await
     }
 }
--- a/crates/shallottide/tests/front/front_node.rs
+++ b/crates/shallottide/tests/front/front_node.rs
@@ -8,6 +8,7 @@
 use shallottide::connection_gate::ConnectionGate;
 use shallottide::front::{FrontBorder, FrontOptions};
 use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
+use shallottide::listener;
 use shallottide::message::{CallArrived, Message, Reply, ReplyTo};
 use shallottide::readiness::Readiness;
 use shallottide::settings::Limits;
@@ -78,7 +79,7 @@
             ready.records_known();
             let border = FrontBorder::new(options, kernel.handle(), ready, nodes_gate);
             let any = "127.0.0.1:0".parse().expect("valid");
-            let listener = FrontBorder::bind(any).expect("a free port");
+            let listener = listener::bind(any).expect("a free port");
             let address = listener.local_addr().expect("bound");
             let runtime = tokio::runtime::Builder::new_multi_thread()
                 .worker_threads(1)
--- a/crates/shallottide/tests/peers/peer_node.rs
+++ b/crates/shallottide/tests/peers/peer_node.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use shallottide::connection_gate::ConnectionGate;
-use shallottide::front::FrontBorder;
 use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
+use shallottide::listener;
 use shallottide::message::{CallArrived, Forward, Message, Reply};
 use shallottide::peer_codec::PeerKey;
 use shallottide::peers::{PeerBorder, PeerOptions};
@@ -125,7 +125,7 @@
     started: &Sender<(PeerBorder, SocketAddr)>,
 ) {
     let any = "127.0.0.1:0".parse().expect("valid");
-    let listener = FrontBorder::bind(any).expect("a free port");
+    let listener = listener::bind(any).expect("a free port");
     let listens = listener.local_addr().expect("bound");
     let info = node_info(name, known_as.unwrap_or(listens));
     let mut kernel = Kernel::new(Context::new(Arc::new(SystemClock), info.clone()));
