--- a/crates/shallottide_types/src/platform.rs
+++ b/crates/shallottide_types/src/platform.rs
@@ -47,7 +47,7 @@
 
     /// All values under a prefix at one index.
     pub struct Listing {
-        /// The store's index; given back to [`Platform::watch`].
+        /// The store's index; given back to [`Platform::list`].
         pub index: StoreIndex,
         /// Values in key order.
         pub entries: Vec<Entry>,
