Measure decisions, gossip and memory by one command

The criterion crate was weighed: it brings many dependencies, and its reports have no slope over sizes.

--- /dev/null
+++ b/crates/shallottide_bench/src/decisions.rs
@@ -0,0 +1,26 @@
+//! Times of single decisions.
+
+mod admitting;
+mod applying;
+mod claiming;
+mod heartbeats;
+mod planning;
+mod routing;
+
+/// Nodes of a failure domain.
+const NODES: [u32; 4] = [8, 21, 42, 84];
+
+/// Servers of a failure domain.
+const SERVERS: [u32; 4] = [20, 40, 80, 160];
+
+/// Prints the times of all decisions as a table in Markdown.
+pub fn print_all() {
+    println!("| decision | size | microseconds each: median (lowest–highest) |");
+    println!("| --- | --- | --- |");
+    routing::print();
+    admitting::print();
+    claiming::print();
+    applying::print();
+    heartbeats::print();
+    planning::print();
+}
--- a/crates/shallottide_bench/src/slope.rs
+++ b/crates/shallottide_bench/src/slope.rs
@@ -2,17 +2,17 @@
 
 /// A straight line through measured points, by least squares.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Slope {
+pub(crate) struct Slope {
     /// Value at size 0.
-    pub base: f64,
+    pub(crate) base: f64,
     /// What one more adds.
-    pub per_unit: f64,
+    pub(crate) per_unit: f64,
 }
 
 impl Slope {
     /// Fits a line to points of size and value.
     #[must_use]
-    pub fn fit(points: &[(f64, f64)]) -> Self {
+    pub(crate) fn fit(points: &[(f64, f64)]) -> Self {
         let count = points.iter().fold(0.0, |count, _| count + 1.0);
         let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
         let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
--- a/crates/shallottide_e2e/examples/idle_run.rs
+++ b/crates/shallottide_e2e/examples/idle_run.rs
@@ -107,7 +107,10 @@
 #[derive(Default)]
 struct Runs {
     columns: BTreeMap<&'static str, Vec<f64>>,
+    /// Platform calls in a second, by kind.
     calls: BTreeMap<String, Vec<f64>>,
+    /// Platform calls from the start until measuring began, by kind; the records' writes too.
+    start_calls: BTreeMap<String, Vec<f64>>,
     loads: Vec<f64>,
 }
 
@@ -127,6 +130,8 @@
             let was = before.calls.get(kind).copied().unwrap_or(0);
             let rate = count(calls - was) / seconds;
             self.calls.entry(kind.clone()).or_default().push(rate);
+            let start = self.start_calls.entry(kind.clone()).or_default();
+            start.push(count(was));
         }
         self.loads.push(load_average());
     }
@@ -146,9 +151,8 @@
         );
         for (kind, rates) in self.calls {
             let rates = Spread::of(rates);
-            if rates.highest > 0.0 {
-                println!("|  |  | platform {kind}/s: {rates:.2} |");
-            }
+            let start = Spread::of(self.start_calls[&kind].clone());
+            println!("|  |  | platform {kind}/s: {rates:.2}; until measuring began: {start:.0} |");
         }
     }
 }
--- a/crates/shallottide_e2e/examples/overhead_run.rs
+++ b/crates/shallottide_e2e/examples/overhead_run.rs
@@ -12,7 +12,7 @@
 use shallottide_bench::{Spread, load_average};
 use shallottide_e2e::{ClusterOptions, ProcessCluster, TEAM_KEY, listening, program_path};
 
-/// Ways of a call, in the order in which they take turns.
+/// Ways of a call.
 const WAYS: [&str; 3] = ["straight", "one node", "two nodes"];
 
 /// What is measured of each call, as the load tool names it.
@@ -159,8 +159,10 @@
     }
     let mut results = Results::default();
     for run in 0..args.runs {
-        for (way, target) in &targets.ways {
-            let report = load(&args, *target, 100 + run);
+        for turn in 0..WAYS.len() {
+            // No way always follows the same other one.
+            let (way, target) = targets.ways[(run as usize + turn) % WAYS.len()];
+            let report = load(&args, target, 100 + run);
             results.add(way, &report);
         }
     }
