--- a/crates/shallottide/src/peers/outgoing.rs
+++ b/crates/shallottide/src/peers/outgoing.rs
@@ -31,8 +31,8 @@
 impl Outgoing {
     /// Sends a control message; it may be lost.
     pub(super) async fn control(&self, address: SocketAddr, msg: &PeerMsg) {
-        self.traffic.control_sent();
         let body = Bytes::from(encode(msg));
+        self.traffic.control_sent(body.len());
         let exchange = async {
             let link = self
                 .links
--- a/crates/shallottide/src/peers/peer_traffic.rs
+++ b/crates/shallottide/src/peers/peer_traffic.rs
@@ -9,6 +9,7 @@
 pub struct PeerTraffic {
     control_sent: AtomicU64,
     control_received: AtomicU64,
+    control_bytes_sent: AtomicU64,
     calls_sent: AtomicU64,
     calls_received: AtomicU64,
     bytes_sent: AtomicU64,
@@ -23,6 +24,8 @@
         pub control_sent: u64,
         /// Control messages received.
         pub control_received: u64,
+        /// Bytes of the control messages sent, without framing.
+        pub control_bytes_sent: u64,
         /// Calls handed to peers.
         pub calls_sent: u64,
         /// Calls taken from peers.
@@ -35,8 +38,9 @@
 }
 
 impl PeerTraffic {
-    pub(super) fn control_sent(&self) {
+    pub(super) fn control_sent(&self, bytes: usize) {
         add(&self.control_sent, 1);
+        add(&self.control_bytes_sent, bytes as u64);
     }
 
     pub(super) fn control_received(&self) {
@@ -65,6 +69,7 @@
         PeerTotals {
             control_sent: get(&self.control_sent),
             control_received: get(&self.control_received),
+            control_bytes_sent: get(&self.control_bytes_sent),
             calls_sent: get(&self.calls_sent),
             calls_received: get(&self.calls_received),
             bytes_sent: get(&self.bytes_sent),
--- a/crates/shallottide_e2e/examples/idle_run.rs
+++ b/crates/shallottide_e2e/examples/idle_run.rs
@@ -11,9 +11,6 @@
 use shallottide_bench::{ProcessUsage, Spread, load_average};
 use shallottide_e2e::{ClusterOptions, ProcessCluster, listening};
 
-/// Time for caches, connections and first elections to settle.
-const SETTLE: Duration = Duration::from_secs(6);
-
 /// Measures entry nodes without load.
 #[derive(FromArgs)]
 struct Args {
@@ -32,6 +29,9 @@
     /// seconds of each run
     #[argh(option, default = "20")]
     seconds: u64,
+    /// seconds for connections and first elections to settle before each run
+    #[argh(option, default = "6")]
+    settle: u64,
 }
 
 /// What one node used and sent in one run, for each second.
@@ -40,6 +40,7 @@
     resident_mb: f64,
     threads: f64,
     bytes_sent: f64,
+    message_bytes_sent: f64,
     messages_sent: f64,
 }
 
@@ -84,6 +85,7 @@
             resident_mb: count(used.resident_bytes) / 1e6,
             threads: count(used.threads as u64),
             bytes_sent: growth("bytes_sent"),
+            message_bytes_sent: growth("control_bytes_sent"),
             messages_sent: growth("control_sent"),
         }
     };
@@ -124,6 +126,7 @@
         add("threads", most(&rates, |r| r.threads));
         add("bytes", mean(&rates, |r| r.bytes_sent));
         add("bytes_most", most(&rates, |r| r.bytes_sent));
+        add("message_bytes", mean(&rates, |r| r.message_bytes_sent));
         add("messages", mean(&rates, |r| r.messages_sent));
         let seconds = after.at.duration_since(before.at).as_secs_f64();
         for (kind, calls) in &after.calls {
@@ -139,13 +142,14 @@
     fn print(self, nodes: usize, domains: usize) {
         let column = |name| Spread::of(self.columns[name].clone());
         println!(
-            "| {nodes} | {domains} | {:.2} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} |",
+            "| {nodes} | {domains} | {:.2} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} |",
             column("core_percent"),
             column("core_percent_most"),
             column("resident_mb"),
             column("threads"),
             column("bytes"),
             column("bytes_most"),
+            column("message_bytes"),
             column("messages"),
             Spread::of(self.loads),
         );
@@ -168,7 +172,7 @@
             ..ClusterOptions::new(PathBuf::from("target/idle_run"))
         });
         cluster.wait_until_serving();
-        std::thread::sleep(SETTLE);
+        std::thread::sleep(Duration::from_secs(args.settle));
         let before = Sample::take(&cluster);
         std::thread::sleep(Duration::from_secs(args.seconds));
         let after = Sample::take(&cluster);
@@ -190,9 +194,9 @@
         args.runs, args.seconds
     );
     println!(
-        "| nodes | domains | % of a core, mean of nodes | % of a core, busiest | MB resident, largest | threads | bytes/s sent, mean | bytes/s sent, most | messages/s sent | load average |"
+        "| nodes | domains | % of a core, mean of nodes | % of a core, busiest | MB resident, largest | threads | bytes/s sent, mean | bytes/s sent, most | bytes/s of control messages sent | messages/s sent | load average |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for &domains in &args.domains {
         for &nodes in args.nodes.iter().filter(|nodes| **nodes >= domains) {
             measure(&args, nodes, domains);
