Compare with straight calls over new connections, too

Entry nodes open a connection for each dispatch; the load tool kept its own. A stand-in engine starts several threads for a connection, which then counted as overhead of the entry node.

--- a/crates/shallottide_e2e/examples/overhead_run.rs
+++ b/crates/shallottide_e2e/examples/overhead_run.rs
@@ -13,7 +13,13 @@
 use shallottide_e2e::{ClusterOptions, ProcessCluster, TEAM_KEY, listening, program_path};
 
 /// Ways of a call.
-const WAYS: [&str; 3] = ["straight", "one node", "two nodes"];
+const WAYS: [&str; 4] = [STRAIGHT, NEW_CONNECTION, "one node", "two nodes"];
+
+/// Straight to the engine over connections that are kept.
+const STRAIGHT: &str = "straight";
+
+/// Straight to the engine over a connection for each call, as entry nodes do.
+const NEW_CONNECTION: &str = "straight, new connection";
 
 /// What is measured of each call, as the load tool names it.
 const TIMES: [&str; 3] = ["first_token", "between_tokens", "whole_answer"];
@@ -56,6 +62,7 @@
         let dispatcher: usize = number_of(dispatcher).expect("a numbered node");
         let other = (dispatcher + 1) % cluster.nodes.len();
         let addresses = [
+            listening(&cluster.engines[number]),
             listening(&cluster.engines[number]),
             cluster.nodes[dispatcher].callers,
             cluster.nodes[other].callers,
@@ -66,7 +73,7 @@
     }
 }
 
-fn load(args: &Args, target: SocketAddr, seed: u32) -> Value {
+fn load(args: &Args, way: &str, target: SocketAddr, seed: u32) -> Value {
     let mut command = Command::new(program_path("shallottide-load"));
     let mut add = |name: &str, value: String| {
         command.arg(format!("--{name}")).arg(value);
@@ -78,6 +85,9 @@
     add("seconds", args.seconds.to_string());
     add("seed", seed.to_string());
     add("max-tokens", args.max_tokens.to_string());
+    if way == NEW_CONNECTION {
+        command.arg("--new-connections");
+    }
     let output = command.arg("--json").output();
     let output = output.expect("shallottide-load is built");
     serde_json::from_slice(&output.stdout).expect("a report")
@@ -111,7 +121,7 @@
     fn print(&self) {
         for time in TIMES {
             for percentile in PERCENTILES {
-                let straight = &self.by_key[&("straight", time, percentile)];
+                let straight = &self.by_key[&(STRAIGHT, time, percentile)];
                 println!(
                     "| {time} {percentile} | straight | {:.0} |  |  |",
                     Spread::of(straight.clone())
@@ -154,15 +164,15 @@
     });
     cluster.wait_until_serving();
     let targets = Targets::find(&cluster);
-    for (_, target) in &targets.ways {
-        let _warm_up = load(&args, *target, 1);
+    for (way, target) in &targets.ways {
+        let _warm_up = load(&args, way, *target, 1);
     }
     let mut results = Results::default();
     for run in 0..args.runs {
         for turn in 0..WAYS.len() {
             // No way always follows the same other one.
             let (way, target) = targets.ways[(run as usize + turn) % WAYS.len()];
-            let report = load(&args, target, 100 + run);
+            let report = load(&args, way, target, 100 + run);
             results.add(way, &report);
         }
     }
--- a/crates/shallottide_load/src/caller.rs
+++ b/crates/shallottide_load/src/caller.rs
@@ -21,11 +21,16 @@
 impl<'a> Caller<'a> {
     /// Creates a caller.
     pub(crate) fn new(options: &'a LoadOptions) -> Self {
+        let idle = if options.new_connections {
+            0
+        } else {
+            options.max_in_flight
+        };
         let agent = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(options.timeout))
-            .max_idle_connections(options.max_in_flight)
-            .max_idle_connections_per_host(options.max_in_flight)
+            .max_idle_connections(idle)
+            .max_idle_connections_per_host(idle)
             .build()
             .into();
         Self { options, agent }
--- a/crates/shallottide_load/src/cli.rs
+++ b/crates/shallottide_load/src/cli.rs
@@ -53,6 +53,9 @@
     /// most calls in flight; later ones wait, which counts in their latency
     #[argh(option, default = "LoadOptions::default().max_in_flight")]
     max_in_flight: usize,
+    /// open a connection for each call
+    #[argh(switch)]
+    new_connections: bool,
     /// longest time for one call, such as 30s
     #[argh(
         option,
@@ -83,6 +86,7 @@
             stream: !self.no_stream,
             service: self.service.as_deref().map(|name| self.service(name)),
             max_in_flight: self.max_in_flight,
+            new_connections: self.new_connections,
             timeout: self.timeout,
             check_runs: self.check_runs.clone(),
         }
--- a/crates/shallottide_load/src/load_options.rs
+++ b/crates/shallottide_load/src/load_options.rs
@@ -31,6 +31,8 @@
     pub service: Option<ServiceTarget>,
     /// Most calls in flight; later ones wait, which counts in their latency.
     pub max_in_flight: usize,
+    /// Whether each call opens a connection of its own, as entry VMs do towards upstreams.
+    pub new_connections: bool,
     /// Longest time for one call, and for those still waiting at the end.
     pub timeout: Duration,
     /// Stand-in services that are asked at the end how often each key ran.
@@ -62,6 +64,7 @@
             stream: true,
             service: None,
             max_in_flight: 512,
+            new_connections: false,
             timeout: Duration::from_secs(30),
             check_runs: Vec::new(),
         }
