--- a/crates/shallottide_e2e/examples/idle_run.rs
+++ b/crates/shallottide_e2e/examples/idle_run.rs
@@ -161,6 +161,15 @@
     }
 }
 
+/// Waits until every node answers for a completion.
+fn wait_for_completions(cluster: &ProcessCluster) {
+    for node in &cluster.nodes {
+        let caller = node.caller();
+        let served = caller.until_served("completion", |caller| caller.complete("warm up", 2));
+        assert_eq!(served.expect("an answer").status, 200);
+    }
+}
+
 fn measure(args: &Args, nodes: usize, domains: usize) {
     let mut runs = Runs::default();
     for _ in 0..args.runs {
@@ -171,7 +180,7 @@
             services: domains,
             ..ClusterOptions::new(PathBuf::from("target/idle_run"))
         });
-        cluster.wait_until_serving();
+        wait_for_completions(&cluster);
         std::thread::sleep(Duration::from_secs(args.settle));
         let before = Sample::take(&cluster);
         std::thread::sleep(Duration::from_secs(args.seconds));
--- a/crates/shallottide_e2e/examples/overhead_run.rs
+++ b/crates/shallottide_e2e/examples/overhead_run.rs
@@ -6,10 +6,11 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
+use std::time::Duration;
 
 use argh::FromArgs;
 use serde_json::Value;
-use shallottide_bench::{Spread, load_average};
+use shallottide_bench::{ProcessUsage, Spread, load_average};
 use shallottide_e2e::{ClusterOptions, ProcessCluster, TEAM_KEY, listening, program_path};
 
 /// Ways of a call.
@@ -93,6 +94,14 @@
     serde_json::from_slice(&output.stdout).expect("a report")
 }
 
+/// Returns the processor time that all entry nodes have used.
+fn processor(cluster: &ProcessCluster) -> Duration {
+    let nodes = cluster.nodes.iter();
+    nodes
+        .map(|node| ProcessUsage::of(node.program.id()).processor)
+        .sum()
+}
+
 type Key = (&'static str, &'static str, &'static str);
 
 /// Results of all runs.
@@ -100,11 +109,16 @@
 struct Results {
     by_key: BTreeMap<Key, Vec<f64>>,
     whole: BTreeMap<&'static str, (u64, u64)>,
+    /// Processor time of all entry nodes for each call, in microseconds.
+    processor: BTreeMap<&'static str, Vec<f64>>,
     loads: Vec<f64>,
 }
 
 impl Results {
-    fn add(&mut self, way: &'static str, report: &Value) {
+    fn add(&mut self, way: &'static str, report: &Value, processor: Duration) {
+        let calls = report["whole"].as_f64().expect("a count");
+        let each = processor.as_secs_f64() * 1e6 / calls;
+        self.processor.entry(way).or_default().push(each);
         for time in TIMES {
             for percentile in PERCENTILES {
                 let value = report[time][percentile].as_f64().expect("a latency");
@@ -141,7 +155,10 @@
             }
         }
         for (way, (whole, arrived)) in &self.whole {
-            println!("{way}: {whole} of {arrived} answers whole");
+            let processor = Spread::of(self.processor[way].clone());
+            println!(
+                "{way}: {whole} of {arrived} answers whole; microseconds of the nodes' processor for each call: {processor:.0}"
+            );
         }
         println!("load average: {:.1}", Spread::of(self.loads.clone()));
     }
@@ -172,8 +189,10 @@
         for turn in 0..WAYS.len() {
             // No way always follows the same other one.
             let (way, target) = targets.ways[(run as usize + turn) % WAYS.len()];
+            let before = processor(&cluster);
             let report = load(&args, way, target, 100 + run);
-            results.add(way, &report);
+            let used = processor(&cluster).saturating_sub(before);
+            results.add(way, &report, used);
         }
     }
     println!(
