--- a/crates/shallottide/src/upstreams.rs
+++ b/crates/shallottide/src/upstreams.rs
@@ -6,6 +6,7 @@
 
 mod answer_reader;
 mod attempt_agent;
+mod literal_resolver;
 mod upstream_border;
 
 pub use upstream_border::UpstreamBorder;
--- a/crates/shallottide/src/upstreams/attempt_agent.rs
+++ b/crates/shallottide/src/upstreams/attempt_agent.rs
@@ -6,9 +6,10 @@
 
 use ureq::Agent;
 use ureq::config::Config;
-use ureq::unversioned::resolver::DefaultResolver;
 use ureq::unversioned::transport::{ConnectionDetails, Connector, TcpConnector, Transport};
 
+use super::literal_resolver::LiteralResolver;
+
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -36,7 +37,7 @@
             .build();
         let connector = TcpConnector::default().chain(NoteConnected(connected.clone()));
         Self {
-            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
+            agent: Agent::with_parts(config, connector, LiteralResolver::default()),
             connected,
         }
     }
