--- a/crates/shallottide/tests/peers/main.rs
+++ b/crates/shallottide/tests/peers/main.rs
@@ -83,6 +83,22 @@
     wrong_key_is_refused_before_running: OTHER_KEY, Answer::Whole, &Outcome::NotRun, 0;
 }
 
+#[test]
+fn traffic_is_counted_on_both_sides() {
+    let (first, second, wire) = pair(KEY, Answer::Whole);
+    first.border.send(forward(1, wire.address(), LONG).into());
+    assert_eq!(outcome(&first), whole());
+    let (sender, receiver) = (first.traffic.totals(), second.traffic.totals());
+    assert_eq!((sender.calls_sent, sender.calls_received), (1, 0));
+    assert_eq!((receiver.calls_sent, receiver.calls_received), (0, 1));
+    for totals in [sender, receiver] {
+        assert!(
+            totals.bytes_sent > 0 && totals.bytes_received > 0,
+            "{totals:?}"
+        );
+    }
+}
+
 #[test]
 fn unreachable_peer_is_not_sent() {
     let (first, _second, wire) = pair(KEY, Answer::Whole);
--- a/crates/shallottide/tests/peers/peer_node.rs
+++ b/crates/shallottide/tests/peers/peer_node.rs
@@ -11,7 +11,7 @@
 use shallottide::kernel::{Context, Kernel, Name, Outbox, Service, names};
 use shallottide::message::{CallArrived, Forward, Message, Reply};
 use shallottide::peer_codec::PeerKey;
-use shallottide::peers::{PeerBorder, PeerOptions};
+use shallottide::peers::{PeerBorder, PeerOptions, PeerTraffic};
 use shallottide_types::call::{CallHead, ReplyEvent, ReplyHead, Target, Trace};
 use shallottide_types::clock::SystemClock;
 use shallottide_types::id::{AttemptId, Incarnation};
@@ -84,6 +84,7 @@
     pub(crate) arrivals: Receiver<CallArrived>,
     pub(crate) attempts: Receiver<Message>,
     pub(crate) gone: Receiver<()>,
+    pub(crate) traffic: Arc<PeerTraffic>,
 }
 
 impl PeerNode {
@@ -104,7 +105,9 @@
             attempts: attempts_tx,
             gone: gone_tx,
         };
-        std::thread::spawn(move || run(name, key, known_as, responder, &started_tx));
+        let traffic = Arc::<PeerTraffic>::default();
+        let counts = traffic.clone();
+        std::thread::spawn(move || run(name, key, known_as, counts, responder, &started_tx));
         let (border, listens) = started.recv().expect("the node starts");
         Self {
             border,
@@ -112,6 +115,7 @@
             arrivals,
             attempts,
             gone,
+            traffic,
         }
     }
 }
@@ -120,6 +124,7 @@
     name: &str,
     key: &str,
     known_as: Option<SocketAddr>,
+    traffic: Arc<PeerTraffic>,
     responder: Responder,
     started: &Sender<(PeerBorder, SocketAddr)>,
 ) {
@@ -140,7 +145,7 @@
         key: PeerKey::new(key.as_bytes()).expect("long enough"),
         gate: ConnectionGate::new(16),
         clock: Arc::new(SystemClock),
-        traffic: Arc::default(),
+        traffic,
     };
     let border = PeerBorder::new(options, kernel.handle(), runtime.handle().clone());
     runtime.spawn(border.clone().serve(listener));
