--- a/crates/shallottide/src/upstreams/attempt_agent.rs
+++ b/crates/shallottide/src/upstreams/attempt_agent.rs
@@ -4,8 +4,8 @@
 
 use ureq::Agent;
 use ureq::config::Config;
-use ureq::unversioned::resolver::DefaultResolver;
 
+use super::literal_resolver::LiteralResolver;
 use crate::http_connect::MarkingConnector;
 
 /// Longest wait for a connection.
@@ -28,6 +28,6 @@
     Agent::with_parts(
         config,
         MarkingConnector::default(),
-        DefaultResolver::default(),
+        LiteralResolver::default(),
     )
 }
--- a/crates/shallottide_demo/src/caller.rs
+++ b/crates/shallottide_demo/src/caller.rs
@@ -100,7 +100,7 @@
         self.post("/tickets", None, &body)
     }
 
-    /// Tries a call again while it is refused without having run.
+    /// Tries a call again while it is refused without having run, or said to be running.
     ///
     /// # Errors
     /// [`DemoError::NotServing`] after a minute, and those of the call.
@@ -112,7 +112,8 @@
         let deadline = Instant::now() + START_TIMEOUT;
         loop {
             let answer = call(self)?;
-            if !answer.did_not_run() {
+            // A refused claim is given back a moment after its refusal was told.
+            if !answer.did_not_run() && !answer.is_running() {
                 return Ok(answer);
             }
             if Instant::now() > deadline {
--- a/crates/shallottide_e2e/examples/idle_run.rs
+++ b/crates/shallottide_e2e/examples/idle_run.rs
@@ -11,9 +11,6 @@
 use shallottide_bench::{ProcessUsage, Spread, load_average};
 use shallottide_e2e::{ClusterOptions, ProcessCluster, listening};
 
-/// Time for caches, connections and first elections to settle.
-const SETTLE: Duration = Duration::from_secs(6);
-
 /// Measures entry nodes without load.
 #[derive(FromArgs)]
 struct Args {
@@ -32,6 +29,9 @@
     /// seconds of each run
     #[argh(option, default = "20")]
     seconds: u64,
+    /// seconds for connections and first elections to settle before each run
+    #[argh(option, default = "6")]
+    settle: u64,
 }
 
 /// What one node used and sent in one run, for each second.
@@ -40,6 +40,7 @@
     resident_mb: f64,
     threads: f64,
     bytes_sent: f64,
+    message_bytes_sent: f64,
     messages_sent: f64,
 }
 
@@ -84,6 +85,7 @@
             resident_mb: count(used.resident_bytes) / 1e6,
             threads: count(used.threads as u64),
             bytes_sent: growth("bytes_sent"),
+            message_bytes_sent: growth("control_bytes_sent"),
             messages_sent: growth("control_sent"),
         }
     };
@@ -107,7 +109,10 @@
 #[derive(Default)]
 struct Runs {
     columns: BTreeMap<&'static str, Vec<f64>>,
+    /// Platform calls in a second, by kind.
     calls: BTreeMap<String, Vec<f64>>,
+    /// Platform calls from the start until measuring began, by kind; the records' writes too.
+    start_calls: BTreeMap<String, Vec<f64>>,
     loads: Vec<f64>,
 }
 
@@ -121,12 +126,15 @@
         add("threads", most(&rates, |r| r.threads));
         add("bytes", mean(&rates, |r| r.bytes_sent));
         add("bytes_most", most(&rates, |r| r.bytes_sent));
+        add("message_bytes", mean(&rates, |r| r.message_bytes_sent));
         add("messages", mean(&rates, |r| r.messages_sent));
         let seconds = after.at.duration_since(before.at).as_secs_f64();
         for (kind, calls) in &after.calls {
             let was = before.calls.get(kind).copied().unwrap_or(0);
             let rate = count(calls - was) / seconds;
             self.calls.entry(kind.clone()).or_default().push(rate);
+            let start = self.start_calls.entry(kind.clone()).or_default();
+            start.push(count(was));
         }
         self.loads.push(load_average());
     }
@@ -134,25 +142,34 @@
     fn print(self, nodes: usize, domains: usize) {
         let column = |name| Spread::of(self.columns[name].clone());
         println!(
-            "| {nodes} | {domains} | {:.2} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} |",
+            "| {nodes} | {domains} | {:.2} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} |",
             column("core_percent"),
             column("core_percent_most"),
             column("resident_mb"),
             column("threads"),
             column("bytes"),
             column("bytes_most"),
+            column("message_bytes"),
             column("messages"),
             Spread::of(self.loads),
         );
         for (kind, rates) in self.calls {
             let rates = Spread::of(rates);
-            if rates.highest > 0.0 {
-                println!("|  |  | platform {kind}/s: {rates:.2} |");
-            }
+            let start = Spread::of(self.start_calls[&kind].clone());
+            println!("|  |  | platform {kind}/s: {rates:.2}; until measuring began: {start:.0} |");
         }
     }
 }
 
+/// Waits until every node answers for a completion.
+fn wait_for_completions(cluster: &ProcessCluster) {
+    for node in &cluster.nodes {
+        let caller = node.caller();
+        let served = caller.until_served("completion", |caller| caller.complete("warm up", 2));
+        assert_eq!(served.expect("an answer").status, 200);
+    }
+}
+
 fn measure(args: &Args, nodes: usize, domains: usize) {
     let mut runs = Runs::default();
     for _ in 0..args.runs {
@@ -163,8 +180,8 @@
             services: domains,
             ..ClusterOptions::new(PathBuf::from("target/idle_run"))
         });
-        cluster.wait_until_serving();
-        std::thread::sleep(SETTLE);
+        wait_for_completions(&cluster);
+        std::thread::sleep(Duration::from_secs(args.settle));
         let before = Sample::take(&cluster);
         std::thread::sleep(Duration::from_secs(args.seconds));
         let after = Sample::take(&cluster);
@@ -186,9 +203,9 @@
         args.runs, args.seconds
     );
     println!(
-        "| nodes | domains | % of a core, mean of nodes | % of a core, busiest | MB resident, largest | threads | bytes/s sent, mean | bytes/s sent, most | messages/s sent | load average |"
+        "| nodes | domains | % of a core, mean of nodes | % of a core, busiest | MB resident, largest | threads | bytes/s sent, mean | bytes/s sent, most | bytes/s of control messages sent | messages/s sent | load average |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for &domains in &args.domains {
         for &nodes in args.nodes.iter().filter(|nodes| **nodes >= domains) {
             measure(&args, nodes, domains);
--- a/crates/shallottide_e2e/examples/overhead_run.rs
+++ b/crates/shallottide_e2e/examples/overhead_run.rs
@@ -6,14 +6,21 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
+use std::time::Duration;
 
 use argh::FromArgs;
 use serde_json::Value;
-use shallottide_bench::{Spread, load_average};
+use shallottide_bench::{ProcessUsage, Spread, load_average};
 use shallottide_e2e::{ClusterOptions, ProcessCluster, TEAM_KEY, listening, program_path};
 
-/// Ways of a call, in the order in which they take turns.
-const WAYS: [&str; 3] = ["straight", "one node", "two nodes"];
+/// Ways of a call.
+const WAYS: [&str; 4] = [STRAIGHT, NEW_CONNECTION, "one node", "two nodes"];
+
+/// Straight to the engine over connections that are kept.
+const STRAIGHT: &str = "straight";
+
+/// Straight to the engine over a connection for each call, as entry nodes do.
+const NEW_CONNECTION: &str = "straight, new connection";
 
 /// What is measured of each call, as the load tool names it.
 const TIMES: [&str; 3] = ["first_token", "between_tokens", "whole_answer"];
@@ -56,6 +63,7 @@
         let dispatcher: usize = number_of(dispatcher).expect("a numbered node");
         let other = (dispatcher + 1) % cluster.nodes.len();
         let addresses = [
+            listening(&cluster.engines[number]),
             listening(&cluster.engines[number]),
             cluster.nodes[dispatcher].callers,
             cluster.nodes[other].callers,
@@ -66,7 +74,7 @@
     }
 }
 
-fn load(args: &Args, target: SocketAddr, seed: u32) -> Value {
+fn load(args: &Args, way: &str, target: SocketAddr, seed: u32) -> Value {
     let mut command = Command::new(program_path("shallottide-load"));
     let mut add = |name: &str, value: String| {
         command.arg(format!("--{name}")).arg(value);
@@ -78,11 +86,22 @@
     add("seconds", args.seconds.to_string());
     add("seed", seed.to_string());
     add("max-tokens", args.max_tokens.to_string());
+    if way == NEW_CONNECTION {
+        command.arg("--new-connections");
+    }
     let output = command.arg("--json").output();
     let output = output.expect("shallottide-load is built");
     serde_json::from_slice(&output.stdout).expect("a report")
 }
 
+/// Returns the processor time that all entry nodes have used.
+fn processor(cluster: &ProcessCluster) -> Duration {
+    let nodes = cluster.nodes.iter();
+    nodes
+        .map(|node| ProcessUsage::of(node.program.id()).processor)
+        .sum()
+}
+
 type Key = (&'static str, &'static str, &'static str);
 
 /// Results of all runs.
@@ -90,11 +109,16 @@
 struct Results {
     by_key: BTreeMap<Key, Vec<f64>>,
     whole: BTreeMap<&'static str, (u64, u64)>,
+    /// Processor time of all entry nodes for each call, in microseconds.
+    processor: BTreeMap<&'static str, Vec<f64>>,
     loads: Vec<f64>,
 }
 
 impl Results {
-    fn add(&mut self, way: &'static str, report: &Value) {
+    fn add(&mut self, way: &'static str, report: &Value, processor: Duration) {
+        let calls = report["whole"].as_f64().expect("a count");
+        let each = processor.as_secs_f64() * 1e6 / calls;
+        self.processor.entry(way).or_default().push(each);
         for time in TIMES {
             for percentile in PERCENTILES {
                 let value = report[time][percentile].as_f64().expect("a latency");
@@ -111,7 +135,7 @@
     fn print(&self) {
         for time in TIMES {
             for percentile in PERCENTILES {
-                let straight = &self.by_key[&("straight", time, percentile)];
+                let straight = &self.by_key[&(STRAIGHT, time, percentile)];
                 println!(
                     "| {time} {percentile} | straight | {:.0} |  |  |",
                     Spread::of(straight.clone())
@@ -131,7 +155,10 @@
             }
         }
         for (way, (whole, arrived)) in &self.whole {
-            println!("{way}: {whole} of {arrived} answers whole");
+            let processor = Spread::of(self.processor[way].clone());
+            println!(
+                "{way}: {whole} of {arrived} answers whole; microseconds of the nodes' processor for each call: {processor:.0}"
+            );
         }
         println!("load average: {:.1}", Spread::of(self.loads.clone()));
     }
@@ -154,14 +181,18 @@
     });
     cluster.wait_until_serving();
     let targets = Targets::find(&cluster);
-    for (_, target) in &targets.ways {
-        let _warm_up = load(&args, *target, 1);
+    for (way, target) in &targets.ways {
+        let _warm_up = load(&args, way, *target, 1);
     }
     let mut results = Results::default();
     for run in 0..args.runs {
-        for (way, target) in &targets.ways {
-            let report = load(&args, *target, 100 + run);
-            results.add(way, &report);
+        for turn in 0..WAYS.len() {
+            // No way always follows the same other one.
+            let (way, target) = targets.ways[(run as usize + turn) % WAYS.len()];
+            let before = processor(&cluster);
+            let report = load(&args, way, target, 100 + run);
+            let used = processor(&cluster).saturating_sub(before);
+            results.add(way, &report, used);
         }
     }
     println!(
