Let a node have more platform calls under way

Cause: a slow platform (300 ms a call) held all four threads; claims' rounds waited in the queue until they counted as unanswered.

--- a/crates/shallottide/src/platform_border.rs
+++ b/crates/shallottide/src/platform_border.rs
@@ -8,8 +8,9 @@
 use crate::message::{Message, PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest};
 use crate::worker_pool::WorkerPool;
 
-/// Threads for calls that don't wait for a change.
-const THREADS: usize = 4;
+/// Threads for calls that don't wait for a change: enough for each claims partition that a node
+/// writes, and other services, to have a call under way when the platform is slow.
+const THREADS: usize = 12;
 
 /// Threads for calls that wait for a change; a node runs at most one watch of the records,
 /// one of the placement, and one spare while an old watch ends.
