--- a/crates/shallottide/tests/platform_border.rs
+++ b/crates/shallottide/tests/platform_border.rs
@@ -6,6 +6,7 @@
 use shallottide::kernel::{Context, Kernel, names};
 use shallottide::message::{PlatformOp, PlatformRequest};
 use shallottide::platform_border::PlatformBorder;
+use shallottide::telemetry::Metrics;
 use shallottide_types::clock::SystemClock;
 use shallottide_types::id::{DomainId, Incarnation, StoreIndex};
 use shallottide_types::peer::NodeInfo;
@@ -85,7 +86,7 @@
     };
     let kernel = Kernel::new(Context::new(Arc::new(SystemClock), info));
     let platform = Arc::new(SlowPlatform::default());
-    let border = PlatformBorder::new(kernel.handle(), platform.clone()).unwrap();
+    let border = PlatformBorder::new(kernel.handle(), platform.clone(), Metrics::none()).unwrap();
     for token in 0..CALLS as u64 {
         let request = PlatformRequest {
             reply_to: names::CLAIMS,
--- a/crates/shallottide_bench/src/claimed_keys.rs
+++ b/crates/shallottide_bench/src/claimed_keys.rs
@@ -90,6 +90,7 @@
             call: call.clone(),
             claim,
             digest: self.last,
+            ticket: None,
             time_left: TIME_LEFT,
         };
         self.handle(wanted.into());
--- a/crates/shallottide_bench/src/decisions/planning.rs
+++ b/crates/shallottide_bench/src/decisions/planning.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use shallottide::groups::{PlanInput, Planner};
-use shallottide_types::id::{ModelId, NodeId, UpstreamId, VmId};
+use shallottide_types::id::{GroupId, ModelId, NodeId, UpstreamId, VmId};
 use shallottide_types::placement::Placement;
 use shallottide_types::platform::Vm;
 use shallottide_types::record::ModelRecord;
@@ -39,6 +39,7 @@
     vms: BTreeMap<VmId, Vm>,
     answering: BTreeSet<VmId>,
     lost: BTreeSet<VmId>,
+    complete: BTreeSet<GroupId>,
     nodes: Vec<NodeId>,
     upstreams: BTreeSet<UpstreamId>,
 }
@@ -55,8 +56,10 @@
         let lost: BTreeSet<VmId> = vms.keys().take(lost).cloned().collect();
         let answering = vms.keys().filter(|vm| !lost.contains(*vm));
         let model = model(servers / VMS_PER_GROUP);
+        let placement = world.placement();
         Self {
-            placement: world.placement(),
+            complete: placement.groups.keys().cloned().collect(),
+            placement,
             models: BTreeMap::from([(model.id.clone(), model)]),
             answering: answering.cloned().collect(),
             nodes: (0..NODES).map(|number| node(number).node).collect(),
@@ -74,6 +77,7 @@
             vms: &self.vms,
             answering: &self.answering,
             lost: &self.lost,
+            complete: &self.complete,
             nodes: &self.nodes,
             max_imbalance: 2,
         })
--- a/crates/shallottide_load/src/cli.rs
+++ b/crates/shallottide_load/src/cli.rs
@@ -10,6 +10,10 @@
 /// Makes open-loop load and reports what became of it. Exit code 0: no answer was cut, wrong
 /// or malformed, nothing ran twice; 1: some was; 2: bad options.
 #[derive(FromArgs)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a switch of the command line"
+)]
 pub(crate) struct Arguments {
     /// entry VM as ADDRESS:PORT; may be given several times
     #[argh(option)]
