--- a/crates/shallottide_e2e/tests/whole_path.rs
+++ b/crates/shallottide_e2e/tests/whole_path.rs
@@ -8,6 +8,14 @@
     ClusterOptions::new(PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name))
 }
 
+/// Tells whether any node has a call on an upstream; only the dispatcher's status counts it.
+fn is_in_flight(cluster: &ProcessCluster) -> bool {
+    cluster.nodes.iter().any(|node| {
+        let status = cluster.status(node);
+        status.is_some_and(|status| status["in_flight"].as_u64() > Some(0))
+    })
+}
+
 fn tokens(body: &str) -> usize {
     body.matches("\"text\"").count()
 }
@@ -41,10 +49,7 @@
     let caller = cluster.nodes[0].caller();
     // Long enough to be in flight when the signal comes, whatever the machine does.
     let stream = std::thread::spawn(move || caller.complete("long report", 400));
-    cluster.wait_until("a call in flight", |cluster| {
-        let status = cluster.status(&cluster.nodes[0]);
-        status.is_some_and(|status| status["in_flight"].as_u64() > Some(0))
-    });
+    cluster.wait_until("a call in flight", is_in_flight);
     cluster.nodes[0].program.signal(Signal::TERM);
     let exit = cluster.nodes[0].program.wait();
     let answer = stream.join().expect("the caller ends").expect("an answer");
@@ -96,3 +101,28 @@
     assert!(served.status == 200 || !says_no, "{}", served.body);
     assert!(cluster.runs_of("pallets-9") <= 1);
 }
+
+#[test]
+fn second_signal_ends_the_wait_and_reports_what_is_left() {
+    let mut cluster = ProcessCluster::start(options("second_signal"));
+    cluster.wait_until_serving();
+    let caller = cluster.nodes[0].caller();
+    // Far longer than the test, so that it is in flight at the end.
+    let stream = std::thread::spawn(move || caller.complete("endless report", 10_000));
+    cluster.wait_until("a call in flight", is_in_flight);
+    cluster.nodes[0].program.signal(Signal::TERM);
+    cluster.wait_until("the first signal noticed", |cluster| {
+        let status = cluster.status(&cluster.nodes[0]);
+        status.is_some_and(|status| status["stopping"].as_bool() == Some(true))
+    });
+    cluster.nodes[0].program.signal(Signal::TERM);
+    let exit = cluster.nodes[0].program.wait();
+    assert_eq!(exit.code(), Some(4));
+    let log = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("second_signal/node-0.log");
+    let log = std::fs::read_to_string(log).expect("the node's log");
+    assert!(log.contains("calls left running"), "{log}");
+    assert!(
+        stream.join().expect("the caller ends").is_err(),
+        "cut without a word"
+    );
+}
