Say 'unknown' of keyed calls that a node without records refuses

A node that has just started said 'not run' of calls whose key may have run through another node; the existing test of an unknown service expected just that for a call with a key, which was wrong: it now expects 'unknown' with a key and 'no' without. Before: the new case of auth got 'no'; by reading, not by a run.

--- a/crates/shallottide/src/auth/auth_service.rs
+++ b/crates/shallottide/src/auth/auth_service.rs
@@ -25,14 +25,20 @@
     fn handle(&mut self, message: Message, cx: &Context, out: &mut Outbox) {
         match message {
             Message::CallPresented(CallPresented { key, mut call }) => {
-                if let Some(team) = team_of(key, call.reply_to, cx, out) {
+                // An earlier request with the same key may have run through another node.
+                let ran = if call.head.key.is_some() {
+                    Ran::Unknown
+                } else {
+                    Ran::No
+                };
+                if let Some(team) = team_of(key, ran, call.reply_to, cx, out) {
                     call.head.team = team;
                     out.send(names::CALLS, call);
                 }
             }
             Message::TicketsPresented(presented) => {
                 let (reply_to, count) = (presented.reply_to, presented.count);
-                if let Some(team) = team_of(presented.key, reply_to, cx, out) {
+                if let Some(team) = team_of(presented.key, Ran::No, reply_to, cx, out) {
                     let wanted = TicketsWanted {
                         reply_to,
                         team,
@@ -46,9 +52,10 @@
     }
 }
 
-/// Finds the team of a key, or refuses.
+/// Finds the team of a key, or refuses; `ran` is what may be said of the call.
 fn team_of(
     key: Option<KeyHash>,
+    ran: Ran,
     reply_to: ReplyTo,
     cx: &Context,
     out: &mut Outbox,
@@ -56,21 +63,21 @@
     let config = cx.config();
     let team = key.as_ref().and_then(|key| config.team_keys.get(key));
     if team.is_none() {
-        let event = ReplyEvent::Fail(refusal(key.is_some(), config.teams.is_empty()));
+        let event = ReplyEvent::Fail(refusal(key.is_some(), config.teams.is_empty(), ran));
         out.send(names::FRONT, Reply { reply_to, event });
     }
     team.cloned()
 }
 
-fn refusal(has_key: bool, is_starting: bool) -> Refusal {
+fn refusal(has_key: bool, is_starting: bool, ran: Ran) -> Refusal {
     if is_starting {
         let message = "this node has no records yet: retry, or call another node";
-        return Refusal::new(RefusalKind::NoUpstream, Ran::No, message).retry_after(RETRY_STARTING);
+        return Refusal::new(RefusalKind::NoUpstream, ran, message).retry_after(RETRY_STARTING);
     }
     let message = if has_key {
         "the bearer key belongs to no team: ask an operator for a valid key"
     } else {
         "no bearer key: send `Authorization: Bearer KEY`"
     };
-    Refusal::new(RefusalKind::Unauthorized, Ran::No, message)
+    Refusal::new(RefusalKind::Unauthorized, ran, message)
 }
--- a/crates/shallottide/src/calls/arrival.rs
+++ b/crates/shallottide/src/calls/arrival.rs
@@ -141,7 +141,14 @@
         Target::Service(service) => {
             let Some(record) = config.services.get(service) else {
                 let message = format!("service {service} does not exist: check its name");
-                return Err(rejected(RefusalKind::NotFound, &message));
+                let refusal = rejected(RefusalKind::NotFound, &message);
+                // This node's records may be behind those of a node that ran the key's call.
+                let has_key = head.key.is_some();
+                return Err(if has_key {
+                    before_claim(refusal)
+                } else {
+                    refusal
+                });
             };
             if record.may_repeat(&head.method, &head.path) {
                 return Ok(Repeat::BeforeBody);
--- a/crates/shallottide/tests/auth.rs
+++ b/crates/shallottide/tests/auth.rs
@@ -127,3 +127,19 @@
     unknown_key: config(), Some("other"), RefusalKind::Unauthorized;
     key_before_any_record_is_known: ConfigView::default(), Some(KEY), RefusalKind::NoUpstream;
 }
+
+#[test]
+fn refused_call_with_an_idempotency_key_may_have_run_elsewhere() {
+    let mut presented = presented(Some(KEY));
+    presented.call.head.key = Some("booking-1".parse().unwrap());
+    let mut out = Outbox::default();
+    let cx = context(ConfigView::default());
+    AuthService.handle(presented.into(), &cx, &mut out);
+    let Some((_, Message::Reply(reply))) = out.take().pop() else {
+        panic!("the call went on");
+    };
+    let ReplyEvent::Fail(refusal) = reply.event else {
+        panic!("no refusal");
+    };
+    assert_eq!(refusal.ran, Ran::Unknown);
+}
--- a/crates/shallottide/tests/calls_rules.rs
+++ b/crates/shallottide/tests/calls_rules.rs
@@ -99,6 +99,14 @@
     let mut call = arrived(Kind::Booking, FRONT);
     call.head.target = Target::Service("nowhere".parse().unwrap());
     let sent = plain_node().send(call);
+    // Another node, whose records are newer, may have run an earlier request with the key.
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::NotFound, Ran::Unknown))
+    );
+    let mut call = arrived(Kind::Count, FRONT);
+    call.head.target = Target::Service("nowhere".parse().unwrap());
+    let sent = plain_node().send(call);
     assert_eq!(kind_and_ran(&sent), Some((RefusalKind::NotFound, Ran::No)));
 }
 
--- a/crates/shallottide_demo/src/caller.rs
+++ b/crates/shallottide_demo/src/caller.rs
@@ -35,6 +35,13 @@
         self.status >= 400 && self.body.contains(r#""ran":"no""#)
     }
 
+    /// Tells whether the node or the platform can't take the call now; with a key, or without
+    /// harm when it runs twice, it may be tried again.
+    #[must_use]
+    pub fn is_unavailable(&self) -> bool {
+        self.status == 503
+    }
+
     /// Tells whether the same call is still running, or its outcome not yet recorded.
     #[must_use]
     pub fn is_running(&self) -> bool {
@@ -100,7 +107,7 @@
         self.post("/tickets", None, &body)
     }
 
-    /// Tries a call again while it is refused without having run, or said to be running.
+    /// Tries a call again while it is refused for now, or said to be running.
     ///
     /// # Errors
     /// [`DemoError::NotServing`] after a minute, and those of the call.
@@ -113,7 +120,8 @@
         loop {
             let answer = call(self)?;
             // A refused claim is given back a moment after its refusal was told.
-            if !answer.did_not_run() && !answer.is_running() {
+            let is_refused = answer.did_not_run() || answer.is_unavailable();
+            if !is_refused && !answer.is_running() {
                 return Ok(answer);
             }
             if Instant::now() > deadline {
