Build the load tool's arguments for a cluster in one place

fault_run and load_run each put the same targets, services and names together; ProcessCluster now does.

--- a/crates/shallottide_e2e/examples/fault_run.rs
+++ b/crates/shallottide_e2e/examples/fault_run.rs
@@ -13,7 +13,7 @@
 use argh::FromArgs;
 use fault_run_support::{FAULTS, Fault, Row, Stage, heading, together};
 use serde_json::Value;
-use shallottide_e2e::{ClusterOptions, ProcessCluster, TEAM_KEY, listening, program_path};
+use shallottide_e2e::{ClusterOptions, ProcessCluster, listening};
 
 /// Longest wait after a fault until each node serves again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -214,19 +214,10 @@
 }
 
 fn load(args: &Args, cluster: &ProcessCluster, seed: u64, seconds: u32) -> Command {
-    let mut command = Command::new(program_path("shallottide-load"));
+    let mut command = cluster.load_command();
     let mut add = |name: &str, value: String| {
         command.arg(format!("--{name}")).arg(value);
     };
-    for node in &cluster.nodes {
-        add("target", node.callers.to_string());
-    }
-    for service in &cluster.services {
-        add("check-runs", listening(service).to_string());
-    }
-    add("key", TEAM_KEY.into());
-    add("model", "tide".into());
-    add("service", "bookings".into());
     add("mix", "40".into());
     add("repeat", "30".into());
     add("timeout", "20s".into());
--- a/crates/shallottide_e2e/examples/load_run.rs
+++ b/crates/shallottide_e2e/examples/load_run.rs
@@ -7,7 +7,7 @@
 use std::process::{Command, ExitCode};
 
 use argh::FromArgs;
-use shallottide_e2e::{ClusterOptions, ProcessCluster, TEAM_KEY, listening, program_path};
+use shallottide_e2e::{ClusterOptions, ProcessCluster};
 
 /// Runs load against a cluster of processes.
 #[derive(FromArgs)]
@@ -66,19 +66,10 @@
 }
 
 fn load(args: &Args, cluster: &ProcessCluster, seed: u64, seconds: u32) -> Command {
-    let mut command = Command::new(program_path("shallottide-load"));
+    let mut command = cluster.load_command();
     let mut add = |name: &str, value: String| {
         command.arg(format!("--{name}")).arg(value);
     };
-    for node in &cluster.nodes {
-        add("target", node.callers.to_string());
-    }
-    for service in &cluster.services {
-        add("check-runs", listening(service).to_string());
-    }
-    add("key", TEAM_KEY.into());
-    add("model", "tide".into());
-    add("service", "bookings".into());
     add("rate", args.rate.to_string());
     add("seconds", seconds.to_string());
     add("seed", seed.to_string());
--- a/crates/shallottide_e2e/src/process_cluster.rs
+++ b/crates/shallottide_e2e/src/process_cluster.rs
@@ -373,6 +373,29 @@
         }
     }
 
+    /// Returns `shallottide-load` with the arguments that reach all nodes and services.
+    #[must_use]
+    pub fn load_command(&self) -> Command {
+        let mut command = Command::new(program_path("shallottide-load"));
+        for node in &self.nodes {
+            command.arg("--target").arg(node.callers.to_string());
+        }
+        for service in &self.services {
+            command
+                .arg("--check-runs")
+                .arg(listening(service).to_string());
+        }
+        command.args([
+            "--key",
+            TEAM_KEY,
+            "--model",
+            "tide",
+            "--service",
+            "bookings",
+        ]);
+        command
+    }
+
     /// Waits until `holds` does.
     ///
     /// # Panics
