--- a/crates/shallottide/src/groups.rs
+++ b/crates/shallottide/src/groups.rs
@@ -15,7 +15,7 @@
 mod placement_copy;
 mod placement_store;
 mod planner;
-pub mod rendezvous;
+
 mod report_book;
 mod slow_members;
 mod vm_directory;
@@ -23,3 +23,4 @@
 pub use group_options::GroupOptions;
 pub use group_service::GroupService;
 pub use planner::{PlanInput, Planner};
+pub use shallottide_types::rendezvous;
--- /dev/null
+++ b/crates/shallottide_fleet/src/catalog.rs
@@ -0,0 +1,185 @@
+//! The operators' configuration as one versioned document.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use shallottide_types::data;
+use shallottide_types::id::{DomainId, ModelId, RegionId, ServiceId, TeamId};
+
+/// What may be repeated of a route's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repeat {
+    /// May run more than once.
+    Freely,
+    /// May run at most once.
+    Never,
+    /// A stream that may go on at another upstream after the last event that arrived.
+    Resume,
+}
+
+impl Repeat {
+    /// Tells whether a second upstream may be tried after the first may have run the request.
+    #[must_use]
+    pub fn allows_second_run(self) -> bool {
+        self != Self::Never
+    }
+}
+
+data! {
+    /// One service that a route sends requests to, with its weight.
+    pub struct Split {
+        /// The service.
+        pub service: ServiceId,
+        /// Its share of the requests, relative to the other weights of the route.
+        pub weight: u32,
+    }
+
+    /// How requests of one host and path prefix are served.
+    pub struct Route {
+        /// Name, for logs.
+        pub name: CompactString,
+        /// Host, in lower case and without a port.
+        pub host: CompactString,
+        /// Begins and ends with a slash.
+        pub prefix: CompactString,
+        /// Never empty.
+        pub services: Vec<Split>,
+        /// What may be repeated.
+        pub repeat: Repeat,
+        /// Whether answers are event streams.
+        pub streaming: bool,
+        /// Longest time that a caller is kept waiting.
+        pub timeout: Duration,
+        /// Time within which an answer is worth most.
+        pub target_latency: Duration,
+        /// Longest pause between events for which a stream is on time; zero when not stated.
+        pub longest_gap: Duration,
+        /// Most upstreams that one call may be sent to.
+        pub max_attempts: u32,
+        /// Rank; 0 is served first.
+        pub priority: u8,
+        /// Whether calls need no key.
+        pub public: bool,
+        /// Regions that may serve the route; empty for all.
+        pub regions: Vec<RegionId>,
+    }
+
+    /// Durations and rates of a model engine that a planner needs.
+    pub struct EngineFacts {
+        /// Requests that a group runs at once.
+        pub slots: u32,
+        /// Time of one token step without any request.
+        pub step: Duration,
+        /// Time that each running request adds to a step.
+        pub step_per_request: Duration,
+        /// Prompt tokens read per second.
+        pub read_per_second: u32,
+        /// Weight loads that may start per second, over all upstreams.
+        pub loads_per_second: u32,
+        /// Concurrent loads above which each takes longer.
+        pub loads_at_once: u32,
+        /// The models that the engine can load, in the operators' order.
+        pub models: Vec<ModelFacts>,
+    }
+
+    /// What is known of one model before it runs.
+    pub struct ModelFacts {
+        /// The model.
+        pub model: ModelId,
+        /// Upstreams in one group; at least 1.
+        pub size: usize,
+        /// The model's share of the work at the start, in thousandths.
+        pub share_permille: u32,
+        /// Factor on the engine's times, in thousandths.
+        pub pace_permille: u32,
+    }
+
+    /// One service.
+    pub struct Service {
+        /// The service.
+        pub id: ServiceId,
+        /// Connections that one upstream bears from all callers together.
+        pub max_connections: u32,
+        /// Requests per second that a cold upstream bears, over all nodes; 0 when never cold.
+        pub cold_per_second: u32,
+        /// Set for model engines.
+        pub engine: Option<EngineFacts>,
+    }
+
+    /// One team of callers.
+    pub struct Team {
+        /// The team.
+        pub id: TeamId,
+        /// Rank that goes before the route's, if set.
+        pub priority: Option<u8>,
+    }
+
+    /// Bounds on what a caller may send.
+    pub struct CallerLimits {
+        /// Largest request head.
+        pub head_bytes: usize,
+        /// Largest request body.
+        pub body_bytes: usize,
+        /// Longest time for a request head to arrive.
+        pub head_timeout: Duration,
+        /// Longest time that a connection may be idle.
+        pub idle_timeout: Duration,
+    }
+
+    /// The configuration in force; a higher version replaces a lower one.
+    pub struct Catalog {
+        /// Rises with each change.
+        pub version: u64,
+        /// All routes.
+        pub routes: Vec<Route>,
+        /// Services by id.
+        pub services: BTreeMap<ServiceId, Service>,
+        /// Teams by their keys; empty when calls need no key.
+        pub teams_by_key: BTreeMap<CompactString, Team>,
+        /// Bounds on requests.
+        pub limits: CallerLimits,
+    }
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Catalog {
+    /// Returns the facts of a service's engine, if it is one.
+    #[must_use]
+    pub fn engine(&self, service: &ServiceId) -> Option<&EngineFacts> {
+        self.services.get(service)?.engine.as_ref()
+    }
+}
+
+impl EngineFacts {
+    /// Returns the facts of one model.
+    #[must_use]
+    pub fn model(&self, model: &ModelId) -> Option<&ModelFacts> {
+        self.models.iter().find(|facts| facts.model == *model)
+    }
+
+    /// Estimates how long one request occupies a whole group when all slots are in use.
+    #[must_use]
+    pub fn busy_time(&self, model: &ModelFacts, prompt: u32, output: u32) -> Duration {
+        let slots = self.slots.max(1);
+        let read = f64::from(prompt) / f64::from(self.read_per_second.max(1));
+        let step = self.step + self.step_per_request * slots;
+        let write = step.as_secs_f64() * f64::from(output) / f64::from(slots);
+        let pace = f64::from(model.pace_permille) / 1000.0;
+        Duration::from_secs_f64((read + write) * pace)
+    }
+}
+
+/// A zone of the deployment and the region that holds it.
+pub type Domains = BTreeMap<DomainId, RegionId>;
--- /dev/null
+++ b/crates/shallottide_fleet/src/groups.rs
@@ -0,0 +1,42 @@
+//! Groups of engines: which upstreams form them, and the orders that bring that about.
+//!
+//! One node of each failure domain is its [`Steward`]. It plans from the [`FleetView`] alone, so a
+//! new steward needs nothing from its predecessor but a higher epoch.
+
+mod demand;
+mod load_pace;
+mod order;
+mod planner;
+mod steward;
+mod steward_options;
+
+pub use demand::Demand;
+pub use load_pace::LoadPace;
+pub use order::Order;
+pub use planner::{Candidate, PlannedGroup, Serving, Standing, Warmth, choose_group, choose_swap};
+pub use steward::{Action, Steward};
+pub use steward_options::StewardOptions;
+
+use crate::upstream::{GroupState, Upstream};
+use crate::view::FleetView;
+
+/// Tells whether no member of a head's group is known to have left it.
+///
+/// A member without an entry says nothing: it may serve while it can't reach the store.
+#[must_use]
+pub fn is_whole(head: &Upstream, view: &FleetView) -> bool {
+    let Some(membership) = &head.membership else {
+        return false;
+    };
+    let Some(members) = view.formations.get(&membership.formation) else {
+        return true;
+    };
+    members.values().all(|id| {
+        view.upstreams.get(id).is_none_or(|known| {
+            known.upstream.membership.as_ref().is_some_and(|m| {
+                m.formation == membership.formation
+                    && matches!(m.state, GroupState::Ready | GroupState::Open)
+            })
+        })
+    })
+}
--- /dev/null
+++ b/crates/shallottide_fleet/src/groups/order.rs
@@ -0,0 +1,69 @@
+//! Orders to engines.
+
+use std::fmt;
+
+use shallottide_types::id::{ModelId, UpstreamId};
+
+use crate::upstream::Formation;
+
+/// One order to one engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Become a member of a group.
+    Join {
+        /// The formation.
+        formation: Formation,
+        /// The model that the group serves.
+        model: ModelId,
+        /// All members, the head first.
+        members: Vec<UpstreamId>,
+    },
+    /// Head only: begin to serve.
+    Open(Formation),
+    /// Head only: end the work and become ready again.
+    Close {
+        /// The formation.
+        formation: Formation,
+        /// Whether running requests are cut off instead of ended.
+        preempt: bool,
+    },
+    /// Stop being a member.
+    Leave(Formation),
+    /// Load weights onto the VM, to join a group of that model faster later.
+    Stage(ModelId),
+}
+
+impl Order {
+    /// Returns the formation that the order is about.
+    #[must_use]
+    pub fn formation(&self) -> Option<&Formation> {
+        match self {
+            Self::Join { formation, .. }
+            | Self::Open(formation)
+            | Self::Close { formation, .. }
+            | Self::Leave(formation) => Some(formation),
+            Self::Stage(_) => None,
+        }
+    }
+}
+
+impl fmt::Display for Order {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Join {
+                formation, model, ..
+            } => write!(f, "join {formation} of {model}"),
+            Self::Open(formation) => write!(f, "open {formation}"),
+            Self::Close {
+                formation,
+                preempt: false,
+            } => write!(f, "close {formation}"),
+            Self::Close {
+                formation,
+                preempt: true,
+            } => write!(f, "cut off {formation}"),
+            Self::Leave(formation) => write!(f, "leave {formation}"),
+            Self::Stage(model) => write!(f, "stage {model}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shallottide_fleet/src/groups/planner.rs
@@ -0,0 +1,222 @@
+//! Chooses the next group to form.
+
+use std::collections::BTreeMap;
+
+use shallottide_types::id::{FabricId, ModelId, UpstreamId};
+
+/// How much better off the neediest model must be after a swap.
+const SWAP_GAIN: f64 = 1.25;
+/// How much needier a model must be to load weights while another could start at once.
+const COLD_BIAS: f64 = 1.8;
+
+/// How fast an upstream can join a group of a model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Warmth {
+    /// It served the model last.
+    Loaded,
+    /// Its VM holds the weights.
+    Staged,
+    /// The weights have to be loaded.
+    Cold,
+}
+
+/// An upstream that can be put into a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its fabric domain.
+    pub fabric: FabricId,
+    /// The model that it has loaded.
+    pub loaded: Option<ModelId>,
+    /// Models on its VM.
+    pub staged: Vec<ModelId>,
+}
+
+impl Candidate {
+    /// Tells how fast it can join a group of a model.
+    #[must_use]
+    pub fn warmth(&self, model: &ModelId) -> Warmth {
+        if self.loaded.as_ref() == Some(model) {
+            Warmth::Loaded
+        } else if self.staged.contains(model) {
+            Warmth::Staged
+        } else {
+            Warmth::Cold
+        }
+    }
+}
+
+/// How one model stands.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Standing {
+    /// The model.
+    pub model: ModelId,
+    /// Upstreams in one group.
+    pub size: usize,
+    /// The part of the work that callers ask of it; never negative.
+    pub weight: f64,
+    /// Upstreams in groups that serve it or are being formed.
+    pub has: usize,
+}
+
+impl Standing {
+    fn ratio(&self, more: f64) -> f64 {
+        (count(self.has) + more) / self.weight.max(0.001)
+    }
+}
+
+/// A group to form.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedGroup {
+    /// The model.
+    pub model: ModelId,
+    /// Its members, the head first.
+    pub members: Vec<UpstreamId>,
+}
+
+/// Chooses a group for free upstreams, for the model with the fewest upstreams for its work.
+#[must_use]
+pub fn choose_group(standings: &[Standing], free: &[Candidate]) -> Option<PlannedGroup> {
+    let mut options: Vec<(f64, Warmth, PlannedGroup)> = Vec::new();
+    for standing in standings {
+        if let Some((warmth, group)) = best_members(standing, free) {
+            options.push((standing.ratio(0.0), warmth, group));
+        }
+    }
+    let bias = |ratio: f64, warmth: Warmth| match warmth {
+        Warmth::Cold => ratio * COLD_BIAS,
+        Warmth::Loaded | Warmth::Staged => ratio,
+    };
+    options
+        .into_iter()
+        .min_by(|a, b| bias(a.0, a.1).total_cmp(&bias(b.0, b.1)))
+        .map(|(_, _, group)| group)
+}
+
+/// Returns the warmest members for one group of a model, and the coldest of them.
+fn best_members(standing: &Standing, free: &[Candidate]) -> Option<(Warmth, PlannedGroup)> {
+    let mut by_fabric: BTreeMap<&FabricId, Vec<&Candidate>> = BTreeMap::new();
+    for candidate in free {
+        by_fabric
+            .entry(&candidate.fabric)
+            .or_default()
+            .push(candidate);
+    }
+    let mut best: Option<((usize, usize, usize), Warmth, Vec<&Candidate>)> = None;
+    for candidates in by_fabric.values_mut() {
+        if candidates.len() < standing.size {
+            continue;
+        }
+        let spare = candidates.len() - standing.size;
+        candidates.sort_by_key(|c| (c.warmth(&standing.model), other_models(c, &standing.model)));
+        let members = &candidates[..standing.size];
+        let number = |warmth| {
+            members
+                .iter()
+                .filter(|c| c.warmth(&standing.model) == warmth)
+                .count()
+        };
+        let cost = (
+            number(Warmth::Cold),
+            number(Warmth::Staged),
+            usize::MAX - spare,
+        );
+        if best.as_ref().is_none_or(|(old, ..)| cost < *old) {
+            let coldest = members.iter().map(|c| c.warmth(&standing.model)).max();
+            best = Some((cost, coldest.unwrap_or(Warmth::Cold), members.to_vec()));
+        }
+    }
+    let (_, warmth, members) = best?;
+    let group = PlannedGroup {
+        model: standing.model.clone(),
+        members: members.iter().map(|c| c.upstream.clone()).collect(),
+    };
+    Some((warmth, group))
+}
+
+/// Ranks upstreams without any weights before those that are warm for another model.
+fn other_models(candidate: &Candidate, model: &ModelId) -> usize {
+    let staged = candidate.staged.iter().filter(|m| *m != model).count();
+    staged + usize::from(candidate.loaded.as_ref().is_some_and(|m| m != model))
+}
+
+/// A group that serves, as a swap sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Serving<T> {
+    /// What names the group.
+    pub key: T,
+    /// Its model.
+    pub model: ModelId,
+    /// Its fabric domain.
+    pub fabric: FabricId,
+    /// Its upstreams.
+    pub size: usize,
+}
+
+/// Chooses groups to end so that the neediest model gets one, where free upstreams do not suffice.
+///
+/// Returns the keys of the groups to end, all in one fabric domain.
+#[must_use]
+pub fn choose_swap<T: Clone>(
+    standings: &[Standing],
+    free: &[Candidate],
+    serving: &[Serving<T>],
+) -> Vec<T> {
+    let needy = standings
+        .iter()
+        .min_by(|a, b| a.ratio(0.0).total_cmp(&b.ratio(0.0)));
+    let Some(needy) = needy else {
+        return Vec::new();
+    };
+    let mut fabrics: BTreeMap<&FabricId, usize> = BTreeMap::new();
+    for group in serving {
+        fabrics.entry(&group.fabric).or_default();
+    }
+    for candidate in free {
+        *fabrics.entry(&candidate.fabric).or_default() += 1;
+    }
+    let mut best: Option<(usize, Vec<T>)> = None;
+    for (fabric, free_here) in fabrics {
+        if free_here >= needy.size {
+            // Free upstreams suffice: forming comes first.
+            return Vec::new();
+        }
+        let mut taken = Vec::new();
+        let mut found = free_here;
+        let mut after = standings.to_vec();
+        for group in serving
+            .iter()
+            .filter(|g| g.fabric == *fabric && g.model != needy.model)
+        {
+            if found >= needy.size {
+                break;
+            }
+            if let Some(standing) = after.iter_mut().find(|s| s.model == group.model) {
+                standing.has = standing.has.saturating_sub(group.size);
+            }
+            found += group.size;
+            taken.push(group.key.clone());
+        }
+        if found < needy.size || taken.is_empty() {
+            continue;
+        }
+        let gained = needy.ratio(count(needy.size));
+        let left = after
+            .iter()
+            .filter(|s| s.model != needy.model)
+            .map(|s| s.ratio(0.0))
+            .fold(gained, f64::min);
+        let wasted = found - needy.size;
+        let is_better = left > needy.ratio(0.0) * SWAP_GAIN
+            && best.as_ref().is_none_or(|(old, _)| wasted < *old);
+        if is_better {
+            best = Some((wasted, taken));
+        }
+    }
+    best.map(|(_, taken)| taken).unwrap_or_default()
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -0,0 +1,30 @@
+//! The entry node that dispatches straight to upstreams.
+//!
+//! Every node decides alone from one [`FleetView`], which the platform's store feeds. Decisions are
+//! plain state machines without sockets; [`serve`] holds the tasks that own sockets.
+//!
+//! - [`view`], [`catalog`], [`upstream`]: what a node believes, and how changes alter it.
+//! - [`routes`]: which route and team a request belongs to.
+//! - [`balance`], [`cold_gate`], [`retry_budget`], [`waiting`]: where a request goes, or that it waits.
+//! - [`groups`]: which upstreams form groups of engines.
+//! - [`lease_watch`]: how long this node may act as a steward.
+//! - [`border`]: traits that an adapter to a platform implements.
+
+pub mod balance;
+pub mod border;
+pub mod catalog;
+pub mod cold_gate;
+pub mod event_stream;
+pub mod groups;
+pub mod lease_watch;
+pub mod options;
+pub mod retry_budget;
+pub mod routes;
+pub mod serve;
+
+pub mod upstream;
+pub mod view;
+pub mod waiting;
+
+pub use options::NodeOptions;
+pub use view::FleetView;
--- /dev/null
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -0,0 +1,173 @@
+//! Follows the platform's store and keeps this node's lease there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use shallottide_types::id::StoreIndex;
+
+use super::node::Node;
+use crate::border::{Changes, Lease, StoreError};
+use crate::lease_watch::boot_time;
+
+/// Longest wait for changes in one call.
+const WAIT: Duration = Duration::from_secs(2);
+/// Time beyond the wait after which an answer is given up.
+const ANSWER_SLACK: Duration = Duration::from_millis(700);
+/// Shortest pause between two calls for changes; gathers the upstreams' heartbeats.
+const MIN_PAUSE: Duration = Duration::from_millis(350);
+/// Part of the store's reads that following it may take, over all nodes.
+const READ_PART: f64 = 0.25;
+/// First and longest pause after a failed call.
+const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
+/// Length of a node's lease, if the store grants it.
+const LEASE: Duration = Duration::from_millis(2_400);
+/// Renewals within one lease.
+const RENEWALS: u32 = 4;
+
+/// Follows the store for ever.
+pub(super) async fn follow(node: Rc<Node>) {
+    let mut listed = false;
+    let mut pause = RETRY.0;
+    loop {
+        let result = if listed {
+            changes(&node).await
+        } else {
+            list(&node).await
+        };
+        match result {
+            Ok(()) => {
+                listed = true;
+                pause = RETRY.0;
+                tokio::time::sleep(pause_between(&node)).await;
+            }
+            Err(error) => {
+                failed(&node, &error);
+                if error == StoreError::HistoryGone {
+                    listed = false;
+                } else {
+                    tokio::time::sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
+                    pause = (pause * 2).min(RETRY.1);
+                }
+            }
+        }
+    }
+}
+
+fn pause_between(node: &Node) -> Duration {
+    let nodes = u32::try_from(node.state.borrow().nodes()).unwrap_or(u32::MAX);
+    let reads = f64::from(node.options.store_reads.max(1)) * READ_PART;
+    MIN_PAUSE.max(Duration::from_secs_f64(f64::from(nodes) / reads))
+}
+
+async fn list(node: &Node) -> Result<(), StoreError> {
+    let listing = limited(WAIT, node.borders.store.list()).await?;
+    heard(node);
+    let now = node.now();
+    let upstreams = {
+        let state = &mut *node.state.borrow_mut();
+        if listing.index >= state.view.index {
+            state.view.replace(listing.index, listing.changes, now);
+        }
+        state.view.upstreams.len()
+    };
+    node.view_changed();
+    tracing::info!(index = %listing.index, upstreams, "store listed");
+    Ok(())
+}
+
+async fn changes(node: &Node) -> Result<(), StoreError> {
+    let after: StoreIndex = node.state.borrow().view.index;
+    let waited = node.borders.store.changes(after, WAIT);
+    let Changes { index, changes } = limited(WAIT + ANSWER_SLACK, waited).await?;
+    heard(node);
+    let now = node.now();
+    let is_changed = !changes.is_empty();
+    {
+        let state = &mut *node.state.borrow_mut();
+        // A peer's view may have been newer meanwhile.
+        if state.view.index == after {
+            for change in changes {
+                state.view.apply(change, now);
+            }
+            state.view.index = index.max(after);
+        }
+    }
+    if is_changed {
+        node.view_changed();
+    }
+    Ok(())
+}
+
+async fn limited<T>(
+    time: Duration,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    tokio::time::timeout(time, call)
+        .await
+        .unwrap_or_else(|_| Err(StoreError::NoAnswer("timed out".into())))
+}
+
+fn heard(node: &Node) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let was_lost = state.view.store_lost;
+    state.view.store_lost = false;
+    state.store_heard = Some(now);
+    if was_lost {
+        tracing::info!(index = %state.view.index, "store regained");
+    }
+}
+
+fn failed(node: &Node, error: &StoreError) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    node.metrics.count("store_failures", "follow");
+    state.view.store_failed(now);
+    if !state.view.store_lost {
+        state.view.store_lost = true;
+        tracing::warn!(%error, index = %state.view.index, "store lost");
+    }
+}
+
+/// Keeps a lease and this node's entry on it, until the node closes.
+pub(super) async fn keep_lease(node: Rc<Node>) {
+    let store = &node.borders.store;
+    let ttl = LEASE.max(node.options.min_lease);
+    let mut lease: Option<Lease> = None;
+    loop {
+        let sent = boot_time();
+        let result = match lease {
+            None => match limited(WAIT, store.grant(ttl)).await {
+                Ok(granted) => {
+                    let entry = store.put_node(granted, &node.options.node, node.options.peers);
+                    limited(WAIT, entry).await.map(|()| granted)
+                }
+                Err(error) => Err(error),
+            },
+            Some(held) => limited(ttl / RENEWALS * 2, store.renew(held)).await,
+        };
+        let mut state = node.state.borrow_mut();
+        match result {
+            Ok(renewed) => {
+                if lease.is_none() {
+                    tracing::info!(lease = renewed.id, "lease taken");
+                }
+                lease = Some(renewed);
+                state.lease.renewed(sent, renewed.ttl);
+                state.lease_held = lease;
+            }
+            Err(error) => {
+                node.metrics.count("store_failures", "lease");
+                if error == StoreError::LeaseEnded || lease.is_none() {
+                    tracing::warn!(%error, "no lease");
+                    lease = None;
+                    state.lease_held = None;
+                    state.lease.ended();
+                }
+            }
+        }
+        drop(state);
+        let pause = lease.map_or(RETRY.1, |lease| lease.ttl / RENEWALS);
+        tokio::time::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/shallottide_fleet/src/view.rs
@@ -0,0 +1,384 @@
+//! What a node believes about the fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use shallottide_types::id::{DomainId, ModelId, NodeId, ServiceId, StoreIndex, UpstreamId};
+
+use crate::catalog::Catalog;
+use crate::groups::is_whole;
+use crate::upstream::{Formation, Upstream};
+
+/// Time after trouble of the store during which removed entries may come back; the platform states
+/// two seconds.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_600);
+
+/// One change in the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// The operators' configuration.
+    Catalog(Box<Catalog>),
+    /// An upstream wrote its entry; `None` when the entry can't be used.
+    Upstream(UpstreamId, Option<Box<Upstream>>),
+    /// An upstream's entry went away.
+    UpstreamGone(UpstreamId),
+    /// Operators take a failure domain out (`true`) or back.
+    Evacuated(DomainId, bool),
+    /// A node's own entry, with the address of its peers' interface.
+    Node(NodeId, Option<CompactString>),
+    /// Who stewards the groups of a domain, with the revision of the claim.
+    Steward(DomainId, Option<Stewardship>),
+}
+
+/// A claim on the groups of a domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stewardship {
+    /// The node that holds it.
+    pub holder: NodeId,
+    /// The store's revision of the claim; later claims have higher ones.
+    pub since: StoreIndex,
+}
+
+/// An upstream and what this node knows about the age of that.
+#[derive(Debug, Clone)]
+pub struct Known {
+    /// What it last said.
+    pub upstream: Upstream,
+    /// When that arrived here.
+    pub seen: Instant,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
+    /// When its entry went away while the store was in trouble.
+    pub lapsed: Option<Instant>,
+}
+
+impl Known {
+    /// Tells whether it is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+}
+
+/// The whole state, as passed between nodes while one of them can't reach the store.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The store's revision that it shows.
+    pub index: StoreIndex,
+    /// How long ago the sender last heard from the store.
+    pub age: Duration,
+    /// All entries, as changes.
+    pub changes: Vec<Change>,
+}
+
+/// What a node believes.
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    /// The store's revision up to which changes were applied.
+    pub index: StoreIndex,
+    /// The configuration in force; never replaced by an older version.
+    pub catalog: Option<Catalog>,
+    /// Upstreams by id.
+    pub upstreams: BTreeMap<UpstreamId, Known>,
+    /// Upstreams that may get requests, by service and, for engines, model.
+    pub serving: BTreeMap<(ServiceId, Option<ModelId>), Vec<UpstreamId>>,
+    /// The generation that `serving` was made from.
+    serving_generation: Option<u64>,
+    /// Members by rank of each formation that an entry names or named.
+    pub formations: BTreeMap<Formation, BTreeMap<usize, UpstreamId>>,
+    /// Domains that operators have taken out.
+    pub evacuated: BTreeSet<DomainId>,
+    /// Nodes with an entry, and their peers' interface.
+    pub nodes: BTreeMap<NodeId, CompactString>,
+    /// Stewards by domain.
+    pub stewards: BTreeMap<DomainId, Stewardship>,
+    /// When the store last failed a call of this node.
+    pub store_trouble: Option<Instant>,
+    /// Whether the last call to the store failed.
+    pub store_lost: bool,
+    /// Rises with each change that routing depends on.
+    pub generation: u64,
+}
+
+impl FleetView {
+    /// Applies one change.
+    pub fn apply(&mut self, change: Change, now: Instant) {
+        match change {
+            Change::Catalog(catalog) => self.apply_catalog(*catalog),
+            Change::Upstream(id, Some(upstream)) => self.apply_upstream(id, *upstream, now),
+            Change::Upstream(id, None) => {
+                if self.upstreams.remove(&id).is_some() {
+                    tracing::warn!(upstream = %id, "upstream entry can't be used: upstream left out");
+                    self.generation += 1;
+                }
+            }
+            Change::UpstreamGone(id) => self.upstream_gone(&id, now),
+            Change::Evacuated(domain, true) => {
+                if self.evacuated.insert(domain.clone()) {
+                    self.generation += 1;
+                    tracing::info!(%domain, index = %self.index, "domain evacuated");
+                }
+            }
+            Change::Evacuated(domain, false) => {
+                if self.evacuated.remove(&domain) {
+                    self.generation += 1;
+                    tracing::info!(%domain, index = %self.index, "domain taken back");
+                }
+            }
+            Change::Node(id, Some(address)) => {
+                self.nodes.insert(id, address);
+            }
+            Change::Node(id, None) => {
+                self.nodes.remove(&id);
+            }
+            Change::Steward(domain, Some(claim)) => {
+                tracing::info!(%domain, holder = %claim.holder, since = %claim.since, "steward known");
+                self.stewards.insert(domain, claim);
+            }
+            Change::Steward(domain, None) => {
+                tracing::info!(%domain, "steward gone");
+                self.stewards.remove(&domain);
+            }
+        }
+    }
+
+    fn apply_catalog(&mut self, catalog: Catalog) {
+        let current = self.catalog.as_ref().map(|c| c.version);
+        if current.is_some_and(|version| catalog.version <= version) {
+            return;
+        }
+        tracing::info!(
+            version = catalog.version,
+            replaced = current,
+            index = %self.index,
+            routes = catalog.routes.len(),
+            "configuration in force"
+        );
+        self.catalog = Some(catalog);
+        self.generation += 1;
+    }
+
+    fn apply_upstream(&mut self, id: UpstreamId, upstream: Upstream, now: Instant) {
+        let cold_until = (!upstream.cold_left.is_zero()).then(|| now + upstream.cold_left);
+        let old = self.upstreams.get(&id);
+        if old.is_none_or(|old| !same_facts(&old.upstream, &upstream)) {
+            self.generation += 1;
+            tracing::debug!(upstream = %id, draining = upstream.draining, "upstream changed");
+        }
+        if let Some(m) = &upstream.membership {
+            let members = self.formations.entry(m.formation.clone()).or_default();
+            members.insert(m.rank, id.clone());
+        }
+        let known = Known {
+            upstream,
+            seen: now,
+            cold_until,
+            lapsed: None,
+        };
+        self.upstreams.insert(id, known);
+    }
+
+    fn upstream_gone(&mut self, id: &UpstreamId, now: Instant) {
+        let troubled = self
+            .store_trouble
+            .is_some_and(|at| now.saturating_duration_since(at) < LAPSE_GRACE);
+        let Some(known) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        if troubled && !known.upstream.draining {
+            known.lapsed = Some(now);
+            tracing::info!(upstream = %id, "entry lapsed during trouble of the store: kept for now");
+            return;
+        }
+        self.upstreams.remove(id);
+        self.generation += 1;
+        tracing::info!(upstream = %id, index = %self.index, "upstream gone");
+    }
+
+    /// Forgets formations that no entry names any more.
+    fn forget_formations(&mut self) {
+        let named: BTreeSet<_> = self
+            .upstreams
+            .values()
+            .filter_map(|known| known.upstream.membership.as_ref())
+            .map(|membership| membership.formation.clone())
+            .collect();
+        self.formations
+            .retain(|formation, _| named.contains(formation));
+    }
+
+    /// Removes entries that lapsed and did not come back in time.
+    pub fn expire(&mut self, now: Instant) {
+        self.forget_formations();
+        let late = |known: &Known| {
+            known
+                .lapsed
+                .is_some_and(|at| now.saturating_duration_since(at) >= LAPSE_GRACE)
+        };
+        if self
+            .store_trouble
+            .is_some_and(|at| now.saturating_duration_since(at) < LAPSE_GRACE)
+        {
+            return;
+        }
+        let gone: Vec<_> = self
+            .upstreams
+            .iter()
+            .filter(|(_, known)| late(known))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.upstreams.remove(&id);
+            self.generation += 1;
+            tracing::info!(upstream = %id, "lapsed upstream did not come back: gone");
+        }
+    }
+
+    /// Notes that a call to the store failed.
+    pub fn store_failed(&mut self, now: Instant) {
+        self.store_trouble = Some(now);
+    }
+
+    /// Replaces all but the configuration's version by a full listing of the store.
+    ///
+    /// Entries that the listing lacks are treated like removed ones.
+    pub fn replace(&mut self, index: StoreIndex, changes: Vec<Change>, now: Instant) {
+        self.index = index;
+        let mut seen = Listed::default();
+        for change in &changes {
+            seen.note(change);
+        }
+        let gone: Vec<_> = self
+            .upstreams
+            .keys()
+            .filter(|id| !seen.upstreams.contains(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            let lapsed = self.upstreams.get(&id).is_some_and(|k| k.lapsed.is_some());
+            if !lapsed {
+                self.upstream_gone(&id, now);
+            }
+        }
+        let before = self.evacuated.len();
+        self.evacuated
+            .retain(|domain| seen.evacuated.contains(domain));
+        if self.evacuated.len() != before {
+            self.generation += 1;
+        }
+        self.nodes.retain(|id, _| seen.nodes.contains(id));
+        self.stewards
+            .retain(|domain, _| seen.stewards.contains(domain));
+        for change in changes {
+            self.apply(change, now);
+        }
+    }
+
+    /// Brings `serving` up to date.
+    pub fn index_serving(&mut self) {
+        if self.serving_generation == Some(self.generation) {
+            return;
+        }
+        self.serving_generation = Some(self.generation);
+        let mut serving: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for (id, known) in &self.upstreams {
+            let upstream = &known.upstream;
+            if upstream.draining || self.evacuated.contains(&upstream.domain) {
+                continue;
+            }
+            let model = if upstream.fabric.is_some() {
+                if !upstream.is_open_head() || !is_whole(upstream, self) {
+                    continue;
+                }
+                upstream.model.clone()
+            } else {
+                None
+            };
+            let key = (upstream.service.clone(), model);
+            serving.entry(key).or_default().push(id.clone());
+        }
+        self.serving = serving;
+    }
+
+    /// Returns the upstreams that may get requests of a service and model.
+    #[must_use]
+    pub fn serving(&self, service: &ServiceId, model: Option<&ModelId>) -> &[UpstreamId] {
+        let key = (service.clone(), model.cloned());
+        self.serving.get(&key).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the whole view for a peer.
+    #[must_use]
+    pub fn snapshot(&self, age: Duration, now: Instant) -> Snapshot {
+        let mut changes = Vec::with_capacity(self.upstreams.len() + 8);
+        changes.extend(self.catalog.clone().map(|c| Change::Catalog(Box::new(c))));
+        for (id, known) in &self.upstreams {
+            if known.lapsed.is_some() {
+                continue;
+            }
+            let mut upstream = known.upstream.clone();
+            upstream.cold_left = known
+                .cold_until
+                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+            changes.push(Change::Upstream(id.clone(), Some(Box::new(upstream))));
+        }
+        let evacuated = self.evacuated.iter().cloned();
+        changes.extend(evacuated.map(|domain| Change::Evacuated(domain, true)));
+        let nodes = self.nodes.iter();
+        changes.extend(nodes.map(|(id, address)| Change::Node(id.clone(), Some(address.clone()))));
+        Snapshot {
+            index: self.index,
+            age,
+            changes,
+        }
+    }
+
+    /// Takes over a peer's view if it is newer than this one.
+    pub fn adopt(&mut self, snapshot: Snapshot, now: Instant) -> bool {
+        if snapshot.index <= self.index {
+            return false;
+        }
+        // Lapses that the peer saw are not told apart from removals, so removals stay graced.
+        self.replace(snapshot.index, snapshot.changes, now);
+        true
+    }
+}
+
+#[derive(Debug, Default)]
+struct Listed {
+    upstreams: BTreeSet<UpstreamId>,
+    evacuated: BTreeSet<DomainId>,
+    nodes: BTreeSet<NodeId>,
+    stewards: BTreeSet<DomainId>,
+}
+
+impl Listed {
+    fn note(&mut self, change: &Change) {
+        match change {
+            Change::Upstream(id, _) => {
+                self.upstreams.insert(id.clone());
+            }
+            Change::Evacuated(domain, true) => {
+                self.evacuated.insert(domain.clone());
+            }
+            Change::Node(id, Some(_)) => {
+                self.nodes.insert(id.clone());
+            }
+            Change::Steward(domain, Some(_)) => {
+                self.stewards.insert(domain.clone());
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Compares two entries without what changes at each heartbeat.
+fn same_facts(a: &Upstream, b: &Upstream) -> bool {
+    let warm = |u: &Upstream| Upstream {
+        cold_left: Duration::ZERO,
+        ..u.clone()
+    };
+    a.cold_left.is_zero() == b.cold_left.is_zero() && warm(a) == warm(b)
+}
--- a/crates/shallottide_types/src/lib.rs
+++ b/crates/shallottide_types/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod quantity;
 pub mod record;
 pub mod refusal;
+pub mod rendezvous;
 pub mod secret;
 pub mod synthetic;
 pub mod ticket;
