Stage weights ahead and close the listener at the end of a stop

Now a second model is staged on every VM, new VMs are staged before they join, and only warm engines are put into groups. The listener closes with the idle connections, and later requests are refused as not run. A test of the stop is still owed.

--- a/crates/shallottide_fleet/src/catalog.rs
+++ b/crates/shallottide_fleet/src/catalog.rs
@@ -78,6 +78,8 @@
         pub read_per_second: u32,
         /// Weight loads that may start per second, over all upstreams.
         pub loads_per_second: u32,
+        /// Staged models that a VM keeps.
+        pub staged_kept: usize,
         /// Concurrent loads above which each takes longer.
         pub loads_at_once: u32,
         /// The models that the engine can load, in the operators' order.
--- a/crates/shallottide_fleet/src/groups.rs
+++ b/crates/shallottide_fleet/src/groups.rs
@@ -13,7 +13,9 @@
 pub use demand::Demand;
 pub use load_pace::LoadPace;
 pub use order::Order;
-pub use planner::{Candidate, PlannedGroup, Serving, Standing, Warmth, choose_group, choose_swap};
+pub use planner::{
+    Candidate, PlannedGroup, Serving, Standing, Warmth, choose_group, choose_stage, choose_swap,
+};
 pub use steward::{Action, Steward};
 pub use steward_options::StewardOptions;
 
--- a/crates/shallottide_fleet/src/groups/planner.rs
+++ b/crates/shallottide_fleet/src/groups/planner.rs
@@ -76,11 +76,19 @@
 }
 
 /// Chooses a group for free upstreams, for the model with the fewest upstreams for its work.
+///
+/// Unless `may_load`, only upstreams that need no weight load are put into it.
 #[must_use]
-pub fn choose_group(standings: &[Standing], free: &[Candidate]) -> Option<PlannedGroup> {
+pub fn choose_group(
+    standings: &[Standing],
+    free: &[Candidate],
+    may_load: bool,
+) -> Option<PlannedGroup> {
     let mut options: Vec<(f64, Warmth, PlannedGroup)> = Vec::new();
     for standing in standings {
-        if let Some((warmth, group)) = best_members(standing, free) {
+        if let Some((warmth, group)) = best_members(standing, free)
+            && (may_load || warmth != Warmth::Cold)
+        {
             options.push((standing.ratio(0.0), warmth, group));
         }
     }
@@ -151,7 +159,7 @@
     /// Its fabric domain.
     pub fabric: FabricId,
     /// Its upstreams.
-    pub size: usize,
+    pub members: Vec<Candidate>,
 }
 
 /// Chooses groups to end so that the neediest model gets one, where free upstreams do not suffice.
@@ -169,11 +177,12 @@
     let Some(needy) = needy else {
         return Vec::new();
     };
+    let is_warm = |c: &&Candidate| c.warmth(&needy.model) != Warmth::Cold;
     let mut fabrics: BTreeMap<&FabricId, usize> = BTreeMap::new();
     for group in serving {
         fabrics.entry(&group.fabric).or_default();
     }
-    for candidate in free {
+    for candidate in free.iter().filter(is_warm) {
         *fabrics.entry(&candidate.fabric).or_default() += 1;
     }
     let mut best: Option<(usize, Vec<T>)> = None;
@@ -192,10 +201,14 @@
             if found >= needy.size {
                 break;
             }
+            let warm = group.members.iter().filter(is_warm).count();
+            if warm == 0 {
+                continue;
+            }
             if let Some(standing) = after.iter_mut().find(|s| s.model == group.model) {
-                standing.has = standing.has.saturating_sub(group.size);
+                standing.has = standing.has.saturating_sub(group.members.len());
             }
-            found += group.size;
+            found += warm;
             taken.push(group.key.clone());
         }
         if found < needy.size || taken.is_empty() {
@@ -217,6 +230,28 @@
     best.map(|(_, taken)| taken).unwrap_or_default()
 }
 
+/// Chooses the model to stage on a free upstream: the one that completes a group soonest.
+///
+/// `warm` holds the free upstreams that can join a group at once, or that stage a model now.
+#[must_use]
+pub fn choose_stage<'a>(
+    standings: &'a [Standing],
+    fabric: &FabricId,
+    warm: &[Candidate],
+) -> Option<&'a ModelId> {
+    let missing = |standing: &Standing| {
+        let is_warm =
+            |c: &&Candidate| c.fabric == *fabric && c.warmth(&standing.model) != Warmth::Cold;
+        let here = warm.iter().filter(is_warm).count();
+        standing.size - here % standing.size
+    };
+    let best = standings.iter().min_by(|a, b| {
+        let by_missing = missing(a).cmp(&missing(b));
+        by_missing.then(a.ratio(0.0).total_cmp(&b.ratio(0.0)))
+    });
+    best.map(|standing| &standing.model)
+}
+
 fn count(number: usize) -> f64 {
     f64::from(u32::try_from(number).unwrap_or(u32::MAX))
 }
--- a/crates/shallottide_fleet/src/groups/steward.rs
+++ b/crates/shallottide_fleet/src/groups/steward.rs
@@ -3,6 +3,7 @@
 mod build;
 mod health;
 mod retire;
+mod stage;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -18,6 +19,7 @@
 use build::Build;
 use health::HealthBook;
 use retire::{Reason, Retire};
+use stage::Stages;
 
 /// Bits of an epoch that count the formations of one steward.
 const EPOCH_BITS: u32 = 16;
@@ -97,6 +99,7 @@
     retiring: BTreeMap<Formation, Retire>,
     /// Formations whose members may join others.
     freed: BTreeSet<Formation>,
+    stages: Stages,
     last_swap: Option<Instant>,
     actions: Vec<Action>,
 }
@@ -129,6 +132,7 @@
             builds: BTreeMap::new(),
             retiring: BTreeMap::new(),
             freed: BTreeSet::new(),
+            stages: Stages::default(),
             last_swap: None,
             actions: Vec::new(),
         }
@@ -154,6 +158,7 @@
         for retire in self.retiring.values_mut() {
             retire.order_ended(number, outcome);
         }
+        self.stages.order_ended(number, outcome, &mut self.pace);
     }
 
     /// Notes how a probe ended: the report, or nothing when none came.
@@ -187,8 +192,9 @@
             if let Some(engine) = &service.engine {
                 let bounds = self.load_bounds(view, id, engine, before_traffic);
                 self.advance_builds(view, id, bounds, now);
-                self.plan(view, id, engine, work, now);
+                self.plan(view, id, engine, (work, before_traffic), now);
                 self.advance_builds(view, id, bounds, now);
+                self.stage(view, id, engine, (work, bounds), now);
             }
         }
         std::mem::take(&mut self.actions)
@@ -334,12 +340,16 @@
         view: &FleetView,
         service: &ServiceId,
         engine: &EngineFacts,
-        work: Option<&BTreeMap<ModelId, Duration>>,
+        (work, before_traffic): (Option<&BTreeMap<ModelId, Duration>>, bool),
         now: Instant,
     ) {
         let mut standings = self.standings(service, engine, work);
         let mut free = self.free(view, service, now);
-        while let Some(group) = choose_group(&standings, &free) {
+        if !before_traffic {
+            // A load would keep the other members waiting; weights are staged first.
+            free.retain(|c| c.loaded.is_some() || !c.staged.is_empty());
+        }
+        while let Some(group) = choose_group(&standings, &free, before_traffic) {
             free.retain(|candidate| !group.members.contains(&candidate.upstream));
             if let Some(standing) = standings.iter_mut().find(|s| s.model == group.model) {
                 standing.has += group.members.len();
@@ -372,11 +382,14 @@
         groups
             .filter_map(|(formation, group)| {
                 let head = view.upstreams.get(group.members.get(&0)?)?;
+                let members = group.members.values();
                 Some(Serving {
                     key: formation.clone(),
                     model: group.model.clone(),
                     fabric: head.upstream.fabric.clone()?,
-                    size: group.members.len(),
+                    members: members
+                        .filter_map(|id| candidate(self.health.fact(id, view)?))
+                        .collect(),
                 })
             })
             .collect()
@@ -427,7 +440,7 @@
     }
 
     fn free(&self, view: &FleetView, service: &ServiceId, now: Instant) -> Vec<Candidate> {
-        let candidate = |known: &crate::view::Known| {
+        let free_one = |known: &crate::view::Known| {
             let upstream = self.health.fact(&known.upstream.id, view)?;
             let usable = upstream.service == *service
                 && upstream.domain == self.options.domain
@@ -441,14 +454,9 @@
             if !usable || taken || !self.may_leave(upstream) {
                 return None;
             }
-            Some(Candidate {
-                upstream: upstream.id.clone(),
-                fabric: upstream.fabric.clone()?,
-                loaded: upstream.model.clone(),
-                staged: upstream.staged.clone(),
-            })
+            candidate(upstream)
         };
-        view.upstreams.values().filter_map(candidate).collect()
+        view.upstreams.values().filter_map(free_one).collect()
     }
 
     /// Tells whether an upstream's last group can no longer serve.
@@ -509,6 +517,16 @@
     upstream.membership.as_ref().filter(is_in).map(|m| m.state)
 }
 
+/// Describes an engine for the planner; nothing for a plain upstream.
+fn candidate(upstream: &Upstream) -> Option<Candidate> {
+    Some(Candidate {
+        upstream: upstream.id.clone(),
+        fabric: upstream.fabric.clone()?,
+        loaded: upstream.model.clone(),
+        staged: upstream.staged.clone(),
+    })
+}
+
 fn names(members: &[UpstreamId]) -> Vec<&str> {
     members.iter().map(UpstreamId::as_str).collect()
 }
--- a/crates/shallottide_fleet/src/groups/steward/build.rs
+++ b/crates/shallottide_fleet/src/groups/steward/build.rs
@@ -5,9 +5,9 @@
 
 use shallottide_types::id::{ModelId, ServiceId, UpstreamId};
 
-use super::{Asked, Group, LoadBounds, Reason, Retire, Steward, is_due, state_in};
+use super::{Asked, Group, LoadBounds, Reason, Retire, Steward, candidate, is_due, state_in};
 use crate::border::OrderOutcome;
-use crate::groups::planner::{Candidate, Warmth};
+use crate::groups::planner::Warmth;
 use crate::groups::{LoadPace, Order, PlannedGroup};
 use crate::upstream::{Formation, GroupState, Upstream};
 use crate::view::FleetView;
@@ -280,16 +280,7 @@
 }
 
 fn warmth(upstream: &Upstream, model: &ModelId) -> Warmth {
-    let candidate = Candidate {
-        upstream: upstream.id.clone(),
-        fabric: upstream
-            .fabric
-            .clone()
-            .unwrap_or_else(|| "none".parse().expect("a valid id")),
-        loaded: upstream.model.clone(),
-        staged: upstream.staged.clone(),
-    };
-    candidate.warmth(model)
+    candidate(upstream).map_or(Warmth::Cold, |candidate| candidate.warmth(model))
 }
 
 fn millis(duration: Duration) -> u64 {
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -17,6 +17,7 @@
 use super::relay::{self, Relay};
 use super::reply_body::ReplyBody;
 use super::send::{Answer, Outgoing, SendFailure, Work, send};
+use super::stop::Phase;
 use crate::balance::{Choice, Need, NoPlace};
 use crate::border::CallHead;
 use crate::catalog::{Catalog, Repeat, Route};
@@ -74,6 +75,12 @@
         }
     };
     let mut log = CallLog::start(node, head.id.clone());
+    if *node.phase.borrow() == Phase::Closing {
+        let message = "this node is stopping: retry, another node will answer";
+        let refusal = Refusal::new(RefusalKind::Stopping, Ran::No, message);
+        let refusal = refusal.retry_after(RETRY_AFTER.0);
+        return refuse(node, &head.id, &refusal, Some(&mut log));
+    }
     node.state.borrow_mut().had_traffic = true;
     let (call, limit) = match prepare(node, &parts, &head, arrived) {
         Ok(prepared) => prepared,
--- a/crates/shallottide_fleet/src/serve/callers.rs
+++ b/crates/shallottide_fleet/src/serve/callers.rs
@@ -37,8 +37,14 @@
 
 /// Accepts callers' connections.
 pub(super) async fn accept(node: Rc<Node>, listener: TcpListener) {
+    let mut phase = node.phase.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Closes the listener, so that callers connect elsewhere at once.
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 spawn_local(serve(node.clone(), stream));
             }
