--- /dev/null
+++ b/crates/shallottide_fleet/tests/event_stream.rs
@@ -0,0 +1,60 @@
+//! Events are passed on whole, however their bytes arrive.
+
+use bytes::Bytes;
+use shallottide_fleet::event_stream::EventSplitter;
+use shallottide_types::cases;
+
+const STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nweight-versions: 3\nid: 3\ndata: c\n\n";
+
+fn pieces_give_whole_events(size: usize) {
+    let mut splitter = EventSplitter::default();
+    let mut passed = Vec::new();
+    let mut ids = Vec::new();
+    for piece in STREAM.as_bytes().chunks(size) {
+        if let Some(events) = splitter.push(&Bytes::copy_from_slice(piece)) {
+            assert!(events.bytes.ends_with(b"\n\n"));
+            ids.extend([events.first_id, events.last_id]);
+            passed.extend_from_slice(&events.bytes);
+        }
+    }
+    assert_eq!(passed, STREAM.as_bytes());
+    assert!(!splitter.has_part());
+    assert_eq!(ids.last(), Some(&Some(3)));
+    assert!(ids.is_sorted());
+}
+
+cases! {
+    pieces_give_whole_events;
+    pieces_of_one_byte: 1;
+    pieces_of_seven_bytes: 7;
+    pieces_of_sixteen_bytes: 16;
+    all_at_once: 4096;
+}
+
+#[test]
+fn part_of_an_event_is_held_back() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(&Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"));
+    let events = events.expect("one whole event");
+    assert_eq!(events.bytes, "id: 1\ndata: a\n\n");
+    assert_eq!(events.last_id, Some(1));
+    assert!(splitter.has_part());
+}
+
+#[test]
+fn any_bytes_are_passed_on_or_held() {
+    bolero::check!()
+        .with_type::<Vec<Vec<u8>>>()
+        .for_each(|pieces| {
+            let mut splitter = EventSplitter::default();
+            let mut passed = Vec::new();
+            for piece in pieces {
+                if let Some(events) = splitter.push(&Bytes::copy_from_slice(piece)) {
+                    passed.extend_from_slice(&events.bytes);
+                }
+            }
+            let all = pieces.concat();
+            assert!(all.starts_with(&passed));
+            assert_eq!(splitter.has_part(), passed.len() < all.len());
+        });
+}
--- /dev/null
+++ b/crates/shallottide_fleet/tests/planner.rs
@@ -0,0 +1,127 @@
+//! Which groups are formed of free upstreams.
+
+mod support;
+
+use shallottide_fleet::groups::{
+    Candidate, Serving, Standing, Warmth, choose_group, choose_stage, choose_swap,
+};
+use support::id;
+
+fn candidate(name: &str, fabric: &str, loaded: Option<&str>, staged: &[&str]) -> Candidate {
+    Candidate {
+        upstream: id(name),
+        fabric: id(fabric),
+        loaded: loaded.map(id),
+        staged: staged.iter().map(|model| id(model)).collect(),
+    }
+}
+
+fn standings(large: (f64, usize), small: (f64, usize)) -> Vec<Standing> {
+    let standing = |model: &str, size, (weight, has)| Standing {
+        model: id(model),
+        size,
+        weight,
+        has,
+    };
+    vec![standing("large", 4, large), standing("small", 2, small)]
+}
+
+#[test]
+fn a_group_stays_within_one_fabric_domain() {
+    let free = [
+        candidate("a", "rack-1", None, &["large"]),
+        candidate("b", "rack-1", None, &["large"]),
+        candidate("c", "rack-2", None, &["large"]),
+        candidate("d", "rack-2", None, &["large"]),
+    ];
+    let group = choose_group(&standings((1.0, 0), (0.1, 8)), &free, true);
+    assert_eq!(group.expect("a pair").model, id("small"));
+}
+
+#[test]
+fn the_neediest_model_comes_first() {
+    let free: Vec<_> = (0..4)
+        .map(|n| candidate(&format!("e{n}"), "rack-1", None, &["large", "small"]))
+        .collect();
+    let group = choose_group(&standings((0.5, 4), (0.5, 8)), &free, false);
+    assert_eq!(group.expect("a group").model, id("large"));
+    let group = choose_group(&standings((0.5, 8), (0.5, 4)), &free, false);
+    assert_eq!(group.expect("a group").model, id("small"));
+}
+
+#[test]
+fn members_that_served_the_model_last_come_first() {
+    let free = [
+        candidate("staged", "rack-1", Some("large"), &["small"]),
+        candidate("cold", "rack-1", None, &[]),
+        candidate("loaded-1", "rack-1", Some("small"), &["large"]),
+        candidate("loaded-2", "rack-1", Some("small"), &[]),
+    ];
+    let group = choose_group(&standings((0.0, 0), (1.0, 0)), &free, false).expect("a pair");
+    assert_eq!(group.members, [id("loaded-2"), id("loaded-1")]);
+    assert_eq!(free[0].warmth(&id("small")), Warmth::Staged);
+}
+
+#[test]
+fn no_group_is_formed_of_cold_members_when_loads_would_keep_others_waiting() {
+    let free = [
+        candidate("warm", "rack-1", Some("small"), &[]),
+        candidate("cold", "rack-1", None, &[]),
+    ];
+    assert_eq!(
+        choose_group(&standings((0.5, 0), (0.5, 0)), &free, false),
+        None
+    );
+    assert!(choose_group(&standings((0.5, 0), (0.5, 0)), &free, true).is_some());
+}
+
+/// Pattern: one upstream is left of a pair, and a new VM has no weights yet.
+#[test]
+fn weights_are_staged_for_the_group_that_is_complete_soonest() {
+    let warm = [candidate("left", "rack-1", Some("small"), &[])];
+    let needs = standings((0.9, 0), (0.1, 8));
+    assert_eq!(
+        choose_stage(&needs, &id("rack-1"), &warm),
+        Some(&id("small"))
+    );
+    let warm: Vec<_> = (0..3)
+        .map(|n| candidate(&format!("e{n}"), "rack-1", Some("large"), &[]))
+        .collect();
+    assert_eq!(
+        choose_stage(&needs, &id("rack-1"), &warm),
+        Some(&id("large"))
+    );
+}
+
+fn serving(key: u32, model: &str, warm_for: &str) -> Serving<u32> {
+    let member = |n: u32| candidate(&format!("s{key}-{n}"), "rack-1", Some(model), &[warm_for]);
+    Serving {
+        key,
+        model: id(model),
+        fabric: id("rack-1"),
+        members: (0..2).map(member).collect(),
+    }
+}
+
+/// Pattern: three survivors of a large group stand idle beside many pairs.
+#[test]
+fn a_pair_gives_way_to_a_large_group_that_callers_need_more() {
+    let free: Vec<_> = (0..3)
+        .map(|n| candidate(&format!("e{n}"), "rack-1", Some("large"), &["small"]))
+        .collect();
+    let pairs = [serving(1, "small", "large"), serving(2, "small", "large")];
+    let taken = choose_swap(&standings((0.5, 4), (0.5, 24)), &free, &pairs);
+    assert_eq!(taken, [1]);
+    let taken = choose_swap(&standings((0.5, 14), (0.5, 14)), &free, &pairs);
+    assert!(taken.is_empty(), "both models have their part");
+}
+
+#[test]
+fn pairs_without_the_other_models_weights_do_not_give_way() {
+    let free: Vec<_> = (0..3)
+        .map(|n| candidate(&format!("e{n}"), "rack-1", Some("large"), &["small"]))
+        .collect();
+    let pairs = [serving(1, "small", "small"), serving(2, "small", "small")];
+    let taken = choose_swap(&standings((0.5, 4), (0.5, 24)), &free, &pairs);
+    assert!(taken.is_empty());
+}
