--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -236,7 +236,7 @@
             {
                 continue;
             }
-            if known.is_cold(now) && !self.cold_allows(known, view, cold, own.0, now) {
+            if known.is_cold(now) && !cold_allows(known, view, cold, own.0, now) {
                 continue;
             }
             let count = self.estimate(&upstream.id, now);
@@ -280,26 +280,6 @@
         })
     }
 
-    fn cold_allows(
-        &self,
-        known: &Known,
-        view: &FleetView,
-        cold: &ColdGate,
-        own: &NodeId,
-        now: Instant,
-    ) -> bool {
-        let service = view
-            .catalog
-            .as_ref()
-            .and_then(|catalog| catalog.services.get(&known.upstream.service));
-        let Some(service) = service.filter(|service| service.cold_per_second > 0) else {
-            return true;
-        };
-        let id = &known.upstream.id;
-        let share = ColdGate::share(id, own, view.nodes.keys(), service.cold_per_second);
-        cold.allows(id, share, now)
-    }
-
     fn mean_first_byte(&self, need: &Need<'_>, view: &FleetView) -> Option<f64> {
         let (mut sum, mut count) = (0.0, 0.0);
         for known in serving(need, view) {
@@ -321,3 +301,23 @@
     let ids = view.serving(need.service, need.model).iter();
     ids.filter_map(|id| view.upstreams.get(id))
 }
+
+/// Tells whether this node may send one more request to a cold upstream.
+fn cold_allows(
+    known: &Known,
+    view: &FleetView,
+    cold: &ColdGate,
+    own: &NodeId,
+    now: Instant,
+) -> bool {
+    let service = view
+        .catalog
+        .as_ref()
+        .and_then(|catalog| catalog.services.get(&known.upstream.service));
+    let Some(service) = service.filter(|service| service.cold_per_second > 0) else {
+        return true;
+    };
+    let id = &known.upstream.id;
+    let share = ColdGate::share(id, own, view.nodes.keys(), service.cold_per_second);
+    cold.allows(id, share, now)
+}
--- a/crates/shallottide_fleet/src/border.rs
+++ b/crates/shallottide_fleet/src/border.rs
@@ -133,25 +133,33 @@
     pub waiting: u32,
 }
 
+/// What an upstream says of a request's run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing: it ran, or may have.
+    #[default]
+    MayHaveRun,
+    /// It did not run and never will.
+    NotRun,
+    /// It did not run: another upstream has the address now.
+    Misdirected,
+}
+
 /// What an upstream's answer says of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AnswerHead {
     /// The id of the request that it answers.
     pub id: Option<CompactString>,
-    /// Whether the upstream states that it did not run the request.
-    pub not_run: bool,
-    /// Whether another upstream has this address now.
-    pub misdirected: bool,
+    /// What the upstream says of the request's run.
+    pub verdict: Verdict,
     /// Load, if told.
     pub load: Option<ToldLoad>,
     /// The member of a group whose loss the answer blames.
     pub at_fault: Option<UpstreamId>,
     /// How long the upstream keeps the connection when idle.
     pub keep_alive: Option<Duration>,
-    /// Whether the answer bears the upstream's signature.
-    pub signed: bool,
-    /// Whether the body is encoded; upstreams never do that.
-    pub encoded: bool,
+    /// Whether the answer bears the upstream's signature and a body as upstreams send it.
+    pub genuine: bool,
 }
 
 /// Names and formats of requests and answers.
--- a/crates/shallottide_fleet/src/groups/planner.rs
+++ b/crates/shallottide_fleet/src/groups/planner.rs
@@ -102,6 +102,9 @@
         .map(|(_, _, group)| group)
 }
 
+/// Cold members, staged members, and the fewest left over, in falling importance.
+type JoinCost = (usize, usize, usize);
+
 /// Returns the warmest members for one group of a model, and the coldest of them.
 fn best_members(standing: &Standing, free: &[Candidate]) -> Option<(Warmth, PlannedGroup)> {
     let mut by_fabric: BTreeMap<&FabricId, Vec<&Candidate>> = BTreeMap::new();
@@ -111,7 +114,7 @@
             .or_default()
             .push(candidate);
     }
-    let mut best: Option<((usize, usize, usize), Warmth, Vec<&Candidate>)> = None;
+    let mut best: Option<(JoinCost, Warmth, Vec<&Candidate>)> = None;
     for candidates in by_fabric.values_mut() {
         if candidates.len() < standing.size {
             continue;
--- a/crates/shallottide_fleet/src/groups/steward.rs
+++ b/crates/shallottide_fleet/src/groups/steward.rs
@@ -222,7 +222,7 @@
                     let group = Group {
                         members: members.clone(),
                         born: self.health.births(members.values(), view),
-                        model: head.model.clone().unwrap_or_else(|| unknown_model()),
+                        model: head.model.clone().unwrap_or_else(unknown_model),
                         service: head.service.clone(),
                     };
                     self.serving.insert(formation.clone(), group);
--- a/crates/shallottide_fleet/src/groups/steward/health.rs
+++ b/crates/shallottide_fleet/src/groups/steward/health.rs
@@ -82,17 +82,14 @@
     pub(super) fn probe_ended(&mut self, to: &UpstreamId, report: Option<Upstream>, now: Instant) {
         let health = self.upstreams.entry(to.clone()).or_default();
         health.is_probed = false;
-        match report {
-            Some(report) => {
-                health.fails = 0;
-                health.failed_at = None;
-                health.report = Some((now, report));
-            }
-            None => {
-                health.fails += 1;
-                health.failed_at = Some(now);
-                tracing::info!(upstream = %to, fails = health.fails, "probe without answer");
-            }
+        if let Some(report) = report {
+            health.fails = 0;
+            health.failed_at = None;
+            health.report = Some((now, report));
+        } else {
+            health.fails += 1;
+            health.failed_at = Some(now);
+            tracing::info!(upstream = %to, fails = health.fails, "probe without answer");
         }
     }
 
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -265,12 +265,11 @@
         let sending = send(&self.node, &self.outgoing, choice, work, resume_from);
         let answer = if self.moves_when_silent() {
             let wait = self.route.target_latency * FIRST_EVENT_TARGETS;
-            match tokio::time::timeout(wait, sending).await {
-                Ok(answer) => answer?,
-                Err(_) => {
-                    self.node.upstream_stalled(&choice.upstream);
-                    return Err(SendFailure::Lost("silent"));
-                }
+            if let Ok(answer) = tokio::time::timeout(wait, sending).await {
+                answer?
+            } else {
+                self.node.upstream_stalled(&choice.upstream);
+                return Err(SendFailure::Lost("silent"));
             }
         } else {
             sending.await?
@@ -345,7 +344,7 @@
         self.node
             .pool
             .give_back(&work.upstream, lent, head.keep_alive, now);
-        let is_good = parts.status.is_success() && head.signed && !head.encoded;
+        let is_good = parts.status.is_success() && head.genuine;
         if is_good {
             let took = now.saturating_duration_since(sent);
             let mut state = self.node.state.borrow_mut();
@@ -456,7 +455,11 @@
             .deadline
             .saturating_duration_since(self.node.now());
         let most = RETRY_AFTER.1.min(left / 4).max(RETRY_AFTER.0);
-        RETRY_AFTER.0 + (most - RETRY_AFTER.0).mul_f64(rand::random::<f64>())
+        RETRY_AFTER.0
+            + most
+                .checked_sub(RETRY_AFTER.0)
+                .unwrap()
+                .mul_f64(rand::random::<f64>())
     }
 
     /// Waits for a place at an upstream.
--- a/crates/shallottide_fleet/src/serve/callers.rs
+++ b/crates/shallottide_fleet/src/serve/callers.rs
@@ -97,12 +97,11 @@
         ended = connection.as_mut() => Some(ended),
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => None,
     };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
     };
     if let Err(error) = ended {
         node.metrics.count("caller_connections_broken", "");
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -14,7 +14,7 @@
 use super::node::Node;
 use super::pool::Lent;
 use crate::balance::Choice;
-use crate::border::{AnswerHead, SendHead};
+use crate::border::{AnswerHead, SendHead, Verdict};
 use crate::upstream::Upstream;
 
 /// Time for which an upstream is left alone that said it is full.
@@ -117,7 +117,7 @@
             });
         }
     };
-    let head = node.borrows_answer(&response);
+    let head = node.read_answer(&response);
     if let Some(load) = head.load {
         node.state.borrow_mut().loads.told(&upstream.id, load, now);
     }
@@ -128,7 +128,7 @@
         );
         return Err(SendFailure::Lost("the answer was another call's"));
     }
-    if head.misdirected || head.not_run {
+    if head.verdict != Verdict::MayHaveRun {
         return Err(turned_away(
             node, call, &upstream, &head, response, lent, now,
         ));
@@ -156,7 +156,8 @@
         call = %call.id, upstream = %upstream.id, status = status.as_u16(),
         at_fault = head.at_fault.as_ref().map(UpstreamId::as_str), "not run"
     );
-    let pause = if head.misdirected || head.at_fault.is_some() {
+    let misdirected = head.verdict == Verdict::Misdirected;
+    let pause = if misdirected || head.at_fault.is_some() {
         note_suspect(node, upstream);
         FAULT_PAUSE
     } else {
@@ -178,7 +179,7 @@
             node.pool.give_back(&id, lent, keep_alive, node.now());
         }
     });
-    if head.misdirected {
+    if misdirected {
         SendFailure::Misdirected
     } else {
         SendFailure::NotRun
@@ -193,8 +194,8 @@
     upstream: &Upstream,
     resume_from: Option<u64>,
 ) -> Result<Sent, HttpError> {
-    let left = call.deadline.saturating_duration_since(node.now());
-    let lent = node.pool.open(upstream, left).await?;
+    let time = call.deadline.saturating_duration_since(node.now());
+    let lent = node.pool.open(upstream, time).await?;
     send_on(node, call, upstream, lent, resume_from).await
 }
 
@@ -247,7 +248,7 @@
 }
 
 impl Node {
-    fn borrows_answer(&self, response: &Response<Incoming>) -> AnswerHead {
+    fn read_answer(&self, response: &Response<Incoming>) -> AnswerHead {
         self.borders
             .calls
             .read_answer(response.status(), response.headers())
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -91,6 +91,7 @@
             }
             state.view.index = index.max(after);
         }
+        state.view.expire(now);
     }
     if is_changed {
         node.view_changed();
@@ -146,28 +147,38 @@
             },
             Some(held) => limited(ttl / RENEWALS * 2, store.renew(held)).await,
         };
-        let mut state = node.state.borrow_mut();
-        match result {
-            Ok(renewed) => {
-                if lease.is_none() {
-                    tracing::info!(lease = renewed.id, "lease taken");
-                }
-                lease = Some(renewed);
-                state.lease.renewed(sent, renewed.ttl);
-                state.lease_held = lease;
-            }
-            Err(error) => {
-                node.metrics.count("store_failures", "lease");
-                if error == StoreError::LeaseEnded || lease.is_none() {
-                    tracing::warn!(%error, "no lease");
-                    lease = None;
-                    state.lease_held = None;
-                    state.lease.ended();
-                }
-            }
-        }
-        drop(state);
+        lease = note_lease(&node, lease, sent, result);
         let pause = lease.map_or(RETRY.1, |lease| lease.ttl / RENEWALS);
         tokio::time::sleep(pause).await;
     }
 }
+
+/// Takes in the outcome of a renewal; returns the lease that is held now.
+fn note_lease(
+    node: &Node,
+    held: Option<Lease>,
+    sent: Duration,
+    result: Result<Lease, StoreError>,
+) -> Option<Lease> {
+    let mut state = node.state.borrow_mut();
+    let lease = match result {
+        Ok(renewed) => {
+            if held.is_none() {
+                tracing::info!(lease = renewed.id, "lease taken");
+            }
+            state.lease.renewed(sent, renewed.ttl);
+            Some(renewed)
+        }
+        Err(error) => {
+            node.metrics.count("store_failures", "lease");
+            let is_over = error == StoreError::LeaseEnded || held.is_none();
+            if is_over {
+                tracing::warn!(%error, "no lease");
+                state.lease.ended();
+            }
+            held.filter(|_| !is_over)
+        }
+    };
+    state.lease_held = lease;
+    lease
+}
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -12,8 +12,8 @@
 use crate::upstream::{Formation, Upstream};
 
 /// Time after trouble of the store during which removed entries may come back; the platform states
-/// two seconds.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2_600);
+/// about two seconds.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
 
 /// One change in the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -181,9 +181,7 @@
     }
 
     fn upstream_gone(&mut self, id: &UpstreamId, now: Instant) {
-        let troubled = self
-            .store_trouble
-            .is_some_and(|at| now.saturating_duration_since(at) < LAPSE_GRACE);
+        let troubled = self.is_troubled(now);
         let Some(known) = self.upstreams.get_mut(id) else {
             return;
         };
@@ -212,21 +210,13 @@
     /// Removes entries that lapsed and did not come back in time.
     pub fn expire(&mut self, now: Instant) {
         self.forget_formations();
-        let late = |known: &Known| {
-            known
-                .lapsed
-                .is_some_and(|at| now.saturating_duration_since(at) >= LAPSE_GRACE)
-        };
-        if self
-            .store_trouble
-            .is_some_and(|at| now.saturating_duration_since(at) < LAPSE_GRACE)
-        {
+        if self.is_troubled(now) {
             return;
         }
         let gone: Vec<_> = self
             .upstreams
             .iter()
-            .filter(|(_, known)| late(known))
+            .filter(|(_, known)| known.lapsed.is_some())
             .map(|(id, _)| id.clone())
             .collect();
         for id in gone {
@@ -236,6 +226,12 @@
         }
     }
 
+    /// Tells whether entries that went away may still come back.
+    fn is_troubled(&self, now: Instant) -> bool {
+        self.store_trouble
+            .is_some_and(|at| now.saturating_duration_since(at) < LAPSE_GRACE)
+    }
+
     /// Notes that a call to the store failed.
     pub fn store_failed(&mut self, now: Instant) {
         self.store_trouble = Some(now);
--- a/crates/shallottide_fleet/tests/support/engines.rs
+++ b/crates/shallottide_fleet/tests/support/engines.rs
@@ -68,7 +68,7 @@
 
 /// A failure domain's engines, their view and their steward.
 pub(crate) struct Engines {
-    engines: BTreeMap<UpstreamId, Engine>,
+    fleet: BTreeMap<UpstreamId, Engine>,
     pub(crate) view: FleetView,
     pub(crate) steward: Steward,
     late: Vec<Late>,
@@ -90,7 +90,7 @@
     pub(crate) fn start(racks: usize, size: usize, mischief: Mischief, seed: u64) -> Self {
         let now = Instant::now();
         let mut this = Self {
-            engines: BTreeMap::new(),
+            fleet: BTreeMap::new(),
             view: FleetView::default(),
             steward: Steward::new(options(), StoreIndex(1), true, now),
             late: Vec::new(),
@@ -132,7 +132,7 @@
             was_ready: Vec::new(),
         };
         let id = engine.upstream.id.clone();
-        self.engines.insert(id.clone(), engine);
+        self.fleet.insert(id.clone(), engine);
         id
     }
 
@@ -146,13 +146,13 @@
 
     /// Ends an engine for good, without a word.
     pub(crate) fn kill(&mut self, id: &UpstreamId) {
-        self.engines.get_mut(id).expect("an engine").dead = true;
+        self.fleet.get_mut(id).expect("an engine").dead = true;
     }
 
     /// Returns the heads that serve whole groups, by model.
     pub(crate) fn serving(&self, model: &str) -> Vec<UpstreamId> {
         let model: ModelId = id(model);
-        let heads = self.engines.values().filter(|e| {
+        let heads = self.fleet.values().filter(|e| {
             !e.dead && e.upstream.is_open_head() && e.upstream.model.as_ref() == Some(&model)
         });
         heads
@@ -163,7 +163,7 @@
 
     /// Returns the members of a head's group.
     pub(crate) fn members(&self, head: &UpstreamId) -> Vec<UpstreamId> {
-        self.engines[head].members.clone()
+        self.fleet[head].members.clone()
     }
 
     /// Returns the most loads that began within a window.
@@ -177,7 +177,7 @@
 
     fn is_in(&self, member: &UpstreamId, head: &Engine) -> bool {
         let formation = |e: &Engine| e.upstream.membership.as_ref().map(|m| m.formation.clone());
-        self.engines
+        self.fleet
             .get(member)
             .is_some_and(|e| !e.dead && formation(e) == formation(head))
     }
@@ -203,14 +203,14 @@
 
     fn make_mischief(&mut self) {
         let per_step = STEP.as_secs_f64();
-        let ids: Vec<_> = self.engines.keys().cloned().collect();
+        let ids: Vec<_> = self.fleet.keys().cloned().collect();
         for id in ids {
             if self.rng.random_bool(self.mischief.deaths * per_step) {
                 self.kill(&id);
             }
             if self.rng.random_bool(self.mischief.cuts * per_step) {
                 let until = self.now + Duration::from_secs(6);
-                self.engines.get_mut(&id).expect("an engine").cut_until = Some(until);
+                self.fleet.get_mut(&id).expect("an engine").cut_until = Some(until);
             }
             if self.rng.random_bool(self.mischief.restarts * per_step) {
                 self.restart(&id);
@@ -226,7 +226,7 @@
     /// Starts an engine again under its id: it knows nothing but what its VM has staged.
     pub(crate) fn restart(&mut self, id: &UpstreamId) {
         let now = self.now;
-        let engine = self.engines.get_mut(id).expect("an engine");
+        let engine = self.fleet.get_mut(id).expect("an engine");
         engine.upstream.born += 1;
         engine.upstream.membership = None;
         engine.upstream.model = None;
@@ -246,7 +246,7 @@
             } => self.join(to, formation, model, members),
             Order::Open(formation) => self.open(to, formation),
             Order::Close { formation, preempt } => {
-                let engine = self.engines.get_mut(to).expect("an engine");
+                let engine = self.fleet.get_mut(to).expect("an engine");
                 let Some(m) = membership_in(engine, formation) else {
                     return OrderOutcome::Refused;
                 };
@@ -261,7 +261,7 @@
                 OrderOutcome::Accepted
             }
             Order::Leave(formation) => {
-                let engine = self.engines.get_mut(to).expect("an engine");
+                let engine = self.fleet.get_mut(to).expect("an engine");
                 if membership_in(engine, formation).is_none() {
                     return OrderOutcome::Refused;
                 }
@@ -273,7 +273,7 @@
             }
             Order::Stage(model) => {
                 let at = self.now + LOAD;
-                let engine = self.engines.get_mut(to).expect("an engine");
+                let engine = self.fleet.get_mut(to).expect("an engine");
                 engine.staging.get_or_insert((model.clone(), at));
                 self.loads.push(self.now);
                 OrderOutcome::Accepted
@@ -290,7 +290,7 @@
     ) -> OrderOutcome {
         self.check_head_of_last_group(to, formation);
         let now = self.now;
-        let engine = self.engines.get_mut(to).expect("an engine");
+        let engine = self.fleet.get_mut(to).expect("an engine");
         if formation.epoch < engine.seen_epoch {
             return OrderOutcome::Refused;
         }
@@ -328,18 +328,14 @@
 
     /// The promise about two groups: the head of the last one can no longer serve.
     fn check_head_of_last_group(&self, to: &UpstreamId, joins: &Formation) {
-        let engine = &self.engines[to];
+        let engine = &self.fleet[to];
         let Some(last) = &engine.upstream.membership else {
             return;
         };
         if last.formation == *joins || joins.epoch < engine.seen_epoch {
             return;
         }
-        let Some(head) = engine
-            .members
-            .first()
-            .and_then(|head| self.engines.get(head))
-        else {
+        let Some(head) = engine.members.first().and_then(|head| self.fleet.get(head)) else {
             return;
         };
         let state = head
@@ -365,7 +361,7 @@
     }
 
     fn open(&mut self, to: &UpstreamId, formation: &Formation) -> OrderOutcome {
-        let engine = &self.engines[to];
+        let engine = &self.fleet[to];
         let is_ready = engine
             .upstream
             .membership
@@ -385,14 +381,14 @@
         let members = engine.members.clone();
         for member in &members {
             let known = (formation.clone(), members.clone());
-            let was_ready = self.engines[member].was_ready.contains(&known);
+            let was_ready = self.fleet[member].was_ready.contains(&known);
             assert!(
                 was_ready,
                 "{to} opens {formation}, {member} never was ready"
             );
         }
         let now = self.now;
-        let engine = self.engines.get_mut(to).expect("an engine");
+        let engine = self.fleet.get_mut(to).expect("an engine");
         if let Some(m) = &mut engine.upstream.membership {
             m.state = GroupState::Open;
         }
@@ -402,14 +398,14 @@
 
     fn advance_engines(&mut self) {
         let now = self.now;
-        let ids: Vec<_> = self.engines.keys().cloned().collect();
+        let ids: Vec<_> = self.fleet.keys().cloned().collect();
         for id in ids {
             let lacks = {
-                let engine = &self.engines[&id];
+                let engine = &self.fleet[&id];
                 engine.upstream.is_open_head()
                     && !engine.members.iter().all(|m| self.is_in(m, engine))
             };
-            let engine = self.engines.get_mut(&id).expect("an engine");
+            let engine = self.fleet.get_mut(&id).expect("an engine");
             if engine.staging.as_ref().is_some_and(|(_, at)| *at <= now)
                 && let Some((model, _)) = engine.staging.take()
             {
@@ -441,7 +437,7 @@
 
     fn beat(&mut self) {
         let now = self.now;
-        for engine in self.engines.values_mut() {
+        for engine in self.fleet.values_mut() {
             let is_cut = engine.cut_until.is_some_and(|until| now < until);
             let id = engine.upstream.id.clone();
             if engine.dead || is_cut {
@@ -468,7 +464,7 @@
     }
 
     fn reaches(&self, to: &UpstreamId) -> bool {
-        let engine = &self.engines[to];
+        let engine = &self.fleet[to];
         !engine.dead && engine.cut_until.is_none_or(|until| self.now >= until)
     }
 
@@ -496,7 +492,7 @@
                 Action::Probe(to) => {
                     let report = self
                         .reaches(&to.id)
-                        .then(|| self.engines[&to.id].upstream.clone());
+                        .then(|| self.fleet[&to.id].upstream.clone());
                     self.steward.probe_ended(&to.id, report, self.now);
                 }
             }
--- a/crates/shallottide_fleet/tests/support/mod.rs
+++ b/crates/shallottide_fleet/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Small fleets for tests: catalogs, upstreams, and engines that carry out orders.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod engines;
 mod sample;
--- a/crates/shallottide_fleet/tests/view.rs
+++ b/crates/shallottide_fleet/tests/view.rs
@@ -76,6 +76,19 @@
     assert!(view.serving(&id("booking"), None).is_empty());
 }
 
+/// Hunt day f301-15: an upstream left 1.8 s after the store's return and still got requests 2.7 s
+/// later, because its lapse was counted from when its entry went away.
+#[test]
+fn a_lapse_is_counted_from_the_end_of_the_trouble() {
+    let now = Instant::now();
+    let mut view = view_of([plain_upstream("a", "booking", "zone-a")], now);
+    view.store_failed(now);
+    let removed = now + Duration::from_millis(1_800);
+    view.apply(Change::UpstreamGone(id("a")), removed);
+    view.expire(removed + Duration::from_millis(500));
+    assert!(!view.upstreams.contains_key(&id("a")));
+}
+
 #[test]
 fn a_lapsed_entry_that_comes_back_stays() {
     let now = Instant::now();
