Move engines only on their own word, and keep what belongs together

Entries are ordered by their count; an engine joins another group only after its own report, less than 1.5 s old, says the same as its entry; a head that can't be reached counts as broken only once a member has surely left it. Two new cases of the steward's test failed before (old entries; a steward cut off) and pass now. Cause 2: freed upstreams were paired off at once while a large group lacked one member. A fabric domain is planned only when all its free upstreams have answered, pairs end for a large group that is needed more, and what is free there is kept for it. Requests that are late already give way to those that can be on time.

--- a/crates/shallottide_fleet/src/groups.rs
+++ b/crates/shallottide_fleet/src/groups.rs
@@ -14,7 +14,8 @@
 pub use load_pace::LoadPace;
 pub use order::Order;
 pub use planner::{
-    Candidate, PlannedGroup, Serving, Standing, Warmth, choose_group, choose_stage, choose_swap,
+    Candidate, PlannedGroup, Serving, Standing, Swap, Warmth, choose_group, choose_stage,
+    choose_swap,
 };
 pub use steward::{Action, Steward};
 pub use steward_options::StewardOptions;
--- a/crates/shallottide_fleet/src/groups/planner.rs
+++ b/crates/shallottide_fleet/src/groups/planner.rs
@@ -34,6 +34,12 @@
 }
 
 impl Candidate {
+    /// Tells whether it holds the weights of any model.
+    #[must_use]
+    pub fn is_warm(&self) -> bool {
+        self.loaded.is_some() || !self.staged.is_empty()
+    }
+
     /// Tells how fast it can join a group of a model.
     #[must_use]
     pub fn warmth(&self, model: &ModelId) -> Warmth {
@@ -165,21 +171,27 @@
     pub members: Vec<Candidate>,
 }
 
+/// Groups that end so that another model gets one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Swap<T> {
+    /// Where.
+    pub fabric: FabricId,
+    /// The model that gets a group.
+    pub model: ModelId,
+    /// The groups that end.
+    pub ends: Vec<T>,
+}
+
 /// Chooses groups to end so that the neediest model gets one, where free upstreams do not suffice.
-///
-/// Returns the keys of the groups to end, all in one fabric domain.
 #[must_use]
 pub fn choose_swap<T: Clone>(
     standings: &[Standing],
     free: &[Candidate],
     serving: &[Serving<T>],
-) -> Vec<T> {
+) -> Option<Swap<T>> {
     let needy = standings
         .iter()
-        .min_by(|a, b| a.ratio(0.0).total_cmp(&b.ratio(0.0)));
-    let Some(needy) = needy else {
-        return Vec::new();
-    };
+        .min_by(|a, b| a.ratio(0.0).total_cmp(&b.ratio(0.0)))?;
     let is_warm = |c: &&Candidate| c.warmth(&needy.model) != Warmth::Cold;
     let mut fabrics: BTreeMap<&FabricId, usize> = BTreeMap::new();
     for group in serving {
@@ -188,11 +200,11 @@
     for candidate in free.iter().filter(is_warm) {
         *fabrics.entry(&candidate.fabric).or_default() += 1;
     }
-    let mut best: Option<(usize, Vec<T>)> = None;
+    let mut best: Option<(usize, Swap<T>)> = None;
     for (fabric, free_here) in fabrics {
         if free_here >= needy.size {
             // Free upstreams suffice: forming comes first.
-            return Vec::new();
+            return None;
         }
         let mut taken = Vec::new();
         let mut found = free_here;
@@ -227,10 +239,15 @@
         let is_better = left > needy.ratio(0.0) * SWAP_GAIN
             && best.as_ref().is_none_or(|(old, _)| wasted < *old);
         if is_better {
-            best = Some((wasted, taken));
+            let swap = Swap {
+                fabric: fabric.clone(),
+                model: needy.model.clone(),
+                ends: taken,
+            };
+            best = Some((wasted, swap));
         }
     }
-    best.map(|(_, taken)| taken).unwrap_or_default()
+    best.map(|(_, swap)| swap)
 }
 
 /// Chooses the model to stage on a free upstream: the one that completes a group soonest.
--- a/crates/shallottide_fleet/src/groups/steward.rs
+++ b/crates/shallottide_fleet/src/groups/steward.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use shallottide_types::id::{ModelId, ServiceId, StoreIndex, UpstreamId};
+use shallottide_types::id::{FabricId, ModelId, ServiceId, StoreIndex, UpstreamId};
 
 use super::planner::{Candidate, PlannedGroup, Serving, Standing, choose_group, choose_swap};
 use super::{LoadPace, Order, StewardOptions};
@@ -25,8 +25,8 @@
 const EPOCH_BITS: u32 = 16;
 /// Part of the operators' bound on loads that stewards use.
 const LOAD_PART: f64 = 0.9;
-/// Shortest time between two ends of groups for the sake of another model.
-const SWAP_PAUSE: Duration = Duration::from_secs(4);
+/// Time for which a fabric domain's free upstreams are kept for the model that groups ended for.
+const SWAP_TIME: Duration = Duration::from_secs(5);
 
 /// What the steward wants done.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -80,6 +80,14 @@
     service: ServiceId,
 }
 
+/// A fabric domain whose free upstreams are kept for a model.
+#[derive(Debug, Clone)]
+struct Reserved {
+    fabric: FabricId,
+    model: ModelId,
+    until: Instant,
+}
+
 /// Forms, opens and ends the groups of one failure domain.
 ///
 /// Three promises hold whatever orders are lost or late: a head opens only when every member has
@@ -100,7 +108,7 @@
     /// Formations whose members may join others.
     freed: BTreeSet<Formation>,
     stages: Stages,
-    last_swap: Option<Instant>,
+    reserved: Option<Reserved>,
     actions: Vec<Action>,
 }
 
@@ -133,7 +141,7 @@
             retiring: BTreeMap::new(),
             freed: BTreeSet::new(),
             stages: Stages::default(),
-            last_swap: None,
+            reserved: None,
             actions: Vec::new(),
         }
     }
@@ -185,7 +193,7 @@
         let Some(catalog) = &view.catalog else {
             return Vec::new();
         };
-        self.adopt(view);
+        self.adopt(view, now);
         self.check_serving(view, now);
         self.advance_retiring(view, now);
         for (id, service) in &catalog.services {
@@ -201,7 +209,8 @@
     }
 
     /// Takes over formations that another steward made.
-    fn adopt(&mut self, view: &FleetView) {
+    fn adopt(&mut self, view: &FleetView, now: Instant) {
+        let mut unconfirmed = Vec::new();
         self.freed
             .retain(|formation| view.formations.contains_key(formation));
         for (formation, members) in &view.formations {
@@ -227,8 +236,12 @@
                     };
                     self.serving.insert(formation.clone(), group);
                 }
-                (Some(_), Some(None | Some(GroupState::Broken))) => {
-                    self.freed.insert(formation.clone());
+                (Some(head), Some(None | Some(GroupState::Broken))) => {
+                    if self.health.is_confirmed(&head.id, view, now) {
+                        self.freed.insert(formation.clone());
+                    } else {
+                        unconfirmed.push(head.id.clone());
+                    }
                 }
                 _ => {
                     let retire = Retire::new(members.clone(), Reason::Predecessor, None);
@@ -237,6 +250,9 @@
                 }
             }
         }
+        for id in unconfirmed {
+            self.probe(&id, now);
+        }
     }
 
     fn check_serving(&mut self, view: &FleetView, now: Instant) {
@@ -253,6 +269,13 @@
             let Some(reason) = verdict else {
                 continue;
             };
+            if reason == Reason::HeadMoved
+                && members
+                    .get(&0)
+                    .is_some_and(|head| !self.confirm(head, view, now))
+            {
+                continue;
+            }
             self.serving.remove(&formation);
             tracing::info!(%formation, %reason, index = %view.index, "group retires");
             if reason == Reason::HeadMoved {
@@ -345,9 +368,27 @@
     ) {
         let mut standings = self.standings(service, engine, work);
         let mut free = self.free(view, service, now);
+        // A load would keep the other members waiting; weights are staged first.
+        free.retain(|c| before_traffic || c.is_warm());
+        self.keep_confirmed(&mut free, view, now);
         if !before_traffic {
-            // A load would keep the other members waiting; weights are staged first.
-            free.retain(|c| c.loaded.is_some() || !c.staged.is_empty());
+            self.swap(view, service, (&standings, &free), now);
+        }
+        let swap = self
+            .reserved
+            .clone()
+            .filter(|reserved| now < reserved.until);
+        let (reserved, mut free): (Vec<_>, Vec<_>) = free
+            .into_iter()
+            .partition(|c| swap.as_ref().is_some_and(|swap| swap.fabric == c.fabric));
+        let wanted = standings
+            .iter()
+            .find(|s| swap.as_ref().is_some_and(|swap| swap.model == s.model));
+        let wanted = wanted.cloned();
+        if let Some(group) = choose_group(wanted.as_slice(), &reserved, before_traffic) {
+            self.reserved = None;
+            self.begin(&group, view, service, now);
+            return;
         }
         while let Some(group) = choose_group(&standings, &free, before_traffic) {
             free.retain(|candidate| !group.members.contains(&candidate.upstream));
@@ -356,42 +397,77 @@
             }
             self.begin(&group, view, service, now);
         }
-        let paused = self
-            .last_swap
-            .is_some_and(|at| now.saturating_duration_since(at) < SWAP_PAUSE);
-        if paused || !self.builds.is_empty() || !self.retiring.is_empty() {
+    }
+
+    /// Ends groups for the sake of a model that needs their upstreams more.
+    fn swap(
+        &mut self,
+        view: &FleetView,
+        service: &ServiceId,
+        (standings, free): (&[Standing], &[Candidate]),
+        now: Instant,
+    ) {
+        let is_paused = self.reserved.as_ref().is_some_and(|swap| now < swap.until);
+        if is_paused {
             return;
         }
         let serving: Vec<_> = self.swappable(view, service);
-        for formation in choose_swap(&standings, &free, &serving) {
+        let Some(swap) = choose_swap(standings, free, &serving) else {
+            return;
+        };
+        for formation in swap.ends {
             let Some(group) = self.serving.remove(&formation) else {
                 continue;
             };
-            self.last_swap = Some(now);
-            tracing::info!(%formation, model = %group.model, reason = %Reason::Swap, "group retires");
+            tracing::info!(
+                %formation, model = %group.model, reason = %Reason::Swap, for_model = %swap.model,
+                standings = ?standings, "group retires"
+            );
             let retire = Retire::new(group.members, Reason::Swap, Some(now));
             self.retiring.insert(formation, retire);
         }
+        self.reserved = Some(Reserved {
+            fabric: swap.fabric,
+            model: swap.model,
+            until: now + SWAP_TIME,
+        });
     }
 
+    /// Keeps the upstreams that have confirmed themselves, in fabric domains where all have that
+    /// answer; planning with a part of them would break up what belongs together.
+    fn keep_confirmed(&mut self, free: &mut Vec<Candidate>, view: &FleetView, now: Instant) {
+        let mut awaited = BTreeSet::new();
+        free.retain(|candidate| {
+            let is_confirmed = self.confirm(&candidate.upstream, view, now);
+            if !is_confirmed && !self.health.is_silent(&candidate.upstream) {
+                awaited.insert(candidate.fabric.clone());
+            }
+            is_confirmed
+        });
+        free.retain(|candidate| !awaited.contains(&candidate.fabric));
+    }
+
+    /// Returns the groups that could end for another model, in fabric domains where no other ends.
     fn swappable(&self, view: &FleetView, service: &ServiceId) -> Vec<Serving<Formation>> {
-        let groups = self
-            .serving
-            .iter()
-            .filter(|(_, group)| group.service == *service);
-        groups
-            .filter_map(|(formation, group)| {
-                let head = view.upstreams.get(group.members.get(&0)?)?;
-                let members = group.members.values();
-                Some(Serving {
-                    key: formation.clone(),
-                    model: group.model.clone(),
-                    fabric: head.upstream.fabric.clone()?,
-                    members: members
-                        .filter_map(|id| candidate(self.health.fact(id, view)?))
-                        .collect(),
-                })
+        let ending = self.retiring.values().flat_map(Retire::members);
+        let awaited: BTreeSet<_> = ending
+            .filter_map(|id| self.health.fact(id, view)?.fabric.clone())
+            .collect();
+        let groups = self.serving.iter().filter(|(_, g)| g.service == *service);
+        let serving = groups.filter_map(|(formation, group)| {
+            let head = view.upstreams.get(group.members.get(&0)?)?;
+            let members = group.members.values();
+            Some(Serving {
+                key: formation.clone(),
+                model: group.model.clone(),
+                fabric: head.upstream.fabric.clone()?,
+                members: members
+                    .filter_map(|id| candidate(self.health.fact(id, view)?))
+                    .collect(),
             })
+        });
+        serving
+            .filter(|group| !awaited.contains(&group.fabric))
             .collect()
     }
 
@@ -439,24 +515,20 @@
         engine.models.iter().map(standing).collect()
     }
 
+    /// Returns the upstreams that are in no group, as far as is known.
     fn free(&self, view: &FleetView, service: &ServiceId, now: Instant) -> Vec<Candidate> {
-        let free_one = |known: &crate::view::Known| {
-            let upstream = self.health.fact(&known.upstream.id, view)?;
+        let free_one = |(id, known): (&UpstreamId, &crate::view::Known)| {
+            let upstream = self.health.fact(id, view)?;
             let usable = upstream.service == *service
                 && upstream.domain == self.options.domain
                 && !upstream.draining
                 && known.lapsed.is_none()
-                && !self.health.is_lost(&upstream.id, view, &self.options, now);
-            let taken = self
-                .builds
-                .values()
-                .any(|b| b.members.contains(&upstream.id));
-            if !usable || taken || !self.may_leave(upstream) {
-                return None;
-            }
-            candidate(upstream)
+                && !self.health.is_lost(id, view, &self.options, now);
+            let taken = self.builds.values().any(|b| b.members.contains(id));
+            let is_free = usable && !taken && self.may_leave(upstream);
+            is_free.then(|| candidate(upstream)).flatten()
         };
-        view.upstreams.values().filter_map(free_one).collect()
+        view.upstreams.iter().filter_map(free_one).collect()
     }
 
     /// Tells whether an upstream's last group can no longer serve.
--- a/crates/shallottide_fleet/src/groups/steward/health.rs
+++ b/crates/shallottide_fleet/src/groups/steward/health.rs
@@ -15,6 +15,8 @@
 const LATE_SLACK: Duration = Duration::from_millis(650);
 /// Pause between two probes of one upstream.
 const PROBE_PAUSE: Duration = Duration::from_millis(350);
+/// Time for which a report confirms what an entry says.
+const CONFIRMED: Duration = Duration::from_millis(1_500);
 /// Time for which a suspicion keeps probes going.
 const SUSPICION: Duration = Duration::from_secs(2);
 
@@ -53,13 +55,6 @@
                     health.fails = 0;
                     health.failed_at = None;
                 }
-                if health
-                    .report
-                    .as_ref()
-                    .is_some_and(|(at, _)| *at < known.seen)
-                {
-                    health.report = None;
-                }
             }
             if self.remembered.get(id) != Some(&known.upstream) {
                 self.remembered.insert(id.clone(), known.upstream.clone());
@@ -104,6 +99,19 @@
         }
     }
 
+    /// Tells whether an upstream has itself confirmed lately what is known of its group.
+    ///
+    /// An entry alone may be an old one that was written late.
+    pub(super) fn is_confirmed(&self, id: &UpstreamId, view: &FleetView, now: Instant) -> bool {
+        let report = self.upstreams.get(id).and_then(|h| h.report.as_ref());
+        let fact = self.fact(id, view);
+        report.zip(fact).is_some_and(|((at, report), fact)| {
+            now.saturating_duration_since(*at) < CONFIRMED
+                && report.membership == fact.membership
+                && report.born == fact.born
+        })
+    }
+
     /// Returns what is known of an upstream, whether it still has an entry or not.
     pub(super) fn remembered(&self, id: &UpstreamId) -> Option<&Upstream> {
         self.remembered.get(id)
@@ -157,6 +165,15 @@
 }
 
 impl Steward {
+    /// Tells whether an upstream has confirmed what is known of it; asks it if not.
+    pub(super) fn confirm(&mut self, id: &UpstreamId, view: &FleetView, now: Instant) -> bool {
+        let is_confirmed = self.health.is_confirmed(id, view, now);
+        if !is_confirmed {
+            self.probe(id, now);
+        }
+        is_confirmed
+    }
+
     /// Asks an upstream for its report, at most once per pause.
     pub(super) fn probe(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(to) = self.health.probe_due(id, now) {
--- a/crates/shallottide_fleet/src/groups/steward/retire.rs
+++ b/crates/shallottide_fleet/src/groups/steward/retire.rs
@@ -84,6 +84,10 @@
         }
     }
 
+    pub(super) fn members(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.members.values()
+    }
+
     pub(super) fn order_ended(&mut self, number: u64, outcome: OrderOutcome) {
         let head = [&mut self.close, &mut self.head_leave];
         let orders = head.into_iter().flatten().chain(self.leaves.values_mut());
@@ -102,6 +106,10 @@
                 continue;
             };
             retire.since.get_or_insert(now);
+            if !view.formations.contains_key(&formation) {
+                // No entry names it any more, so nobody waits for its end.
+                continue;
+            }
             if let Some(members) = view.formations.get(&formation) {
                 retire
                     .members
@@ -137,7 +145,7 @@
             && !self.health.is_silent(&head.id)
         {
             match state_in(head, formation) {
-                None | Some(GroupState::Broken) => return true,
+                None | Some(GroupState::Broken) => return self.confirm(&head.id, view, now),
                 Some(GroupState::Ready | GroupState::Joining) => {
                     if is_due(retire.head_leave.as_ref(), now) {
                         let order = Order::Leave(formation.clone());
@@ -171,7 +179,9 @@
         self.break_head(formation, retire, view, now)
     }
 
-    /// Takes the members from a head that can't be reached, so that it breaks by itself.
+    /// Takes members from a head that can't be reached, so that it breaks by itself.
+    ///
+    /// One member that surely left is enough. One that can't be reached says nothing.
     fn break_head(
         &mut self,
         formation: &Formation,
@@ -179,28 +189,22 @@
         view: &FleetView,
         now: Instant,
     ) -> bool {
-        let mut all_left = true;
+        let mut has_left = false;
         for (_, id) in retire.members.clone().range(1..) {
             let Some(member) = self.health.fact(id, view).cloned() else {
                 continue;
             };
-            let left = state_in(&member, formation).is_none()
-                || self.health.is_silent(id)
-                || retire
-                    .leaves
-                    .get(id)
-                    .is_some_and(|asked| asked.outcome == Some(OrderOutcome::Accepted));
-            if left {
-                continue;
-            }
-            all_left = false;
-            if is_due(retire.leaves.get(id), now) {
+            let is_out =
+                state_in(&member, formation).is_none() && self.health.is_confirmed(id, view, now);
+            let leave = retire.leaves.get(id);
+            if is_out || leave.is_some_and(|asked| asked.outcome == Some(OrderOutcome::Accepted)) {
+                has_left = true;
+            } else if is_due(leave, now) {
                 let asked = self.send(&member, Order::Leave(formation.clone()), now);
                 retire.leaves.insert(id.clone(), asked);
             }
         }
-        if !all_left {
-            retire.broken_by = None;
+        if !has_left && retire.broken_by.is_none() {
             return false;
         }
         let stall = self.options.stall + BROKEN_SLACK;
--- a/crates/shallottide_fleet/src/groups/steward/stage.rs
+++ b/crates/shallottide_fleet/src/groups/steward/stage.rs
@@ -53,9 +53,7 @@
         self.end_stages(view, now);
         let standings = self.standings(service, engine, work);
         let free = self.free(view, service, now);
-        let (mut warm, cold): (Vec<_>, Vec<_>) = free
-            .into_iter()
-            .partition(|c| c.loaded.is_some() || !c.staged.is_empty());
+        let (mut warm, cold): (Vec<_>, Vec<_>) = free.into_iter().partition(Candidate::is_warm);
         for going in cold
             .iter()
             .filter(|c| self.stages.going.contains_key(&c.upstream))
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -27,8 +27,8 @@
 
 /// Time that a request without a stated one gets.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
-/// Part of a route's target latency for which a request may wait for a place here.
-const WAIT_PART: f64 = 0.7;
+/// Time that a caller which came back waits for a place though its answer will be late.
+const LATE_WAIT: Duration = Duration::from_millis(800);
 /// Requests beyond its slots that an engine's head may have waiting.
 const ENGINE_QUEUE: u32 = 2;
 /// Requests beyond its slots that a plain service's upstream may have waiting.
@@ -60,6 +60,10 @@
     /// Whether a send may have run the call.
     pub(super) may_have_run: bool,
     priority: u8,
+    /// What the call waits for: the service and the model.
+    what: CompactString,
+    /// Time that the caller has waited before this request.
+    waited: Duration,
     pub(super) log: CallLog,
 }
 
@@ -132,6 +136,8 @@
         unsent: 0,
         may_have_run: false,
         priority: call.priority,
+        what: call.what,
+        waited: call.waited,
         log,
     };
     call.run(head.resume_from).await
@@ -142,6 +148,8 @@
     service: ServiceId,
     team: Option<CompactString>,
     priority: u8,
+    what: CompactString,
+    waited: Duration,
     deadline: Instant,
 }
 
@@ -170,7 +178,13 @@
     })?;
     let service = choose_service(route, rand::random()).clone();
     let time = head.time_left.unwrap_or(DEFAULT_TIME).min(route.timeout);
+    let waited = state
+        .freshness
+        .waited(&route.name, head.time_left.unwrap_or(DEFAULT_TIME));
+    let model = head.model.as_ref().map_or("", |model| model.as_str());
     let prepared = Prepared {
+        what: format_compact!("{service}/{model}"),
+        waited,
         route: route.clone(),
         team: team.map(|team| team.id.as_str().into()),
         priority: team
@@ -303,6 +317,7 @@
                 let took = self.node.now().saturating_duration_since(answer.sent);
                 let mut state = self.node.state.borrow_mut();
                 state.loads.succeeded(&answer.work.upstream, took);
+                state.freshness.began(&self.what, took);
                 drop(state);
                 self.node.metrics.time("first_event", took);
                 Ok(Served::Stream(Box::new(answer), splitter, first))
@@ -349,6 +364,7 @@
             let took = now.saturating_duration_since(sent);
             let mut state = self.node.state.borrow_mut();
             state.loads.succeeded(&work.upstream, took);
+            state.freshness.began(&self.what, took);
         } else {
             self.node
                 .state
@@ -462,26 +478,56 @@
                 .mul_f64(rand::random::<f64>())
     }
 
-    /// Waits for a place at an upstream.
+    /// Waits for a place at an upstream, as long as the answer can be on time.
     pub(super) async fn place(&mut self) -> Result<(Choice, Work), NoPlace> {
-        let what = format_compact!(
-            "{}/{}",
-            self.service,
-            self.model.as_ref().map_or("", |model| model.as_str())
-        );
-        let must_wait = self.node.state.borrow().waiting.len(&what) > 0;
-        if !must_wait {
+        let is_late = self.fresh_until() <= self.node.now();
+        let must_wait = self.node.state.borrow().waiting.len(&self.what) > 0;
+        if !must_wait && !(is_late && self.is_short()) {
             match self.try_place() {
                 Err(NoPlace::Full) => {}
                 other => return other,
             }
         }
+        let fresh_until = self.fresh_until();
+        if fresh_until > self.node.now() {
+            match self.wait_until(fresh_until, false).await {
+                Err(NoPlace::Full) => {}
+                other => return other,
+            }
+            let now = self.node.now();
+            self.node
+                .state
+                .borrow_mut()
+                .waiting
+                .fresh_refused(&self.what, now);
+        }
+        // A caller that was refused before does not come back once more.
+        let has_other_chance = self.waited.is_zero() && !self.may_have_run;
+        if has_other_chance || self.is_short() {
+            return Err(NoPlace::Full);
+        }
+        let late_until = self.node.now() + LATE_WAIT;
+        self.wait_until(late_until.min(self.outgoing.deadline), true)
+            .await
+    }
+
+    /// Tells whether a place for this call would be taken from one that can be on time.
+    fn is_short(&self) -> bool {
         let now = self.node.now();
-        let wait = self.route.target_latency.mul_f64(WAIT_PART);
-        let until = self.outgoing.deadline.min(now + wait);
+        self.node.state.borrow().waiting.is_short(&self.what, now)
+    }
+
+    fn fresh_until(&self) -> Instant {
+        let state = self.node.state.borrow();
+        let target = self.route.target_latency;
+        state
+            .freshness
+            .fresh_until(&self.what, self.arrived, self.waited, target)
+    }
+
+    async fn wait_until(&self, until: Instant, is_late: bool) -> Result<(Choice, Work), NoPlace> {
         let waker = Rc::new(Notify::new());
-        let wanted_by = self.arrived + self.route.target_latency;
-        let place = Waiting::enter(&self.node, &what, self.priority, wanted_by, &waker);
+        let place = Waiting::enter(self, is_late, until, &waker);
         let until = tokio::time::Instant::from_std(until);
         loop {
             if self.node.state.borrow().waiting.is_first(place.ticket) {
@@ -557,17 +603,14 @@
 }
 
 impl Waiting {
-    fn enter(
-        node: &Rc<Node>,
-        what: &CompactString,
-        priority: u8,
-        wanted_by: Instant,
-        waker: &Rc<Notify>,
-    ) -> Self {
+    fn enter(call: &Call, is_late: bool, wanted_by: Instant, waker: &Rc<Notify>) -> Self {
+        let node = &call.node;
         let mut state = node.state.borrow_mut();
-        let ticket = state.waiting.enter(what, priority, wanted_by);
+        let ticket = state
+            .waiting
+            .enter(&call.what, call.priority, is_late, wanted_by);
         state.wakers.insert(ticket, waker.clone());
-        node.metrics.count("waited", what);
+        node.metrics.count("waited", &call.what);
         Self {
             node: node.clone(),
             ticket,
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -267,19 +267,25 @@
                 continue;
             }
         };
-        let now = node.now();
-        let state = &mut *node.state.borrow_mut();
-        let nodes = state.view.nodes.len();
-        state
-            .loads
-            .peer_reported(report.node, report.in_flight, nodes, now);
-        for suspect in report.suspects {
-            let is_it = |id: &&shallottide_types::id::UpstreamId| {
-                shallottide_types::rendezvous::hash(id.as_str()) == suspect
-            };
-            if let Some(id) = state.view.upstreams.keys().find(is_it) {
-                state.peer_suspects.insert(id.clone(), now);
-            }
+        take_in(&node, report);
+        node.wake_waiting();
+    }
+}
+
+fn take_in(node: &Node, report: LoadReport) {
+    let now = node.now();
+    let state = &mut *node.state.borrow_mut();
+    let nodes = state.view.nodes.len();
+    state
+        .loads
+        .peer_reported(report.node, report.in_flight, nodes, now);
+    let suspects = report.suspects;
+    for suspect in suspects {
+        let is_it = |id: &&shallottide_types::id::UpstreamId| {
+            shallottide_types::rendezvous::hash(id.as_str()) == suspect
+        };
+        if let Some(id) = state.view.upstreams.keys().find(is_it) {
+            state.peer_suspects.insert(id.clone(), now);
         }
     }
 }
--- a/crates/shallottide_fleet/src/serve/relay.rs
+++ b/crates/shallottide_fleet/src/serve/relay.rs
@@ -171,6 +171,7 @@
             return false;
         }
         self.last_id = events.last_id.or(self.last_id);
+        self.call.log.events_passed();
         tx.send(Ok(events.bytes)).await.is_ok()
     }
 
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -23,6 +23,10 @@
 const LEASE: Duration = Duration::from_millis(2_400);
 /// Renewals within one lease.
 const RENEWALS: u32 = 4;
+/// Longest wait for the answer to a renewal, and for each step of taking a lease.
+const LEASE_ANSWER: Duration = Duration::from_millis(600);
+/// Pause before a lease is taken again.
+const LEASE_RETRY: Duration = Duration::from_millis(200);
 
 /// Follows the store for ever.
 pub(super) async fn follow(node: Rc<Node>) {
@@ -138,18 +142,39 @@
     loop {
         let sent = boot_time();
         let result = match lease {
-            None => match limited(WAIT, store.grant(ttl)).await {
+            None => match limited(LEASE_ANSWER, store.grant(ttl)).await {
                 Ok(granted) => {
                     let entry = store.put_node(granted, &node.options.node, node.options.peers);
-                    limited(WAIT, entry).await.map(|()| granted)
+                    limited(LEASE_ANSWER, entry).await.map(|()| granted)
                 }
                 Err(error) => Err(error),
             },
-            Some(held) => limited(ttl / RENEWALS * 2, store.renew(held)).await,
+            Some(held) => limited(LEASE_ANSWER, store.renew(held)).await,
         };
         lease = note_lease(&node, lease, sent, result);
-        let pause = lease.map_or(RETRY.1, |lease| lease.ttl / RENEWALS);
+        let pause = lease.map_or(LEASE_RETRY, |lease| lease.ttl / RENEWALS);
         tokio::time::sleep(pause).await;
+        if node.is_stopping() {
+            if let Some(held) = lease {
+                give_up(&node, held).await;
+            }
+            return;
+        }
+    }
+}
+
+/// Ends the lease, so that other nodes take over what hangs on it at once.
+async fn give_up(node: &Node, lease: Lease) {
+    {
+        let mut state = node.state.borrow_mut();
+        state.lease.ended();
+        state.lease_held = None;
+    }
+    match limited(LEASE_ANSWER, node.borders.store.end(lease)).await {
+        Ok(()) => tracing::info!(lease = lease.id, "lease given up"),
+        Err(error) => {
+            tracing::warn!(lease = lease.id, %error, "lease not given up: it ends by itself")
+        }
     }
 }
 
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -15,6 +15,9 @@
 /// about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
 
+/// Time for which an entry of an earlier lifetime may still arrive.
+const LATE_ENTRY: Duration = Duration::from_secs(3);
+
 /// One change in the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
@@ -163,6 +166,10 @@
     fn apply_upstream(&mut self, id: UpstreamId, upstream: Upstream, now: Instant) {
         let cold_until = (!upstream.cold_left.is_zero()).then(|| now + upstream.cold_left);
         let old = self.upstreams.get(&id);
+        if old.is_some_and(|old| is_older(&upstream, old, now)) {
+            tracing::info!(upstream = %id, beat = upstream.beat, "entry older than the last one");
+            return;
+        }
         if old.is_none_or(|old| !same_facts(&old.upstream, &upstream)) {
             self.generation += 1;
             tracing::debug!(upstream = %id, draining = upstream.draining, "upstream changed");
@@ -370,10 +377,21 @@
     }
 }
 
+/// Tells whether an entry was written before the one that is known.
+fn is_older(entry: &Upstream, known: &Known, now: Instant) -> bool {
+    let last = &known.upstream;
+    if entry.born == last.born {
+        return entry.beat < last.beat;
+    }
+    // A clock that was set back makes a new lifetime look older, but only for a while.
+    entry.born < last.born && now.saturating_duration_since(known.seen) < LATE_ENTRY
+}
+
 /// Compares two entries without what changes at each heartbeat.
 fn same_facts(a: &Upstream, b: &Upstream) -> bool {
     let warm = |u: &Upstream| Upstream {
         cold_left: Duration::ZERO,
+        beat: 0,
         ..u.clone()
     };
     a.cold_left.is_zero() == b.cold_left.is_zero() && warm(a) == warm(b)
--- a/crates/shallottide_fleet/tests/planner.rs
+++ b/crates/shallottide_fleet/tests/planner.rs
@@ -110,10 +110,10 @@
         .map(|n| candidate(&format!("e{n}"), "rack-1", Some("large"), &["small"]))
         .collect();
     let pairs = [serving(1, "small", "large"), serving(2, "small", "large")];
-    let taken = choose_swap(&standings((0.5, 4), (0.5, 24)), &free, &pairs);
-    assert_eq!(taken, [1]);
-    let taken = choose_swap(&standings((0.5, 14), (0.5, 14)), &free, &pairs);
-    assert!(taken.is_empty(), "both models have their part");
+    let swap = choose_swap(&standings((0.5, 4), (0.5, 24)), &free, &pairs).expect("a swap");
+    assert_eq!((swap.model, swap.ends), (id("large"), vec![1]));
+    let swap = choose_swap(&standings((0.5, 14), (0.5, 14)), &free, &pairs);
+    assert_eq!(swap, None, "both models have their part");
 }
 
 #[test]
@@ -122,6 +122,6 @@
         .map(|n| candidate(&format!("e{n}"), "rack-1", Some("large"), &["small"]))
         .collect();
     let pairs = [serving(1, "small", "small"), serving(2, "small", "small")];
-    let taken = choose_swap(&standings((0.5, 4), (0.5, 24)), &free, &pairs);
-    assert!(taken.is_empty());
+    let swap = choose_swap(&standings((0.5, 4), (0.5, 24)), &free, &pairs);
+    assert_eq!(swap, None);
 }
--- a/crates/shallottide_fleet/tests/steward.rs
+++ b/crates/shallottide_fleet/tests/steward.rs
@@ -118,7 +118,14 @@
     promises_with_late_orders: Mischief { late_orders: 0.35, deaths: 0.01, ..Mischief::default() }, 12;
     promises_with_takeovers: Mischief { takeovers: 0.15, deaths: 0.01, ..Mischief::default() }, 12;
     promises_with_cut_engines: Mischief { cuts: 0.02, deaths: 0.005, ..Mischief::default() }, 12;
+    promises_with_a_steward_cut_off: Mischief {
+        steward_cuts: 0.1, cuts: 0.01, ..Mischief::default()
+    }, 12;
+    promises_with_old_entries: Mischief {
+        takeovers: 0.15, old_entries: 0.3, ..Mischief::default()
+    }, 12;
     promises_with_all: Mischief {
         late_orders: 0.3, deaths: 0.008, restarts: 0.01, takeovers: 0.1, cuts: 0.01,
+        old_entries: 0.1, steward_cuts: 0.05,
     }, 24;
 }
--- a/crates/shallottide_fleet/tests/support/engines.rs
+++ b/crates/shallottide_fleet/tests/support/engines.rs
@@ -39,11 +39,17 @@
     pub(crate) takeovers: f64,
     /// Chance per second and engine to lose its way to the store for 6 s, and to this steward.
     pub(crate) cuts: f64,
+    /// Chance per second of the steward to reach nobody for 8 s, nor to see new entries.
+    pub(crate) steward_cuts: f64,
+    /// Chance of an entry to show what an engine was before, when another steward takes over.
+    pub(crate) old_entries: f64,
 }
 
 #[derive(Debug, Clone)]
 struct Engine {
     upstream: Upstream,
+    /// The entries that changed its group, the last one as it is now.
+    entries: Vec<Upstream>,
     dead: bool,
     /// Until when neither the store nor the steward hears of it.
     cut_until: Option<Instant>,
@@ -76,6 +82,8 @@
     pub(crate) now: Instant,
     start: Instant,
     mischief: Mischief,
+    /// Until when the steward reaches nobody.
+    steward_cut_until: Option<Instant>,
     index: u64,
     /// Whether callers are served, so that loads are bounded.
     pub(crate) traffic: bool,
@@ -98,6 +106,7 @@
             now,
             start: now,
             mischief,
+            steward_cut_until: None,
             index: 1,
             traffic: false,
             loads: Vec::new(),
@@ -117,8 +126,10 @@
     pub(crate) fn add(&mut self, rack: usize) -> UpstreamId {
         self.next_engine += 1;
         let name = format!("e{:03}", self.next_engine);
+        let upstream = engine_upstream(&name, &format!("rack-{rack}"));
         let engine = Engine {
-            upstream: engine_upstream(&name, &format!("rack-{rack}")),
+            entries: vec![upstream.clone()],
+            upstream,
             dead: false,
             cut_until: None,
             members: Vec::new(),
@@ -216,10 +227,40 @@
                 self.restart(&id);
             }
         }
+        if self.rng.random_bool(self.mischief.steward_cuts * per_step) {
+            self.steward_cut_until = Some(self.now + Duration::from_secs(8));
+        }
         if self.rng.random_bool(self.mischief.takeovers * per_step) {
             self.claims += 1;
             let claim = StoreIndex(self.claims);
             self.steward = Steward::new(options(), claim, false, self.now);
+            if self.mischief.old_entries > 0.0 {
+                self.start_view_anew();
+            }
+        }
+    }
+
+    /// Forgets the view, as another process does, and lists entries, some of them old.
+    fn start_view_anew(&mut self) {
+        self.view = FleetView::default();
+        self.view.index = StoreIndex(self.index);
+        self.view
+            .apply(Change::Catalog(Box::new(catalog(1))), self.now);
+        let fleet = self.fleet.values().filter(|engine| engine.has_entry);
+        for engine in fleet {
+            let is_old = self.rng.random_bool(self.mischief.old_entries);
+            let back = if is_old {
+                self.rng.random_range(0..6)
+            } else {
+                0
+            };
+            let entries = &engine.entries;
+            let entry = &entries[entries.len().saturating_sub(1 + back)];
+            let id = entry.id.clone();
+            self.view.apply(
+                Change::Upstream(id, Some(Box::new(entry.clone()))),
+                self.now,
+            );
         }
     }
 
@@ -272,7 +313,7 @@
                 OrderOutcome::Accepted
             }
             Order::Stage(model) => {
-                let at = self.now + LOAD;
+                let at = self.now + if self.traffic { LOAD } else { LOAD / 10 };
                 let engine = self.fleet.get_mut(to).expect("an engine");
                 engine.staging.get_or_insert((model.clone(), at));
                 self.loads.push(self.now);
@@ -437,6 +478,9 @@
 
     fn beat(&mut self) {
         let now = self.now;
+        if self.steward_cut_until.is_some_and(|until| now < until) {
+            return;
+        }
         for engine in self.fleet.values_mut() {
             let is_cut = engine.cut_until.is_some_and(|until| now < until);
             let id = engine.upstream.id.clone();
@@ -455,6 +499,13 @@
                 engine.next_beat = now + HEARTBEAT;
                 self.index += 1;
                 self.view.index = StoreIndex(self.index);
+                engine.upstream.beat += 1;
+                let last = engine.entries.last_mut().expect("at least one");
+                if last.membership == engine.upstream.membership {
+                    *last = engine.upstream.clone();
+                } else {
+                    engine.entries.push(engine.upstream.clone());
+                }
                 let upstream = Box::new(engine.upstream.clone());
                 self.view.apply(Change::Upstream(id, Some(upstream)), now);
             }
@@ -465,7 +516,8 @@
 
     fn reaches(&self, to: &UpstreamId) -> bool {
         let engine = &self.fleet[to];
-        !engine.dead && engine.cut_until.is_none_or(|until| self.now >= until)
+        let is_over = |until: Option<Instant>| until.is_none_or(|until| self.now >= until);
+        !engine.dead && is_over(engine.cut_until) && is_over(self.steward_cut_until)
     }
 
     fn tick(&mut self) {
