--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -23,6 +23,9 @@
 const STRAGGLER: f64 = 1.6;
 /// Scores within this of the best are drawn from at random, so that nodes do not all pick one.
 const CLOSE: f64 = 0.04;
+/// Time without any event of an upstream's streams after which it gets no more; all streams of a
+/// batch go on together, a few times a second at the least.
+const STANDSTILL: Duration = Duration::from_millis(280);
 /// First time for which a failing upstream is left alone; doubles with each failure in a row.
 const AVOID_FIRST: Duration = Duration::from_millis(400);
 /// Longest time for which a failing upstream is left alone.
@@ -71,12 +74,24 @@
     told: Option<(ToldLoad, Instant, u32)>,
     avoid_until: Option<Instant>,
     failures_in_row: u32,
+    /// Streams of this node that have begun, and when any of them went on.
+    streams: u32,
+    progressed: Option<Instant>,
     /// Moving average of failures, from 0 to 1.
     failing: f64,
     /// Moving average of the time to the first byte, in seconds.
     first_byte: Option<f64>,
 }
 
+impl Load {
+    fn stands_still(&self, now: Instant) -> bool {
+        self.streams > 0
+            && self
+                .progressed
+                .is_some_and(|at| now.saturating_duration_since(at) >= STANDSTILL)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct PeerReport {
     at: Instant,
@@ -105,6 +120,36 @@
         }
     }
 
+    /// Notes that a stream of an upstream has begun.
+    pub fn stream_began(&mut self, upstream: &UpstreamId, now: Instant) {
+        let load = self.loads.entry(upstream.clone()).or_default();
+        load.streams += 1;
+        load.progressed = Some(now);
+    }
+
+    /// Notes that a stream of an upstream went on.
+    pub fn stream_went_on(&mut self, upstream: &UpstreamId, now: Instant) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.progressed = Some(now);
+        }
+    }
+
+    /// Notes that a stream of an upstream is over.
+    pub fn stream_over(&mut self, upstream: &UpstreamId) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.streams = load.streams.saturating_sub(1);
+        }
+    }
+
+    /// Tells whether all streams of an upstream stand still, as they do when its group lost a
+    /// member.
+    #[must_use]
+    pub fn stands_still(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        self.loads
+            .get(upstream)
+            .is_some_and(|load| load.stands_still(now))
+    }
+
     /// Notes the load that an answer told.
     pub fn told(&mut self, upstream: &UpstreamId, told: ToldLoad, now: Instant) {
         let load = self.loads.entry(upstream.clone()).or_default();
@@ -232,7 +277,9 @@
             let load = self.loads.get(&upstream.id);
             any = true;
             if need.tried.contains(&upstream.id)
-                || load.is_some_and(|load| load.avoid_until.is_some_and(|until| now < until))
+                || load.is_some_and(|load| {
+                    load.avoid_until.is_some_and(|until| now < until) || load.stands_still(now)
+                })
             {
                 continue;
             }
--- a/crates/shallottide_fleet/src/border.rs
+++ b/crates/shallottide_fleet/src/border.rs
@@ -79,12 +79,14 @@
         node: &NodeId,
         peers: SocketAddr,
     ) -> Pending<'_, Result<(), StoreError>>;
-    /// Claims the groups of a domain if nobody holds them; `None` if somebody does.
+    /// Claims the groups of a domain if nobody holds them, or in place of the claim `replaces`;
+    /// `None` if another claim stands.
     fn claim_steward(
         &self,
         lease: Lease,
         domain: &DomainId,
         node: &NodeId,
+        replaces: Option<StoreIndex>,
     ) -> Pending<'_, Result<Option<StoreIndex>, StoreError>>;
 }
 
--- a/crates/shallottide_fleet/src/groups/demand.rs
+++ b/crates/shallottide_fleet/src/groups/demand.rs
@@ -6,9 +6,9 @@
 use shallottide_types::id::ModelId;
 
 /// Span over which demand is added up.
-const SPAN: Duration = Duration::from_secs(8);
+const SPAN: Duration = Duration::from_secs(10);
 /// Requests below which the operators' shares count instead.
-const FEWEST: usize = 40;
+const FEWEST: usize = 120;
 
 /// Work asked for lately, as the time that one group would be busy with it.
 #[derive(Debug, Clone, Default)]
--- a/crates/shallottide_fleet/src/groups/planner.rs
+++ b/crates/shallottide_fleet/src/groups/planner.rs
@@ -5,7 +5,7 @@
 use shallottide_types::id::{FabricId, ModelId, UpstreamId};
 
 /// How much better off the neediest model must be after a swap.
-const SWAP_GAIN: f64 = 1.25;
+const SWAP_GAIN: f64 = 1.5;
 /// How much needier a model must be to load weights while another could start at once.
 const COLD_BIAS: f64 = 1.8;
 
--- a/crates/shallottide_fleet/src/groups/steward.rs
+++ b/crates/shallottide_fleet/src/groups/steward.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use shallottide_types::id::{FabricId, ModelId, ServiceId, StoreIndex, UpstreamId};
+use shallottide_types::id::{DomainId, FabricId, ModelId, ServiceId, StoreIndex, UpstreamId};
 
 use super::planner::{Candidate, PlannedGroup, Serving, Standing, choose_group, choose_swap};
 use super::{LoadPace, Order, StewardOptions};
@@ -366,7 +366,7 @@
         (work, before_traffic): (Option<&BTreeMap<ModelId, Duration>>, bool),
         now: Instant,
     ) {
-        let mut standings = self.standings(service, engine, work);
+        let mut standings = self.standings(view, service, engine, work);
         let mut free = self.free(view, service, now);
         // A load would keep the other members waiting; weights are staged first.
         free.retain(|c| before_traffic || c.is_warm());
@@ -415,6 +415,9 @@
         let Some(swap) = choose_swap(standings, free, &serving) else {
             return;
         };
+        if !self.is_poorest(view, service, &swap.model) {
+            return;
+        }
         for formation in swap.ends {
             let Some(group) = self.serving.remove(&formation) else {
                 continue;
@@ -447,6 +450,24 @@
         free.retain(|candidate| !awaited.contains(&candidate.fabric));
     }
 
+    /// Tells whether no other failure domain has fewer groups of a model; only that one's steward
+    /// ends groups for it, as all see the same need.
+    fn is_poorest(&self, view: &FleetView, service: &ServiceId, model: &ModelId) -> bool {
+        let groups = groups_by_domain(view, service, model);
+        let own = groups.get(&self.options.domain).copied().unwrap_or(0);
+        let domains: BTreeSet<_> = view
+            .upstreams
+            .values()
+            .filter(|known| known.upstream.service == *service)
+            .map(|known| &known.upstream.domain)
+            .filter(|domain| !view.evacuated.contains(*domain))
+            .collect();
+        domains.into_iter().all(|domain| {
+            let others = groups.get(domain).copied().unwrap_or(0);
+            (own, &self.options.domain) <= (others, domain)
+        })
+    }
+
     /// Returns the groups that could end for another model, in fabric domains where no other ends.
     fn swappable(&self, view: &FleetView, service: &ServiceId) -> Vec<Serving<Formation>> {
         let ending = self.retiring.values().flat_map(Retire::members);
@@ -471,8 +492,10 @@
             .collect()
     }
 
+    /// Returns how each model stands over all failure domains, as its callers can go to any.
     fn standings(
         &self,
+        view: &FleetView,
         service: &ServiceId,
         engine: &EngineFacts,
         work: Option<&BTreeMap<ModelId, Duration>>,
@@ -502,14 +525,19 @@
                 .builds
                 .values()
                 .filter(|b| is_here(&b.model, &b.service));
-            let has = serving.map(|g| g.members.len()).sum::<usize>()
+            let here = serving.map(|g| g.members.len()).sum::<usize>()
                 + builds.map(|b| b.members.len()).sum::<usize>();
+            let elsewhere: usize = groups_by_domain(view, service, &facts.model)
+                .iter()
+                .filter(|(domain, _)| ***domain != self.options.domain)
+                .map(|(_, groups)| groups * facts.size)
+                .sum();
             Standing {
                 model: facts.model.clone(),
                 size: facts.size.max(1),
                 // Half the operators' share keeps a model in place that is not asked for now.
                 weight: f64::midpoint(asked, share),
-                has,
+                has: here + elsewhere,
             }
         };
         engine.models.iter().map(standing).collect()
@@ -576,6 +604,21 @@
     }
 }
 
+/// Counts the groups that serve a model, by failure domain.
+fn groups_by_domain<'a>(
+    view: &'a FleetView,
+    service: &ServiceId,
+    model: &ModelId,
+) -> BTreeMap<&'a DomainId, usize> {
+    let mut groups = BTreeMap::new();
+    for head in view.serving(service, Some(model)) {
+        if let Some(known) = view.upstreams.get(head) {
+            *groups.entry(&known.upstream.domain).or_default() += 1;
+        }
+    }
+    groups
+}
+
 /// Bounds on weight loads of one domain.
 #[derive(Debug, Clone, Copy)]
 struct LoadBounds {
--- a/crates/shallottide_fleet/src/groups/steward/stage.rs
+++ b/crates/shallottide_fleet/src/groups/steward/stage.rs
@@ -51,7 +51,7 @@
         now: Instant,
     ) {
         self.end_stages(view, now);
-        let standings = self.standings(service, engine, work);
+        let standings = self.standings(view, service, engine, work);
         let free = self.free(view, service, now);
         let (mut warm, cold): (Vec<_>, Vec<_>) = free.into_iter().partition(Candidate::is_warm);
         for going in cold
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -6,7 +6,6 @@
 //! - [`view`], [`catalog`], [`upstream`]: what a node believes, and how changes alter it.
 //! - [`routes`]: which route and team a request belongs to.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`waiting`]: where a request goes, or that it waits.
-//! - [`freshness`]: until when an answer can be on time.
 //! - [`groups`]: which upstreams form groups of engines.
 //! - [`lease_watch`]: how long this node may act as a steward.
 //! - [`border`]: traits that an adapter to a platform implements.
@@ -16,7 +15,6 @@
 pub mod catalog;
 pub mod cold_gate;
 pub mod event_stream;
-pub mod freshness;
 pub mod groups;
 pub mod lease_watch;
 pub mod options;
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -27,14 +27,19 @@
 
 /// Time that a request without a stated one gets.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
-/// Time that a caller which came back waits for a place though its answer will be late.
-const LATE_WAIT: Duration = Duration::from_millis(800);
+/// Part of a route's target latency for which a request may wait for a place; a longer wait made
+/// most answers late.
+const WAIT_PART: f64 = 0.05;
 /// Requests beyond its slots that an engine's head may have waiting.
 const ENGINE_QUEUE: u32 = 2;
 /// Requests beyond its slots that a plain service's upstream may have waiting.
 const PLAIN_QUEUE: u32 = 8;
 /// Time to the first event, in target latencies, after which a stream is sent elsewhere.
 const FIRST_EVENT_TARGETS: u32 = 4;
+/// Pause between two looks at whether an upstream's streams stand still.
+const LOOK_PAUSE: Duration = Duration::from_millis(80);
+/// Looks in a row that must find them so before a stream that has not begun is sent elsewhere.
+const STANDSTILL_LOOKS: u32 = 3;
 /// Sends that did not reach an upstream after which a call is given up.
 const MAX_UNSENT: u32 = 4;
 /// Shortest and longest time after which a refused caller is asked to come back.
@@ -52,7 +57,6 @@
     pub(super) service: ServiceId,
     pub(super) model: Option<ModelId>,
     pub(super) outgoing: Outgoing,
-    pub(super) arrived: Instant,
     pub(super) tried: Vec<UpstreamId>,
     /// Sends that an upstream may have run.
     pub(super) attempts: u32,
@@ -62,8 +66,6 @@
     priority: u8,
     /// What the call waits for: the service and the model.
     what: CompactString,
-    /// Time that the caller has waited before this request.
-    waited: Duration,
     pub(super) log: CallLog,
 }
 
@@ -130,14 +132,12 @@
             deadline: call.deadline,
         },
         route: call.route,
-        arrived,
         tried: Vec::new(),
         attempts: 0,
         unsent: 0,
         may_have_run: false,
         priority: call.priority,
         what: call.what,
-        waited: call.waited,
         log,
     };
     call.run(head.resume_from).await
@@ -149,7 +149,6 @@
     team: Option<CompactString>,
     priority: u8,
     what: CompactString,
-    waited: Duration,
     deadline: Instant,
 }
 
@@ -178,13 +177,9 @@
     })?;
     let service = choose_service(route, rand::random()).clone();
     let time = head.time_left.unwrap_or(DEFAULT_TIME).min(route.timeout);
-    let waited = state
-        .freshness
-        .waited(&route.name, head.time_left.unwrap_or(DEFAULT_TIME));
     let model = head.model.as_ref().map_or("", |model| model.as_str());
     let prepared = Prepared {
         what: format_compact!("{service}/{model}"),
-        waited,
         route: route.clone(),
         team: team.map(|team| team.id.as_str().into()),
         priority: team
@@ -305,10 +300,15 @@
         let wait = self.route.target_latency * FIRST_EVENT_TARGETS;
         let moves = self.moves_when_silent();
         let mut splitter = EventSplitter::default();
+        let upstream = answer.work.upstream.clone();
         let first = relay::next_events(&mut answer, &mut splitter);
         let first = if moves {
-            let first = tokio::time::timeout(wait, first).await;
-            first.unwrap_or(relay::Next::Silent)
+            tokio::select! {
+                first = tokio::time::timeout(wait, first) => {
+                    first.unwrap_or(relay::Next::Silent)
+                }
+                () = stands_still(&self.node, &upstream) => relay::Next::Silent,
+            }
         } else {
             first.await
         };
@@ -317,9 +317,9 @@
                 let took = self.node.now().saturating_duration_since(answer.sent);
                 let mut state = self.node.state.borrow_mut();
                 state.loads.succeeded(&answer.work.upstream, took);
-                state.freshness.began(&self.what, took);
                 drop(state);
                 self.node.metrics.time("first_event", took);
+                answer.work.stream_began();
                 Ok(Served::Stream(Box::new(answer), splitter, first))
             }
             relay::Next::Silent => {
@@ -364,7 +364,6 @@
             let took = now.saturating_duration_since(sent);
             let mut state = self.node.state.borrow_mut();
             state.loads.succeeded(&work.upstream, took);
-            state.freshness.began(&self.what, took);
         } else {
             self.node
                 .state
@@ -480,54 +479,21 @@
 
     /// Waits for a place at an upstream, as long as the answer can be on time.
     pub(super) async fn place(&mut self) -> Result<(Choice, Work), NoPlace> {
-        let is_late = self.fresh_until() <= self.node.now();
         let must_wait = self.node.state.borrow().waiting.len(&self.what) > 0;
-        if !must_wait && !(is_late && self.is_short()) {
+        if !must_wait {
             match self.try_place() {
                 Err(NoPlace::Full) => {}
                 other => return other,
             }
         }
-        let fresh_until = self.fresh_until();
-        if fresh_until > self.node.now() {
-            match self.wait_until(fresh_until, false).await {
-                Err(NoPlace::Full) => {}
-                other => return other,
-            }
-            let now = self.node.now();
-            self.node
-                .state
-                .borrow_mut()
-                .waiting
-                .fresh_refused(&self.what, now);
-        }
-        // A caller that was refused before does not come back once more.
-        let has_other_chance = self.waited.is_zero() && !self.may_have_run;
-        if has_other_chance || self.is_short() {
-            return Err(NoPlace::Full);
-        }
-        let late_until = self.node.now() + LATE_WAIT;
-        self.wait_until(late_until.min(self.outgoing.deadline), true)
-            .await
-    }
-
-    /// Tells whether a place for this call would be taken from one that can be on time.
-    fn is_short(&self) -> bool {
-        let now = self.node.now();
-        self.node.state.borrow().waiting.is_short(&self.what, now)
-    }
-
-    fn fresh_until(&self) -> Instant {
-        let state = self.node.state.borrow();
-        let target = self.route.target_latency;
-        state
-            .freshness
-            .fresh_until(&self.what, self.arrived, self.waited, target)
+        let wait = self.route.target_latency.mul_f64(WAIT_PART);
+        let until = self.outgoing.deadline.min(self.node.now() + wait);
+        self.wait_until(until).await
     }
 
-    async fn wait_until(&self, until: Instant, is_late: bool) -> Result<(Choice, Work), NoPlace> {
+    async fn wait_until(&self, until: Instant) -> Result<(Choice, Work), NoPlace> {
         let waker = Rc::new(Notify::new());
-        let place = Waiting::enter(self, is_late, until, &waker);
+        let place = Waiting::enter(self, until, &waker);
         let until = tokio::time::Instant::from_std(until);
         loop {
             if self.node.state.borrow().waiting.is_first(place.ticket) {
@@ -583,6 +549,17 @@
     }
 }
 
+/// Waits until the other streams of an upstream have stood still for long.
+async fn stands_still(node: &Node, upstream: &UpstreamId) {
+    let mut looks = 0;
+    while looks < STANDSTILL_LOOKS {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        let now = node.now();
+        let is_still = node.state.borrow().loads.stands_still(upstream, now);
+        looks = if is_still { looks + 1 } else { 0 };
+    }
+}
+
 /// Returns how many connections to one upstream this node may have open.
 fn connection_share(state: &State, service: &ServiceId) -> u32 {
     let catalog = state.view.catalog.as_ref();
@@ -603,12 +580,10 @@
 }
 
 impl Waiting {
-    fn enter(call: &Call, is_late: bool, wanted_by: Instant, waker: &Rc<Notify>) -> Self {
+    fn enter(call: &Call, wanted_by: Instant, waker: &Rc<Notify>) -> Self {
         let node = &call.node;
         let mut state = node.state.borrow_mut();
-        let ticket = state
-            .waiting
-            .enter(&call.what, call.priority, is_late, wanted_by);
+        let ticket = state.waiting.enter(&call.what, call.priority, wanted_by);
         state.wakers.insert(ticket, waker.clone());
         node.metrics.count("waited", &call.what);
         Self {
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -20,7 +20,6 @@
 use crate::balance::LoadBook;
 use crate::border::{CallFormat, EngineFormat, Lease, Store};
 use crate::cold_gate::ColdGate;
-use crate::freshness::Freshness;
 use crate::groups::Demand;
 use crate::lease_watch::LeaseWatch;
 use crate::options::NodeOptions;
@@ -74,7 +73,6 @@
     pub(super) cold: ColdGate,
     pub(super) budgets: BTreeMap<ServiceId, RetryBudget>,
     pub(super) waiting: WaitingRoom,
-    pub(super) freshness: Freshness,
     pub(super) wakers: BTreeMap<Ticket, Rc<Notify>>,
     pub(super) demand: Demand,
     /// Whether a caller's request has come.
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -34,6 +34,8 @@
 const LOADS_PAUSE: Duration = Duration::from_millis(200);
 /// Peers that get each report.
 const LOADS_FANOUT: usize = 8;
+/// Time for which an upstream is left alone that stalled or failed for a peer.
+const PEER_SUSPICION: Duration = Duration::from_millis(500);
 /// Largest report of loads, in bytes; fits one datagram.
 const MAX_LOADS: usize = 1_400;
 /// Version of the messages between nodes.
@@ -285,6 +287,7 @@
             shallottide_types::rendezvous::hash(id.as_str()) == suspect
         };
         if let Some(id) = state.view.upstreams.keys().find(is_it) {
+            state.loads.avoid(id, now + PEER_SUSPICION);
             state.peer_suspects.insert(id.clone(), now);
         }
     }
--- a/crates/shallottide_fleet/src/serve/relay.rs
+++ b/crates/shallottide_fleet/src/serve/relay.rs
@@ -172,6 +172,9 @@
         }
         self.last_id = events.last_id.or(self.last_id);
         self.call.log.events_passed();
+        if let Some(answer) = &self.answer {
+            answer.work.stream_went_on();
+        }
         tx.send(Ok(events.bytes)).await.is_ok()
     }
 
@@ -215,6 +218,8 @@
             if let Ok(Ok(answer)) = sent
                 && answer.response.status() == StatusCode::OK
             {
+                let mut answer = answer;
+                answer.work.stream_began();
                 let call = &self.call.outgoing.id;
                 tracing::info!(%call, upstream = %choice.upstream, from = self.last_id, "stream resumed");
                 self.call.node.metrics.count("streams", "resumed");
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -38,6 +38,7 @@
 pub(super) struct Work {
     node: Rc<Node>,
     pub(super) upstream: UpstreamId,
+    is_stream: bool,
 }
 
 impl Work {
@@ -46,13 +47,34 @@
         Self {
             node: node.clone(),
             upstream,
+            is_stream: false,
         }
     }
+
+    /// Notes that the answer is a stream, and that it has begun.
+    pub(super) fn stream_began(&mut self) {
+        self.is_stream = true;
+        let now = self.node.now();
+        let mut state = self.node.state.borrow_mut();
+        state.loads.stream_began(&self.upstream, now);
+    }
+
+    /// Notes that the stream went on.
+    pub(super) fn stream_went_on(&self) {
+        let now = self.node.now();
+        let mut state = self.node.state.borrow_mut();
+        state.loads.stream_went_on(&self.upstream, now);
+    }
 }
 
 impl Drop for Work {
     fn drop(&mut self) {
-        self.node.state.borrow_mut().loads.ended(&self.upstream);
+        let mut state = self.node.state.borrow_mut();
+        if self.is_stream {
+            state.loads.stream_over(&self.upstream);
+        }
+        state.loads.ended(&self.upstream);
+        drop(state);
         self.node.wake_waiting();
     }
 }
--- a/crates/shallottide_fleet/src/serve/steward_task.rs
+++ b/crates/shallottide_fleet/src/serve/steward_task.rs
@@ -17,6 +17,7 @@
 use crate::groups::{Action, Order, Steward, StewardOptions};
 use crate::lease_watch::boot_time;
 use crate::upstream::Upstream;
+use crate::view::{Change, Stewardship};
 
 /// Pause between two looks while something is awaited.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
@@ -71,19 +72,28 @@
             is_mine
         });
         for domain in node.options.domains.keys() {
-            if claims.contains_key(domain) || state.view.catalog.is_none() {
+            let is_ready = state.lease.may_act(boot_time()) && !state.view.store_lost;
+            if let Some(claim) = claims.get(domain) {
                 unclaimed.remove(domain);
+                // A claim of this node's own earlier process, which is gone.
+                let is_left =
+                    claim.holder == node.options.node && !stewards.borrow().contains_key(domain);
+                if is_left && is_ready {
+                    due.push((domain.clone(), Some(claim.since)));
+                }
+                continue;
+            }
+            if state.view.catalog.is_none() {
                 continue;
             }
             let since = *unclaimed.entry(domain.clone()).or_insert(now);
             let wait = claim_pause(node, domain, state.view.nodes.keys());
-            let is_ready = state.lease.may_act(boot_time()) && !state.view.store_lost;
             if is_ready && now.saturating_duration_since(since) >= wait {
-                due.push(domain.clone());
+                due.push((domain.clone(), None));
             }
         }
     }
-    for domain in due {
+    for (domain, replaces) in due {
         unclaimed.remove(&domain);
         let lease = node.state.borrow().lease_held;
         let Some(lease) = lease else {
@@ -92,7 +102,7 @@
         let asked = node
             .borders
             .store
-            .claim_steward(lease, &domain, &node.options.node);
+            .claim_steward(lease, &domain, &node.options.node, replaces);
         match tokio::time::timeout(ORDER_TIMEOUT, asked).await {
             Ok(Ok(Some(since))) => begin(node, stewards, domain, since),
             Ok(Ok(None)) => tracing::info!(%domain, "claim held by another node"),
@@ -103,8 +113,16 @@
 }
 
 fn begin(node: &Node, stewards: &Stewards, domain: DomainId, since: StoreIndex) {
-    let state = node.state.borrow();
+    let mut state = node.state.borrow_mut();
     let first_start = node.options.first_start && !state.had_traffic;
+    let claim = Stewardship {
+        holder: node.options.node.clone(),
+        since,
+    };
+    let now = node.now();
+    state
+        .view
+        .apply(Change::Steward(domain.clone(), Some(claim)), now);
     tracing::info!(%domain, claim = %since, first_start, "steward begins");
     let options = StewardOptions {
         domain: domain.clone(),
@@ -112,7 +130,7 @@
         heartbeat: node.options.heartbeat,
         load_window: node.options.load_window,
     };
-    let steward = Steward::new(options, since, first_start, node.now());
+    let steward = Steward::new(options, since, first_start, now);
     stewards.borrow_mut().insert(domain, steward);
 }
 
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -20,7 +20,7 @@
 /// First and longest pause after a failed call.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
 /// Length of a node's lease, if the store grants it.
-const LEASE: Duration = Duration::from_millis(2_400);
+const LEASE: Duration = Duration::from_millis(1_800);
 /// Renewals within one lease.
 const RENEWALS: u32 = 4;
 /// Longest wait for the answer to a renewal, and for each step of taking a lease.
--- a/crates/shallottide_fleet/src/waiting.rs
+++ b/crates/shallottide_fleet/src/waiting.rs
@@ -1,21 +1,17 @@
 //! Requests that wait for a place, in the order in which they get one.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use compact_str::CompactString;
 
-/// Time after a refusal of a request that could have been on time during which late ones wait.
-const SHORTAGE: Duration = Duration::from_millis(1_000);
-
 /// Number of one waiting request.
 pub type Ticket = u64;
 
-/// A waiting request's place: rank first, then whether it can be on time, then its time.
+/// A waiting request's place: rank first, then the time until which it waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     priority: u8,
-    is_late: bool,
     wanted_by: Instant,
     ticket: Ticket,
 }
@@ -25,24 +21,15 @@
 pub struct WaitingRoom {
     queues: BTreeMap<CompactString, BTreeSet<Place>>,
     places: BTreeMap<Ticket, (CompactString, Place)>,
-    /// When a request that could have been on time was refused last.
-    fresh_refused: BTreeMap<CompactString, Instant>,
     next: Ticket,
 }
 
 impl WaitingRoom {
     /// Adds a request that waits for `what`.
-    pub fn enter(
-        &mut self,
-        what: &CompactString,
-        priority: u8,
-        is_late: bool,
-        wanted_by: Instant,
-    ) -> Ticket {
+    pub fn enter(&mut self, what: &CompactString, priority: u8, wanted_by: Instant) -> Ticket {
         self.next += 1;
         let place = Place {
             priority,
-            is_late,
             wanted_by,
             ticket: self.next,
         };
@@ -64,19 +51,6 @@
         }
     }
 
-    /// Notes that a request which could have been on time got no place.
-    pub fn fresh_refused(&mut self, what: &CompactString, now: Instant) {
-        self.fresh_refused.insert(what.clone(), now);
-    }
-
-    /// Tells whether requests that are late anyway would take the places of others.
-    #[must_use]
-    pub fn is_short(&self, what: &str, now: Instant) -> bool {
-        self.fresh_refused
-            .get(what)
-            .is_some_and(|at| now.saturating_duration_since(*at) < SHORTAGE)
-    }
-
     /// Tells whether a request is the next to be served.
     #[must_use]
     pub fn is_first(&self, ticket: Ticket) -> bool {
--- a/crates/shallottide_fleet/tests/balance.rs
+++ b/crates/shallottide_fleet/tests/balance.rs
@@ -174,3 +174,23 @@
     world.service = id("nobody");
     assert_eq!(world.choose(&[], 0), Err(NoPlace::None));
 }
+
+/// Pattern: a group lost a member, so none of its streams goes on; its entry says nothing yet.
+#[test]
+fn an_upstream_whose_streams_stand_still_gets_no_more() {
+    let mut world = world(&["zone-a", "zone-b"]);
+    world.loads.stream_began(&id("u0"), world.now);
+    world.now += Duration::from_millis(200);
+    assert_eq!(world.choose(&[], 0), Ok(id("u0")));
+    world.now += Duration::from_millis(100);
+    assert_eq!(world.choose(&[], 0), Ok(id("u1")));
+    world.loads.stream_went_on(&id("u0"), world.now);
+    assert_eq!(world.choose(&[], 0), Ok(id("u0")));
+    world.now += Duration::from_secs(1);
+    world.loads.stream_over(&id("u0"));
+    assert_eq!(
+        world.choose(&[], 0),
+        Ok(id("u0")),
+        "no stream is left to stand still"
+    );
+}
--- a/crates/shallottide_fleet/tests/waiting.rs
+++ b/crates/shallottide_fleet/tests/waiting.rs
@@ -11,10 +11,10 @@
     let late = now + Duration::from_millis(900);
     let mut room = WaitingRoom::default();
     let what = "engines/large".into();
-    let low = room.enter(&what, 2, false, soon);
-    let patient = room.enter(&what, 1, false, late);
-    let urgent = room.enter(&what, 1, false, soon);
-    let other = room.enter(&"engines/small".into(), 5, false, late);
+    let low = room.enter(&what, 2, soon);
+    let patient = room.enter(&what, 1, late);
+    let urgent = room.enter(&what, 1, soon);
+    let other = room.enter(&"engines/small".into(), 5, late);
     let mut served = Vec::new();
     for _ in 0..3 {
         let first = [low, patient, urgent]
@@ -32,7 +32,7 @@
 #[test]
 fn leaving_twice_changes_nothing() {
     let mut room = WaitingRoom::default();
-    let ticket = room.enter(&"a".into(), 1, false, Instant::now());
+    let ticket = room.enter(&"a".into(), 1, Instant::now());
     room.leave(ticket);
     room.leave(ticket);
     assert!(room.is_empty());
