End pairs for a large group while it is half as well off, not only when little is left of it

A group now ends when the other model is better off by half before and no worse off after. The new case of tests/planner.rs failed before.

--- a/crates/shallottide_fleet/src/groups/planner.rs
+++ b/crates/shallottide_fleet/src/groups/planner.rs
@@ -4,7 +4,7 @@
 
 use shallottide_types::id::{FabricId, ModelId, UpstreamId};
 
-/// How much better off the neediest model must be after a swap.
+/// How much better off the other models must be than the neediest one before a swap.
 const SWAP_GAIN: f64 = 1.5;
 /// How much needier a model must be to load weights while another could start at once.
 const COLD_BIAS: f64 = 1.8;
@@ -229,15 +229,15 @@
         if found < needy.size || taken.is_empty() {
             continue;
         }
-        let gained = needy.ratio(count(needy.size));
-        let left = after
-            .iter()
-            .filter(|s| s.model != needy.model)
-            .map(|s| s.ratio(0.0))
-            .fold(gained, f64::min);
+        let least = |standings: &[Standing]| {
+            let others = standings.iter().filter(|s| s.model != needy.model);
+            others.map(|s| s.ratio(0.0)).fold(f64::INFINITY, f64::min)
+        };
+        let is_needier = least(standings) >= needy.ratio(0.0) * SWAP_GAIN;
+        let stays_so = least(&after) >= needy.ratio(count(needy.size));
         let wasted = found - needy.size;
-        let is_better = left > needy.ratio(0.0) * SWAP_GAIN
-            && best.as_ref().is_none_or(|(old, _)| wasted < *old);
+        let is_better =
+            is_needier && stays_so && best.as_ref().is_none_or(|(old, _)| wasted < *old);
         if is_better {
             let swap = Swap {
                 fabric: fabric.clone(),
--- a/crates/shallottide_fleet/tests/planner.rs
+++ b/crates/shallottide_fleet/tests/planner.rs
@@ -125,3 +125,17 @@
     let swap = choose_swap(&standings((0.5, 4), (0.5, 24)), &free, &pairs);
     assert_eq!(swap, None);
 }
+
+/// Incident backstrand-lm 7aed: the large model fell to a fifth of the upstreams, and nothing
+/// brought it back because one more group changed too little over all domains.
+#[test]
+fn a_large_group_comes_back_before_it_is_the_last() {
+    let free: Vec<_> = (0..3)
+        .map(|n| candidate(&format!("e{n}"), "rack-1", Some("large"), &["small"]))
+        .collect();
+    let pairs = [serving(1, "small", "large"), serving(2, "small", "large")];
+    let swap = choose_swap(&standings((0.5, 16), (0.5, 36)), &free, &pairs).expect("a swap");
+    assert_eq!(swap.ends, [1]);
+    let swap = choose_swap(&standings((0.5, 20), (0.5, 24)), &free, &pairs);
+    assert_eq!(swap, None, "what is nearly even stays");
+}
