--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -1,6 +1,6 @@
 //! Chooses the upstream of a request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use shallottide_types::id::{DomainId, ModelId, NodeId, ServiceId, UpstreamId};
@@ -38,6 +38,8 @@
     pub service: &'a ServiceId,
     /// The model, for engines.
     pub model: Option<&'a ModelId>,
+    /// Failure domains that may serve the request; all if not set.
+    pub domains: Option<&'a BTreeSet<DomainId>>,
     /// Upstreams that were tried before.
     pub tried: &'a [UpstreamId],
     /// Requests beyond an upstream's slots that may wait there.
@@ -346,7 +348,11 @@
 /// Returns the upstreams that may get a request, in the order of their ids.
 fn serving<'a>(need: &Need<'_>, view: &'a FleetView) -> impl Iterator<Item = &'a Known> {
     let ids = view.serving(need.service, need.model).iter();
-    ids.filter_map(|id| view.upstreams.get(id))
+    let known = ids.filter_map(|id| view.upstreams.get(id));
+    known.filter(|known| {
+        need.domains
+            .is_none_or(|domains| domains.contains(&known.upstream.domain))
+    })
 }
 
 /// Tells whether this node may send one more request to a cold upstream.
--- a/crates/shallottide_fleet/src/groups/steward/health.rs
+++ b/crates/shallottide_fleet/src/groups/steward/health.rs
@@ -50,11 +50,11 @@
             if known.upstream.fabric.is_none() {
                 continue;
             }
-            if let Some(health) = self.upstreams.get_mut(id) {
-                if health.failed_at.is_some_and(|at| at < known.seen) {
-                    health.fails = 0;
-                    health.failed_at = None;
-                }
+            if let Some(health) = self.upstreams.get_mut(id)
+                && health.failed_at.is_some_and(|at| at < known.seen)
+            {
+                health.fails = 0;
+                health.failed_at = None;
             }
             if self.remembered.get(id) != Some(&known.upstream) {
                 self.remembered.insert(id.clone(), known.upstream.clone());
--- a/crates/shallottide_fleet/src/serve.rs
+++ b/crates/shallottide_fleet/src/serve.rs
@@ -8,6 +8,7 @@
 mod metrics;
 mod node;
 mod peers;
+mod place;
 mod plain_http;
 mod pool;
 mod relay;
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -1,5 +1,6 @@
 //! One caller's request, from its arrival to its answer.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,33 +8,24 @@
 use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use shallottide_types::id::{ModelId, ServiceId, UpstreamId};
+use shallottide_types::id::{DomainId, ModelId, ServiceId, UpstreamId};
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
-use tokio::sync::Notify;
 
 use super::call_log::CallLog;
 use super::connection::read_body;
-use super::node::{Node, State};
+use super::node::Node;
 use super::relay::{self, Relay};
 use super::reply_body::ReplyBody;
 use super::send::{Answer, Outgoing, SendFailure, Work, send};
 use super::stop::Phase;
-use crate::balance::{Choice, Need, NoPlace};
+use crate::balance::{Choice, NoPlace};
 use crate::border::CallHead;
 use crate::catalog::{Catalog, Repeat, Route};
 use crate::event_stream::{EventSplitter, WholeEvents};
 use crate::routes::{RouteError, choose_service};
-use crate::waiting::Ticket;
 
 /// Time that a request without a stated one gets.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
-/// Part of a route's target latency for which a request may wait for a place; a longer wait made
-/// most answers late.
-const WAIT_PART: f64 = 0.05;
-/// Requests beyond its slots that an engine's head may have waiting.
-const ENGINE_QUEUE: u32 = 2;
-/// Requests beyond its slots that a plain service's upstream may have waiting.
-const PLAIN_QUEUE: u32 = 8;
 /// Time to the first event, in target latencies, after which a stream is sent elsewhere.
 const FIRST_EVENT_TARGETS: u32 = 4;
 /// Pause between two looks at whether an upstream's streams stand still.
@@ -47,8 +39,6 @@
     (Duration::from_millis(150), Duration::from_millis(1_200));
 /// Largest answer of a plain service, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
-/// Part of a plain service's connections that nodes use together.
-const CONNECTION_PART: f64 = 0.85;
 
 /// A call and the rules that hold for it.
 pub(super) struct Call {
@@ -63,9 +53,11 @@
     unsent: u32,
     /// Whether a send may have run the call.
     pub(super) may_have_run: bool,
-    priority: u8,
+    pub(super) priority: u8,
     /// What the call waits for: the service and the model.
-    what: CompactString,
+    pub(super) what: CompactString,
+    /// Failure domains that may serve the call; all if not set.
+    pub(super) domains: Option<BTreeSet<DomainId>>,
     pub(super) log: CallLog,
 }
 
@@ -138,6 +130,7 @@
         may_have_run: false,
         priority: call.priority,
         what: call.what,
+        domains: call.domains,
         log,
     };
     call.run(head.resume_from).await
@@ -149,6 +142,7 @@
     team: Option<CompactString>,
     priority: u8,
     what: CompactString,
+    domains: Option<BTreeSet<DomainId>>,
     deadline: Instant,
 }
 
@@ -180,6 +174,7 @@
     let model = head.model.as_ref().map_or("", |model| model.as_str());
     let prepared = Prepared {
         what: format_compact!("{service}/{model}"),
+        domains: home_domains(node, route),
         route: route.clone(),
         team: team.map(|team| team.id.as_str().into()),
         priority: team
@@ -195,6 +190,14 @@
     Ok((prepared, limit))
 }
 
+/// Returns the failure domains of a route's regions, if it has any.
+fn home_domains(node: &Node, route: &Route) -> Option<BTreeSet<DomainId>> {
+    let domains = node.options.domains.iter();
+    let at_home = domains.filter(|(_, region)| route.regions.contains(region));
+    let at_home = at_home.map(|(domain, _)| domain.clone()).collect();
+    (!route.regions.is_empty()).then_some(at_home)
+}
+
 fn note_demand(
     demand: &mut crate::groups::Demand,
     catalog: &Catalog,
@@ -476,77 +479,6 @@
                 .unwrap()
                 .mul_f64(rand::random::<f64>())
     }
-
-    /// Waits for a place at an upstream, as long as the answer can be on time.
-    pub(super) async fn place(&mut self) -> Result<(Choice, Work), NoPlace> {
-        let must_wait = self.node.state.borrow().waiting.len(&self.what) > 0;
-        if !must_wait {
-            match self.try_place() {
-                Err(NoPlace::Full) => {}
-                other => return other,
-            }
-        }
-        let wait = self.route.target_latency.mul_f64(WAIT_PART);
-        let until = self.outgoing.deadline.min(self.node.now() + wait);
-        self.wait_until(until).await
-    }
-
-    async fn wait_until(&self, until: Instant) -> Result<(Choice, Work), NoPlace> {
-        let waker = Rc::new(Notify::new());
-        let place = Waiting::enter(self, until, &waker);
-        let until = tokio::time::Instant::from_std(until);
-        loop {
-            if self.node.state.borrow().waiting.is_first(place.ticket) {
-                match self.try_place() {
-                    Err(NoPlace::Full) => {}
-                    other => return other,
-                }
-            }
-            if tokio::time::timeout_at(until, waker.notified())
-                .await
-                .is_err()
-            {
-                return Err(NoPlace::Full);
-            }
-        }
-    }
-
-    fn try_place(&self) -> Result<(Choice, Work), NoPlace> {
-        let node = &self.node;
-        let now = node.now();
-        let mut state = node.state.borrow_mut();
-        let state = &mut *state;
-        let is_engine = self.model.is_some();
-        let need = Need {
-            service: &self.service,
-            model: self.model.as_ref(),
-            tried: &self.tried,
-            queue: if is_engine { ENGINE_QUEUE } else { PLAIN_QUEUE },
-        };
-        let own = (&node.options.node, &node.options.domain);
-        let choice =
-            state
-                .loads
-                .choose(&need, &state.view, &state.cold, own, now, rand::random())?;
-        if !node
-            .pool
-            .has_room(&choice.upstream, connection_share(state, &self.service))
-        {
-            return Err(NoPlace::Full);
-        }
-        state.loads.started(&choice.upstream);
-        if choice.cold {
-            state.cold.sent(&choice.upstream, now);
-        }
-        tracing::info!(
-            call = %self.outgoing.id, upstream = %choice.upstream, load = choice.load,
-            candidates = choice.candidates, cold = choice.cold, attempt = self.attempts + 1,
-            entry_age_ms = u64::try_from(choice.entry_age.as_millis()).unwrap_or(u64::MAX),
-            index = %state.view.index, "sent to upstream"
-        );
-        let work = Work::begin(node, choice.upstream.clone());
-        Ok((choice, work))
-    }
 }
 
 /// Waits until the other streams of an upstream have stood still for long.
@@ -560,49 +492,6 @@
     }
 }
 
-/// Returns how many connections to one upstream this node may have open.
-fn connection_share(state: &State, service: &ServiceId) -> u32 {
-    let catalog = state.view.catalog.as_ref();
-    let most = catalog
-        .and_then(|catalog| catalog.services.get(service))
-        .map_or(u32::MAX, |service| service.max_connections);
-    let nodes = u32::try_from(state.nodes()).unwrap_or(u32::MAX);
-    let part = f64::from(most) * CONNECTION_PART / f64::from(nodes);
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let part = part as u32;
-    part.max(1)
-}
-
-/// A place in the waiting room, left when dropped.
-struct Waiting {
-    node: Rc<Node>,
-    ticket: Ticket,
-}
-
-impl Waiting {
-    fn enter(call: &Call, wanted_by: Instant, waker: &Rc<Notify>) -> Self {
-        let node = &call.node;
-        let mut state = node.state.borrow_mut();
-        let ticket = state.waiting.enter(&call.what, call.priority, wanted_by);
-        state.wakers.insert(ticket, waker.clone());
-        node.metrics.count("waited", &call.what);
-        Self {
-            node: node.clone(),
-            ticket,
-        }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        let mut state = self.node.state.borrow_mut();
-        state.waiting.leave(self.ticket);
-        state.wakers.remove(&self.ticket);
-        drop(state);
-        self.node.wake_waiting();
-    }
-}
-
 /// What becomes of a call.
 enum Served {
     Refused(Refusal),
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -173,7 +173,7 @@
     match limited(LEASE_ANSWER, node.borders.store.end(lease)).await {
         Ok(()) => tracing::info!(lease = lease.id, "lease given up"),
         Err(error) => {
-            tracing::warn!(lease = lease.id, %error, "lease not given up: it ends by itself")
+            tracing::warn!(lease = lease.id, %error, "lease not given up: it ends by itself");
         }
     }
 }
--- a/crates/shallottide_fleet/tests/balance.rs
+++ b/crates/shallottide_fleet/tests/balance.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use shallottide_fleet::FleetView;
@@ -18,6 +19,7 @@
     node: NodeId,
     domain: DomainId,
     service: ServiceId,
+    domains: Option<BTreeSet<DomainId>>,
     now: Instant,
 }
 
@@ -33,6 +35,7 @@
         node: id("node-1"),
         domain: id("zone-a"),
         service: id("booking"),
+        domains: None,
         now,
     }
 }
@@ -42,6 +45,7 @@
         let need = Need {
             service: &self.service,
             model: None,
+            domains: self.domains.as_ref(),
             tried,
             queue: 0,
         };
@@ -194,3 +198,12 @@
         "no stream is left to stand still"
     );
 }
+
+#[test]
+fn a_route_with_homes_is_served_only_there() {
+    let mut world = world(&["zone-a", "zone-b"]);
+    world.domains = Some(BTreeSet::from([id("zone-b")]));
+    assert_eq!(world.choose(&[], 0), Ok(id("u1")));
+    world.domains = Some(BTreeSet::from([id("zone-c")]));
+    assert_eq!(world.choose(&[], 0), Err(NoPlace::None));
+}
