Deliver an upstream's failure when no other upstream does better

A repeatable call whose first upstream answered 500 was answered 502 when the second one was lost, though an answer was ready. Found by reading; the new case of platform/tests/entry.rs failed before.

--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -51,6 +51,8 @@
     /// Sends that an upstream may have run.
     pub(super) attempts: u32,
     unsent: u32,
+    /// An upstream's own failure, delivered if no other upstream does better.
+    kept: Option<Response<ReplyBody>>,
     /// Whether a send may have run the call.
     pub(super) may_have_run: bool,
     pub(super) priority: u8,
@@ -127,6 +129,7 @@
         tried: Vec::new(),
         attempts: 0,
         unsent: 0,
+        kept: None,
         may_have_run: false,
         priority: call.priority,
         what: call.what,
@@ -231,7 +234,13 @@
             return self.refuse(&refusal);
         };
         match response {
-            Served::Refused(refusal) => self.refuse(&refusal),
+            Served::Refused(refusal) => match self.kept.take() {
+                Some(kept) => {
+                    self.log.ends("answered", kept.status().as_u16());
+                    kept
+                }
+                None => self.refuse(&refusal),
+            },
             Served::Whole(response) => {
                 self.log.ends("answered", response.status().as_u16());
                 response
@@ -377,14 +386,16 @@
                 tracing::warn!(call = %self.outgoing.id, upstream = %work.upstream, "answer unsigned");
                 return Err(SendFailure::Lost("the answer was not the upstream's"));
             }
-            if parts.status.is_server_error() && self.may_repeat() {
-                return Err(SendFailure::Lost("the upstream failed"));
-            }
         }
         drop(work);
+        let is_failure = parts.status.is_server_error();
         let mut response = Response::new(ReplyBody::Whole(Some(body)));
         *response.status_mut() = parts.status;
         *response.headers_mut() = self.node.borders.calls.caller_headers(&parts.headers);
+        if is_failure && self.may_repeat() {
+            self.kept = Some(response);
+            return Err(SendFailure::Lost("the upstream failed"));
+        }
         Ok(Served::Whole(response))
     }
 
