--- a/crates/shallottide_cli/src/args.rs
+++ b/crates/shallottide_cli/src/args.rs
@@ -143,7 +143,11 @@
 /// Prints the hash of a key read from standard input, for a team's `key_hashes`.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "hash-key")]
-pub(crate) struct HashKeyArgs {}
+pub(crate) struct HashKeyArgs {
+    /// refused: a key on the command line stays in histories and process lists
+    #[argh(positional)]
+    pub(crate) key: Option<String>,
+}
 
 /// What can be drained and restored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/shallottide_cli/src/commands.rs
+++ b/crates/shallottide_cli/src/commands.rs
@@ -25,7 +25,7 @@
         Command::Status(_) => status::run(args),
         Command::Drain(command) => drain::drain(args, command),
         Command::Restore(command) => drain::restore(args, command),
-        Command::HashKey(_) => hash_key::run(),
+        Command::HashKey(args) => hash_key::run(args),
         Command::Demo(command) => demo::run(command),
     }
 }
--- a/crates/shallottide_cli/src/commands/hash_key.rs
+++ b/crates/shallottide_cli/src/commands/hash_key.rs
@@ -5,10 +5,16 @@
 use serde_json::json;
 use shallottide_types::record::KeyHash;
 
+use crate::args::HashKeyArgs;
 use crate::failure::Failure;
 use crate::output::Output;
 
-pub(super) fn run() -> Result<Output, Failure> {
+pub(super) fn run(args: &HashKeyArgs) -> Result<Output, Failure> {
+    if args.key.is_some() {
+        let message = "the key is read from standard input, so that it stays out of histories: \
+                       run `shallottide hash-key` and write the key, then end the input";
+        return Err(Failure::argument(message));
+    }
     let mut key = String::new();
     let read = std::io::stdin().read_to_string(&mut key);
     read.map_err(|e| Failure::argument(format!("standard input: {e}: write the key as text")))?;
--- a/crates/shallottide_cli/tests/commands/main.rs
+++ b/crates/shallottide_cli/tests/commands/main.rs
@@ -46,6 +46,7 @@
     no_such_command: "aply domain.toml", 2, &["aply"];
     bad_wait: "apply domain.toml --wait 8", 2, &["needs a unit"];
     bad_kind: "get zone jkpg", 2, &["use model, upstream"];
+    hash_key_keeps_keys_out_of_histories: "hash-key secret", 2, &["standard input"];
     check_good_file: "check domain.toml", 0, &["domain jkpg is valid"];
     check_needs_a_file: "check", 2, &["name record files"];
     check_missing_file: "check none.toml", 2, &["none.toml", "check the name"];
