Follow the store more slowly where there are many nodes

The pause grows with the nodes to 0.9 s, inside the 2 s in which changes must be in force; stewards keep 0.35 s. With 8 nodes and fewer nothing changes. Three cases of tests/bounds.rs.

--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`routes`]: which route and team a request belongs to.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`waiting`]: where a request goes, or that it waits.
 //! - [`groups`]: which upstreams form groups of engines.
+//! - [`watch_pause`]: how often a node asks the store for changes.
 //! - [`lease_watch`]: how long this node may act as a steward.
 //! - [`border`]: traits that an adapter to a platform implements.
 
@@ -25,6 +26,7 @@
 pub mod upstream;
 pub mod view;
 pub mod waiting;
+pub mod watch_pause;
 
 pub use options::NodeOptions;
 pub use view::FleetView;
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -8,15 +8,12 @@
 use super::node::Node;
 use crate::border::{Changes, Lease, StoreError};
 use crate::lease_watch::boot_time;
+use crate::watch_pause::watch_pause;
 
 /// Longest wait for changes in one call.
 const WAIT: Duration = Duration::from_secs(2);
 /// Time beyond the wait after which an answer is given up.
 const ANSWER_SLACK: Duration = Duration::from_millis(700);
-/// Shortest pause between two calls for changes; gathers the upstreams' heartbeats.
-const MIN_PAUSE: Duration = Duration::from_millis(350);
-/// Part of the store's reads that following it may take, over all nodes.
-const READ_PART: f64 = 0.25;
 /// First and longest pause after a failed call.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
 /// Length of a node's lease, if the store grants it.
@@ -58,9 +55,14 @@
 }
 
 fn pause_between(node: &Node) -> Duration {
-    let nodes = u32::try_from(node.state.borrow().nodes()).unwrap_or(u32::MAX);
-    let reads = f64::from(node.options.store_reads.max(1)) * READ_PART;
-    MIN_PAUSE.max(Duration::from_secs_f64(f64::from(nodes) / reads))
+    let state = node.state.borrow();
+    let own = &node.options.node;
+    let is_steward = state
+        .view
+        .stewards
+        .values()
+        .any(|claim| claim.holder == *own);
+    watch_pause(state.nodes(), node.options.store_reads, is_steward)
 }
 
 async fn list(node: &Node) -> Result<(), StoreError> {
--- a/crates/shallottide_fleet/tests/bounds.rs
+++ b/crates/shallottide_fleet/tests/bounds.rs
@@ -7,6 +7,7 @@
 use shallottide_fleet::cold_gate::ColdGate;
 use shallottide_fleet::lease_watch::LeaseWatch;
 use shallottide_fleet::retry_budget::{RepeatBound, RetryBudget};
+use shallottide_fleet::watch_pause::watch_pause;
 use shallottide_types::cases;
 use shallottide_types::id::NodeId;
 use support::id;
@@ -92,3 +93,19 @@
     lease.ended();
     assert!(!lease.may_act(second));
 }
+
+/// Calls for changes of all nodes together, in a second, and the longest time until one is seen.
+fn calls_stay_few(nodes: usize, most_calls: f64) {
+    let pause = watch_pause(nodes, 2_000, false);
+    assert!(pause < Duration::from_millis(1_200), "{pause:?}");
+    let calls = f64::from(u32::try_from(nodes).expect("a small number")) / pause.as_secs_f64();
+    assert!(calls <= most_calls, "{calls} calls a second");
+    assert!(watch_pause(nodes, 2_000, true) <= pause);
+}
+
+cases! {
+    calls_stay_few;
+    calls_of_eight_nodes: 8, 24.0;
+    calls_of_ninety_nodes: 90, 101.0;
+    calls_of_four_hundred_nodes: 420, 500.0;
+}
