--- /dev/null
+++ b/crates/shallottide_fleet/examples/plan_groups.rs
@@ -0,0 +1,31 @@
+//! Plans groups for a small rack, as a steward does: `cargo run -p shallottide_fleet --example plan_groups`
+
+use shallottide_fleet::groups::{Candidate, Standing, choose_group};
+
+fn main() {
+    let id = |text: &str| text.parse().expect("a valid id");
+    let mut free: Vec<Candidate> = (0..10)
+        .map(|number| Candidate {
+            upstream: format!("vm-{number}").parse().expect("a valid id"),
+            fabric: "rack-1".parse().expect("a valid id"),
+            loaded: None,
+            staged: vec![id("large"), id("small")],
+        })
+        .collect();
+    let standing = |model: &str, size, weight| Standing {
+        model: id(model),
+        size,
+        weight,
+        has: 0,
+    };
+    let mut standings = [standing("large", 4, 0.5), standing("small", 2, 0.5)];
+    while let Some(group) = choose_group(&standings, &free, false) {
+        let members: Vec<_> = group.members.iter().map(ToString::to_string).collect();
+        println!("{}: {}", group.model, members.join(", "));
+        free.retain(|candidate| !group.members.contains(&candidate.upstream));
+        for standing in standings.iter_mut().filter(|s| s.model == group.model) {
+            standing.has += group.members.len();
+        }
+    }
+    println!("left over: {}", free.len());
+}
