Remove what nothing calls, and an unwrap in the time to come back

Found by reading the whole change: LoadBook::is_suspect and catalog::Domains had no caller, and the linter's own fix had put an unwrap where a saturating subtraction says the same.

--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -190,14 +190,6 @@
         load.avoid_until = load.avoid_until.max(Some(until));
     }
 
-    /// Tells whether an upstream failed in a row and is left alone.
-    #[must_use]
-    pub fn is_suspect(&self, upstream: &UpstreamId, now: Instant) -> bool {
-        self.loads.get(upstream).is_some_and(|load| {
-            load.failures_in_row > 0 && load.avoid_until.is_some_and(|until| now < until)
-        })
-    }
-
     /// Returns this node's own requests at each upstream, by the hash of its id.
     pub fn own(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
         self.loads
--- a/crates/shallottide_fleet/src/catalog.rs
+++ b/crates/shallottide_fleet/src/catalog.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use shallottide_types::data;
-use shallottide_types::id::{DomainId, ModelId, RegionId, ServiceId, TeamId};
+use shallottide_types::id::{ModelId, RegionId, ServiceId, TeamId};
 
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -182,6 +182,3 @@
         Duration::from_secs_f64((read + write) * pace)
     }
 }
-
-/// A zone of the deployment and the region that holds it.
-pub type Domains = BTreeMap<DomainId, RegionId>;
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -486,8 +486,7 @@
         let most = RETRY_AFTER.1.min(left / 4).max(RETRY_AFTER.0);
         RETRY_AFTER.0
             + most
-                .checked_sub(RETRY_AFTER.0)
-                .unwrap()
+                .saturating_sub(RETRY_AFTER.0)
                 .mul_f64(rand::random::<f64>())
     }
 }
