Let one node of a failure domain read the store for the others

Cause: each node kept a watch of its own.

The steward of a domain now passes on what alters a belief (no heartbeats) to the nodes of its domain, over the peers' interface. A follower that gets no answer in 0.7 s, or one whose sender has not heard from the store for a second, reads the store itself for about 3 s. A steward reads the store itself and acts on no view that is older than its claim. A peer's whole view now names the stewards too; before, a node that took one forgot them.

Ruled out: a key of its own for the reader (the steward's claim says it, and a steward has to read every heartbeat anyway).

Tests without the bench, red before: crates/shallottide_fleet/tests/change_log.rs, and in platform/tests/entry.rs one_node_of_a_failure_domain_reads_the_store_for_all, changes_reach_followers (killed, standing still, turned away, stopped). Without the look at the sender's age the case of_a_node_that_the_store_turns_away fails.

--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! plain state machines without sockets; [`serve`] holds the tasks that own sockets.
 //!
 //! - [`view`], [`catalog`], [`upstream`]: what a node believes, and how changes alter it.
+//! - [`change_log`]: what followers of a node need to believe the same.
 //! - [`routes`]: which route and team a request belongs to.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`waiting`]: where a request goes, or that it waits.
 //! - [`groups`]: which upstreams form groups of engines.
@@ -14,6 +15,7 @@
 pub mod balance;
 pub mod border;
 pub mod catalog;
+pub mod change_log;
 pub mod cold_gate;
 pub mod event_stream;
 pub mod groups;
--- a/crates/shallottide_fleet/src/serve.rs
+++ b/crates/shallottide_fleet/src/serve.rs
@@ -4,6 +4,7 @@
 mod call_log;
 mod callers;
 mod connection;
+mod delta_feed;
 mod logs;
 mod metrics;
 mod node;
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -8,17 +8,20 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http2 as client;
 use hyper::rt::Executor;
 use hyper::server::conn::http2 as server;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::seq::IndexedRandom;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use shallottide_types::id::NodeId;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 
+use super::delta_feed;
 use super::node::Node;
 use crate::view::Snapshot;
 
@@ -28,8 +31,12 @@
 const ASK_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait for a peer's view.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Where a peer's whole view is.
+const VIEW_PATH: &str = "/view";
 /// Largest view, in bytes.
 const MAX_VIEW: usize = 32 << 20;
+/// Silence after which a peer's connection is tested, and closed if the peer is gone.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
 /// Pause between two reports of loads.
 const LOADS_PAUSE: Duration = Duration::from_millis(200);
 /// Peers that get each report.
@@ -62,7 +69,7 @@
     }
 }
 
-/// Answers peers with this node's view.
+/// Answers peers with this node's view, or with what changed in it.
 pub(super) async fn answer(node: Rc<Node>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
@@ -75,12 +82,20 @@
         };
         let node = node.clone();
         spawn_local(async move {
-            let service = service_fn(move |_| {
-                let body = view_for_peer(&node);
-                async move { Ok::<_, Infallible>(Response::new(Full::new(body))) }
+            let service = service_fn(move |request: Request<Incoming>| {
+                let node = node.clone();
+                async move {
+                    let body = match delta_feed::wanted(request.uri().path()) {
+                        Some(after) => delta_feed::delta(&node, after).await,
+                        None => view_for_peer(&node),
+                    };
+                    Ok::<_, Infallible>(Response::new(Full::new(body)))
+                }
             });
-            let served =
-                server::Builder::new(LocalExecutor).serve_connection(TokioIo::new(stream), service);
+            let served = server::Builder::new(LocalExecutor)
+                .timer(TokioTimer::new())
+                .keep_alive_interval(KEEP_ALIVE)
+                .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
                 tracing::debug!(%error, "peer's connection ended");
             }
@@ -94,11 +109,15 @@
     let age = state
         .store_heard
         .map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-    let snapshot = state.view.snapshot(age, now);
-    match bincode::serde::encode_to_vec(&snapshot, bincode::config::standard()) {
+    encode(&state.view.snapshot(age, now))
+}
+
+/// Encodes a message to a peer.
+pub(super) fn encode(message: &impl Serialize) -> Bytes {
+    match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
         Ok(bytes) => bytes.into(),
         Err(error) => {
-            tracing::error!(%error, "view can't be encoded");
+            tracing::error!(%error, "message to a peer can't be encoded");
             Bytes::new()
         }
     }
@@ -153,8 +172,9 @@
     }
 }
 
+/// Why a peer gave no answer that can be used.
 #[derive(Debug, thiserror::Error)]
-enum AskError {
+pub(super) enum AskError {
     #[error("connection: {0}")]
     Connect(#[from] std::io::Error),
     #[error("HTTP: {0}")]
@@ -163,22 +183,50 @@
     Request(#[from] http::Error),
     #[error("the answer is cut or too large")]
     Body,
-    #[error("the view can't be read: {0}")]
+    #[error("the answer can't be read: {0}")]
     Decode(#[from] bincode::error::DecodeError),
 }
 
+/// A connection to a peer's interface; closed when dropped.
+pub(super) struct PeerLink {
+    peer: SocketAddr,
+    sender: client::SendRequest<Full<Bytes>>,
+    task: JoinHandle<hyper::Result<()>>,
+}
+
+impl PeerLink {
+    pub(super) async fn open(peer: SocketAddr) -> Result<Self, AskError> {
+        let stream = TcpStream::connect(peer).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = client::handshake(LocalExecutor, TokioIo::new(stream)).await?;
+        let task = spawn_local(connection);
+        Ok(Self { peer, sender, task })
+    }
+
+    pub(super) fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Asks for a path, and decodes the answer.
+    pub(super) async fn ask<T: DeserializeOwned>(&mut self, path: &str) -> Result<T, AskError> {
+        let uri = format!("http://{}{path}", self.peer);
+        let request = Request::get(uri).body(Full::new(Bytes::new()))?;
+        let response = self.sender.send_request(request).await?;
+        let body = Limited::new(response.into_body(), MAX_VIEW).collect().await;
+        let body = body.map_err(|_| AskError::Body)?.to_bytes();
+        let (answer, _) = bincode::serde::decode_from_slice(&body, bincode::config::standard())?;
+        Ok(answer)
+    }
+}
+
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 async fn ask(peer: SocketAddr) -> Result<Snapshot, AskError> {
-    let stream = TcpStream::connect(peer).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) = client::handshake(LocalExecutor, TokioIo::new(stream)).await?;
-    let task = spawn_local(connection);
-    let request = Request::get(format!("http://{peer}/view")).body(Full::new(Bytes::new()))?;
-    let response = sender.send_request(request).await?;
-    let body = Limited::new(response.into_body(), MAX_VIEW).collect().await;
-    task.abort();
-    let body = body.map_err(|_| AskError::Body)?.to_bytes();
-    let (snapshot, _) = bincode::serde::decode_from_slice(&body, bincode::config::standard())?;
-    Ok(snapshot)
+    PeerLink::open(peer).await?.ask(VIEW_PATH).await
 }
 
 /// Sends this node's loads to some peers, and takes in theirs.
--- a/crates/shallottide_fleet/src/serve/steward_task.rs
+++ b/crates/shallottide_fleet/src/serve/steward_task.rs
@@ -168,13 +168,13 @@
     state.peer_suspects.clear();
     let work = state.demand.by_model(now).cloned();
     for (domain, steward) in all.iter_mut() {
-        // A claim that this node has not seen yet, or one that ended, is not acted on.
+        // A claim that ended is not acted on, nor is a view older than the claim.
         let is_held = state
             .view
             .stewards
             .get(domain)
             .is_some_and(|claim| claim.since == steward.claim());
-        if !is_held {
+        if !is_held || state.view.index < steward.claim() {
             continue;
         }
         for head in &suspects {
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -3,8 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use shallottide_types::id::StoreIndex;
-
+use super::delta_feed::Following;
 use super::node::Node;
 use crate::border::{Changes, Lease, StoreError};
 use crate::lease_watch::boot_time;
@@ -12,6 +11,8 @@
 
 /// Longest wait for changes in one call.
 const WAIT: Duration = Duration::from_secs(2);
+/// The same for a steward: its followers take what is a second old for stale.
+const FOLLOWED_WAIT: Duration = Duration::from_millis(500);
 /// Time beyond the wait after which an answer is given up.
 const ANSWER_SLACK: Duration = Duration::from_millis(700);
 /// First and longest pause after a failed call.
@@ -25,11 +26,16 @@
 /// Pause before a lease is taken again.
 const LEASE_RETRY: Duration = Duration::from_millis(200);
 
-/// Follows the store for ever.
+/// Follows the store for ever, itself or through the node that reads it for the domain.
 pub(super) async fn follow(node: Rc<Node>) {
     let mut listed = false;
     let mut pause = RETRY.0;
+    let mut following = Following::default();
     loop {
+        if let Some(reader) = following.reader(&node).filter(|_| listed) {
+            following.next(&node, reader).await;
+            continue;
+        }
         let result = if listed {
             changes(&node).await
         } else {
@@ -56,12 +62,7 @@
 
 fn pause_between(node: &Node) -> Duration {
     let state = node.state.borrow();
-    let own = &node.options.node;
-    let is_steward = state
-        .view
-        .stewards
-        .values()
-        .any(|claim| claim.holder == *own);
+    let is_steward = state.view.is_steward(&node.options.node);
     watch_pause(state.nodes(), node.options.store_reads, is_steward)
 }
 
@@ -82,9 +83,13 @@
 }
 
 async fn changes(node: &Node) -> Result<(), StoreError> {
-    let after: StoreIndex = node.state.borrow().view.index;
-    let waited = node.borders.store.changes(after, WAIT);
-    let Changes { index, changes } = limited(WAIT + ANSWER_SLACK, waited).await?;
+    let (after, wait) = {
+        let view = &node.state.borrow().view;
+        let is_followed = view.is_steward(&node.options.node);
+        (view.index, if is_followed { FOLLOWED_WAIT } else { WAIT })
+    };
+    let waited = node.borders.store.changes(after, wait);
+    let Changes { index, changes } = limited(wait + ANSWER_SLACK, waited).await?;
     heard(node);
     let now = node.now();
     let is_changed = !changes.is_empty();
@@ -92,10 +97,7 @@
         let state = &mut *node.state.borrow_mut();
         // A peer's view may have been newer meanwhile.
         if state.view.index == after {
-            for change in changes {
-                state.view.apply(change, now);
-            }
-            state.view.index = index.max(after);
+            state.view.advance(index, changes, now);
         }
         state.view.expire(now);
     }
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -8,6 +8,7 @@
 use shallottide_types::id::{DomainId, ModelId, NodeId, ServiceId, StoreIndex, UpstreamId};
 
 use crate::catalog::Catalog;
+use crate::change_log::ChangeLog;
 use crate::groups::is_whole;
 use crate::upstream::{Formation, Upstream};
 
@@ -18,6 +19,9 @@
 /// Time for which an entry of an earlier lifetime may still arrive.
 const LATE_ENTRY: Duration = Duration::from_secs(3);
 
+/// How far an announced end of a cold phase may move before followers are told.
+const COLD_SLACK: Duration = Duration::from_millis(500);
+
 /// One change in the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
@@ -103,9 +107,74 @@
     pub store_lost: bool,
     /// Rises with each change that routing depends on.
     pub generation: u64,
+    /// What followers of this node need.
+    log: ChangeLog,
 }
 
 impl FleetView {
+    /// Applies changes up to a revision, and keeps for followers what alters a belief.
+    pub fn advance(&mut self, index: StoreIndex, changes: Vec<Change>, now: Instant) {
+        let index = index.max(self.index);
+        let mut news = Vec::new();
+        for change in changes {
+            if self.is_news(&change, now) {
+                news.push(change.clone());
+            }
+            self.apply(change, now);
+        }
+        self.log.push(index, news);
+        self.index = index;
+    }
+
+    /// Returns what a follower at a revision lacks, or `None` when it needs the whole view.
+    #[must_use]
+    pub fn changes_since(&self, index: StoreIndex) -> Option<Vec<Change>> {
+        self.log.since(index)
+    }
+
+    /// Tells whether a follower at a revision lacks anything.
+    #[must_use]
+    pub fn has_news(&self, index: StoreIndex) -> bool {
+        self.log.has_news(index)
+    }
+
+    /// Notes that all entries still stood in the store at a time.
+    ///
+    /// A follower hears no heartbeats; the node that it follows does.
+    pub fn confirm(&mut self, at: Instant) {
+        for known in self.upstreams.values_mut() {
+            known.seen = known.seen.max(at);
+        }
+    }
+
+    /// Tells whether a node is a domain's steward.
+    #[must_use]
+    pub fn is_steward(&self, node: &NodeId) -> bool {
+        self.stewards.values().any(|claim| claim.holder == *node)
+    }
+
+    /// Tells whether a change alters a belief: a heartbeat that says nothing else does not.
+    fn is_news(&self, change: &Change, now: Instant) -> bool {
+        match change {
+            Change::Catalog(catalog) => {
+                let current = self.catalog.as_ref().map(|c| c.version);
+                current.is_none_or(|version| catalog.version > version)
+            }
+            Change::Upstream(id, Some(upstream)) => self.upstreams.get(id).is_none_or(|old| {
+                !is_older(upstream, old, now)
+                    && (old.lapsed.is_some()
+                        || !same_facts(&old.upstream, upstream)
+                        || is_cold_phase_moved(upstream, old, now))
+            }),
+            Change::Upstream(id, None) | Change::UpstreamGone(id) => {
+                self.upstreams.contains_key(id)
+            }
+            Change::Evacuated(domain, is_out) => self.evacuated.contains(domain) != *is_out,
+            Change::Node(id, address) => self.nodes.get(id) != address.as_ref(),
+            Change::Steward(domain, claim) => self.stewards.get(domain) != claim.as_ref(),
+        }
+    }
+
     /// Applies one change.
     pub fn apply(&mut self, change: Change, now: Instant) {
         match change {
@@ -249,6 +318,7 @@
     /// Entries that the listing lacks are treated like removed ones.
     pub fn replace(&mut self, index: StoreIndex, changes: Vec<Change>, now: Instant) {
         self.index = index;
+        self.log.reset(index);
         let mut seen = Listed::default();
         for change in &changes {
             seen.note(change);
@@ -331,6 +401,10 @@
         changes.extend(evacuated.map(|domain| Change::Evacuated(domain, true)));
         let nodes = self.nodes.iter();
         changes.extend(nodes.map(|(id, address)| Change::Node(id.clone(), Some(address.clone()))));
+        let stewards = self.stewards.iter();
+        changes.extend(
+            stewards.map(|(domain, claim)| Change::Steward(domain.clone(), Some(claim.clone()))),
+        );
         Snapshot {
             index: self.index,
             age,
@@ -389,10 +463,39 @@
 
 /// Compares two entries without what changes at each heartbeat.
 fn same_facts(a: &Upstream, b: &Upstream) -> bool {
-    let warm = |u: &Upstream| Upstream {
-        cold_left: Duration::ZERO,
-        beat: 0,
-        ..u.clone()
-    };
-    a.cold_left.is_zero() == b.cold_left.is_zero() && warm(a) == warm(b)
+    let Upstream {
+        id,
+        service,
+        address,
+        domain,
+        slots,
+        draining,
+        cold_left,
+        born,
+        beat: _,
+        fabric,
+        staged,
+        model,
+        membership,
+    } = a;
+    *id == b.id
+        && *service == b.service
+        && *address == b.address
+        && *domain == b.domain
+        && *slots == b.slots
+        && *draining == b.draining
+        && cold_left.is_zero() == b.cold_left.is_zero()
+        && *born == b.born
+        && *fabric == b.fabric
+        && *staged == b.staged
+        && *model == b.model
+        && *membership == b.membership
+}
+
+/// Tells whether an upstream is cold for noticeably longer or shorter than was known.
+fn is_cold_phase_moved(entry: &Upstream, known: &Known, now: Instant) -> bool {
+    let old = known
+        .cold_until
+        .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+    old.abs_diff(entry.cold_left) > COLD_SLACK
 }
