--- a/crates/shallottide_fleet/src/groups.rs
+++ b/crates/shallottide_fleet/src/groups.rs
@@ -10,7 +10,7 @@
 mod steward;
 mod steward_options;
 
-pub use demand::Demand;
+pub use demand::{Demand, DemandReport};
 pub use load_pace::LoadPace;
 pub use order::Order;
 pub use planner::{
--- a/crates/shallottide_fleet/src/groups/steward/plan.rs
+++ b/crates/shallottide_fleet/src/groups/steward/plan.rs
@@ -43,7 +43,8 @@
         // A load would keep the other members waiting; weights are staged first.
         free.retain(|c| before_traffic || c.is_warm());
         self.keep_confirmed(&mut free, view, now);
-        if !before_traffic {
+        // The operators' shares alone are no reason to end a group that serves.
+        if !before_traffic && work.is_some() {
             self.swap(view, service, (&standings, &free), now);
         }
         let swap = self
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -23,6 +23,7 @@
 
 use super::delta_feed;
 use super::node::Node;
+use crate::groups::DemandReport;
 use crate::view::Snapshot;
 
 /// Time without the store after which peers are asked.
@@ -46,7 +47,7 @@
 /// Largest report of loads, in bytes; fits one datagram.
 const MAX_LOADS: usize = 1_400;
 /// Version of the messages between nodes.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// A node's own requests at each upstream, by the hash of its id.
 #[derive(Debug, Serialize, Deserialize)]
@@ -56,6 +57,8 @@
     in_flight: Vec<(u64, u32)>,
     /// Heads that stalled or failed lately.
     suspects: Vec<u64>,
+    /// What callers asked of the node.
+    demand: DemandReport,
 }
 
 #[derive(Clone)]
@@ -281,6 +284,7 @@
             .keys()
             .map(|id| shallottide_types::rendezvous::hash(id.as_str()))
             .collect(),
+        demand: state.demand.report(now),
     };
     match bincode::serde::encode_to_vec(&message, bincode::config::standard()) {
         Ok(bytes) if bytes.len() <= MAX_LOADS => (Some(bytes), peers),
@@ -326,6 +330,9 @@
     let now = node.now();
     let state = &mut *node.state.borrow_mut();
     let nodes = state.view.nodes.len();
+    state
+        .demand
+        .peer_reported(report.node.clone(), report.demand, now);
     state
         .loads
         .peer_reported(report.node, report.in_flight, nodes, now);
--- a/crates/shallottide_fleet/src/serve/steward_task.rs
+++ b/crates/shallottide_fleet/src/serve/steward_task.rs
@@ -166,7 +166,7 @@
     let suspects = state.suspects.keys().chain(state.peer_suspects.keys());
     let suspects: Vec<_> = suspects.cloned().collect();
     state.peer_suspects.clear();
-    let work = state.demand.by_model(now).cloned();
+    let work = state.demand.by_model(now);
     for (domain, steward) in all.iter_mut() {
         // A claim that ended is not acted on, nor is a view older than the claim.
         let is_held = state
--- a/crates/shallottide_fleet/tests/steward.rs
+++ b/crates/shallottide_fleet/tests/steward.rs
@@ -38,6 +38,22 @@
     );
 }
 
+/// Pattern: a steward that starts in the middle of a day has heard of no demand yet, and the
+/// operators' shares differ from it.
+#[test]
+fn no_group_ends_for_another_model_while_the_demand_is_not_known() {
+    let mut engines = Engines::start(1, 10, Mischief::default(), 2);
+    engines.run(20 * SECOND);
+    engines.traffic = true;
+    engines.work = None;
+    let pairs = engines.serving("small").len();
+    let head = engines.serving("large")[0].clone();
+    let lost = engines.members(&head)[2].clone();
+    engines.kill(&lost);
+    engines.run(9 * SECOND);
+    assert!(engines.serving("small").len() >= pairs);
+}
+
 /// Pattern: new VMs without any weights must not keep warm ones waiting for their load.
 #[test]
 fn a_warm_engine_is_not_kept_waiting_for_a_cold_one() {
--- a/crates/shallottide_fleet/tests/support/engines.rs
+++ b/crates/shallottide_fleet/tests/support/engines.rs
@@ -87,6 +87,8 @@
     index: u64,
     /// Whether callers are served, so that loads are bounded.
     pub(crate) traffic: bool,
+    /// What callers ask of each model; as much of one as of the other unless changed.
+    pub(crate) work: Option<BTreeMap<ModelId, Duration>>,
     /// Loads begun, with their times.
     pub(crate) loads: Vec<Instant>,
     claims: u64,
@@ -109,6 +111,10 @@
             steward_cut_until: None,
             index: 1,
             traffic: false,
+            work: Some(BTreeMap::from([
+                (id("large"), Duration::from_secs(1)),
+                (id("small"), Duration::from_secs(2)),
+            ])),
             loads: Vec::new(),
             claims: 1,
             next_engine: 0,
@@ -521,7 +527,10 @@
     }
 
     fn tick(&mut self) {
-        let actions = self.steward.tick(&self.view, None, !self.traffic, self.now);
+        let actions = {
+            let work = self.work.as_ref();
+            self.steward.tick(&self.view, work, !self.traffic, self.now)
+        };
         for action in actions {
             match action {
                 Action::Order { to, number, order } => {
