--- a/crates/shallottide_fleet/src/groups/planner.rs
+++ b/crates/shallottide_fleet/src/groups/planner.rs
@@ -250,6 +250,40 @@
     best.map(|(_, swap)| swap)
 }
 
+/// Chooses weights to load onto free upstreams of one fabric domain that form no group as they are.
+///
+/// The groups with the fewest loads come first. Upstreams without any weights are loaded before
+/// those that hold the weights of another model. `free` shows weights that are on their way as
+/// staged. Nothing is chosen for upstreams that can form a group, or that are too few for one.
+#[must_use]
+pub fn choose_loads(
+    standings: &[Standing],
+    fabric: &FabricId,
+    free: &[Candidate],
+) -> Vec<(UpstreamId, ModelId)> {
+    let mut rest: Vec<_> = free.iter().filter(|c| c.fabric == *fabric).collect();
+    let mut loads = Vec::new();
+    loop {
+        let missing = |standing: &&Standing| {
+            let is_able = |c: &&&Candidate| c.warmth(&standing.model) != Warmth::Cold;
+            let able = rest.iter().filter(is_able).count();
+            standing.size.saturating_sub(able)
+        };
+        let fitting = standings.iter().filter(|s| s.size <= rest.len());
+        let next = fitting.min_by(|a, b| {
+            let by_loads = missing(a).cmp(&missing(b));
+            by_loads.then(a.ratio(0.0).total_cmp(&b.ratio(0.0)))
+        });
+        let Some(next) = next else {
+            return loads;
+        };
+        rest.sort_by_key(|c| (c.warmth(&next.model), other_models(c, &next.model)));
+        let members = rest.drain(..next.size);
+        let cold = members.filter(|c| c.warmth(&next.model) == Warmth::Cold);
+        loads.extend(cold.map(|c| (c.upstream.clone(), next.model.clone())));
+    }
+}
+
 /// Chooses the model to stage on a free upstream: the one that completes a group soonest.
 ///
 /// `warm` holds the free upstreams that can join a group at once, or that stage a model now.
--- a/crates/shallottide_fleet/src/groups/steward.rs
+++ b/crates/shallottide_fleet/src/groups/steward.rs
@@ -1,11 +1,14 @@
 //! Keeps the groups of one failure domain formed.
 
 mod build;
+mod census;
 mod health;
 mod plan;
 mod retire;
 mod stage;
 
+pub use census::Census;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/crates/shallottide_fleet/src/groups/steward/census.rs
@@ -0,0 +1,56 @@
+//! Where the engines of a failure domain stand, for metrics and logs.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use shallottide_types::id::UpstreamId;
+
+use super::Steward;
+use crate::upstream::Upstream;
+use crate::view::FleetView;
+
+/// Numbers of engines by what they are doing.
+pub type Census = BTreeMap<&'static str, usize>;
+
+impl Steward {
+    /// Counts this steward's engines by what they are doing.
+    #[must_use]
+    pub fn census(&self, view: &FleetView, now: Instant) -> Census {
+        let mut census = Census::new();
+        let engines = view
+            .upstreams
+            .iter()
+            .filter(|(_, known)| known.upstream.fabric.is_some())
+            .filter(|(_, known)| known.upstream.domain == self.options.domain);
+        for (id, known) in engines {
+            let doing = self.doing(id, &known.upstream, view, now);
+            *census.entry(doing).or_default() += 1;
+        }
+        census
+    }
+
+    fn doing(
+        &self,
+        id: &UpstreamId,
+        upstream: &Upstream,
+        view: &FleetView,
+        now: Instant,
+    ) -> &'static str {
+        let formation = upstream.membership.as_ref().map(|m| &m.formation);
+        if self.health.is_lost(id, view, &self.options, now) {
+            "lost"
+        } else if upstream.draining {
+            "leaving"
+        } else if self.builds.values().any(|b| b.members.contains(id)) {
+            "joining"
+        } else if formation.is_some_and(|f| self.serving.contains_key(f)) {
+            "serving"
+        } else if formation.is_some_and(|f| self.retiring.contains_key(f)) {
+            "ending"
+        } else if upstream.staged.is_empty() {
+            "without_weights"
+        } else {
+            "free"
+        }
+    }
+}
--- a/crates/shallottide_fleet/src/groups/steward/plan.rs
+++ b/crates/shallottide_fleet/src/groups/steward/plan.rs
@@ -40,6 +40,11 @@
     ) {
         let mut standings = self.standings(view, service, engine, work);
         let mut free = self.free(view, service, now);
+        for candidate in &mut free {
+            if self.stages.is_going(&candidate.upstream) {
+                candidate.staged.clear();
+            }
+        }
         // A load would keep the other members waiting; weights are staged first.
         free.retain(|c| before_traffic || c.is_warm());
         self.keep_confirmed(&mut free, view, now);
--- a/crates/shallottide_fleet/src/groups/steward/stage.rs
+++ b/crates/shallottide_fleet/src/groups/steward/stage.rs
@@ -1,19 +1,22 @@
 //! Weights that are loaded onto VMs ahead of their use.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use shallottide_types::id::{ModelId, ServiceId, UpstreamId};
+use shallottide_types::id::{FabricId, ModelId, ServiceId, UpstreamId};
 
 use super::{Asked, LoadBounds, Steward, candidate};
 use crate::border::OrderOutcome;
 use crate::catalog::EngineFacts;
-use crate::groups::planner::{Candidate, Standing, Warmth, choose_stage};
+use crate::groups::planner::{Candidate, Standing, Warmth, choose_loads, choose_stage};
 use crate::groups::{LoadPace, Order};
 use crate::view::FleetView;
 
 /// Time after which staging that shows no effect is ordered again.
 const GIVE_UP: Duration = Duration::from_secs(45);
+/// Time for which free upstreams have to be left over before their weights are replaced; swaps and
+/// the ends of other groups often use them sooner.
+const LEFT_OVER: Duration = Duration::from_secs(2);
 /// Time after which a refused order to stage is sent again.
 const RETRY_REFUSED: Duration = Duration::from_secs(2);
 
@@ -27,9 +30,16 @@
 #[derive(Debug, Default)]
 pub(super) struct Stages {
     going: BTreeMap<UpstreamId, Staging>,
+    /// Since when the free upstreams of a fabric domain can't form a group as they are.
+    left_over: BTreeMap<FabricId, Instant>,
 }
 
 impl Stages {
+    /// Tells whether weights are being loaded onto an upstream's VM; joins from there have to wait.
+    pub(super) fn is_going(&self, id: &UpstreamId) -> bool {
+        self.going.contains_key(id)
+    }
+
     pub(super) fn order_ended(&mut self, number: u64, outcome: OrderOutcome, pace: &mut LoadPace) {
         for staging in self.going.values_mut().filter(|s| s.asked.number == number) {
             staging.asked.outcome = Some(outcome);
@@ -53,6 +63,9 @@
         self.end_stages(view, now);
         let standings = self.standings(view, service, engine, work);
         let free = self.free(view, service, now);
+        if bounds.at_once != usize::MAX {
+            self.load_left_over(&standings, &free, view, bounds, now);
+        }
         let (mut warm, cold): (Vec<_>, Vec<_>) = free.into_iter().partition(Candidate::is_warm);
         for going in cold
             .iter()
@@ -91,6 +104,47 @@
         }
     }
 
+    /// Loads weights onto free upstreams that hold those of models they can't form a group of.
+    fn load_left_over(
+        &mut self,
+        standings: &[Standing],
+        free: &[Candidate],
+        view: &FleetView,
+        bounds: LoadBounds,
+        now: Instant,
+    ) {
+        let with_going: Vec<_> = free
+            .iter()
+            .map(|candidate| {
+                let mut candidate = candidate.clone();
+                let going = self.stages.going.get(&candidate.upstream);
+                candidate.staged.extend(going.map(|s| s.model.clone()));
+                candidate
+            })
+            .collect();
+        let fabrics: BTreeSet<_> = free.iter().map(|c| c.fabric.clone()).collect();
+        self.stages.left_over.retain(|f, _| fabrics.contains(f));
+        for fabric in fabrics {
+            let loads = choose_loads(standings, &fabric, &with_going);
+            if loads.is_empty() {
+                self.stages.left_over.remove(&fabric);
+                continue;
+            }
+            let since = *self.stages.left_over.entry(fabric).or_insert(now);
+            let is_patient = now.saturating_duration_since(since) < LEFT_OVER;
+            for (id, model) in loads {
+                let is_cold = free.iter().any(|c| c.upstream == id && !c.is_warm());
+                let waits = !is_cold && is_patient;
+                if waits || self.stages.is_going(&id) {
+                    continue;
+                }
+                if !self.begin_stage(&id, &model, view, bounds, now) {
+                    return;
+                }
+            }
+        }
+    }
+
     /// Stages a model on upstreams that serve another, so that they can change over fast.
     fn stage_second(
         &mut self,
--- a/crates/shallottide_fleet/src/serve/metrics.rs
+++ b/crates/shallottide_fleet/src/serve/metrics.rs
@@ -97,5 +97,11 @@
         let labels = format!("{{service=\"{}\",model=\"{model}\"}}", key.0);
         line("serving", &labels, upstreams.len().to_string());
     }
+    for (domain, census) in &state.engines {
+        for (doing, engines) in census {
+            let labels = format!("{{domain=\"{domain}\",doing=\"{doing}\"}}");
+            line("engines", &labels, engines.to_string());
+        }
+    }
     Response::new(Full::new(Bytes::from(text)))
 }
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use shallottide_types::clock::Clock;
-use shallottide_types::id::{ServiceId, UpstreamId};
+use shallottide_types::id::{DomainId, ServiceId, UpstreamId};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -20,7 +20,7 @@
 use crate::balance::LoadBook;
 use crate::border::{CallFormat, EngineFormat, Lease, Store};
 use crate::cold_gate::ColdGate;
-use crate::groups::Demand;
+use crate::groups::{Census, Demand};
 use crate::lease_watch::LeaseWatch;
 use crate::options::NodeOptions;
 use crate::retry_budget::RetryBudget;
@@ -88,6 +88,8 @@
     /// The highest number of nodes seen lately.
     pub(super) nodes_peak: usize,
     pub(super) in_flight: usize,
+    /// What the engines of this node's domains do, while it is their steward.
+    pub(super) engines: BTreeMap<DomainId, Census>,
 }
 
 impl State {
--- a/crates/shallottide_fleet/src/serve/steward_task.rs
+++ b/crates/shallottide_fleet/src/serve/steward_task.rs
@@ -156,10 +156,11 @@
 fn tick(node: &Rc<Node>, stewards: &Stewards) {
     let now = node.now();
     let mut all = stewards.borrow_mut();
+    let state = &mut *node.state.borrow_mut();
     if all.is_empty() {
+        state.engines.clear();
         return;
     }
-    let state = &mut *node.state.borrow_mut();
     if !state.lease.may_act(boot_time()) {
         return;
     }
@@ -167,7 +168,13 @@
     let suspects: Vec<_> = suspects.cloned().collect();
     state.peer_suspects.clear();
     let work = state.demand.by_model(now);
+    state.engines.retain(|domain, _| all.contains_key(domain));
     for (domain, steward) in all.iter_mut() {
+        let census = steward.census(&state.view, now);
+        if state.engines.get(domain) != Some(&census) {
+            tracing::info!(%domain, engines = ?census, index = %state.view.index, "engines counted");
+            state.engines.insert(domain.clone(), census);
+        }
         // A claim that ended is not acted on, nor is a view older than the claim.
         let is_held = state
             .view
--- a/crates/shallottide_fleet/tests/planner.rs
+++ b/crates/shallottide_fleet/tests/planner.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use shallottide_fleet::groups::{
-    Candidate, Serving, Standing, Warmth, choose_group, choose_stage, choose_swap,
+    Candidate, Serving, Standing, Warmth, choose_group, choose_loads, choose_stage, choose_swap,
 };
+use shallottide_types::cases;
 use support::id;
 
 fn candidate(name: &str, fabric: &str, loaded: Option<&str>, staged: &[&str]) -> Candidate {
@@ -139,3 +140,31 @@
     let swap = choose_swap(&standings((0.5, 20), (0.5, 24)), &free, &pairs);
     assert_eq!(swap, None, "what is nearly even stays");
 }
+
+/// Pattern: engines are left over whose weights fit no group together, and serve nobody.
+fn left_over(free: &[(&str, Option<&str>, &[&str])], loads: &[(&str, &str)]) {
+    let free: Vec<_> = free
+        .iter()
+        .map(|(name, loaded, staged)| candidate(name, "rack-1", *loaded, staged))
+        .collect();
+    let needs = standings((0.5, 8), (0.5, 8));
+    let chosen = choose_loads(&needs, &id("rack-1"), &free);
+    let expected: Vec<_> = loads.iter().map(|(u, m)| (id(u), id(m))).collect();
+    assert_eq!(chosen, expected);
+}
+
+cases! {
+    left_over;
+    one_engine_waits: &[("a", None, &["large"])], &[];
+    two_with_the_large_models_weights_become_a_pair:
+        &[("a", None, &["large"]), ("b", None, &["large"])], &[("a", "small"), ("b", "small")];
+    the_one_without_weights_is_loaded_first:
+        &[("a", None, &["large"]), ("b", None, &["small"]), ("c", None, &[])], &[("c", "small")];
+    three_of_four_get_the_last_one:
+        &[("a", None, &["large"]), ("b", Some("large"), &["small"]), ("c", None, &["large"]),
+          ("d", None, &[])], &[("d", "large")];
+    what_can_form_a_group_is_left_alone:
+        &[("a", Some("small"), &["large"]), ("b", None, &["small"])], &[];
+    weights_on_their_way_count:
+        &[("a", None, &["small"]), ("b", None, &["small"]), ("c", None, &["large"])], &[];
+}
