Measure how long an event stays in a node, and log a node's figures

The histogram event_pass runs from when an event is taken from the upstream's connection to when the caller's connection takes it; a line of figures every 10 s tells it.

--- a/crates/shallottide_fleet/src/serve/metrics.rs
+++ b/crates/shallottide_fleet/src/serve/metrics.rs
@@ -17,6 +17,10 @@
 /// Quantiles that are served of each histogram.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 
+/// Histogram of the time that an event stays in this node: from when it is taken from the upstream's
+/// connection to when the caller's connection takes it.
+pub(super) const EVENT_PASS: &str = "event_pass";
+
 /// Counters and histograms of one node, since its start.
 #[derive(Debug, Default)]
 pub(super) struct Metrics {
@@ -46,6 +50,30 @@
     }
 }
 
+impl Metrics {
+    /// Returns a quantile of a histogram in microseconds, and the number of its values.
+    fn quantile(&self, name: &str, quantile: f64) -> Option<(u64, u64)> {
+        let histograms = self.histograms.borrow();
+        let histogram = histograms.get(name)?;
+        Some((histogram.value_at_quantile(quantile), histogram.len()))
+    }
+}
+
+/// Logs the figures that tell whether a node is well.
+pub(super) fn log_figures(node: &Node) {
+    let state = node.state.borrow();
+    let store_age = state
+        .store_heard
+        .map(|at| node.now().saturating_duration_since(at).as_millis());
+    let events = node.metrics.quantile(EVENT_PASS, 0.99);
+    tracing::info!(
+        calls_in_flight = state.in_flight, upstreams = state.view.upstreams.len(),
+        nodes = state.view.nodes.len(), index = %state.view.index, store_age_ms = store_age,
+        event_pass_p99_us = events.map(|(p99, _)| p99), events = events.map(|(_, events)| events),
+        lines_dropped = logs::dropped(), "figures"
+    );
+}
+
 /// Answers a request for metrics.
 pub(super) fn answer(node: &Node) -> Response<Full<Bytes>> {
     let mut text = String::new();
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -28,6 +28,8 @@
 use crate::view::FleetView;
 use crate::waiting::{Ticket, WaitingRoom};
 
+/// Clean-ups between two log lines of figures.
+const FIGURES_EVERY: u32 = 10;
 /// Time between two clean-ups of what a node keeps of others.
 const TIDY_PERIOD: Duration = Duration::from_secs(1);
 
@@ -224,8 +226,13 @@
 }
 
 async fn tidy(node: Rc<Node>) {
+    let mut rounds = 0_u32;
     loop {
         tokio::time::sleep(TIDY_PERIOD).await;
+        rounds = rounds.wrapping_add(1);
+        if rounds.is_multiple_of(FIGURES_EVERY) {
+            metrics::log_figures(&node);
+        }
         let now = node.now();
         let state = &mut *node.state.borrow_mut();
         state.view.expire(now);
--- a/crates/shallottide_fleet/src/serve/relay.rs
+++ b/crates/shallottide_fleet/src/serve/relay.rs
@@ -3,14 +3,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
 use super::call::Call;
-use super::reply_body::{Cut, ReplyBody};
+use super::reply_body::{Cut, Part, ReplyBody};
 use super::send::{Answer, send};
 use crate::event_stream::{EventSplitter, WholeEvents};
 
@@ -92,14 +91,14 @@
 /// Starts passing a stream on; returns the answer that carries it.
 pub(super) fn start(mut relay: Relay) -> Response<ReplyBody> {
     let (tx, rx) = mpsc::channel(PARTS_HELD);
-    let mut response = Response::new(ReplyBody::Parts(rx));
+    let mut response = Response::new(ReplyBody::Parts(rx, relay.call.node.clone()));
     *response.status_mut() = StatusCode::OK;
     *response.headers_mut() = std::mem::take(&mut relay.headers);
     spawn_local(async move { relay.run(tx).await });
     response
 }
 
-type Sender = mpsc::Sender<Result<Bytes, Cut>>;
+type Sender = mpsc::Sender<Result<Part, Cut>>;
 
 impl Relay {
     async fn run(mut self, tx: Sender) {
@@ -175,7 +174,11 @@
         if let Some(answer) = &self.answer {
             answer.work.stream_went_on();
         }
-        tx.send(Ok(events.bytes)).await.is_ok()
+        let part = Part {
+            bytes: events.bytes,
+            taken: self.call.node.now(),
+        };
+        tx.send(Ok(part)).await.is_ok()
     }
 
     fn finish(&mut self) {
--- a/crates/shallottide_fleet/src/serve/reply_body.rs
+++ b/crates/shallottide_fleet/src/serve/reply_body.rs
@@ -1,23 +1,35 @@
 //! The body of an answer to a caller.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::metrics::EVENT_PASS;
+use super::node::Node;
+
 /// A stream ended before its last event; the caller's connection is closed on it.
 #[derive(Debug, thiserror::Error)]
 #[error("the stream was cut")]
 pub(super) struct Cut;
 
+/// Whole events of a stream.
+pub(super) struct Part {
+    pub(super) bytes: Bytes,
+    /// When they were taken from the upstream's connection.
+    pub(super) taken: Instant,
+}
+
 /// A whole body, or one that arrives in parts.
 pub(super) enum ReplyBody {
     /// All bytes.
     Whole(Option<Bytes>),
-    /// Parts as they arrive.
-    Parts(mpsc::Receiver<Result<Bytes, Cut>>),
+    /// Parts as they arrive, and the node that measures how long they stay in it.
+    Parts(mpsc::Receiver<Result<Part, Cut>>, Rc<Node>),
 }
 
 impl Body for ReplyBody {
@@ -30,9 +42,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Parts(rx) => rx
-                .poll_recv(cx)
-                .map(|part| part.map(|p| p.map(Frame::data))),
+            Self::Parts(rx, node) => rx.poll_recv(cx).map(|part| {
+                part.map(|part| {
+                    let Part { bytes, taken } = part?;
+                    let stayed = node.now().saturating_duration_since(taken);
+                    node.metrics.time(EVENT_PASS, stayed);
+                    Ok(Frame::data(bytes))
+                })
+            }),
         }
     }
 
@@ -46,7 +63,7 @@
                 let length = bytes.as_ref().map_or(0, Bytes::len);
                 SizeHint::with_exact(u64::try_from(length).unwrap_or(u64::MAX))
             }
-            Self::Parts(_) => SizeHint::default(),
+            Self::Parts(..) => SizeHint::default(),
         }
     }
 }
