Give scarce weight loads to the groups that they complete soonest, and show entry nodes in `status`

They went by fabric domain's name; now the plan with the fewest loads for each engine that serves afterwards comes first.

--- a/crates/shallottide_cli/src/args.rs
+++ b/crates/shallottide_cli/src/args.rs
@@ -1,5 +1,6 @@
 //! Arguments of the command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -102,7 +103,12 @@
 /// Shows the state of each failure domain.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status")]
-pub(crate) struct StatusArgs {}
+pub(crate) struct StatusArgs {
+    /// metrics address of an entry node on a platform; may be given more than once (default: the
+    /// nodes of the settings)
+    #[argh(option)]
+    pub(crate) entry: Vec<SocketAddr>,
+}
 
 /// Takes a failure domain or an upstream out: no new work, work in flight ends.
 #[derive(Debug, FromArgs)]
--- a/crates/shallottide_cli/src/commands.rs
+++ b/crates/shallottide_cli/src/commands.rs
@@ -4,6 +4,7 @@
 mod check;
 mod demo;
 mod drain;
+mod entry_status;
 mod get;
 mod hash_key;
 mod list;
@@ -22,7 +23,8 @@
         Command::Apply(command) => apply::run(args, command),
         Command::Get(command) => get::run(args, command),
         Command::List(command) => list::run(args, command),
-        Command::Status(_) => status::run(args),
+        Command::Status(command) if command.entry.is_empty() => status::run(args),
+        Command::Status(command) => Ok(entry_status::run(&command.entry)),
         Command::Drain(command) => drain::drain(args, command),
         Command::Restore(command) => drain::restore(args, command),
         Command::HashKey(args) => hash_key::run(args),
--- a/crates/shallottide_cli/src/node_client.rs
+++ b/crates/shallottide_cli/src/node_client.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use shallottide::operate::NodeStatus;
+use shallottide_types::entry_status::EntryStatus;
 use shallottide_types::secret::Secret;
 use ureq::Agent;
 
@@ -33,30 +35,48 @@
 impl NodeAnswers {
     /// Asks all nodes at the same time.
     pub(crate) fn ask(nodes: &[SocketAddr], token: &Secret) -> Self {
-        let agent = agent();
-        let results = thread::scope(|scope| {
-            let ask = |&node| {
-                let agent = &agent;
-                (node, scope.spawn(move || ask(agent, node, token)))
-            };
-            let asked: Vec<_> = nodes.iter().map(ask).collect();
-            let joined = asked
-                .into_iter()
-                .map(|(node, thread)| (node, thread.join()));
-            joined.collect::<Vec<_>>()
-        });
-        let mut answers = Self::default();
-        for (address, result) in results {
-            let result = result.unwrap_or_else(|_| Err("asking it failed".into()));
-            match result {
-                Ok(status) => answers.statuses.push(status),
-                Err(reason) => answers.unanswered.push(Unanswered { address, reason }),
-            }
+        let (statuses, unanswered) = ask_all(nodes, token);
+        Self {
+            statuses,
+            unanswered,
         }
-        answers
     }
 }
 
+/// Asks entry nodes on a platform, at their metrics addresses.
+pub(crate) fn ask_entries(addresses: &[SocketAddr]) -> (Vec<EntryStatus>, Vec<Unanswered>) {
+    ask_all(addresses, &Secret::default())
+}
+
+/// Asks all nodes at the same time.
+fn ask_all<T: DeserializeOwned + Send>(
+    nodes: &[SocketAddr],
+    token: &Secret,
+) -> (Vec<T>, Vec<Unanswered>) {
+    let agent = agent();
+    let results = thread::scope(|scope| {
+        let ask = |&node| {
+            let agent = &agent;
+            (node, scope.spawn(move || ask::<T>(agent, node, token)))
+        };
+        let asked: Vec<_> = nodes.iter().map(ask).collect();
+        let joined = asked
+            .into_iter()
+            .map(|(node, thread)| (node, thread.join()));
+        joined.collect::<Vec<_>>()
+    });
+    let mut statuses = Vec::new();
+    let mut unanswered = Vec::new();
+    for (address, result) in results {
+        let result = result.unwrap_or_else(|_| Err("asking it failed".into()));
+        match result {
+            Ok(status) => statuses.push(status),
+            Err(reason) => unanswered.push(Unanswered { address, reason }),
+        }
+    }
+    (statuses, unanswered)
+}
+
 fn agent() -> Agent {
     Agent::config_builder()
         .max_idle_connections(0)
@@ -69,7 +89,7 @@
         .into()
 }
 
-fn ask(agent: &Agent, node: SocketAddr, token: &Secret) -> Result<NodeStatus, String> {
+fn ask<T: DeserializeOwned>(agent: &Agent, node: SocketAddr, token: &Secret) -> Result<T, String> {
     let mut request = agent.get(format!("http://{node}/status"));
     if !token.is_empty() {
         let header = format!("Bearer {}", token.expose());
--- a/crates/shallottide_cli/tests/commands/main.rs
+++ b/crates/shallottide_cli/tests/commands/main.rs
@@ -54,6 +54,8 @@
         &["domain jkpg is valid", "shallottide.toml: record has no valid \"kind\""];
     check_warns: "check upstream.toml", 0, &["warning: failure domain jkpg has no record"];
     check_knows_its_files: "check domain.toml upstream.toml", 0, &["service tally has no"];
+    entry_without_a_node: "status --entry 127.0.0.1:9", 5,
+        &["NODE", "127.0.0.1:9 gave no status", "check the address"];
     wrong_token: "--settings wrong.toml status", 5, &["set token in the settings"];
     no_operator: "--settings nobody.toml drain domain jkpg", 2, &["add operator ="];
     settings_missing: "--settings none.toml list", 2, &["none.toml"];
@@ -336,3 +338,38 @@
     );
     assert_eq!(bench.run_with_input("hash-key", "\n").code, 2);
 }
+
+/// Answers one request with a status, as an entry node does at its metrics address.
+fn entry_node() -> std::net::SocketAddr {
+    use std::io::{Read as _, Write as _};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buf = [0; 1024];
+        let _ = stream.read(&mut buf).expect("a request");
+        let body = r#"{"node":"front-1","domain":"jkpg","ready":true,"config_version":7,"index":42,
+            "store_age_ms":130,"store_lost":false,"nodes":8,"in_flight":3,"upstreams":63,
+            "serving":{"chat/large":5},"evacuated":[],"stewards":{"jkpg":"front-1"},
+            "engines":{"jkpg":{"serving":18,"free":2}}}"#;
+        let length = body.len();
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        )
+        .expect("a caller");
+    });
+    address
+}
+
+#[test]
+fn status_shows_an_entry_node_on_a_platform() {
+    let words = format!("status --entry {}", entry_node());
+    let expected = [
+        "front-1",
+        "130ms",
+        "chat/large:5",
+        "engines of jkpg: 2 free, 18 serving",
+    ];
+    check(&words, 0, &expected);
+}
--- a/crates/shallottide_fleet/src/groups.rs
+++ b/crates/shallottide_fleet/src/groups.rs
@@ -14,8 +14,8 @@
 pub use load_pace::LoadPace;
 pub use order::Order;
 pub use planner::{
-    Candidate, PlannedGroup, Serving, Standing, Swap, Warmth, choose_group, choose_loads,
-    choose_stage, choose_swap,
+    Candidate, PlannedGroup, PlannedLoads, Serving, Standing, Swap, Warmth, choose_group,
+    choose_loads, choose_stage, choose_swap,
 };
 pub use steward::{Action, Census, Steward};
 pub use steward_options::StewardOptions;
--- a/crates/shallottide_fleet/src/groups/planner.rs
+++ b/crates/shallottide_fleet/src/groups/planner.rs
@@ -250,6 +250,25 @@
     best.map(|(_, swap)| swap)
 }
 
+/// Loads that complete a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedLoads {
+    /// The model.
+    pub model: ModelId,
+    /// Upstreams in the group.
+    pub size: usize,
+    /// The upstreams that lack the weights.
+    pub onto: Vec<UpstreamId>,
+}
+
+impl PlannedLoads {
+    /// Returns the loads for each upstream that serves afterwards: the fewer the better.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
+        count(self.onto.len()) / count(self.size.max(1))
+    }
+}
+
 /// Chooses weights to load onto free upstreams of one fabric domain that form no group as they are.
 ///
 /// The groups with the fewest loads come first. Upstreams without any weights are loaded before
@@ -260,7 +279,7 @@
     standings: &[Standing],
     fabric: &FabricId,
     free: &[Candidate],
-) -> Vec<(UpstreamId, ModelId)> {
+) -> Vec<PlannedLoads> {
     let mut rest: Vec<_> = free.iter().filter(|c| c.fabric == *fabric).collect();
     let mut loads = Vec::new();
     loop {
@@ -280,7 +299,14 @@
         rest.sort_by_key(|c| (c.warmth(&next.model), other_models(c, &next.model)));
         let members = rest.drain(..next.size);
         let cold = members.filter(|c| c.warmth(&next.model) == Warmth::Cold);
-        loads.extend(cold.map(|c| (c.upstream.clone(), next.model.clone())));
+        let onto: Vec<_> = cold.map(|c| c.upstream.clone()).collect();
+        if !onto.is_empty() {
+            loads.push(PlannedLoads {
+                model: next.model.clone(),
+                size: next.size,
+                onto,
+            });
+        }
     }
 }
 
--- a/crates/shallottide_fleet/src/groups/steward/stage.rs
+++ b/crates/shallottide_fleet/src/groups/steward/stage.rs
@@ -124,6 +124,7 @@
             .collect();
         let fabrics: BTreeSet<_> = free.iter().map(|c| c.fabric.clone()).collect();
         self.stages.left_over.retain(|f, _| fabrics.contains(f));
+        let mut planned = Vec::new();
         for fabric in fabrics {
             let loads = choose_loads(standings, &fabric, &with_going);
             if loads.is_empty() {
@@ -132,13 +133,17 @@
             }
             let since = *self.stages.left_over.entry(fabric).or_insert(now);
             let is_patient = now.saturating_duration_since(since) < LEFT_OVER;
-            for (id, model) in loads {
-                let is_cold = free.iter().any(|c| c.upstream == id && !c.is_warm());
+            planned.extend(loads.into_iter().map(|loads| (loads, is_patient)));
+        }
+        planned.sort_by(|a, b| a.0.cost().total_cmp(&b.0.cost()));
+        for (loads, is_patient) in planned {
+            for id in &loads.onto {
+                let is_cold = free.iter().any(|c| c.upstream == *id && !c.is_warm());
                 let waits = !is_cold && is_patient;
-                if waits || self.stages.is_going(&id) {
+                if waits || self.stages.is_going(id) {
                     continue;
                 }
-                if !self.begin_stage(&id, &model, view, bounds, now) {
+                if !self.begin_stage(id, &loads.model, view, bounds, now) {
                     return;
                 }
             }
--- a/crates/shallottide_fleet/src/serve.rs
+++ b/crates/shallottide_fleet/src/serve.rs
@@ -15,6 +15,7 @@
 mod relay;
 mod reply_body;
 mod send;
+mod status;
 mod steward_task;
 mod stop;
 mod store_sync;
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -16,7 +16,7 @@
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::stop::{self, Phase, StopReport};
-use super::{callers, metrics, peers, plain_http, steward_task, store_sync};
+use super::{callers, metrics, peers, plain_http, status, steward_task, store_sync};
 use crate::balance::LoadBook;
 use crate::border::{CallFormat, EngineFormat, Lease, Store};
 use crate::cold_gate::ColdGate;
@@ -194,7 +194,13 @@
     if let Some(address) = options.metrics {
         let listener = listen("metrics", address).await?;
         let node = node.clone();
-        spawn_local(plain_http::serve(listener, move |_| metrics::answer(&node)));
+        spawn_local(plain_http::serve(listener, move |request| {
+            if request.uri().path() == status::PATH {
+                status::answer(&node)
+            } else {
+                metrics::answer(&node)
+            }
+        }));
     }
     tracing::info!(
         node = %options.node, domain = %options.domain, callers = %options.callers,
--- /dev/null
+++ b/crates/shallottide_fleet/src/serve/status.rs
@@ -0,0 +1,72 @@
+//! The node's state for operators.
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use shallottide_types::entry_status::EntryStatus;
+
+use super::node::Node;
+
+/// Path at the metrics address.
+pub(super) const PATH: &str = "/status";
+
+/// Answers a request for the status.
+pub(super) fn answer(node: &Node) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(&status(node)) {
+        Ok(body) => {
+            let mut response = Response::new(Full::new(body.into()));
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, json);
+            response
+        }
+        Err(error) => {
+            tracing::error!(%error, "status can't be encoded");
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
+fn status(node: &Node) -> EntryStatus {
+    let now = node.now();
+    let ready = node.is_ready();
+    let state = node.state.borrow();
+    let view = &state.view;
+    let store_age = state
+        .store_heard
+        .map(|at| now.saturating_duration_since(at).as_millis());
+    let serving = view.serving.iter().map(|((service, model), upstreams)| {
+        let name = match model {
+            Some(model) => format!("{service}/{model}"),
+            None => service.to_string(),
+        };
+        (name, upstreams.len())
+    });
+    let stewards = view.stewards.iter();
+    let engines = state.engines.iter().map(|(domain, census)| {
+        let census = census
+            .iter()
+            .map(|(doing, count)| ((*doing).to_string(), *count));
+        (domain.clone(), census.collect())
+    });
+    EntryStatus {
+        node: node.options.node.clone(),
+        domain: node.options.domain.clone(),
+        ready,
+        config_version: state.routes_version,
+        index: view.index,
+        store_age_ms: store_age.map(|ms| u64::try_from(ms).unwrap_or(u64::MAX)),
+        store_lost: view.store_lost,
+        nodes: view.nodes.len(),
+        in_flight: state.in_flight,
+        upstreams: view.upstreams.len(),
+        serving: serving.collect(),
+        evacuated: view.evacuated.iter().cloned().collect(),
+        stewards: stewards
+            .map(|(domain, claim)| (domain.clone(), claim.holder.clone()))
+            .collect(),
+        engines: engines.collect(),
+    }
+}
--- a/crates/shallottide_fleet/tests/planner.rs
+++ b/crates/shallottide_fleet/tests/planner.rs
@@ -149,6 +149,15 @@
         .collect();
     let needs = standings((0.5, 8), (0.5, 8));
     let chosen = choose_loads(&needs, &id("rack-1"), &free);
+    let chosen: Vec<_> = chosen
+        .into_iter()
+        .flat_map(|loads| {
+            loads
+                .onto
+                .into_iter()
+                .map(move |u| (u, loads.model.clone()))
+        })
+        .collect();
     let expected: Vec<_> = loads.iter().map(|(u, m)| (id(u), id(m))).collect();
     assert_eq!(chosen, expected);
 }
@@ -168,3 +177,24 @@
     weights_on_their_way_count:
         &[("a", None, &["small"]), ("b", None, &["small"]), ("c", None, &["large"])], &[];
 }
+
+/// Pattern: few loads can go on at once, and many engines wait for one.
+#[test]
+fn one_load_that_completes_four_engines_goes_before_two_for_a_pair() {
+    let needs = standings((0.5, 8), (0.5, 8));
+    let four: Vec<_> = ["a", "b", "c", "d"]
+        .iter()
+        .map(|name| {
+            candidate(
+                name,
+                "rack-1",
+                None,
+                if *name == "d" { &[] } else { &["large"] },
+            )
+        })
+        .collect();
+    let pair = ["e", "f"].map(|name| candidate(name, "rack-1", None, &[]));
+    let of_four = &choose_loads(&needs, &id("rack-1"), &four)[0];
+    let of_pair = &choose_loads(&needs, &id("rack-1"), &pair)[0];
+    assert!(of_four.cost() < of_pair.cost());
+}
--- a/crates/shallottide_types/src/lib.rs
+++ b/crates/shallottide_types/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clock;
 pub mod duration_text;
 pub mod engine;
+pub mod entry_status;
 pub mod id;
 pub mod peer;
 pub mod placement;
