Answer a follower at once when this node is out of date itself

A follower asked a stale reader every three seconds and waited 0.4 s for that to be told; now it reads the store itself at once. Also says what a quiet entry means: the watch shows no heartbeats.

--- a/crates/shallottide_fleet/src/groups/steward/health.rs
+++ b/crates/shallottide_fleet/src/groups/steward/health.rs
@@ -11,7 +11,8 @@
 
 /// Probes without an answer after which an upstream is lost.
 const FAILS: u32 = 2;
-/// Time that an entry may be late beyond a heartbeat.
+/// Time without a new entry, beyond a heartbeat, after which a member is asked itself. A store need
+/// not show entries that changed in nothing but their heartbeat, so this is the usual case.
 const LATE_SLACK: Duration = Duration::from_millis(650);
 /// Pause between two probes of one upstream.
 const PROBE_PAUSE: Duration = Duration::from_millis(350);
--- a/crates/shallottide_fleet/src/serve/delta_feed.rs
+++ b/crates/shallottide_fleet/src/serve/delta_feed.rs
@@ -51,7 +51,8 @@
     let end = tokio::time::Instant::now() + HOLD;
     loop {
         let changed = node.changed.notified();
-        if node.state.borrow().view.has_news(after) {
+        // A follower that is told at once that this node is out of date reads the store sooner.
+        if node.state.borrow().view.has_news(after) || store_age(node) > STALE {
             break;
         }
         if tokio::time::timeout_at(end, changed).await.is_err() {
@@ -61,6 +62,11 @@
     encode(&current(node, after))
 }
 
+fn store_age(node: &Node) -> Duration {
+    let heard = node.state.borrow().store_heard;
+    heard.map_or(Duration::MAX, |at| node.now().saturating_duration_since(at))
+}
+
 fn current(node: &Node, after: StoreIndex) -> Delta {
     let now = node.now();
     let state = node.state.borrow();
@@ -70,7 +76,7 @@
     let whole = || state.view.snapshot(Duration::ZERO, now).changes;
     Delta {
         index: state.view.index,
-        store_age: state.store_heard.map_or(Duration::MAX, age),
+        store_age: store_age(node),
         trouble_age: state.view.store_trouble.map(age),
         is_whole,
         changes: changes.unwrap_or_else(whole),
