Keep engines out of other groups while late orders may bring them back

The controller took a member that had left a group in its end for free at once. An order without an answer, its own or an earlier controller's, then brought it back before the next join reached it; a new controller may not even know of the membership. Change: such members stay out until their group is released, or for the 14 s in which late orders come after a controller's start; so do the free engines of a fabric domain with an earlier controller's group of which not all members are known.

--- a/crates/shallottide_fleet/src/groups/controller.rs
+++ b/crates/shallottide_fleet/src/groups/controller.rs
@@ -25,6 +25,8 @@
 use retiring_group::{RetireReason, RetiringGroup};
 use staging_tracker::StagingTracker;
 
+/// Time after which an order without an answer is no longer carried out.
+const LATE_ORDER_TIME: Duration = Duration::from_secs(14);
 /// Fraction of the operators' limit on loads that controllers use.
 const LOAD_FRACTION: f64 = 0.9;
 
@@ -103,6 +105,9 @@
     retiring: BTreeMap<Formation, RetiringGroup>,
     /// Formations whose members may join other groups, and since when.
     released: BTreeMap<Formation, Instant>,
+    /// Joins without an answer, by recipient: the formation, and when the order was sent.
+    unresolved_joins: BTreeMap<UpstreamId, (Formation, Instant)>,
+    started_at: Instant,
     staging: StagingTracker,
     reservation: Option<Reservation>,
     /// Number of upstreams before the first traffic, and since when.
@@ -138,6 +143,8 @@
             forming: BTreeMap::new(),
             retiring: BTreeMap::new(),
             released: BTreeMap::new(),
+            unresolved_joins: BTreeMap::new(),
+            started_at: now,
             staging: StagingTracker::default(),
             reservation: None,
             upstream_count: (0, now),
@@ -159,8 +166,14 @@
 
     /// Records the outcome of an order.
     pub fn record_order_outcome(&mut self, number: u64, outcome: OrderOutcome, now: Instant) {
-        for group in self.forming.values_mut() {
+        for (formation, group) in &mut self.forming {
             group.record_order_outcome(number, outcome, &mut self.load_limiter, now);
+            if outcome == OrderOutcome::Unknown
+                && let Some(member) = group.recipient_of_join(number)
+            {
+                let unresolved = (formation.clone(), now);
+                self.unresolved_joins.insert(member.clone(), unresolved);
+            }
         }
         for group in self.retiring.values_mut() {
             group.record_order_outcome(number, outcome);
@@ -190,6 +203,8 @@
         now: Instant,
     ) -> Vec<Action> {
         self.health.observe(view);
+        self.unresolved_joins
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < LATE_ORDER_TIME);
         let Some(catalog) = &view.catalog else {
             return Vec::new();
         };
--- a/crates/shallottide_fleet/src/groups/controller/forming_group.rs
+++ b/crates/shallottide_fleet/src/groups/controller/forming_group.rs
@@ -87,6 +87,12 @@
         let _ = now;
     }
 
+    /// Returns the member that a join order was sent to.
+    pub(super) fn recipient_of_join(&self, number: u64) -> Option<&UpstreamId> {
+        let mut joins = self.joins.iter();
+        joins.find_map(|(id, join)| (join.sent.number == number).then_some(id))
+    }
+
     /// Returns the number of loads that were ordered and have not finished.
     fn count_loading(&self, view: &ClusterView, formation: &Formation) -> usize {
         let is_loading = |id: &UpstreamId| {
--- a/crates/shallottide_fleet/src/groups/controller/plan.rs
+++ b/crates/shallottide_fleet/src/groups/controller/plan.rs
@@ -5,9 +5,9 @@
 
 use shallottide_types::id::{DomainId, FabricId, ModelId, ServiceId, UpstreamId};
 
-use super::Controller;
 use super::forming_group::FormingGroup;
 use super::retiring_group::{RetireReason, RetiringGroup};
+use super::{Controller, LATE_ORDER_TIME};
 use crate::catalog::EngineFacts;
 use crate::groups::allocation::choose_groups;
 use crate::groups::formation_planner::{
@@ -54,6 +54,8 @@
         }
         // A load during the join would delay the other members, so weights are staged first.
         free.retain(|c| before_traffic || c.is_warm());
+        let uncertain = self.fabrics_of_incomplete_groups(view, engine, now);
+        free.retain(|c| !uncertain.contains(&c.fabric));
         self.keep_confirmed(&mut free, view, now);
         // The operators' shares alone do not justify ending a serving group.
         if !before_traffic && work.is_some() {
@@ -272,7 +274,10 @@
                 .forming
                 .values()
                 .any(|group| group.members.contains(id));
-            let is_free = usable && !is_forming && self.may_leave(upstream, view);
+            let is_free = usable
+                && !is_forming
+                && self.may_leave(upstream, view)
+                && !self.may_rejoin_retiring(id, now);
             is_free.then(|| to_candidate(upstream)).flatten()
         };
         view.upstreams
@@ -289,6 +294,49 @@
         })
     }
 
+    /// Returns the fabric domains in which an earlier controller's group lacks members that are known.
+    ///
+    /// Any upstream there may be the missing member, or become it when a late order is carried out.
+    fn fabrics_of_incomplete_groups(
+        &self,
+        view: &ClusterView,
+        engine: &EngineFacts,
+        now: Instant,
+    ) -> BTreeSet<FabricId> {
+        let tracked = self.serving.keys().chain(self.retiring.keys());
+        let earlier = tracked.filter(|formation| self.is_of_recent_predecessor(formation, now));
+        let incomplete = earlier.filter_map(|formation| {
+            let members = view.formations.get(formation)?;
+            let any = members
+                .values()
+                .find_map(|id| self.health.latest(id, view))?;
+            let model = any.model.as_ref().and_then(|model| engine.model(model));
+            let is_complete = model.is_some_and(|facts| members.len() >= facts.size);
+            (!is_complete).then(|| any.fabric.clone()).flatten()
+        });
+        incomplete.collect()
+    }
+
+    /// Returns whether orders of an earlier controller, whose outcomes are not known, may still be
+    /// carried out for a formation.
+    pub(super) fn is_of_recent_predecessor(&self, formation: &Formation, now: Instant) -> bool {
+        let is_own = formation.epoch >> EPOCH_BITS == self.claim.0;
+        !is_own && now.saturating_duration_since(self.started_at) < LATE_ORDER_TIME
+    }
+
+    /// Returns whether an order without an answer may still bring an upstream back into a group that
+    /// is being ended, whose head may serve or be about to break.
+    fn may_rejoin_retiring(&self, id: &UpstreamId, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LATE_ORDER_TIME;
+        let retiring = self.retiring.iter();
+        let mut of_upstream = retiring.filter(|(_, group)| group.members().any(|m| m == id));
+        of_upstream.any(|(formation, _)| {
+            let unresolved = self.unresolved_joins.get(id);
+            self.is_of_recent_predecessor(formation, now)
+                || unresolved.is_some_and(|(joined, at)| joined == formation && is_recent(*at))
+        })
+    }
+
     fn begin_formation(
         &mut self,
         group: &PlannedGroup,
--- a/crates/shallottide_fleet/src/groups/controller/retiring_group.rs
+++ b/crates/shallottide_fleet/src/groups/controller/retiring_group.rs
@@ -166,8 +166,11 @@
             };
             group.retiring_since.get_or_insert(now);
             if !view.formations.contains_key(&formation) {
-                // No entry names the formation any more, so no upstream is kept from joining
-                // another.
+                // No entry names the formation any more. The entry of an earlier controller's head
+                // may be an old one, so its members wait until late orders can no longer come.
+                if self.is_of_recent_predecessor(&formation, now) {
+                    self.retiring.insert(formation, group);
+                }
                 continue;
             }
             if let Some(members) = view.formations.get(&formation) {
