Bound bytes without end, and restart tasks that panic

Cause: an upstream may send bytes without end. A panic in one of the node's tasks ended that task for good, and nobody noticed. Change: reads fail after 64 kB without a complete head or data of a body; heads end at 32 kB; bodies in transfer share an eighth of the VM's memory, 4 MB each; an event may have 256 kB, and is searched once; comments wait for the next event; a response body has the same time as its head before the call moves on; tasks are supervised.

--- a/crates/shallottide_fleet/src/event_stream.rs
+++ b/crates/shallottide_fleet/src/event_stream.rs
@@ -2,13 +2,17 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Largest part of an event that is buffered, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Largest part of a stream that is buffered until an event is complete, in bytes.
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
-/// Buffers the bytes of an event until its end has arrived.
+/// Buffers bytes until an event is complete.
+///
+/// Comments alone are no event: they are buffered, and returned with the next one.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffered: BytesMut,
+    /// Length of the buffered bytes that hold only complete comments.
+    comments: usize,
 }
 
 /// Complete events, with the first and the last id among them.
@@ -27,16 +31,26 @@
     pub fn push(&mut self, bytes: &Bytes) -> Option<WholeEvents> {
         let complete = if self.buffered.is_empty() {
             let end = end_of_last_event(bytes).unwrap_or(0);
-            self.buffered.extend_from_slice(&bytes[end..]);
-            bytes.slice(..end)
+            if has_fields(&bytes[..end]) {
+                self.buffered.extend_from_slice(&bytes[end..]);
+                bytes.slice(..end)
+            } else {
+                self.buffered.extend_from_slice(bytes);
+                self.comments = end;
+                return None;
+            }
         } else {
+            // The first byte of a terminator may have been buffered before.
+            let searched = self.buffered.len().saturating_sub(1).max(self.comments);
             self.buffered.extend_from_slice(bytes);
-            let end = end_of_last_event(&self.buffered).unwrap_or(0);
+            let end = searched + end_of_last_event(&self.buffered[searched..])?;
+            if !has_fields(&self.buffered[self.comments..end]) {
+                self.comments = end;
+                return None;
+            }
+            self.comments = 0;
             self.buffered.split_to(end).freeze()
         };
-        if complete.is_empty() {
-            return None;
-        }
         let mut ids = ids_of(&complete);
         let first_id = ids.next();
         let last_id = ids.last().or(first_id);
@@ -47,16 +61,29 @@
         })
     }
 
-    /// Returns whether part of an event is buffered.
+    /// Takes the comments that end a stream, if nothing else is buffered.
+    pub fn take_last_comments(&mut self) -> Option<WholeEvents> {
+        if self.buffered.is_empty() || self.buffered.len() > self.comments {
+            return None;
+        }
+        self.comments = 0;
+        Some(WholeEvents {
+            bytes: self.buffered.split().freeze(),
+            last_id: None,
+            first_id: None,
+        })
+    }
+
+    /// Returns whether any bytes are buffered.
     #[must_use]
     pub fn has_part(&self) -> bool {
         !self.buffered.is_empty()
     }
 
-    /// Returns whether the buffered part is larger than any event may be.
+    /// Returns whether more is buffered than any event may need.
     #[must_use]
     pub fn is_overlong(&self) -> bool {
-        self.buffered.len() > MAX_EVENT_BYTES
+        self.buffered.len() > MAX_BUFFERED_BYTES
     }
 }
 
@@ -66,6 +93,12 @@
         .find(|&end| &bytes[end - 2..end] == b"\n\n")
 }
 
+/// Returns whether any line is neither empty nor a comment.
+fn has_fields(events: &[u8]) -> bool {
+    let mut lines = events.split(|&b| b == b'\n');
+    lines.any(|line| !line.is_empty() && line[0] != b':')
+}
+
 fn ids_of(events: &[u8]) -> impl Iterator<Item = u64> + '_ {
     events.split(|&b| b == b'\n').filter_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`routes`]: lookup of a request's route and team.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`wait_queue`]: choice of a request's upstream,
 //!   limits on requests, and the queue of waiting requests.
+//! - [`byte_budget`]: limit on the bytes of bodies in transfer.
 //! - [`groups`]: formation of groups of engines.
 //! - [`watch_pause`]: pause between two calls to the store for changes.
 //! - [`lease_validity`]: how long this node may act as a controller.
@@ -16,6 +17,7 @@
 
 pub mod adapter;
 pub mod balance;
+pub mod byte_budget;
 pub mod catalog;
 pub mod change_log;
 pub mod cold_gate;
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -6,13 +6,12 @@
 
 use compact_str::{CompactString, format_compact};
 use http::{Request, Response, StatusCode, request};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use shallottide_types::id::{DomainId, ModelId, ServiceId, UpstreamId};
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
 
 use super::call_log::CallLog;
-use super::connection::read_body;
+use super::connection::{HttpError, read_body};
 use super::node::Node;
 use super::response_body::ResponseBody;
 use super::send::{InFlightGuard, OutgoingRequest, SendError, UpstreamResponse, send};
@@ -39,7 +38,7 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
 /// Largest response body that is not a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// A caller's request with its route, and the state of its attempts.
 pub(super) struct Call {
@@ -88,23 +87,14 @@
         Ok(resolved) => resolved,
         Err(refusal) => return refuse(node, &head.id, &refusal, Some(&mut log)),
     };
-    let read = Limited::new(body, max_body_bytes).collect();
+    let mut body = body;
+    let read = read_body(&mut body, max_body_bytes, &node.body_budget, || {});
     let time_left = call.deadline.saturating_duration_since(node.now());
     let body = match tokio::time::timeout(time_left, read).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
-            let kind = if error.is::<http_body_util::LengthLimitError>() {
-                RefusalKind::TooLarge
-            } else {
-                RefusalKind::BadRequest
-            };
-            let message = "the body is too large or was cut";
-            return refuse(
-                node,
-                &head.id,
-                &Refusal::new(kind, Ran::No, message),
-                Some(&mut log),
-            );
+            let refusal = refuse_unread_body(&error);
+            return refuse(node, &head.id, &refusal, Some(&mut log));
         }
         Err(_) => {
             let message = "the body did not arrive in time";
@@ -141,6 +131,27 @@
     call.run(head.resume_from).await
 }
 
+/// Returns the refusal of a request whose body could not be read.
+fn refuse_unread_body(error: &HttpError) -> Refusal {
+    match error {
+        HttpError::OutOfBudget => {
+            let message = "this node has no memory left for request bodies";
+            let refusal = Refusal::new(RefusalKind::Overloaded, Ran::No, message);
+            refusal.retry_after(RETRY_AFTER_RANGE.0)
+        }
+        HttpError::TooLarge => Refusal::new(
+            RefusalKind::TooLarge,
+            Ran::No,
+            "the body is too large or was cut",
+        ),
+        _ => Refusal::new(
+            RefusalKind::BadRequest,
+            Ran::No,
+            "the body is too large or was cut",
+        ),
+    }
+}
+
 struct ResolvedCall {
     route: Route,
     service: ServiceId,
@@ -372,20 +383,36 @@
         let UpstreamResponse {
             inner,
             head,
-            pooled,
+            mut pooled,
             in_flight,
             sent_at,
         } = response;
         let (parts, body) = inner.into_parts();
-        let body = match read_body(body, MAX_RESPONSE_BYTES).await {
+        let budget = &self.node.body_budget;
+        let connection = pooled.connection();
+        let reading = connection.read_response_body(body, MAX_RESPONSE_BYTES, budget);
+        let time_left = if self.can_fail_over() {
+            let timeout = self.route.target_latency * FIRST_EVENT_TIMEOUT_FACTOR;
+            (sent_at + timeout).saturating_duration_since(self.node.now())
+        } else {
+            Duration::MAX
+        };
+        let Ok(read) = tokio::time::timeout(time_left, reading).await else {
+            self.node.record_stall(&in_flight.upstream);
+            return Err(SendError::OutcomeUnknown("slow"));
+        };
+        let body = match read {
             Ok(body) => body,
             Err(error) => {
                 tracing::info!(call = %self.request.id, upstream = %in_flight.upstream, %error, "response truncated");
-                self.node
-                    .state
-                    .borrow_mut()
-                    .loads
-                    .record_error_answer(&in_flight.upstream);
+                let mut state = self.node.state.borrow_mut();
+                match error {
+                    HttpError::TooLarge => {
+                        let now = self.node.now();
+                        state.loads.record_failure(&in_flight.upstream, now);
+                    }
+                    _ => state.loads.record_error_answer(&in_flight.upstream),
+                }
                 return Err(SendError::OutcomeUnknown("the answer was cut"));
             }
         };
--- a/crates/shallottide_fleet/src/serve/callers.rs
+++ b/crates/shallottide_fleet/src/serve/callers.rs
@@ -36,7 +36,7 @@
 }
 
 /// Accepts callers' connections until the node closes.
-pub(super) async fn accept(node: Rc<Node>, listener: TcpListener) {
+pub(super) async fn accept(node: Rc<Node>, listener: Rc<TcpListener>) {
     let mut phase = node.phase.subscribe();
     loop {
         let accepted = tokio::select! {
--- a/crates/shallottide_fleet/src/serve/connection.rs
+++ b/crates/shallottide_fleet/src/serve/connection.rs
@@ -1,11 +1,12 @@
 //! One HTTP/1.1 connection to an upstream or to the platform.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -13,9 +14,15 @@
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 
+use super::limited_stream::{LimitedStream, ReadAllowance};
+use crate::byte_budget::ByteBudget;
+
 /// Time for which sent bytes may stay unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Bytes that are buffered of a connection at most, and largest response head.
+const MAX_BUFFERED_BYTES: usize = 32 << 10;
+
 /// Why a request got no complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum HttpError {
@@ -37,6 +44,9 @@
     /// The response body is larger than the caller of the exchange allows.
     #[error("response body is larger than allowed")]
     TooLarge,
+    /// Bodies in transfer hold all the memory that the node reserves for them.
+    #[error("no memory left for bodies in transfer")]
+    OutOfBudget,
 }
 
 impl HttpError {
@@ -55,6 +65,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    allowance: ReadAllowance,
     /// Whether a response has arrived over it.
     pub(super) was_used: bool,
     /// Time until which the server is known to keep the idle connection open.
@@ -81,7 +92,11 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
             .map_err(HttpError::Connect)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let allowance = ReadAllowance::default();
+        let stream = LimitedStream::new(stream, allowance.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFERED_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| HttpError::NotSent)?;
         let task = spawn_local(async move {
@@ -92,6 +107,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            allowance,
             was_used: false,
             idle_until: None,
         })
@@ -120,7 +136,9 @@
         if self.sender.ready().await.is_err() {
             return Err(HttpError::NotSent);
         }
+        self.allowance.renew();
         let sent = self.sender.try_send_request(request).await;
+        self.allowance.renew();
         sent.map_err(|mut error| {
             if error.take_message().is_some() {
                 HttpError::NotSent
@@ -130,6 +148,24 @@
         })
     }
 
+    /// Records that a part of the response's body has arrived, so that the next may.
+    pub(super) fn record_progress(&self) {
+        self.allowance.renew();
+    }
+
+    /// Reads the complete body of a response, of at most `max_bytes` and what the budget allows.
+    ///
+    /// # Errors
+    /// [`HttpError::Incomplete`], [`HttpError::TooLarge`] or [`HttpError::OutOfBudget`].
+    pub(super) async fn read_response_body(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+        budget: &Rc<ByteBudget>,
+    ) -> Result<Bytes, HttpError> {
+        read_body(&mut body, max_bytes, budget, || self.record_progress()).await
+    }
+
     /// Sends a request and reads its complete response, with a body of at most `max_bytes`.
     ///
     /// # Errors
@@ -143,7 +179,8 @@
         let response = async {
             let response = self.send(request).await?;
             let (parts, body) = response.into_parts();
-            let body = read_body(body, max_bytes).await?;
+            let budget = ByteBudget::new(max_bytes);
+            let body = self.read_response_body(body, max_bytes, &budget).await?;
             Ok(Response::from_parts(parts, body))
         };
         tokio::time::timeout(timeout, response)
@@ -152,13 +189,28 @@
     }
 }
 
-/// Reads a complete body of at most `max_bytes`.
-pub(super) async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, HttpError> {
-    let collected = Limited::new(body, max_bytes).collect().await;
-    collected
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|error| match error.downcast::<hyper::Error>() {
-            Ok(error) => HttpError::Incomplete(*error),
-            Err(_) => HttpError::TooLarge,
-        })
+/// Reads a complete body of at most `max_bytes`, as long as the node's budget allows; `read` is called
+/// after each part.
+pub(super) async fn read_body(
+    body: &mut Incoming,
+    max_bytes: usize,
+    budget: &Rc<ByteBudget>,
+    read: impl Fn(),
+) -> Result<Bytes, HttpError> {
+    let mut reservation = budget.reserve();
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(HttpError::Incomplete)?.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > max_bytes {
+            return Err(HttpError::TooLarge);
+        }
+        if !reservation.grow(data.len()) {
+            return Err(HttpError::OutOfBudget);
+        }
+        bytes.extend_from_slice(&data);
+        read();
+    }
+    Ok(bytes.freeze())
 }
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -17,9 +17,11 @@
 use super::delta_feed::EncodedDelta;
 use super::metrics::Metrics;
 use super::stop::{self, Phase, StopReport};
+use super::supervise::supervise;
 use super::{callers, controller_task, metrics, peers, plain_http, status, store_sync};
 use crate::adapter::{CallFormat, EngineFormat, Lease, Store};
 use crate::balance::LoadTracker;
+use crate::byte_budget::ByteBudget;
 use crate::cold_gate::ColdGate;
 use crate::groups::{Demand, EngineCounts};
 use crate::lease_validity::LeaseValidity;
@@ -29,6 +31,8 @@
 use crate::view::ClusterView;
 use crate::wait_queue::{Ticket, WaitQueue};
 
+/// Part of the VM's memory that bodies in transfer may use, as a divisor.
+const BODY_MEMORY_DIVISOR: usize = 8;
 /// Housekeeping rounds between two log lines of figures.
 const SUMMARY_ROUNDS: u32 = 10;
 /// Interval at which state about removed upstreams, nodes and connections is dropped.
@@ -123,6 +127,8 @@
     pub(super) clock: Arc<dyn Clock>,
     pub(super) state: RefCell<State>,
     pub(super) pool: ConnectionPool,
+    /// Bytes of bodies that are being read, from callers and upstreams.
+    pub(super) body_budget: Rc<ByteBudget>,
     /// The last delta that was sent to a follower.
     pub(super) last_delta: RefCell<Option<EncodedDelta>>,
     pub(super) metrics: Metrics,
@@ -177,12 +183,14 @@
         .enable_all()
         .build()?;
     let local = LocalSet::new();
+    let body_budget = ByteBudget::new(options.memory / BODY_MEMORY_DIVISOR);
     let node = Rc::new(Node {
         options,
         platform: platform(),
         clock,
         state: RefCell::default(),
         pool: ConnectionPool::default(),
+        body_budget,
         last_delta: RefCell::default(),
         metrics: Metrics::default(),
         changed: Notify::new(),
@@ -215,17 +223,32 @@
     spawn_local(plain_http::serve(readiness, move |_| {
         callers::respond_readiness(&readiness_node)
     }));
-    spawn_local(callers::accept(node.clone(), callers));
-    spawn_local(peers::serve(node.clone(), peer_listener));
-    spawn_local(peers::fetch_views_while_store_lost(node.clone()));
-    spawn_local(peers::exchange_load_reports(node.clone()));
-    spawn_local(store_sync::follow(node.clone()));
-    spawn_local(store_sync::keep_lease(node.clone()));
-    spawn_local(controller_task::run(node.clone()));
-    spawn_local(run_housekeeping(node.clone()));
+    let (callers, peer_listener) = (Rc::new(callers), Rc::new(peer_listener));
+    start(&node, "callers", move |node| {
+        callers::accept(node, callers.clone())
+    });
+    start(&node, "peers", move |node| {
+        peers::serve(node, peer_listener.clone())
+    });
+    start(&node, "peer views", peers::fetch_views_while_store_lost);
+    start(&node, "load reports", peers::exchange_load_reports);
+    start(&node, "store", store_sync::follow);
+    start(&node, "lease", store_sync::keep_lease);
+    start(&node, "controller", controller_task::run);
+    start(&node, "housekeeping", run_housekeeping);
     stop::run(node).await
 }
 
+/// Starts one of the node's tasks, supervised.
+fn start<F: Future<Output = ()> + 'static>(
+    node: &Rc<Node>,
+    task: &'static str,
+    run: impl Fn(Rc<Node>) -> F + 'static,
+) {
+    let node = node.clone();
+    spawn_local(supervise(task, move || run(node.clone())));
+}
+
 async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(address)
         .await
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -23,6 +23,7 @@
 
 use super::delta_feed;
 use super::node::Node;
+use super::supervise::supervise;
 use crate::groups::DemandReport;
 use crate::view::Snapshot;
 
@@ -74,7 +75,7 @@
 }
 
 /// Serves this node's view, and deltas of it, to peers.
-pub(super) async fn serve(node: Rc<Node>, listener: TcpListener) {
+pub(super) async fn serve(node: Rc<Node>, listener: Rc<TcpListener>) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -242,7 +243,17 @@
             return;
         }
     };
-    spawn_local(receive_load_reports(node.clone(), socket.clone()));
+    let (receiver, receiver_socket) = (node.clone(), socket.clone());
+    spawn_local(supervise("load reports received", move || {
+        receive_load_reports(receiver.clone(), receiver_socket.clone())
+    }));
+    supervise("load reports sent", move || {
+        send_load_reports(node.clone(), socket.clone())
+    })
+    .await;
+}
+
+async fn send_load_reports(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
         tokio::time::sleep(LOAD_REPORT_INTERVAL).await;
         let (message, peers) = load_report(&node);
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -15,11 +15,14 @@
 use super::node::Node;
 use crate::adapter::{AnswerHead, SendHead, Verdict};
 use crate::balance::Choice;
+use crate::byte_budget::ByteBudget;
 use crate::upstream::Upstream;
 
 /// Time for which an upstream that reported itself full gets no requests, and the limit for reading
 /// the rest of its response.
 const FULL_AVOIDANCE: Duration = Duration::from_millis(150);
+/// Largest rest of a rejection that is read, in bytes.
+const MAX_REJECTION_BYTES: usize = 4 << 10;
 /// Time for which a group head that reported the loss of a member, or an upstream whose address
 /// was taken over, gets no requests.
 const FAULT_AVOIDANCE: Duration = Duration::from_secs(2);
@@ -205,7 +208,11 @@
     let (id, keep_alive) = (upstream.id.clone(), head.keep_alive);
     tokio::task::spawn_local(async move {
         // Reuses the connection if the rest of the response is short and arrives soon.
-        let body = super::connection::read_body(response.into_body(), 4096);
+        let budget = ByteBudget::new(MAX_REJECTION_BYTES);
+        let mut pooled = pooled;
+        let connection = pooled.connection();
+        let body =
+            connection.read_response_body(response.into_body(), MAX_REJECTION_BYTES, &budget);
         if tokio::time::timeout(FULL_AVOIDANCE, body)
             .await
             .is_ok_and(|read| read.is_ok())
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -39,13 +39,19 @@
 ) -> NextEvents {
     loop {
         match response.inner.body_mut().frame().await {
-            None if splitter.has_part() => return NextEvents::Broken,
-            None => return NextEvents::End,
+            None => {
+                return match splitter.take_last_comments() {
+                    Some(comments) => NextEvents::Events(comments),
+                    None if splitter.has_part() => NextEvents::Broken,
+                    None => NextEvents::End,
+                };
+            }
             Some(Err(_)) => return NextEvents::Broken,
             Some(Ok(frame)) => {
                 let Ok(bytes) = frame.into_data() else {
                     continue;
                 };
+                response.pooled.connection().record_progress();
                 if let Some(events) = splitter.push(&bytes) {
                     return NextEvents::Events(events);
                 }
--- a/crates/shallottide_fleet/tests/event_stream.rs
+++ b/crates/shallottide_fleet/tests/event_stream.rs
@@ -58,3 +58,50 @@
             assert_eq!(splitter.has_part(), forwarded.len() < all.len());
         });
 }
+
+/// A stalled server sends comments to keep its connection open; they are no progress.
+#[test]
+fn comments_wait_for_the_next_event() {
+    let mut splitter = EventSplitter::default();
+    for _ in 0..3 {
+        assert_eq!(splitter.push(&Bytes::from_static(b": alive\n\n")), None);
+    }
+    let events = splitter.push(&Bytes::from_static(b"id: 1\ndata: a\n\n"));
+    let events = events.expect("an event");
+    assert_eq!(events.bytes, ": alive\n\n".repeat(3) + "id: 1\ndata: a\n\n");
+    assert_eq!(splitter.take_last_comments(), None);
+}
+
+#[test]
+fn comments_at_the_end_of_a_stream_are_kept() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(&Bytes::from_static(b": done\n\n")), None);
+    let comments = splitter.take_last_comments().expect("the comment");
+    assert_eq!(
+        (comments.bytes.as_ref(), comments.last_id),
+        (&b": done\n\n"[..], None)
+    );
+    assert!(!splitter.has_part());
+}
+
+/// A server sends bytes without end and never completes an event.
+fn endless_bytes_become_overlong(piece: &'static [u8], most_pushes: usize) {
+    let mut splitter = EventSplitter::default();
+    for _ in 0..most_pushes {
+        assert_eq!(splitter.push(&Bytes::from_static(piece)), None);
+        if splitter.is_overlong() {
+            return;
+        }
+    }
+    panic!(
+        "{most_pushes} pieces of {} bytes are still buffered",
+        piece.len()
+    );
+}
+
+cases! {
+    endless_bytes_become_overlong;
+    endless_event_in_large_pieces: &[b'x'; 8_192], 40;
+    endless_event_in_single_bytes: b"x", 300_000;
+    endless_comments: b": x\n\n", 60_000;
+}
