Probe members of calm groups every three seconds, and report suspects to their controller

A suspected head reached its controller by chance, with 8 of 94 peers told. Change: members are probed when their group is suspected, after a probe that failed, else every 3 s; free engines only where they could form a group; load reports with suspects go to the controllers of these domains as well.

--- a/crates/shallottide_fleet/src/groups/controller/health_tracker.rs
+++ b/crates/shallottide_fleet/src/groups/controller/health_tracker.rs
@@ -16,6 +16,9 @@
 const LATE_MARGIN: Duration = Duration::from_millis(650);
 /// Shortest time between two probes of one upstream.
 const PROBE_INTERVAL: Duration = Duration::from_millis(350);
+/// Time after which a member whose group is not suspected is probed again. Requests show within a
+/// fraction of a second that a group stands still; this finds losses in groups without requests.
+const ROUTINE_PROBE_INTERVAL: Duration = Duration::from_secs(3);
 /// Time for which a report confirms an entry.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which a suspicion causes probes.
@@ -221,8 +224,9 @@
             let is_suspected = head.is_some_and(|id| self.health.suspects.contains_key(id));
             for id in members.values() {
                 let is_stale = HealthTracker::is_late(id, view, &self.options, now)
-                    && self.health.report_age(id, now) > PROBE_INTERVAL * 2;
-                if is_suspected || is_stale {
+                    && self.health.probe_age(id, now) > ROUTINE_PROBE_INTERVAL;
+                let has_failed = self.health.has_failed_probe(id);
+                if is_suspected || is_stale || has_failed {
                     due.push(id.clone());
                 }
             }
@@ -234,9 +238,14 @@
 }
 
 impl HealthTracker {
-    /// Returns the age of the last report, or [`Duration::MAX`] if there is none.
-    fn report_age(&self, id: &UpstreamId, now: Instant) -> Duration {
-        let report = self.upstreams.get(id).and_then(|h| h.report.as_ref());
-        report.map_or(Duration::MAX, |(at, _)| now.saturating_duration_since(*at))
+    /// Returns the time since the last probe, or [`Duration::MAX`] if there was none.
+    fn probe_age(&self, id: &UpstreamId, now: Instant) -> Duration {
+        let probed_at = self.upstreams.get(id).and_then(|h| h.probed_at);
+        probed_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
+    /// Returns whether the last probe of an upstream was not answered.
+    fn has_failed_probe(&self, id: &UpstreamId) -> bool {
+        self.upstreams.get(id).is_some_and(|h| h.failed_probes > 0)
     }
 }
--- a/crates/shallottide_fleet/src/groups/controller/plan.rs
+++ b/crates/shallottide_fleet/src/groups/controller/plan.rs
@@ -56,11 +56,11 @@
         free.retain(|c| before_traffic || c.is_warm());
         let uncertain = self.fabrics_of_incomplete_groups(view, engine, now);
         free.retain(|c| !uncertain.contains(&c.fabric));
-        self.keep_confirmed(&mut free, view, now);
         // The operators' shares alone do not justify ending a serving group.
         if !before_traffic && work.is_some() {
             self.swap(view, service, (&standings, &free), now);
         }
+        self.keep_confirmed(&standings, &mut free, before_traffic, view, now);
         let reservation = self
             .reservation
             .clone()
@@ -139,19 +139,36 @@
         });
     }
 
-    /// Keeps the confirmed upstreams of fabric domains in which every responsive upstream is
-    /// confirmed.
+    /// Keeps the upstreams of fabric domains that could form a group, if every responsive one is
+    /// confirmed; probes those that are not.
     ///
     /// Planning with a part of them would split upstreams that belong together.
-    fn keep_confirmed(&mut self, free: &mut Vec<Candidate>, view: &ClusterView, now: Instant) {
+    fn keep_confirmed(
+        &mut self,
+        standings: &[Standing],
+        free: &mut Vec<Candidate>,
+        may_load: bool,
+        view: &ClusterView,
+        now: Instant,
+    ) {
+        free.retain(|c| {
+            !self.health.is_unresponsive(&c.upstream) || self.confirm(&c.upstream, view, now)
+        });
+        let reserved = self.reservation.as_ref().map(|r| r.fabric.clone());
+        let groups = choose_groups(standings, free, may_load);
+        let members: BTreeSet<_> = groups.iter().flat_map(|group| &group.members).collect();
+        let can_form: BTreeSet<_> = free
+            .iter()
+            .filter(|c| members.contains(&c.upstream) || reserved.as_ref() == Some(&c.fabric))
+            .map(|c| c.fabric.clone())
+            .collect();
+        free.retain(|c| can_form.contains(&c.fabric));
         let mut blocked = BTreeSet::new();
-        free.retain(|candidate| {
-            let is_confirmed = self.confirm(&candidate.upstream, view, now);
-            if !is_confirmed && !self.health.is_unresponsive(&candidate.upstream) {
+        for candidate in free.iter() {
+            if !self.confirm(&candidate.upstream, view, now) {
                 blocked.insert(candidate.fabric.clone());
             }
-            is_confirmed
-        });
+        }
         free.retain(|candidate| !blocked.contains(&candidate.fabric));
     }
 
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //!   changes apply to it.
 //! - [`change_log`]: recent changes, from which followers of a node update their views.
 //! - [`feed_tree`]: which node of a failure domain each node gets changes from.
+//! - [`report_targets`]: which nodes get a load report.
 //! - [`routes`]: lookup of a request's route and team.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`wait_queue`]: choice of a request's upstream,
 //!   limits on requests, and the queue of waiting requests.
@@ -27,6 +28,7 @@
 pub mod lease_validity;
 pub mod node_entry;
 pub mod options;
+pub mod report_targets;
 pub mod retry_budget;
 pub mod routes;
 pub mod serve;
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -25,6 +25,7 @@
 use super::node::Node;
 use super::supervise::supervise;
 use crate::groups::DemandReport;
+use crate::report_targets::report_targets;
 use crate::view::Snapshot;
 
 /// Time without store contact after which a node fetches views from peers.
@@ -41,8 +42,6 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
 /// Interval between two load reports.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// Number of peers, chosen at random, that receive each report.
-const LOAD_REPORT_FANOUT: usize = 8;
 /// Time for which an upstream that a peer reported as stalled or failed gets no requests.
 const PEER_SUSPECT_AVOIDANCE: Duration = Duration::from_millis(500);
 /// Largest load report, in bytes; fits one datagram.
@@ -272,20 +271,15 @@
 fn load_report(node: &Node) -> (Option<Vec<u8>>, Vec<SocketAddr>) {
     let now = node.now();
     let state = &mut *node.state.borrow_mut();
-    let own = node.options.peers;
-    let entries = state.view.nodes.values();
-    let others: Vec<SocketAddr> = entries
-        .map(|entry| entry.peers)
-        .filter(|address| *address != own)
-        .map(|address| SocketAddr::new(address.ip(), node.options.loads_port))
-        .collect();
-    let peers: Vec<_> = others
-        .sample(&mut rand::rng(), LOAD_REPORT_FANOUT)
-        .copied()
-        .collect();
     state
         .suspects
         .retain(|_, at| now.saturating_duration_since(*at) < LOAD_REPORT_INTERVAL * 2);
+    let own = &node.options.node;
+    let targets = report_targets(&state.view, own, state.suspects.keys(), &mut rand::rng());
+    let peers = targets
+        .into_iter()
+        .map(|address| SocketAddr::new(address.ip(), node.options.loads_port))
+        .collect();
     let message = LoadReport {
         version: LOAD_REPORT_VERSION,
         node: node.options.node.clone(),
--- a/crates/shallottide_fleet/tests/controller.rs
+++ b/crates/shallottide_fleet/tests/controller.rs
@@ -167,3 +167,33 @@
         invariants_hold_from(ALL_FAULTS, seed..seed + 1);
     }
 }
+
+/// A store passes on changed entries only, and hundreds of engines serve in calm: asking each of them
+/// all the time would cost more than anything else.
+#[test]
+fn members_of_calm_groups_are_seldom_probed() {
+    let mut engines = Engines::start(2, 10, Faults::default(), 5);
+    engines.omits_heartbeats = true;
+    engines.run(10 * SECOND);
+    engines.traffic = true;
+    engines.probes = 0;
+    engines.run(30 * SECOND);
+    // At most one probe in two and a half seconds for each of 20 engines.
+    assert!(engines.probes <= 240, "{} probes", engines.probes);
+}
+
+/// A member is lost in a group that gets no requests, so that no request shows it.
+#[test]
+fn a_lost_member_of_an_idle_group_is_found() {
+    let mut engines = Engines::start(1, 8, Faults::default(), 6);
+    engines.omits_heartbeats = true;
+    engines.run(20 * SECOND);
+    engines.traffic = true;
+    let head = [engines.serving("large"), engines.serving("small")].concat()[0].clone();
+    let lost = engines.members(&head)[1].clone();
+    engines.kill(&lost);
+    engines.run(6 * SECOND);
+    let heads = [engines.serving("large"), engines.serving("small")].concat();
+    let serving: usize = heads.iter().map(|head| engines.members(head).len()).sum();
+    assert!(serving >= 6, "{serving} engines serve");
+}
--- a/crates/shallottide_fleet/tests/support/engines.rs
+++ b/crates/shallottide_fleet/tests/support/engines.rs
@@ -91,6 +91,10 @@
     pub(crate) traffic: bool,
     /// Requested work by model; equal upstream time for both models unless changed.
     pub(crate) work: Option<BTreeMap<ModelId, Duration>>,
+    /// Whether the store passes on only entries that changed besides the heartbeat.
+    pub(crate) omits_heartbeats: bool,
+    /// Number of probes sent.
+    pub(crate) probes: usize,
     /// Start times of all loads.
     pub(crate) loads: Vec<Instant>,
     claims: u64,
@@ -117,6 +121,8 @@
                 (id("large"), Duration::from_secs(1)),
                 (id("small"), Duration::from_secs(2)),
             ])),
+            omits_heartbeats: false,
+            probes: 0,
             loads: Vec::new(),
             claims: 1,
             next_engine: 0,
@@ -529,11 +535,18 @@
                 self.view.index = StoreIndex(self.index);
                 engine.upstream.heartbeat_seq += 1;
                 let last = engine.entries.last_mut().expect("at least one");
+                let is_same = Upstream {
+                    heartbeat_seq: last.heartbeat_seq,
+                    ..engine.upstream.clone()
+                } == *last;
                 if last.membership == engine.upstream.membership {
                     *last = engine.upstream.clone();
                 } else {
                     engine.entries.push(engine.upstream.clone());
                 }
+                if self.omits_heartbeats && is_same && self.view.upstreams.contains_key(&id) {
+                    continue;
+                }
                 let upstream = Box::new(engine.upstream.clone());
                 self.view.apply(Change::Upstream(id, Some(upstream)), now);
             }
@@ -577,6 +590,7 @@
                         .record_order_outcome(number, outcome, self.now);
                 }
                 Action::Probe(to) => {
+                    self.probes += 1;
                     let report = self
                         .is_reachable(&to.id)
                         .then(|| self.by_id[&to.id].upstream.clone());
