--- a/crates/shallottide_fleet/src/groups/controller.rs
+++ b/crates/shallottide_fleet/src/groups/controller.rs
@@ -107,6 +107,8 @@
     released: BTreeMap<Formation, Instant>,
     /// Joins without an answer, by recipient: the formation, and when the order was sent.
     unresolved_joins: BTreeMap<UpstreamId, (Formation, Instant)>,
+    /// Members of formations that late orders alone may open again, and the last such order's time.
+    may_reopen: BTreeMap<Formation, (Vec<UpstreamId>, Instant)>,
     started_at: Instant,
     staging: StagingTracker,
     reservation: Option<Reservation>,
@@ -144,6 +146,7 @@
             retiring: BTreeMap::new(),
             released: BTreeMap::new(),
             unresolved_joins: BTreeMap::new(),
+            may_reopen: BTreeMap::new(),
             started_at: now,
             staging: StagingTracker::default(),
             reservation: None,
@@ -174,6 +177,10 @@
                 let unresolved = (formation.clone(), now);
                 self.unresolved_joins.insert(member.clone(), unresolved);
             }
+            if outcome == OrderOutcome::Unknown && group.may_reopen() {
+                let members = group.members.clone();
+                self.may_reopen.insert(formation.clone(), (members, now));
+            }
         }
         for group in self.retiring.values_mut() {
             group.record_order_outcome(number, outcome);
@@ -205,6 +212,8 @@
         self.health.observe(view);
         self.unresolved_joins
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < LATE_ORDER_TIME);
+        self.may_reopen
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < LATE_ORDER_TIME);
         let Some(catalog) = &view.catalog else {
             return Vec::new();
         };
--- a/crates/shallottide_fleet/src/groups/controller/forming_group.rs
+++ b/crates/shallottide_fleet/src/groups/controller/forming_group.rs
@@ -38,6 +38,8 @@
     start_times: BTreeMap<UpstreamId, u64>,
     joins: BTreeMap<UpstreamId, Join>,
     open: Option<SentOrder>,
+    /// Whether a join to the head, and an open, ever got no answer.
+    unresolved: (bool, bool),
     planned_at: Instant,
 }
 
@@ -62,6 +64,7 @@
             start_times,
             joins: BTreeMap::new(),
             open: None,
+            unresolved: (false, false),
             planned_at: now,
         }
     }
@@ -81,12 +84,21 @@
                 _ => {}
             }
         }
+        let is_unknown = outcome == OrderOutcome::Unknown;
+        let is_of_head = self.recipient_of_join(number) == self.members.first();
+        self.unresolved.0 |= is_unknown && is_of_head;
         if let Some(open) = self.open.as_mut().filter(|open| open.number == number) {
             open.outcome = Some(outcome);
+            self.unresolved.1 |= is_unknown;
         }
         let _ = now;
     }
 
+    /// Returns whether late orders alone may have the head join and open again after the group ended.
+    pub(super) fn may_reopen(&self) -> bool {
+        self.unresolved == (true, true)
+    }
+
     /// Returns the member that a join order was sent to.
     pub(super) fn recipient_of_join(&self, number: u64) -> Option<&UpstreamId> {
         let mut joins = self.joins.iter();
--- a/crates/shallottide_fleet/src/groups/controller/plan.rs
+++ b/crates/shallottide_fleet/src/groups/controller/plan.rs
@@ -294,7 +294,7 @@
             let is_free = usable
                 && !is_forming
                 && self.may_leave(upstream, view)
-                && !self.may_rejoin_retiring(id, now);
+                && !self.may_rejoin(id, now);
             is_free.then(|| to_candidate(upstream)).flatten()
         };
         view.upstreams
@@ -342,9 +342,13 @@
     }
 
     /// Returns whether an order without an answer may still bring an upstream back into a group that
-    /// is being ended, whose head may serve or be about to break.
-    fn may_rejoin_retiring(&self, id: &UpstreamId, now: Instant) -> bool {
+    /// has ended or is being ended, whose head may serve or be about to break.
+    fn may_rejoin(&self, id: &UpstreamId, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < LATE_ORDER_TIME;
+        let mut reopening = self.may_reopen.values();
+        if reopening.any(|(members, _)| members.contains(id)) {
+            return true;
+        }
         let retiring = self.retiring.iter();
         let mut of_upstream = retiring.filter(|(_, group)| group.members().any(|m| m == id));
         of_upstream.any(|(formation, _)| {
--- a/crates/shallottide_fleet/tests/controller.rs
+++ b/crates/shallottide_fleet/tests/controller.rs
@@ -160,10 +160,10 @@
 /// Seeds in which an engine was ordered into another group while the head of its last one served, as
 /// orders without an answer were carried out late: a join and an open after their group had ended
 /// (59), a join to a member that had left a group that was being ended (221), or whose membership a
-/// new controller did not know (41, 153).
+/// new controller did not know (41, 153), and a head that late orders alone opened again (431).
 #[test]
 fn engines_that_late_orders_bring_back_join_no_other_group() {
-    for seed in (56..64).chain([41, 153, 221]) {
+    for seed in (56..64).chain([41, 153, 221, 431]) {
         invariants_hold_from(ALL_FAULTS, seed..seed + 1);
     }
 }
