Name the state of unresolved orders and of a settling deployment; reword comments

Cause: a pair of flags and a count with a time had to be looked up where they are set. Change: names and comments only.

--- a/crates/shallottide_fleet/src/groups/controller.rs
+++ b/crates/shallottide_fleet/src/groups/controller.rs
@@ -112,8 +112,8 @@
     started_at: Instant,
     staging: StagingTracker,
     reservation: Option<Reservation>,
-    /// Number of upstreams before the first traffic, and since when.
-    upstream_count: (usize, Instant),
+    /// Number of upstreams that the domain of a new deployment has, and since when it is unchanged.
+    settling: (usize, Instant),
     actions: Vec<Action>,
 }
 
@@ -150,7 +150,7 @@
             started_at: now,
             staging: StagingTracker::default(),
             reservation: None,
-            upstream_count: (0, now),
+            settling: (0, now),
             actions: Vec::new(),
         }
     }
--- a/crates/shallottide_fleet/src/groups/controller/forming_group.rs
+++ b/crates/shallottide_fleet/src/groups/controller/forming_group.rs
@@ -38,8 +38,10 @@
     start_times: BTreeMap<UpstreamId, u64>,
     joins: BTreeMap<UpstreamId, Join>,
     open: Option<SentOrder>,
-    /// Whether a join to the head, and an open, ever got no answer.
-    unresolved: (bool, bool),
+    /// Whether a join of the head ever got no answer.
+    has_unresolved_head_join: bool,
+    /// Whether an open ever got no answer.
+    has_unresolved_open: bool,
     planned_at: Instant,
 }
 
@@ -64,7 +66,8 @@
             start_times,
             joins: BTreeMap::new(),
             open: None,
-            unresolved: (false, false),
+            has_unresolved_head_join: false,
+            has_unresolved_open: false,
             planned_at: now,
         }
     }
@@ -86,17 +89,17 @@
         }
         let is_unknown = outcome == OrderOutcome::Unknown;
         let is_of_head = self.recipient_of_join(number) == self.members.first();
-        self.unresolved.0 |= is_unknown && is_of_head;
+        self.has_unresolved_head_join |= is_unknown && is_of_head;
         if let Some(open) = self.open.as_mut().filter(|open| open.number == number) {
             open.outcome = Some(outcome);
-            self.unresolved.1 |= is_unknown;
+            self.has_unresolved_open |= is_unknown;
         }
         let _ = now;
     }
 
     /// Returns whether late orders alone may have the head join and open again after the group ended.
     pub(super) fn may_reopen(&self) -> bool {
-        self.unresolved == (true, true)
+        self.has_unresolved_head_join && self.has_unresolved_open
     }
 
     /// Returns the member that a join order was sent to.
--- a/crates/shallottide_fleet/src/groups/controller/health_tracker.rs
+++ b/crates/shallottide_fleet/src/groups/controller/health_tracker.rs
@@ -16,8 +16,8 @@
 const LATE_MARGIN: Duration = Duration::from_millis(650);
 /// Shortest time between two probes of one upstream.
 const PROBE_INTERVAL: Duration = Duration::from_millis(350);
-/// Time after which a member whose group is not suspected is probed again. Requests show within a
-/// fraction of a second that a group stands still; this finds losses in groups without requests.
+/// Time after which a member whose group is not suspected is probed again. Stalled streams cause a
+/// suspicion much sooner; this finds lost members of groups without requests.
 const ROUTINE_PROBE_INTERVAL: Duration = Duration::from_secs(3);
 /// Time for which a report confirms an entry.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(1_500);
--- a/crates/shallottide_fleet/src/groups/controller/plan.rs
+++ b/crates/shallottide_fleet/src/groups/controller/plan.rs
@@ -91,9 +91,9 @@
             known.upstream.service == *service && known.upstream.domain == self.options.domain
         };
         let count = view.upstreams.values().filter(is_own).count();
-        let (old, since) = self.upstream_count;
+        let (old, since) = self.settling;
         if old != count {
-            self.upstream_count = (count, now);
+            self.settling = (count, now);
             return false;
         }
         now.saturating_duration_since(since) >= SETTLE_TIME
@@ -154,6 +154,7 @@
         free.retain(|c| {
             !self.health.is_unresponsive(&c.upstream) || self.confirm(&c.upstream, view, now)
         });
+        // Only members of groups that would be formed now are worth a probe.
         let reserved = self.reservation.as_ref().map(|r| r.fabric.clone());
         let groups = choose_groups(standings, free, may_load);
         let members: BTreeSet<_> = groups.iter().flat_map(|group| &group.members).collect();
--- a/crates/shallottide_fleet/tests/supervise.rs
+++ b/crates/shallottide_fleet/tests/supervise.rs
@@ -1,4 +1,4 @@
-//! A task that panics over one message goes on with the next.
+//! A task that panics is started again, so that one bad message does not stop a node.
 
 use std::cell::Cell;
 use std::rc::Rc;
