Log the prompt parts of calls whose upstream disconnected

The logs of the incident could not tell requests that end their upstream from upstreams that end under load: no line said which calls, with which prompt parts, ran on an upstream when it ended.

Reads the ids of the prompt's shared parts, and writes a line 'upstream disconnected' with them, the events that had arrived and the calls in flight, for each call whose upstream closed or reset the connection early. Counts these as disconnects per service. A disconnect is told apart from bytes that are no answer and from time-outs.

--- a/crates/shallottide_fleet/src/adapter.rs
+++ b/crates/shallottide_fleet/src/adapter.rs
@@ -12,6 +12,7 @@
 
 use crate::groups::Order;
 use crate::node_entry::NodeEntry;
+use crate::prompt_part::PromptPart;
 use crate::upstream::Upstream;
 use crate::view::Change;
 
@@ -108,6 +109,9 @@
     pub prompt_tokens: u32,
     /// Maximum number of tokens in the answer.
     pub output_tokens: u32,
+    /// Parts of the prompt that other requests may share, in order; without the request's own last
+    /// part.
+    pub shared_parts: Vec<PromptPart>,
     /// The last event that the caller has, when it resumes a stream.
     pub resume_from: Option<u64>,
 }
--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -199,6 +199,12 @@
         load.backoff_until = load.backoff_until.max(Some(until));
     }
 
+    /// Returns how many requests of this node are in flight at an upstream.
+    #[must_use]
+    pub fn in_flight(&self, upstream: &UpstreamId) -> u32 {
+        self.loads.get(upstream).map_or(0, |load| load.in_flight)
+    }
+
     /// Returns this node's own requests at each upstream, by the hash of its id.
     pub fn own(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
         self.loads
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod lease_validity;
 pub mod node_entry;
 pub mod options;
+pub mod prompt_part;
 pub mod report_targets;
 pub mod retry_budget;
 pub mod routes;
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -116,6 +116,7 @@
             team: call.team,
             urgency: call.priority.min(9),
             deadline: call.deadline,
+            shared_parts: head.shared_parts,
         },
         route: call.route,
         tried: Vec::new(),
@@ -369,8 +370,13 @@
                 self.node.record_stall(&response.in_flight.upstream);
                 Err(SendError::OutcomeUnknown("silent"))
             }
-            stream_relay::NextEvents::End | stream_relay::NextEvents::Broken => {
-                self.node.record_stall(&response.in_flight.upstream);
+            stream_relay::NextEvents::End
+            | stream_relay::NextEvents::Disconnected
+            | stream_relay::NextEvents::Invalid => {
+                self.node.record_stall(&upstream);
+                if matches!(first, stream_relay::NextEvents::Disconnected) {
+                    self.node.record_disconnect(&upstream, &self.request, 0);
+                }
                 Err(SendError::OutcomeUnknown(
                     "the stream ended before its first event",
                 ))
@@ -405,6 +411,10 @@
             Ok(body) => body,
             Err(error) => {
                 tracing::info!(call = %self.request.id, upstream = %in_flight.upstream, %error, "response truncated");
+                if error.is_disconnect() {
+                    self.node
+                        .record_disconnect(&in_flight.upstream, &self.request, 0);
+                }
                 let mut state = self.node.state.borrow_mut();
                 match error {
                     HttpError::TooLarge => {
--- a/crates/shallottide_fleet/src/serve/connection.rs
+++ b/crates/shallottide_fleet/src/serve/connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to an upstream or to the platform.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -58,6 +59,33 @@
             Self::Connect(_) | Self::ConnectTimeout | Self::NotSent
         )
     }
+
+    /// Returns whether the server closed or reset the connection before its response was complete.
+    #[must_use]
+    pub fn is_disconnect(&self) -> bool {
+        matches!(self, Self::Incomplete(error) if is_disconnect(error))
+    }
+}
+
+/// Returns whether an error means that the server closed or reset the connection.
+pub(super) fn is_disconnect(error: &hyper::Error) -> bool {
+    if error.is_incomplete_message() || error.is_closed() {
+        return true;
+    }
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        if let Some(io) = cause.downcast_ref::<std::io::Error>() {
+            return matches!(
+                io.kind(),
+                ErrorKind::ConnectionReset
+                    | ErrorKind::ConnectionAborted
+                    | ErrorKind::BrokenPipe
+                    | ErrorKind::UnexpectedEof
+            );
+        }
+        source = cause.source();
+    }
+    false
 }
 
 /// An open connection; closed when dropped.
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -16,6 +16,7 @@
 use crate::adapter::{AnswerHead, SendHead, Verdict};
 use crate::balance::Choice;
 use crate::byte_budget::ByteBudget;
+use crate::prompt_part::PromptPart;
 use crate::upstream::Upstream;
 
 /// Time for which an upstream that reported itself full gets no requests, and the limit for reading
@@ -37,6 +38,7 @@
     pub(super) team: Option<CompactString>,
     pub(super) urgency: u8,
     pub(super) deadline: Instant,
+    pub(super) shared_parts: Vec<PromptPart>,
 }
 
 /// Counts one request as in flight at an upstream until dropped.
@@ -143,6 +145,9 @@
                 .loads
                 .record_failure(&upstream.id, now);
             record_suspect(node, &upstream);
+            if error.is_disconnect() {
+                node.record_disconnect(&upstream.id, call, 0);
+            }
             return Err(if error.was_not_sent() {
                 SendError::NotSent
             } else {
@@ -298,6 +303,27 @@
             .read_answer(response.status(), response.headers())
     }
 
+    /// Records that an upstream ended its connection before it had answered a call.
+    ///
+    /// `events` counts the events of the answer that had arrived.
+    pub(super) fn record_disconnect(&self, id: &UpstreamId, call: &OutgoingRequest, events: u64) {
+        let (service, in_flight) = {
+            let state = self.state.borrow();
+            let known = state.view.upstreams.get(id);
+            let service = known.map(|known| known.upstream.service.clone());
+            (service, state.loads.in_flight(id))
+        };
+        let Some(service) = service else {
+            return;
+        };
+        self.metrics.count("disconnects", service.as_str());
+        let parts: Vec<_> = call.shared_parts.iter().map(ToString::to_string).collect();
+        tracing::info!(
+            call = %call.id, upstream = %id, events, in_flight, parts = parts.join(","),
+            "upstream disconnected"
+        );
+    }
+
     /// Records that an upstream stopped responding while it ran a request.
     pub(super) fn record_stall(&self, id: &UpstreamId) {
         let now = self.now();
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -9,6 +9,7 @@
 use tokio::task::spawn_local;
 
 use super::call::Call;
+use super::connection::is_disconnect;
 use super::response_body::{EventChunk, ResponseBody, StreamCut};
 use super::send::{UpstreamResponse, send};
 use crate::event_stream::{EventSplitter, WholeEvents};
@@ -26,8 +27,10 @@
     Events(WholeEvents),
     /// The stream ended after a complete event.
     End,
-    /// The stream ended within an event or its connection failed.
-    Broken,
+    /// The stream ended within an event, or its connection before the stream.
+    Disconnected,
+    /// What arrived is no stream of events.
+    Invalid,
     /// No event arrived within the timeout.
     TimedOut,
 }
@@ -42,11 +45,12 @@
             None => {
                 return match splitter.take_last_comments() {
                     Some(comments) => NextEvents::Events(comments),
-                    None if splitter.has_part() => NextEvents::Broken,
+                    None if splitter.has_part() => NextEvents::Disconnected,
                     None => NextEvents::End,
                 };
             }
-            Some(Err(_)) => return NextEvents::Broken,
+            Some(Err(error)) if is_disconnect(&error) => return NextEvents::Disconnected,
+            Some(Err(_)) => return NextEvents::Invalid,
             Some(Ok(frame)) => {
                 let Ok(bytes) = frame.into_data() else {
                     continue;
@@ -56,7 +60,7 @@
                     return NextEvents::Events(events);
                 }
                 if splitter.is_overlong() {
-                    return NextEvents::Broken;
+                    return NextEvents::Invalid;
                 }
             }
         }
@@ -71,6 +75,8 @@
     splitter: EventSplitter,
     /// Id of the last event that was sent to the caller.
     last_id: Option<u64>,
+    /// Chunks of events that the upstream of `response` has sent.
+    events: u64,
     /// Events that arrived before the relay started.
     first: Option<WholeEvents>,
     headers: HeaderMap,
@@ -93,6 +99,7 @@
             response: Some(response),
             splitter,
             last_id: None,
+            events: 0,
             first: Some(first),
             headers,
         }
@@ -134,9 +141,9 @@
                     self.finish();
                     return;
                 }
-                NextEvents::Broken | NextEvents::TimedOut => {
+                NextEvents::Disconnected | NextEvents::Invalid | NextEvents::TimedOut => {
                     let resumed = tokio::select! {
-                        resumed = self.resume(matches!(next, NextEvents::TimedOut)) => resumed,
+                        resumed = self.resume(&next) => resumed,
                         () = tx.closed() => return,
                     };
                     if !resumed {
@@ -162,7 +169,7 @@
             deadline
         };
         let Some(response) = &mut self.response else {
-            return NextEvents::Broken;
+            return NextEvents::Disconnected;
         };
         let next = next_events(response, &mut self.splitter);
         tokio::time::timeout_at(tokio::time::Instant::from_std(until), next)
@@ -182,6 +189,7 @@
             return false;
         }
         self.last_id = events.last_id.or(self.last_id);
+        self.events += 1;
         self.call.log.record_events();
         if let Some(response) = &self.response {
             response.in_flight.record_stream_progress();
@@ -208,12 +216,16 @@
     }
 
     /// Resumes the stream at another upstream, after the last event that was sent to the caller.
-    async fn resume(&mut self, has_timed_out: bool) -> bool {
+    async fn resume(&mut self, interruption: &NextEvents) -> bool {
         if let Some(response) = self.response.take() {
             let call = &self.call.request.id;
             let upstream = &response.in_flight.upstream;
-            tracing::info!(%call, %upstream, was_silent = has_timed_out, last = self.last_id, "stream interrupted");
+            tracing::info!(%call, %upstream, was_silent = matches!(interruption, NextEvents::TimedOut), last = self.last_id, "stream interrupted");
             self.call.node.record_stall(upstream);
+            if matches!(interruption, NextEvents::Disconnected) {
+                let node = &self.call.node;
+                node.record_disconnect(upstream, &self.call.request, self.events);
+            }
             self.call.tried.push(upstream.clone());
         }
         self.splitter = EventSplitter::default();
@@ -240,6 +252,7 @@
                 self.call.node.metrics.count("streams", "resumed");
                 self.call.log.upstream = Some(choice.upstream.clone());
                 self.response = Some(response);
+                self.events = 0;
                 return true;
             }
             self.call.tried.push(choice.upstream.clone());
