--- a/crates/shallottide_fleet/tests/named_limits.rs
+++ b/crates/shallottide_fleet/tests/named_limits.rs
@@ -2,11 +2,13 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use shallottide_fleet::named_limits::{LimitReport, NamedLimits};
 use shallottide_fleet::request_rate::RequestRate;
 use shallottide_types::cases;
-use support::{LimitScenario, NodeFault, play_limits};
+use shallottide_types::id::NodeId;
+use support::{LimitScenario, NodeFault, id, play_limits};
 
 const SEEDS: u64 = 4;
 /// Share of what the limits allow that is used while callers ask for more.
@@ -81,3 +83,21 @@
     rate_that_is_no_number_is_rejected: "NaN", None;
     huge_rate_is_rejected: "1e9", None;
 }
+
+/// Guards against a damaged report that panics a node.
+#[test]
+fn arbitrary_reports_do_not_panic() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let config = bincode::config::standard();
+        let decoded = bincode::serde::decode_from_slice::<Vec<LimitReport>, _>(bytes, config);
+        let Ok((reports, _)) = decoded else {
+            return;
+        };
+        let now = Instant::now();
+        let node: NodeId = id("node-1");
+        let mut limits = NamedLimits::default();
+        limits.merge(&reports, now);
+        limits.update_shares(&node, &[&node], now);
+        let _ = limits.reports(now);
+    });
+}
--- a/crates/shallottide_fleet/tests/quarantine.rs
+++ b/crates/shallottide_fleet/tests/quarantine.rs
@@ -2,8 +2,10 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use shallottide_fleet::crash_evidence::{CrashEvidence, EvidenceReport};
+use shallottide_fleet::quarantine::Quarantine;
 use shallottide_types::cases;
 use support::{Disturbance, Scenario, Simulation};
 
@@ -88,3 +90,23 @@
     answers_that_end_with_their_connection: Scenario { unframed: 0.4, ..with(7, Disturbance::None) };
     answers_that_end_with_their_connection_at_hundred_nodes: Scenario { unframed: 0.4, ..many(100, Disturbance::None) };
 }
+
+/// Guards against a damaged report that panics a node, or makes it hold more than its bounds.
+#[test]
+fn arbitrary_reports_do_not_panic() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let config = bincode::config::standard();
+        let Ok((report, _)) = bincode::serde::decode_from_slice::<EvidenceReport, _>(bytes, config)
+        else {
+            return;
+        };
+        let now = Instant::now();
+        let (mut crashes, mut quarantine) = (CrashEvidence::default(), Quarantine::default());
+        for _ in 0..4 {
+            crashes.merge(&report, now);
+        }
+        quarantine.evaluate(&mut crashes, 400, now);
+        quarantine.release_cleared(&crashes, now);
+        let _ = crashes.reports(now);
+    });
+}
