Keep evidence reports within a datagram, and report completions only after crashes

A crash with many interrupted requests could exceed a datagram; its report was logged and lost, so that peers did not hear of it. Reports are now split by encoded bytes, quarantined parts go in a message of their own, and completions are reported for 10 s after a crash.

The test of many requests at twenty ended upstreams gives reports of at most 1,350 bytes.

--- a/crates/shallottide_fleet/src/crash_evidence.rs
+++ b/crates/shallottide_fleet/src/crash_evidence.rs
@@ -33,21 +33,26 @@
 const CLOSE_DOUBT: Duration = Duration::from_secs(1);
 /// Time after which an upstream that has begun to write an answer no longer ends on account of it.
 const MAX_CRASH_DELAY: Duration = Duration::from_secs(1);
-/// Time for which news is passed on to peers.
+/// Time for which a crash is passed on to peers.
 const FORWARD_TIME: Duration = Duration::from_secs(1);
+/// Time from a crash for which peers hear which of its parts have completed.
+const COMPLETION_REPORT_TIME: Duration = Duration::from_secs(10);
 /// Requests with a part at fault that an upstream holds when it ends; one that holds more has begun
 /// to answer some of them before.
 const MAX_REQUESTS: usize = 3;
 /// Most crashes that are kept.
 const MAX_CRASHES: usize = 256;
 /// Most parts that are kept of a crash.
-const MAX_CRASH_PARTS: usize = 64;
+const MAX_CRASH_PARTS: usize = 44;
 /// Most parts of completed requests that are kept.
 const MAX_COMPLETIONS: usize = 4_096;
-/// Most parts of crashes and completions in one report; fits a datagram.
-const MAX_REPORT_PARTS: usize = 70;
-/// Most bytes of a service's id that count as one part in a report.
-const SERVICE_COST: usize = 4;
+/// Most bytes of one report; fits a datagram.
+pub const MAX_REPORT_BYTES: usize = 1_350;
+/// Most encoded bytes of a crash or completion without its service and parts, of a part, and of a
+/// request.
+const ENTRY_BYTES: usize = 16;
+const PART_BYTES: usize = 16;
+const REQUEST_BYTES: usize = 3;
 
 /// One lifetime of an upstream, as a hash of its id and start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -171,6 +176,13 @@
     fn has(&self, key: &PartKey) -> bool {
         self.service == key.service && self.parts.contains_key(&key.part)
     }
+
+    /// Returns the most bytes that the crash takes in a report.
+    fn encoded_bytes(&self) -> usize {
+        let parts = self.parts.values();
+        let parts = parts.map(|part| PART_BYTES + REQUEST_BYTES * part.requests.len());
+        ENTRY_BYTES + self.service.as_str().len() + parts.sum::<usize>()
+    }
 }
 
 /// An answer without a length that ended with its connection, at an upstream that may have ended.
@@ -482,19 +494,20 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         let millis = |at: Instant| u32::try_from(age(at).as_millis()).unwrap_or(u32::MAX);
         let mut reports = vec![EvidenceReport::default()];
-        let mut size = 0;
-        let mut reserve = |reports: &mut Vec<EvidenceReport>, parts: usize| {
-            size += parts + SERVICE_COST;
-            if size > MAX_REPORT_PARTS {
-                size = parts + SERVICE_COST;
+        let mut bytes = 0;
+        let mut reserve = |reports: &mut Vec<EvidenceReport>, more: usize| {
+            bytes += more;
+            if bytes > MAX_REPORT_BYTES {
+                bytes = more;
                 reports.push(EvidenceReport::default());
             }
         };
-        for (lifetime, crash) in &self.crashes {
-            if age(crash.changed_at) >= FORWARD_TIME {
-                continue;
-            }
-            reserve(&mut reports, crash.parts.len());
+        let recent = |time: Duration| {
+            let crashes = self.crashes.iter();
+            crashes.filter(move |(_, crash)| age(crash.changed_at) < time)
+        };
+        for (lifetime, crash) in recent(FORWARD_TIME) {
+            reserve(&mut reports, crash.encoded_bytes());
             let parts = crash.parts.iter().map(|(part, interruption)| {
                 let reported = Interruption {
                     at: millis(interruption.at),
@@ -512,8 +525,8 @@
             }
         }
         let mut reported = BTreeSet::new();
-        for crash in self.crashes.values() {
-            for (part, interruption) in &crash.parts {
+        for (_, crash) in recent(COMPLETION_REPORT_TIME) {
+            for part in crash.parts.keys() {
                 let key = PartKey {
                     service: crash.service.clone(),
                     part: *part,
@@ -522,14 +535,12 @@
                     continue;
                 };
                 let is_news = age((*at).max(crash.changed_at)) < FORWARD_TIME;
-                if is_news
-                    && !self.is_uncleared(&key, interruption.at)
-                    && reported.insert(key.clone())
-                {
-                    reserve(&mut reports, 1);
-                    if let Some(report) = reports.last_mut() {
-                        report.completions.push((key, millis(*at)));
-                    }
+                if !is_news || !reported.insert(key.clone()) {
+                    continue;
+                }
+                reserve(&mut reports, ENTRY_BYTES + key.service.as_str().len());
+                if let Some(report) = reports.last_mut() {
+                    report.completions.push((key, millis(*at)));
                 }
             }
         }
--- a/crates/shallottide_fleet/src/serve/quarantine.rs
+++ b/crates/shallottide_fleet/src/serve/quarantine.rs
@@ -137,16 +137,17 @@
     }
     let unwritten = state.view.quarantine.unwritten();
     let quarantined: Vec<_> = unwritten.take(MAX_MESSAGE_KEYS).cloned().collect();
-    let mut reports = state.crashes.reports(now);
-    if reports.is_empty() && !quarantined.is_empty() {
-        reports.push(EvidenceReport::default());
-    }
-    let messages = reports.into_iter().map(|report| EvidenceMessage {
+    let message = |report, quarantined| EvidenceMessage {
         version: EVIDENCE_VERSION,
         report,
-        quarantined: quarantined.clone(),
-    });
-    messages.collect()
+        quarantined,
+    };
+    let reports = state.crashes.reports(now).into_iter();
+    let mut messages: Vec<_> = reports.map(|report| message(report, Vec::new())).collect();
+    if !quarantined.is_empty() {
+        messages.push(message(EvidenceReport::default(), quarantined));
+    }
+    messages
 }
 
 /// Writes or removes a record in the store, in a task of its own.
--- a/crates/shallottide_fleet/tests/quarantine.rs
+++ b/crates/shallottide_fleet/tests/quarantine.rs
@@ -5,11 +5,13 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use shallottide_fleet::crash_evidence::{CrashEvidence, EvidenceReport};
+use shallottide_fleet::crash_evidence::{
+    CrashEvidence, EndedRequest, EvidenceReport, Lifetime, MAX_REPORT_BYTES,
+};
 use shallottide_fleet::prompt_part::PromptPart;
 use shallottide_fleet::quarantine::{PartKey, Quarantine};
 use shallottide_types::cases;
-use shallottide_types::id::StoreIndex;
+use shallottide_types::id::{ServiceId, StoreIndex};
 use support::{Disturbance, Scenario, Simulation, id};
 
 /// Requests with the part that may reach upstreams later than the stable time after the fifth crash.
@@ -103,6 +105,37 @@
     answers_that_end_with_their_connection_at_hundred_nodes: Scenario { unframed: 0.4, ..many(100, Disturbance::None) };
 }
 
+/// Guards against reports that do not fit a datagram and get lost: upstreams with many requests end,
+/// and all their parts have completed before.
+#[test]
+fn reports_fit_a_datagram() {
+    let before = Instant::now();
+    let now = before + Duration::from_secs(2);
+    let service: ServiceId = id("a-service-with-a-rather-long-name");
+    let mut crashes = CrashEvidence::default();
+    for upstream in 0..20 {
+        let lifetime = Lifetime::new(&id(&format!("e{upstream}")), 1);
+        for request in 0..120 {
+            let parts = [PromptPart(u64::MAX), PromptPart(u64::MAX - request / 3)];
+            let ended = EndedRequest {
+                id: &format!("r{upstream}-{request}"),
+                parts: &parts,
+                service: &service,
+                lifetime,
+            };
+            crashes.record_completion(ended, before, before);
+            crashes.record_interruption(ended, Duration::ZERO, now);
+        }
+    }
+    let reports = crashes.reports(now);
+    assert!(reports.len() > 20, "{} reports", reports.len());
+    for report in reports {
+        let bytes = bincode::serde::encode_to_vec(&report, bincode::config::standard());
+        let bytes = bytes.expect("a report").len();
+        assert!(bytes <= MAX_REPORT_BYTES, "{bytes} bytes");
+    }
+}
+
 /// Guards against a record in the store that outlives the release of its part: the node that wrote it
 /// learns that it is no longer needed.
 #[test]
