--- a/crates/shallottide_types/src/id.rs
+++ b/crates/shallottide_types/src/id.rs
@@ -75,6 +75,10 @@
     /// than one it has seen. It is the number of a placement write or, in `shallottide_fleet`, the
     /// revision of the controller's claim.
     FencingToken,
-    /// Index that the platform's store gives to a change; later changes have higher ones.
+    /// Index that the platform's store gives to a change; later changes of the same era have higher
+    /// ones.
     StoreIndex,
+    /// Number of times that the platform's store was restored from an older copy of itself. Each time
+    /// it gives indexes, leases and their ids out again that it gave before.
+    StoreEra,
 }
