Order positions in the store by its era, then by revision

A node took a listing only at a revision not below its own, and read on after its own revision. A restored store gives revisions out again: 39 listings in four seconds were ignored, and the configuration that got revision 342, which the nodes had seen on another change, was never applied. The same comparison decided on peers' views, on what a follower lacks and on claims.

StoreIndex now holds the era that the store states in each answer above the revision, so that all of these comparisons hold across a restore; an answer in another era than asked for makes the node list the store again. A listing older than the view is an error with a back-off, no longer a busy loop.

--- a/crates/shallottide_fleet/src/adapter.rs
+++ b/crates/shallottide_fleet/src/adapter.rs
@@ -33,6 +33,13 @@
     /// The requested history is no longer available; a new listing is needed.
     #[error("the store no longer has the requested history")]
     HistoryUnavailable,
+    /// The store was restored from an older copy since: the requested history and all leases are
+    /// gone, and their numbers are given out again.
+    #[error("the store was restored from an older copy")]
+    Restored,
+    /// The store answers from an older state than one that it gave before.
+    #[error("the store answers from an older state, at index {0}")]
+    OlderState(StoreIndex),
     /// The lease has ended.
     #[error("the lease has ended")]
     LeaseEnded,
@@ -63,7 +70,8 @@
 pub trait Store {
     /// Lists all entries, in a state not older than the call.
     fn list(&self) -> Pending<'_, Result<Changes, StoreError>>;
-    /// Waits for changes after a revision, at most `wait`.
+    /// Waits for changes after a revision, at most `wait`; [`StoreError::Restored`] when the store has
+    /// left the era of that revision.
     fn changes(
         &self,
         after: StoreIndex,
--- a/crates/shallottide_fleet/src/change_log.rs
+++ b/crates/shallottide_fleet/src/change_log.rs
@@ -51,7 +51,7 @@
     #[must_use]
     pub fn since(&self, index: StoreIndex) -> Option<Vec<Change>> {
         (index >= self.complete_after).then(|| {
-            let later = self.batches.range(StoreIndex(index.0 + 1)..);
+            let later = self.batches.range(index.next()..);
             later.flat_map(|(_, changes)| changes).cloned().collect()
         })
     }
--- a/crates/shallottide_fleet/src/groups/controller/plan.rs
+++ b/crates/shallottide_fleet/src/groups/controller/plan.rs
@@ -338,7 +338,7 @@
     /// Returns whether orders of an earlier controller, whose outcomes are not known, may still be
     /// carried out for a formation.
     pub(super) fn is_of_recent_predecessor(&self, formation: &Formation, now: Instant) -> bool {
-        let is_own = formation.epoch >> EPOCH_BITS == self.claim.0;
+        let is_own = formation.epoch >> EPOCH_BITS == self.claim.revision();
         !is_own && now.saturating_duration_since(self.started_at) < LATE_ORDER_TIME
     }
 
@@ -367,7 +367,7 @@
         now: Instant,
     ) {
         self.formation_count += 1;
-        let epoch = (self.claim.0 << EPOCH_BITS) | self.formation_count;
+        let epoch = (self.claim.revision() << EPOCH_BITS) | self.formation_count;
         let formation = Formation {
             group: format!("g{epoch}")
                 .parse()
--- a/crates/shallottide_fleet/src/serve/controller_task.rs
+++ b/crates/shallottide_fleet/src/serve/controller_task.rs
@@ -217,7 +217,7 @@
             let fencing_token = controllers
                 .borrow()
                 .get(&domain)
-                .map(|controller| FencingToken(controller.claim().0));
+                .map(|controller| FencingToken(controller.claim().revision()));
             let Some(fencing_token) = fencing_token else {
                 return;
             };
--- a/crates/shallottide_fleet/src/serve/delta_feed.rs
+++ b/crates/shallottide_fleet/src/serve/delta_feed.rs
@@ -51,7 +51,7 @@
 
 /// Parses the path of a long poll; returns the revision that the follower has.
 pub(super) fn requested_revision(path: &str) -> Option<StoreIndex> {
-    path.strip_prefix(PATH)?.parse().ok().map(StoreIndex)
+    path.strip_prefix(PATH)?.parse().ok()
 }
 
 /// Waits for changes after a follower's revision, at most for the long poll's wait, and returns the
--- a/crates/shallottide_fleet/src/serve/metrics.rs
+++ b/crates/shallottide_fleet/src/serve/metrics.rs
@@ -112,7 +112,9 @@
         "",
         state.routes_version.unwrap_or(0).to_string(),
     );
-    line("store_index", "", state.view.index.to_string());
+    let index = state.view.index;
+    line("store_era", "", index.era().to_string());
+    line("store_index", "", index.revision().to_string());
     line(
         "store_age_ms",
         "",
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -52,7 +52,7 @@
             }
             Err(error) => {
                 record_store_failure(&node, &error);
-                if error == StoreError::HistoryUnavailable {
+                if matches!(error, StoreError::HistoryUnavailable | StoreError::Restored) {
                     is_listed = false;
                 } else {
                     tokio::time::sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
@@ -70,11 +70,16 @@
 }
 
 async fn load_listing(node: &Node) -> Result<(), StoreError> {
+    let known = node.state.borrow().view.index;
     let listing = with_timeout(WATCH_WAIT, node.platform.store.list()).await?;
+    if listing.index < known {
+        return Err(StoreError::OlderState(listing.index));
+    }
     record_store_contact(node);
     let now = node.now();
     let upstreams = {
         let state = &mut *node.state.borrow_mut();
+        // A newer view may have been adopted from a peer during the call.
         if listing.index >= state.view.index {
             state.view.replace(listing.index, listing.changes, now);
         }
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -328,6 +328,9 @@
     ///
     /// Entries that the listing lacks are treated as removed.
     pub fn replace(&mut self, index: StoreIndex, changes: Vec<Change>, now: Instant) {
+        if index.era() > self.index.era() && self.index != StoreIndex::default() {
+            tracing::info!(%index, known = %self.index, "view follows the restored store");
+        }
         self.index = index;
         self.log.reset(index);
         let mut listed = Listed::default();
--- a/crates/shallottide_types/src/entry_status.rs
+++ b/crates/shallottide_types/src/entry_status.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::data;
-use crate::id::{DomainId, NodeId, StoreIndex};
+use crate::id::{DomainId, NodeId, StoreEra};
 
 data! {
     /// Status of one entry node, served at `/status` of its metrics address.
@@ -16,8 +16,11 @@
         pub ready: bool,
         /// Version of the configuration in force, if there is one.
         pub config_version: Option<u64>,
-        /// Store index that the node's view of the cluster reflects.
-        pub index: StoreIndex,
+        /// Era of the store that the node's view of the cluster reflects.
+        #[serde(default)]
+        pub era: StoreEra,
+        /// The store's own index in that era that the view reflects.
+        pub index: u64,
         /// Milliseconds since the node last received data from the store, directly or through
         /// another node.
         pub store_age_ms: Option<u64>,
--- a/crates/shallottide_types/src/id.rs
+++ b/crates/shallottide_types/src/id.rs
@@ -1,6 +1,7 @@
 //! Validated ids of nodes, VMs, records, calls and writes.
 
 use crate::macros::{number_ids, text_ids};
+pub use crate::store_index::StoreIndex;
 
 /// Maximum length of an id in bytes.
 pub const MAX_ID_BYTES: usize = 128;
@@ -75,9 +76,6 @@
     /// than one it has seen. It is the number of a placement write or, in `shallottide_fleet`, the
     /// revision of the controller's claim.
     FencingToken,
-    /// Index that the platform's store gives to a change; later changes of the same era have higher
-    /// ones.
-    StoreIndex,
     /// Number of times that the platform's store was restored from an older copy of itself. Each time
     /// it gives indexes, leases and their ids out again that it gave before.
     StoreEra,
--- a/crates/shallottide_types/src/lib.rs
+++ b/crates/shallottide_types/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod secret;
+mod store_index;
 pub mod synthetic;
 pub mod ticket;
