Keep what a restored store has lost until it must have been written again

After the store went back to an older copy, requests reached failure domains that operators had evacuated since the copy was made, and upstreams that had left or drained since; domains taken back were left empty again, entries written since were dropped, and quarantined prompt parts were released.

A listing counted as the whole truth. A restored store holds less than it acknowledged until operators, upstreams and nodes write again. Upstreams are brought back only by an entry that is newer than the last known one, quarantine records that are missing are written again, and their trials don't decrease.

--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`view`], [`catalog`], [`upstream`]: what a node knows of the store's contents, and how
 //!   changes apply to it.
+//! - [`restored`]: what a restored store may lack until it is written again.
 //! - [`change_log`]: recent changes, from which followers of a node update their views.
 //! - [`feed_tree`]: which node of a failure domain each node gets changes from.
 //! - [`report_targets`]: which nodes get a load report.
@@ -39,6 +40,7 @@
 pub mod quarantine;
 pub mod report_targets;
 pub mod request_rate;
+pub mod restored;
 pub mod retry_budget;
 pub mod routes;
 pub mod send_window;
--- a/crates/shallottide_fleet/src/quarantine.rs
+++ b/crates/shallottide_fleet/src/quarantine.rs
@@ -20,6 +20,10 @@
 const CLEAN_TRIAL_WAIT: Duration = Duration::from_secs(5);
 /// Factor by which the delay grows with each further trial.
 const DELAY_GROWTH: u32 = 4;
+/// Time after which a node writes a record that a restored store lacks, if the node that found the
+/// part has not, and the range of its jitter.
+const REWRITE_DELAY: Duration = Duration::from_secs(3);
+const REWRITE_JITTER: Duration = Duration::from_secs(5);
 /// Time between two attempts to write a record.
 const WRITE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which the record of a part that was not tried meanwhile is removed.
@@ -132,6 +136,13 @@
             service = %key.service, part = %key.part, trials = record.trials,
             revision = record.revision.map(|revision| revision.0), "prompt part is quarantined"
         );
+        let mut record = record;
+        if let Some(known) = known
+            && known.record.revision.map(StoreIndex::era) != record.revision.map(StoreIndex::era)
+        {
+            // A restored store may have lost trials.
+            record.trials = record.trials.max(known.record.trials);
+        }
         let known = Quarantined {
             record,
             found_at: known.map_or(now, |known| known.found_at),
@@ -150,6 +161,27 @@
             .retain(|key, known| known.record.revision.is_none() || listed.contains(key));
     }
 
+    /// Plans to write again the records that a restored store lacks.
+    pub fn rewrite_unlisted(&mut self, listed: &BTreeSet<PartKey>, now: Instant) {
+        for (key, known) in &mut self.parts {
+            if known
+                .record
+                .revision
+                .take_if(|_| !listed.contains(key))
+                .is_none()
+            {
+                continue;
+            }
+            // Nodes have learned of the part at different times, which keeps their writes apart.
+            let known_for = now.saturating_duration_since(known.found_at);
+            let fraction = f64::from(known_for.subsec_nanos()) / 1e9;
+            known.write_at = now;
+            if !known.is_own {
+                known.write_at += REWRITE_DELAY + REWRITE_JITTER.mul_f64(fraction);
+            }
+        }
+    }
+
     /// Quarantines the parts that are at fault, and returns them.
     ///
     /// `nodes` is the number of nodes. A part is refused once all nodes had the time to report what
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -11,6 +11,7 @@
 use crate::groups::has_all_members;
 use crate::node_entry::NodeEntry;
 use crate::quarantine::{PartKey, Quarantine, QuarantineRecord};
+use crate::restored::{RemovedUpstreams, Unconfirmed};
 use crate::upstream::{Formation, Upstream};
 
 /// Time after a failure of the store during which removed entries may return; the platform states
@@ -114,6 +115,9 @@
     pub generation: u64,
     /// Recent changes, for followers of this node.
     log: ChangeLog,
+    /// What does not count yet of a store that was restored.
+    unconfirmed: Unconfirmed,
+    removed: RemovedUpstreams,
 }
 
 impl ClusterView {
@@ -177,8 +181,11 @@
             }
             Change::Evacuated(domain, is_evacuated) => {
                 self.evacuated.contains(domain) != *is_evacuated
+                    || self.unconfirmed.evacuated(domain).is_some()
+            }
+            Change::Node(id, entry) => {
+                self.nodes.get(id) != entry.as_ref() || self.unconfirmed.is_missing(id)
             }
-            Change::Node(id, entry) => self.nodes.get(id) != entry.as_ref(),
             Change::Controller(domain, claim) => self.controllers.get(domain) != claim.as_ref(),
             Change::Quarantined(key, record) => self.quarantine.record(key) != *record,
         }
@@ -190,28 +197,32 @@
             Change::Catalog(catalog) => self.apply_catalog(*catalog),
             Change::Upstream(id, Some(upstream)) => self.apply_upstream(id, *upstream, now),
             Change::Upstream(id, None) => {
-                if self.upstreams.remove(&id).is_some() {
+                if self.forget_upstream(&id, now) {
                     tracing::warn!(upstream = %id, "unusable upstream entry: upstream removed");
                     self.generation += 1;
                 }
             }
             Change::UpstreamRemoved(id) => self.remove_upstream(&id, now),
             Change::Evacuated(domain, true) => {
+                self.unconfirmed.confirm_domain(&domain);
                 if self.evacuated.insert(domain.clone()) {
                     self.generation += 1;
                     tracing::info!(%domain, index = %self.index, "domain evacuated");
                 }
             }
             Change::Evacuated(domain, false) => {
+                self.unconfirmed.confirm_domain(&domain);
                 if self.evacuated.remove(&domain) {
                     self.generation += 1;
                     tracing::info!(%domain, index = %self.index, "domain returned to service");
                 }
             }
             Change::Node(id, Some(entry)) => {
+                self.unconfirmed.confirm_node(&id);
                 self.nodes.insert(id, entry);
             }
             Change::Node(id, None) => {
+                self.unconfirmed.confirm_node(&id);
                 self.nodes.remove(&id);
             }
             Change::Controller(domain, Some(claim)) => {
@@ -276,11 +287,20 @@
             tracing::info!(upstream = %id, "upstream entry removed while the store was failing: kept for the grace period");
             return;
         }
-        self.upstreams.remove(id);
-        self.generation += 1;
+        self.forget_upstream(id, now);
         tracing::info!(upstream = %id, index = %self.index, "upstream removed");
     }
 
+    /// Removes an upstream; returns whether it was known.
+    fn forget_upstream(&mut self, id: &UpstreamId, now: Instant) -> bool {
+        let Some(known) = self.upstreams.remove(id) else {
+            return false;
+        };
+        self.removed.record(&known.upstream, now);
+        self.generation += 1;
+        true
+    }
+
     /// Removes formations that no entry names any more.
     fn remove_unnamed_formations(&mut self) {
         let named: BTreeSet<_> = self
@@ -293,9 +313,18 @@
             .retain(|formation, _| named.contains(formation));
     }
 
-    /// Removes lapsed upstreams whose entries did not return in time.
+    /// Removes lapsed upstreams whose entries did not return in time, and takes a restored store as it
+    /// is once what it lost must have been written again.
     pub fn expire(&mut self, now: Instant) {
         self.remove_unnamed_formations();
+        self.removed.expire(now);
+        let (evacuated, missing_nodes) = self.unconfirmed.take_due(now);
+        for (domain, is_evacuated) in evacuated {
+            self.apply(Change::Evacuated(domain, is_evacuated), now);
+        }
+        for id in missing_nodes {
+            self.apply(Change::Node(id, None), now);
+        }
         if self.is_grace_period(now) {
             return;
         }
@@ -306,8 +335,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in removed {
-            self.upstreams.remove(&id);
-            self.generation += 1;
+            self.forget_upstream(&id, now);
             tracing::info!(upstream = %id, "lapsed upstream did not return: removed");
         }
     }
@@ -326,10 +354,14 @@
     /// Replaces the view by a full listing of the store, but never the configuration by an older
     /// one.
     ///
-    /// Entries that the listing lacks are treated as removed.
+    /// Entries that the listing lacks are treated as removed; those that a restored store lacks, once
+    /// they must have been written again.
     pub fn replace(&mut self, index: StoreIndex, changes: Vec<Change>, now: Instant) {
         if index.era() > self.index.era() && self.index != StoreIndex::default() {
             tracing::info!(%index, known = %self.index, "view follows the restored store");
+            self.unconfirmed.start(now);
+            // Entries that the copy lacks return as they do after an outage.
+            self.store_failed(now);
         }
         self.index = index;
         self.log.reset(index);
@@ -352,18 +384,47 @@
                 self.remove_upstream(&id, now);
             }
         }
-        let old_count = self.evacuated.len();
-        self.evacuated
-            .retain(|domain| listed.evacuated.contains(domain));
-        if self.evacuated.len() != old_count {
-            self.generation += 1;
-        }
-        self.nodes.retain(|id, _| listed.nodes.contains(id));
         self.controllers
             .retain(|domain, _| listed.controllers.contains(domain));
-        self.quarantine.retain_listed(&listed.quarantined);
+        if self.unconfirmed.is_pending(now) {
+            self.unconfirmed
+                .compare_domains(&self.evacuated, &listed.evacuated);
+            self.unconfirmed
+                .compare_nodes(self.nodes.keys(), &listed.nodes);
+            self.quarantine.rewrite_unlisted(&listed.quarantined, now);
+        } else {
+            let old_count = self.evacuated.len();
+            self.evacuated
+                .retain(|domain| listed.evacuated.contains(domain));
+            if self.evacuated.len() != old_count {
+                self.generation += 1;
+            }
+            self.nodes.retain(|id, _| listed.nodes.contains(id));
+            self.quarantine.retain_listed(&listed.quarantined);
+        }
         for change in changes {
-            self.apply(change, now);
+            if !self.is_brought_back(&change, now) {
+                self.apply(change, now);
+            }
+        }
+    }
+
+    /// Returns whether a listed change is one that a restored store has brought back from before what
+    /// this node knows.
+    fn is_brought_back(&self, change: &Change, now: Instant) -> bool {
+        if !self.unconfirmed.is_pending(now) {
+            return false;
+        }
+        match change {
+            Change::Upstream(id, Some(entry)) => {
+                let known = self.upstreams.get(id).map(|known| &known.upstream);
+                let is_older = known.is_some_and(|known| {
+                    (entry.born, entry.heartbeat_seq) < (known.born, known.heartbeat_seq)
+                });
+                is_older || (known.is_none() && self.removed.contains(entry))
+            }
+            Change::Evacuated(domain, _) => self.unconfirmed.evacuated(domain).is_some(),
+            _ => false,
         }
     }
 
@@ -415,9 +476,18 @@
                 .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
             changes.push(Change::Upstream(id.clone(), Some(Box::new(upstream))));
         }
-        let evacuated = self.evacuated.iter().cloned();
-        changes.extend(evacuated.map(|domain| Change::Evacuated(domain, true)));
+        // A peer decides for itself what counts of a restored store.
+        let evacuated = self.evacuated.iter();
+        let evacuated = evacuated.filter(|domain| self.unconfirmed.evacuated(domain).is_none());
+        let unconfirmed = self.unconfirmed.domains();
+        let unconfirmed = unconfirmed.filter_map(|(domain, is)| is.then_some(domain));
+        changes.extend(
+            evacuated
+                .chain(unconfirmed)
+                .map(|domain| Change::Evacuated(domain.clone(), true)),
+        );
         let nodes = self.nodes.iter();
+        let nodes = nodes.filter(|(id, _)| !self.unconfirmed.is_missing(id));
         changes.extend(nodes.map(|(id, entry)| Change::Node(id.clone(), Some(entry.clone()))));
         let controllers = self.controllers.iter();
         changes.extend(
--- a/crates/shallottide_fleet/tests/store_eras.rs
+++ b/crates/shallottide_fleet/tests/store_eras.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use shallottide_fleet::ClusterView;
+use shallottide_fleet::quarantine::{PartKey, QuarantineRecord, RecordWrite};
+use shallottide_fleet::restored::REWRITE_TIME;
 use shallottide_fleet::view::Change;
 use shallottide_types::cases;
 use shallottide_types::id::{StoreEra, StoreIndex};
-use support::{catalog, id, plain_upstream, view_of};
+use support::{RestoredDay, catalog, id, plain_upstream, view_of};
 
 fn at(era: u64, revision: u64) -> StoreIndex {
     StoreIndex::new(StoreEra(era), revision)
@@ -105,3 +107,180 @@
     view.index_serving();
     assert_eq!(view.serving(&id("booking"), None).len(), 1);
 }
+
+fn evacuated(domain: &str, is_evacuated: bool) -> Change {
+    Change::Evacuated(id(domain), is_evacuated)
+}
+
+fn node(name: &str) -> Change {
+    let entry = "10.0.0.1:1 zone-a 250".parse().expect("an entry");
+    Change::Node(id(name), Some(entry))
+}
+
+fn entry(name: &str, born: u64, heartbeat_seq: u64) -> Change {
+    let mut upstream = plain_upstream(name, "booking", "zone-a");
+    upstream.born = born;
+    upstream.heartbeat_seq = heartbeat_seq;
+    Change::Upstream(upstream.id.clone(), Some(Box::new(upstream)))
+}
+
+fn serves(view: &mut ClusterView, name: &str) -> bool {
+    view.index_serving();
+    view.serving(&id("booking"), None).contains(&id(name))
+}
+
+/// Guards against an evacuation, or its end, that a restored store has lost: it must hold until
+/// operators had the time to write it again, and what they write meanwhile counts at once.
+fn evacuation_is_held(before: bool, written_again: Option<bool>, expected: bool) {
+    let now = Instant::now();
+    let domain = id("zone-a");
+    let mut view = view_at(at(1, 40), vec![], now);
+    view.advance(at(1, 41), vec![evacuated("zone-a", before)], now);
+    let listed = (!before).then(|| evacuated("zone-a", true));
+    view.replace(at(2, 30), listed.into_iter().collect(), now);
+    // A follower that meets the restore through this node decides in the same way.
+    let mut follower = view_at(at(1, 40), vec![evacuated("zone-a", before)], now);
+    assert!(follower.adopt(view.snapshot(Duration::ZERO, now), now));
+    assert_eq!(view.evacuated.contains(&domain), before);
+    assert_eq!(follower.evacuated.contains(&domain), before);
+    if let Some(is_evacuated) = written_again {
+        let known = follower.index;
+        view.advance(at(2, 31), vec![evacuated("zone-a", is_evacuated)], now);
+        let changes = view.changes_since(known).expect("a delta");
+        follower.advance(view.index, changes, now);
+        assert_eq!(view.evacuated.contains(&domain), is_evacuated);
+    }
+    for view in [&mut view, &mut follower] {
+        view.expire(now + REWRITE_TIME);
+        assert_eq!(view.evacuated.contains(&domain), expected);
+    }
+}
+
+cases! {
+    evacuation_is_held;
+    evacuation_lost_and_written_again: true, Some(true), true;
+    evacuation_lost_and_ended: true, Some(false), false;
+    evacuation_lost_for_good: true, None, false;
+    end_of_evacuation_lost_and_written_again: false, Some(false), false;
+    evacuation_brought_back_and_written_again: false, Some(true), true;
+    evacuation_brought_back_for_good: false, None, true;
+}
+
+/// Guards against requests to an upstream that has left, as a restored store lists it again, and
+/// against one that is left out although it has written its entry again.
+fn brought_back_upstream_is_served(entries: [(u64, u64); 2], expected: bool) {
+    let now = Instant::now();
+    let [(born, seq), (listed_born, listed_seq)] = entries;
+    let mut view = view_at(at(1, 40), vec![entry("a", born, seq)], now);
+    view.advance(at(1, 41), vec![Change::UpstreamRemoved(id("a"))], now);
+    view.replace(at(2, 30), vec![entry("a", listed_born, listed_seq)], now);
+    assert_eq!(serves(&mut view, "a"), expected);
+    view.advance(at(2, 31), vec![entry("a", born, seq + 1)], now);
+    assert!(serves(&mut view, "a"));
+}
+
+cases! {
+    brought_back_upstream_is_served;
+    upstream_brought_back_as_it_left: [(1, 8), (1, 8)], false;
+    upstream_brought_back_from_before: [(1, 8), (1, 5)], false;
+    upstream_brought_back_from_an_earlier_lifetime: [(2, 1), (1, 90)], false;
+    upstream_that_wrote_again: [(1, 8), (1, 9)], true;
+    upstream_that_started_again: [(1, 8), (2, 0)], true;
+}
+
+/// Guards against requests to an upstream that drains, as a restored store lists it as it was before.
+#[test]
+fn draining_upstream_stays_so_when_the_store_lists_it_as_ready() {
+    let now = Instant::now();
+    let mut upstream = plain_upstream("a", "booking", "zone-a");
+    (upstream.born, upstream.heartbeat_seq, upstream.draining) = (2, 3, true);
+    let draining = Change::Upstream(id("a"), Some(Box::new(upstream)));
+    let mut view = view_at(at(1, 40), vec![draining], now);
+    // Longer ago than entries of an earlier lifetime are held back otherwise.
+    let now = now + Duration::from_secs(20);
+    view.replace(at(2, 30), vec![entry("a", 1, 70)], now);
+    assert!(!serves(&mut view, "a"));
+}
+
+/// Guards against upstreams that get no requests, and nodes whose share of limits the others take,
+/// until they have written again what a restored store has lost.
+#[test]
+fn lost_entries_are_kept_until_they_must_have_been_written_again() {
+    let now = Instant::now();
+    let entries = vec![entry("a", 1, 1), entry("b", 1, 1), node("n-1"), node("n-2")];
+    let mut view = view_at(at(1, 40), entries, now);
+    view.replace(at(2, 3), vec![node("n-1")], now);
+    view.expire(now);
+    assert!(serves(&mut view, "a") && serves(&mut view, "b"));
+    assert_eq!(view.nodes.len(), 2);
+    view.advance(at(2, 4), vec![entry("a", 1, 2)], now);
+    view.expire(now + REWRITE_TIME);
+    assert!(serves(&mut view, "a") && !serves(&mut view, "b"));
+    assert_eq!(view.nodes.len(), 1);
+}
+
+/// Guards against a listing of the same era, after a gap in the history, that ends this time early.
+#[test]
+fn second_listing_of_an_era_does_not_confirm_what_the_first_lacked() {
+    let now = Instant::now();
+    let mut view = view_at(at(1, 40), vec![evacuated("zone-a", true), node("n-1")], now);
+    view.replace(at(2, 30), vec![], now);
+    view.replace(at(2, 35), vec![], now + Duration::from_secs(1));
+    assert!(view.evacuated.contains(&id("zone-a")));
+    assert_eq!(view.nodes.len(), 1);
+}
+
+fn part_record(trials: u32, revision: StoreIndex) -> (PartKey, Change) {
+    let key = PartKey {
+        service: id("engines"),
+        part: "5c1e07a2".parse().expect("a part"),
+    };
+    let record = QuarantineRecord {
+        trials,
+        revision: Some(revision),
+    };
+    (key.clone(), Change::Quarantined(key, Some(record)))
+}
+
+/// Guards against a prompt part that is released because a restored store has lost its record.
+#[test]
+fn quarantine_record_that_was_lost_is_written_again() {
+    let now = Instant::now();
+    let (key, record) = part_record(3, at(1, 39));
+    let mut view = view_at(at(1, 40), vec![record], now);
+    view.replace(at(2, 30), vec![], now);
+    assert!(view.quarantine.record(&key).is_some());
+    let due = view.quarantine.due_writes(now + Duration::from_secs(9));
+    assert_eq!(due, [(key, RecordWrite::Create(3))]);
+}
+
+/// Guards against trials of a part that are made again because a restored store has lost them.
+#[test]
+fn trials_that_a_restored_store_has_lost_still_count() {
+    let now = Instant::now();
+    let (key, record) = part_record(3, at(1, 39));
+    let mut view = view_at(at(1, 40), vec![record], now);
+    let (_, older) = part_record(1, at(2, 20));
+    view.replace(at(2, 30), vec![older], now);
+    let expected = QuarantineRecord {
+        trials: 3,
+        revision: Some(at(2, 20)),
+    };
+    assert_eq!(view.quarantine.record(&key), Some(expected));
+}
+
+/// Guards against nodes that differ for good from what operators and upstreams have written, after
+/// the store was restored many times while nodes were cut off from it or from the node they follow.
+fn views_follow_the_writers(nodes: usize, seeds: std::ops::Range<u64>, length: Duration) {
+    for seed in seeds {
+        RestoredDay::new(nodes, seed).play(length);
+    }
+}
+
+cases! {
+    views_follow_the_writers;
+    views_of_two_nodes_follow: 2, 0..60, Duration::from_mins(2);
+    views_of_seven_nodes_follow: 7, 0..40, Duration::from_mins(2);
+    views_of_a_hundred_nodes_follow: 100, 0..4, Duration::from_mins(1);
+    views_of_four_hundred_nodes_follow: 400, 0..2, Duration::from_mins(1);
+}
--- a/crates/shallottide_fleet/tests/support/mod.rs
+++ b/crates/shallottide_fleet/tests/support/mod.rs
@@ -5,9 +5,11 @@
 mod crashing_parts;
 mod engines;
 mod limited_upstreams;
+mod restored_store;
 mod sample;
 
 pub(crate) use crashing_parts::{Disturbance, Scenario, Simulation};
 pub(crate) use engines::{Engines, Faults};
 pub(crate) use limited_upstreams::{LimitScenario, NodeFault, play_limits};
+pub(crate) use restored_store::RestoredDay;
 pub(crate) use sample::{catalog, engine_upstream, id, member, plain_upstream, view_of};
