Let claims exclude each other across a restore of the store

After a restore the store lacks leases and claims that it had granted, and gives their ids and revisions out again. Engines refused the groups of a controller whose claim got a lower revision than an earlier one, as epochs are made from it, and stayed idle; a node that met the later era first could claim a domain whose holder still acted; a renewal could extend another node's lease, and a stopping node could end it.

Leases, claims and fencing tokens counted on the store's word alone. Leases now belong to an era. A claim of an earlier era excludes others until the lease under which it was made is over: only its holder may claim the domain again before, and its controller goes on; all others wait for the longest lease of a claim, counted from when they learned of the restore, until a node opens claims for the era in a record of the store. Tokens contain the era, so that they increase across restores.

--- a/crates/shallottide_fleet/src/adapter.rs
+++ b/crates/shallottide_fleet/src/adapter.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, Method, StatusCode, request};
-use shallottide_types::id::{DomainId, FencingToken, ModelId, NodeId, StoreIndex, UpstreamId};
+use shallottide_types::id::{
+    DomainId, FencingToken, ModelId, NodeId, StoreEra, StoreIndex, UpstreamId,
+};
 use shallottide_types::refusal::Refusal;
 
 use crate::groups::Order;
@@ -62,6 +64,8 @@
 pub struct Lease {
     /// The store's id of the lease.
     pub id: u64,
+    /// The store's era in which it was granted; later ones give its id out again.
+    pub era: StoreEra,
     /// Time to live, which the store counts from the arrival of the latest renewal.
     pub ttl: Duration,
 }
@@ -79,7 +83,7 @@
     ) -> Pending<'_, Result<Changes, StoreError>>;
     /// Acquires a lease.
     fn grant(&self, ttl: Duration) -> Pending<'_, Result<Lease, StoreError>>;
-    /// Renews a lease.
+    /// Renews a lease; [`StoreError::Restored`] when the store has left the era of the lease.
     fn renew(&self, lease: Lease) -> Pending<'_, Result<Lease, StoreError>>;
     /// Revokes a lease, which removes the entries that depend on it.
     fn end(&self, lease: Lease) -> Pending<'_, Result<(), StoreError>>;
@@ -100,6 +104,13 @@
         node: &NodeId,
         replaces: Option<StoreIndex>,
     ) -> Pending<'_, Result<Option<StoreIndex>, StoreError>>;
+    /// Writes the record that opens claims to all nodes in an era, if there is none or in place of the
+    /// revision `replaces`; another node may have written it meanwhile.
+    fn open_claims(
+        &self,
+        era: StoreEra,
+        replaces: Option<StoreIndex>,
+    ) -> Pending<'_, Result<(), StoreError>>;
     /// Writes the record of a quarantined prompt part if there is none, or in place of the revision
     /// `replaces`.
     ///
--- a/crates/shallottide_fleet/src/groups/controller.rs
+++ b/crates/shallottide_fleet/src/groups/controller.rs
@@ -94,8 +94,10 @@
 #[derive(Debug)]
 pub struct Controller {
     options: ControllerOptions,
-    /// Store revision of this node's claim; the high bits of its epochs.
+    /// Position of this node's claim in the store; its fencing token is the high bits of epochs.
     claim: StoreIndex,
+    /// Claims in earlier eras of the store, under which this controller has formed groups.
+    earlier_claims: Vec<StoreIndex>,
     formation_count: u64,
     order_count: u64,
     load_limiter: LoadRateLimiter,
@@ -137,6 +139,7 @@
         Self {
             options,
             claim,
+            earlier_claims: Vec::new(),
             formation_count: 0,
             order_count: 0,
             load_limiter,
@@ -161,6 +164,14 @@
         self.claim
     }
 
+    /// Goes on under a claim in a later era of the store.
+    ///
+    /// Only if no other controller can have acted since the claim before.
+    pub fn continue_under(&mut self, claim: StoreIndex) {
+        let earlier = std::mem::replace(&mut self.claim, claim);
+        self.earlier_claims.push(earlier);
+    }
+
     /// Returns whether it waits for an outcome and should be ticked often.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/crates/shallottide_fleet/src/groups/controller/plan.rs
+++ b/crates/shallottide_fleet/src/groups/controller/plan.rs
@@ -9,6 +9,7 @@
 use super::retiring_group::{RetireReason, RetiringGroup};
 use super::{Controller, LATE_ORDER_TIME};
 use crate::catalog::EngineFacts;
+use crate::domain_claims::fencing_token;
 use crate::groups::allocation::choose_groups;
 use crate::groups::formation_planner::{
     Candidate, PlannedGroup, ServingGroup, Standing, choose_swap,
@@ -338,7 +339,8 @@
     /// Returns whether orders of an earlier controller, whose outcomes are not known, may still be
     /// carried out for a formation.
     pub(super) fn is_of_recent_predecessor(&self, formation: &Formation, now: Instant) -> bool {
-        let is_own = formation.epoch >> EPOCH_BITS == self.claim.revision();
+        let mut claims = self.earlier_claims.iter().chain([&self.claim]);
+        let is_own = claims.any(|claim| formation.epoch >> EPOCH_BITS == fencing_token(*claim).0);
         !is_own && now.saturating_duration_since(self.started_at) < LATE_ORDER_TIME
     }
 
@@ -367,7 +369,7 @@
         now: Instant,
     ) {
         self.formation_count += 1;
-        let epoch = (self.claim.revision() << EPOCH_BITS) | self.formation_count;
+        let epoch = (fencing_token(self.claim).0 << EPOCH_BITS) | self.formation_count;
         let formation = Formation {
             group: format!("g{epoch}")
                 .parse()
--- a/crates/shallottide_fleet/src/lease_term.rs
+++ b/crates/shallottide_fleet/src/lease_term.rs
@@ -30,7 +30,13 @@
 /// Returns whether a lease is short enough to claim a duty under it.
 #[must_use]
 pub fn may_claim_under(ttl: Duration, options: &NodeOptions) -> bool {
-    ttl <= DUTY_TTL.max(options.min_lease)
+    ttl <= longest_claim_ttl(options)
+}
+
+/// Returns the longest lease under which a node claims a duty.
+#[must_use]
+pub fn longest_claim_ttl(options: &NodeOptions) -> Duration {
+    DUTY_TTL.max(options.min_lease)
 }
 
 /// Returns whether a lease that was granted for `granted` serves where `needed` is asked for.
--- a/crates/shallottide_fleet/src/lease_validity.rs
+++ b/crates/shallottide_fleet/src/lease_validity.rs
@@ -1,32 +1,41 @@
 //! How long this node may act on claims that depend on its lease.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use shallottide_types::id::StoreEra;
+
 /// Time before the end of the lease at which a node stops acting; covers the transit of an order.
 const MARGIN: Duration = Duration::from_millis(300);
 
-/// Validity of one lease, in boot time, which includes time that the VM was suspended.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// Validity of this node's leases, in boot time, which includes time that the VM was suspended.
+///
+/// A lease that the store has lost in a restore holds until its time is over, as no other node claims
+/// anything before.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LeaseValidity {
-    /// Boot time until which the lease is certain to hold.
-    valid_until: Duration,
+    /// Boot time until which the lease of an era is certain to hold.
+    valid_until: BTreeMap<StoreEra, Duration>,
 }
 
 impl LeaseValidity {
     /// Records a renewal that was sent at `sent` and confirmed.
-    pub fn renewed(&mut self, sent: Duration, ttl: Duration) {
-        self.valid_until = self.valid_until.max(sent + ttl);
+    pub fn renewed(&mut self, era: StoreEra, sent: Duration, ttl: Duration) {
+        self.valid_until.retain(|_, until| *until > sent);
+        let until = self.valid_until.entry(era).or_default();
+        *until = (*until).max(sent + ttl);
     }
 
-    /// Records that the lease has ended.
-    pub fn ended(&mut self) {
-        self.valid_until = Duration::ZERO;
+    /// Records that the lease of an era has ended.
+    pub fn ended(&mut self, era: StoreEra) {
+        self.valid_until.remove(&era);
     }
 
-    /// Returns whether the holder may still act on its claims.
+    /// Returns whether the holder may still act on claims that it made in an era.
     #[must_use]
-    pub fn may_act(&self, now: Duration) -> bool {
-        now + MARGIN < self.valid_until
+    pub fn may_act(&self, era: StoreEra, now: Duration) -> bool {
+        let until = self.valid_until.get(&era);
+        until.is_some_and(|until| now + MARGIN < *until)
     }
 }
 
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`byte_budget`]: limit on the bytes of bodies in transfer.
 //! - [`groups`]: formation of groups of engines.
 //! - [`watch_pause`]: pause between two calls to the store for changes.
+//! - [`domain_claims`]: which failure domains a node claims as their controller.
 //! - [`lease_term`]: how long the lease of a node runs.
 //! - [`lease_validity`]: how long this node may act as a controller.
 //! - [`adapter`]: traits that a platform adapter implements.
@@ -28,6 +29,7 @@
 pub mod change_log;
 pub mod cold_gate;
 pub mod crash_evidence;
+pub mod domain_claims;
 pub mod event_stream;
 pub mod feed_tree;
 pub mod groups;
--- a/crates/shallottide_fleet/src/serve/controller_task.rs
+++ b/crates/shallottide_fleet/src/serve/controller_task.rs
@@ -3,21 +3,19 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http::Request;
 use http_body_util::Full;
-use shallottide_types::id::{DomainId, FencingToken, NodeId, StoreIndex};
+use shallottide_types::id::{DomainId, StoreEra, StoreIndex};
 use tokio::task::spawn_local;
 
 use super::connection::HttpError;
 use super::node::Node;
 use crate::adapter::{EngineCall, OrderOutcome};
-use crate::feed_tree::duty_rank;
+use crate::domain_claims::{ClaimInput, ClaimPolicy, fencing_token};
 use crate::groups::{Action, Controller, ControllerOptions, Order};
-use crate::lease_term::may_claim_under;
 use crate::lease_validity::boot_time;
-use crate::node_entry::NodeEntry;
 use crate::upstream::Upstream;
 use crate::view::{Change, ControllerClaim};
 
@@ -29,10 +27,6 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longest wait for an engine's report.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delay of a claim for each node that ranks before this one, so that nodes don't race.
-const CLAIM_RANK_DELAY: Duration = Duration::from_millis(150);
-/// Further delay before claiming another domain, so that the domain's own nodes come first.
-const FOREIGN_CLAIM_DELAY: Duration = Duration::from_millis(1_800);
 /// Largest response to an order or report request, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 * 1024;
 
@@ -41,7 +35,7 @@
 /// Claims domains and runs their controllers until the process ends.
 pub(super) async fn run(node: Rc<Node>) {
     let controllers = Controllers::default();
-    let mut unclaimed: BTreeMap<DomainId, Instant> = BTreeMap::new();
+    let mut policy = ClaimPolicy::default();
     loop {
         let is_busy = controllers.borrow().values().any(Controller::is_busy);
         let pause = if is_busy {
@@ -55,60 +49,44 @@
             controllers.borrow_mut().clear();
             continue;
         }
-        claim_domains(&node, &controllers, &mut unclaimed).await;
+        claim_domains(&node, &controllers, &mut policy).await;
         tick(&node, &controllers);
         tokio::time::sleep(BUSY_INTERVAL).await;
     }
 }
 
-/// Claims domains without a holder, and drops controllers whose claim is lost.
-async fn claim_domains(
-    node: &Rc<Node>,
-    controllers: &Controllers,
-    unclaimed: &mut BTreeMap<DomainId, Instant>,
-) {
-    let now = node.now();
-    let mut due = Vec::new();
-    {
+/// Claims domains as the policy decides, and drops controllers whose claim is lost.
+async fn claim_domains(node: &Rc<Node>, controllers: &Controllers, policy: &mut ClaimPolicy) {
+    let (decisions, opened) = {
         let state = node.state.borrow();
-        let claims = &state.view.controllers;
-        controllers.borrow_mut().retain(|domain, controller| {
-            let is_current = claims
-                .get(domain)
-                .is_none_or(|claim| claim.since <= controller.claim());
-            if !is_current {
-                tracing::info!(%domain, claim = %controller.claim(), "controller replaced");
-            }
-            is_current
+        let held = controllers.borrow();
+        let held = held
+            .iter()
+            .map(|(domain, controller)| (domain.clone(), controller.claim()))
+            .collect();
+        let decisions = policy.decide(&ClaimInput {
+            options: &node.options,
+            view: &state.view,
+            held: &held,
+            lease: state.held_lease,
+            validity: &state.lease_watch,
+            first_start: node.options.first_start && !state.had_traffic,
+            now: node.now(),
+            boot_time: boot_time(),
         });
-        for domain in node.options.domains.keys() {
-            let is_short = state
-                .held_lease
-                .is_some_and(|lease| may_claim_under(lease.ttl, &node.options));
-            let can_claim =
-                is_short && state.lease_watch.may_act(boot_time()) && !state.view.store_lost;
-            if let Some(claim) = claims.get(domain) {
-                unclaimed.remove(domain);
-                // The claim of an earlier process of this node.
-                let is_stale =
-                    claim.holder == node.options.node && !controllers.borrow().contains_key(domain);
-                if is_stale && can_claim {
-                    due.push((domain.clone(), Some(claim.since)));
-                }
-                continue;
-            }
-            if state.view.catalog.is_none() {
-                continue;
-            }
-            let unclaimed_since = *unclaimed.entry(domain.clone()).or_insert(now);
-            let delay = claim_delay(node, domain, &state.view.nodes);
-            if can_claim && now.saturating_duration_since(unclaimed_since) >= delay {
-                due.push((domain.clone(), None));
-            }
+        let era = state.view.index.era();
+        let opened = state.view.open_claims.map(|open| open.index);
+        (decisions, (era, opened))
+    };
+    for domain in &decisions.lost {
+        if let Some(controller) = controllers.borrow_mut().remove(domain) {
+            tracing::info!(%domain, claim = %controller.claim(), "controller replaced");
         }
     }
-    for (domain, replaces) in due {
-        unclaimed.remove(&domain);
+    if decisions.opens_claims {
+        open_claims(node, opened).await;
+    }
+    for (domain, replaces) in decisions.due {
         let lease = node.state.borrow().held_lease;
         let Some(lease) = lease else {
             return;
@@ -126,6 +104,17 @@
     }
 }
 
+/// Opens claims to all nodes, as the leases of earlier eras have ended.
+async fn open_claims(node: &Node, (era, replaces): (StoreEra, Option<StoreIndex>)) {
+    let request = node.platform.store.open_claims(era, replaces);
+    match tokio::time::timeout(ORDER_TIMEOUT, request).await {
+        Ok(Ok(())) => tracing::info!(%era, "claims opened to all nodes"),
+        Ok(Err(error)) => tracing::warn!(%era, %error, "could not open claims"),
+        Err(_) => tracing::warn!(%era, "opening claims timed out"),
+    }
+}
+
+/// Starts the controller of a claim, or lets the present one go on if nobody can have replaced it.
 fn start_controller(node: &Node, controllers: &Controllers, domain: DomainId, since: StoreIndex) {
     let mut state = node.state.borrow_mut();
     let first_start = node.options.first_start && !state.had_traffic;
@@ -137,6 +126,16 @@
     state
         .view
         .apply(Change::Controller(domain.clone(), Some(claim)), now);
+    let mut controllers = controllers.borrow_mut();
+    if let Some(controller) = controllers.get_mut(&domain) {
+        let earlier = controller.claim();
+        let is_exclusive = state.lease_watch.may_act(earlier.era(), boot_time());
+        if earlier.era() < since.era() && is_exclusive {
+            tracing::info!(%domain, claim = %since, %earlier, "controller goes on under a new claim");
+            controller.continue_under(since);
+            return;
+        }
+    }
     tracing::info!(%domain, claim = %since, first_start, "controller started");
     let options = ControllerOptions {
         domain: domain.clone(),
@@ -145,27 +144,7 @@
         load_window: node.options.load_window,
     };
     let controller = Controller::new(options, since, first_start, now);
-    controllers.borrow_mut().insert(domain, controller);
-}
-
-/// Returns how long to wait before claiming a domain.
-///
-/// Nodes of the domain with the most capacity claim first; all nodes agree on that order.
-fn claim_delay(node: &Node, domain: &DomainId, nodes: &BTreeMap<NodeId, NodeEntry>) -> Duration {
-    let options = &node.options;
-    let own = duty_rank(domain, &options.node, options.capacity);
-    let is_own_domain = *domain == options.domain;
-    let ahead = nodes
-        .iter()
-        .filter(|(_, entry)| !is_own_domain || entry.domain == *domain)
-        .filter(|(id, entry)| duty_rank(domain, id, entry.capacity) < own)
-        .count();
-    let rank_delay = CLAIM_RANK_DELAY * u32::try_from(ahead.min(10)).unwrap_or(10);
-    if is_own_domain {
-        rank_delay
-    } else {
-        FOREIGN_CLAIM_DELAY + rank_delay
-    }
+    controllers.insert(domain, controller);
 }
 
 fn tick(node: &Rc<Node>, all: &Controllers) {
@@ -176,9 +155,6 @@
         state.engine_counts.clear();
         return;
     }
-    if !state.lease_watch.may_act(boot_time()) {
-        return;
-    }
     let suspects = state.suspects.keys().chain(state.peer_suspects.keys());
     let suspects: Vec<_> = suspects.cloned().collect();
     state.peer_suspects.clear();
@@ -198,7 +174,10 @@
             .controllers
             .get(domain)
             .is_some_and(|claim| claim.since == controller.claim());
-        if !is_held || state.view.index < controller.claim() {
+        let may_act = state
+            .lease_watch
+            .may_act(controller.claim().era(), boot_time());
+        if !is_held || !may_act || state.view.index < controller.claim() {
             continue;
         }
         for head in &suspects {
@@ -214,14 +193,11 @@
 async fn execute(node: Rc<Node>, controllers: Controllers, domain: DomainId, action: Action) {
     match action {
         Action::Order { to, number, order } => {
-            let fencing_token = controllers
-                .borrow()
-                .get(&domain)
-                .map(|controller| FencingToken(controller.claim().revision()));
-            let Some(fencing_token) = fencing_token else {
+            let claim = controllers.borrow().get(&domain).map(Controller::claim);
+            let Some(claim) = claim else {
                 return;
             };
-            let outcome = send_order(&node, &to, &order, fencing_token).await;
+            let outcome = send_order(&node, &to, &order, claim).await;
             tracing::info!(
                 upstream = %to.id, order = %order, outcome = ?outcome,
                 index = %node.state.borrow().view.index, "order"
@@ -249,21 +225,20 @@
     node.changed.notify_waiters();
 }
 
-async fn send_order(
-    node: &Node,
-    to: &Upstream,
-    order: &Order,
-    fencing_token: FencingToken,
-) -> OrderOutcome {
+async fn send_order(node: &Node, to: &Upstream, order: &Order, claim: StoreIndex) -> OrderOutcome {
     let format = &node.platform.engine_format;
     // Last check before sending: the lease may have expired while this process was suspended.
-    if !node.state.borrow().lease_watch.may_act(boot_time()) {
+    let may_act = {
+        let state = node.state.borrow();
+        state.lease_watch.may_act(claim.era(), boot_time())
+    };
+    if !may_act {
         return OrderOutcome::Refused;
     }
     match exchange(
         node,
         to,
-        format.order(&to.id, order, fencing_token),
+        format.order(&to.id, order, fencing_token(claim)),
         ORDER_TIMEOUT,
     )
     .await
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -6,7 +6,7 @@
 use super::delta_feed::DeltaFollower;
 use super::node::Node;
 use crate::adapter::{Changes, Lease, StoreError};
-use crate::lease_term::{fits, lease_ttl};
+use crate::lease_term::{fits, lease_ttl, may_claim_under};
 use crate::lease_validity::boot_time;
 use crate::watch_pause::watch_pause;
 
@@ -25,6 +25,10 @@
 const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a lost lease is acquired again.
 const LEASE_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time over which nodes spread the writes of their entries after a restore, for each node; two
+/// writes each stay within half of the writes that a store allows.
+const REJOIN_SPREAD_PER_NODE: Duration = Duration::from_millis(10);
+const MAX_REJOIN_SPREAD: Duration = Duration::from_secs(4);
 /// Interval at which a node checks whether its lease time still fits its duties, and longest delay of
 /// a renewal after a failed one.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
@@ -158,14 +162,23 @@
     let store = &node.platform.store;
     let mut lease: Option<Lease> = None;
     loop {
+        if lease.is_some_and(|held| !is_of_current_era(&node, held)) {
+            tokio::time::sleep(rejoin_delay(&node)).await;
+        }
         let sent_at = boot_time();
         let ttl = lease_ttl(&node.state.borrow().view, &node.options);
-        let is_kept = |held: &Lease| fits(held.ttl, ttl, &node.options) || has_claim(&node);
+        let is_kept = |held: &Lease| {
+            is_of_current_era(&node, *held)
+                && (fits(held.ttl, ttl, &node.options) || has_claim(&node))
+        };
         let result = match lease.filter(is_kept) {
             None => acquire_lease(&node, ttl).await,
             Some(held) => with_timeout(LEASE_CALL_TIMEOUT, store.renew(held)).await,
         };
         let is_failed = result.is_err();
+        if result == Err(StoreError::Restored) {
+            tokio::time::sleep(rejoin_delay(&node)).await;
+        }
         lease = record_lease_result(&node, lease, sent_at, result);
         wait_for_renewal(&node, lease, is_failed).await;
         if node.is_stopping() {
@@ -177,6 +190,26 @@
     }
 }
 
+/// Returns whether the store, as far as this node knows, is still in the era of a lease.
+fn is_of_current_era(node: &Node, lease: Lease) -> bool {
+    lease.era >= node.state.borrow().view.index.era()
+}
+
+/// Returns how long a node waits after a restore until it writes its entry again, so that hundreds of
+/// nodes stay within the writes that the store allows; those with a duty come first.
+fn rejoin_delay(node: &Node) -> Duration {
+    let state = node.state.borrow();
+    let ttl = lease_ttl(&state.view, &node.options);
+    if may_claim_under(ttl, &node.options) {
+        return Duration::ZERO;
+    }
+    let nodes = u32::try_from(state.node_count()).unwrap_or(u32::MAX);
+    REJOIN_SPREAD_PER_NODE
+        .saturating_mul(nodes)
+        .min(MAX_REJOIN_SPREAD)
+        .mul_f64(rand::random())
+}
+
 /// Returns whether this node claims a duty under its lease, which it must keep then.
 fn has_claim(node: &Node) -> bool {
     node.state.borrow().view.is_controller(&node.options.node)
@@ -205,6 +238,9 @@
         let step = left.min(LEASE_CHECK_INTERVAL);
         tokio::time::sleep(step).await;
         left -= step;
+        if !is_of_current_era(node, lease) {
+            return;
+        }
         let needed = lease_ttl(&node.state.borrow().view, &node.options);
         if needed < lease.ttl && !fits(lease.ttl, needed, &node.options) && !has_claim(node) {
             return;
@@ -216,7 +252,7 @@
 async fn release_lease(node: &Node, lease: Lease) {
     {
         let mut state = node.state.borrow_mut();
-        state.lease_watch.ended();
+        state.lease_watch.ended(lease.era);
         state.held_lease = None;
     }
     match with_timeout(LEASE_CALL_TIMEOUT, node.platform.store.end(lease)).await {
@@ -237,13 +273,13 @@
     let mut state = node.state.borrow_mut();
     let lease = match result {
         Ok(renewed) => {
-            if held.is_none_or(|held| held.id != renewed.id) {
+            if held.is_none_or(|held| (held.era, held.id) != (renewed.era, renewed.id)) {
                 // The validity of an earlier lease says nothing of this one.
-                state.lease_watch.ended();
+                state.lease_watch.ended(renewed.era);
                 let ttl_ms = u64::try_from(renewed.ttl.as_millis()).unwrap_or(u64::MAX);
                 tracing::info!(lease = renewed.id, ttl_ms, "lease acquired");
             }
-            state.lease_watch.renewed(sent_at, renewed.ttl);
+            state.lease_watch.renewed(renewed.era, sent_at, renewed.ttl);
             Some(renewed)
         }
         Err(error) => {
@@ -251,9 +287,12 @@
             let is_lost = error == StoreError::LeaseEnded || held.is_none();
             if is_lost {
                 tracing::warn!(%error, "lease lost or not acquired");
-                state.lease_watch.ended();
             }
-            held.filter(|_| !is_lost)
+            if let Some(held) = held.filter(|_| is_lost) {
+                state.lease_watch.ended(held.era);
+            }
+            // A lease that was lost in a restore still keeps others from its holder's claims.
+            held.filter(|_| !is_lost && error != StoreError::Restored)
         }
     };
     state.held_lease = lease;
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -8,6 +8,7 @@
 
 use crate::catalog::Catalog;
 use crate::change_log::ChangeLog;
+use crate::domain_claims::OpenClaims;
 use crate::groups::has_all_members;
 use crate::node_entry::NodeEntry;
 use crate::quarantine::{PartKey, Quarantine, QuarantineRecord};
@@ -39,6 +40,8 @@
     Node(NodeId, Option<NodeEntry>),
     /// The claim on the groups of a domain; `None` when it was removed.
     Controller(DomainId, Option<ControllerClaim>),
+    /// The record that opens claims to all nodes; `None` when it was removed.
+    OpenClaims(Option<OpenClaims>),
     /// A prompt part was quarantined or tried; `None` when it was released.
     Quarantined(PartKey, Option<QuarantineRecord>),
 }
@@ -105,6 +108,9 @@
     pub nodes: BTreeMap<NodeId, NodeEntry>,
     /// Claims on the groups, by domain.
     pub controllers: BTreeMap<DomainId, ControllerClaim>,
+    /// The era in which all nodes may claim; differs from the view's while leases of an earlier one may
+    /// hold.
+    pub open_claims: Option<OpenClaims>,
     /// Prompt parts that end the upstreams which run requests with them.
     pub quarantine: Quarantine,
     /// When a call of this node to the store last failed.
@@ -187,6 +193,7 @@
                 self.nodes.get(id) != entry.as_ref() || self.unconfirmed.is_missing(id)
             }
             Change::Controller(domain, claim) => self.controllers.get(domain) != claim.as_ref(),
+            Change::OpenClaims(open) => self.open_claims != *open,
             Change::Quarantined(key, record) => self.quarantine.record(key) != *record,
         }
     }
@@ -233,6 +240,7 @@
                 tracing::info!(%domain, "controller claim removed");
                 self.controllers.remove(&domain);
             }
+            Change::OpenClaims(open) => self.open_claims = open,
             Change::Quarantined(key, record) => self.quarantine.apply(key, record, now),
         }
     }
@@ -384,6 +392,7 @@
                 self.remove_upstream(&id, now);
             }
         }
+        self.open_claims = None;
         self.controllers
             .retain(|domain, _| listed.controllers.contains(domain));
         if self.unconfirmed.is_pending(now) {
@@ -494,6 +503,7 @@
             controllers
                 .map(|(domain, claim)| Change::Controller(domain.clone(), Some(claim.clone()))),
         );
+        changes.extend(self.open_claims.map(|open| Change::OpenClaims(Some(open))));
         let quarantined = self.quarantine.records();
         changes.extend(
             quarantined.map(|(key, record)| Change::Quarantined(key.clone(), Some(record))),
--- a/crates/shallottide_fleet/tests/bounds.rs
+++ b/crates/shallottide_fleet/tests/bounds.rs
@@ -9,7 +9,7 @@
 use shallottide_fleet::retry_budget::{RepeatBound, RetryBudget};
 use shallottide_fleet::watch_pause::watch_pause;
 use shallottide_types::cases;
-use shallottide_types::id::NodeId;
+use shallottide_types::id::{NodeId, StoreEra};
 use support::id;
 
 const LIMIT: RepeatBound = RepeatBound {
@@ -85,13 +85,18 @@
 fn lease_holder_stops_acting_before_the_lease_ends() {
     let mut lease = LeaseValidity::default();
     let second = Duration::from_secs(1);
-    assert!(!lease.may_act(second));
-    lease.renewed(second, 2 * second);
-    assert!(lease.may_act(2 * second));
+    let era = StoreEra(1);
+    assert!(!lease.may_act(era, second));
+    lease.renewed(era, second, 2 * second);
+    assert!(lease.may_act(era, 2 * second));
     // The lease counts from when the renewal was sent, and an order takes time to arrive.
-    assert!(!lease.may_act(Duration::from_millis(2_800)));
-    lease.ended();
-    assert!(!lease.may_act(second));
+    assert!(!lease.may_act(era, Duration::from_millis(2_800)));
+    // A lease that a restored store has lost still keeps others from claiming until its time is over.
+    lease.renewed(StoreEra(2), 2 * second, 2 * second);
+    assert!(lease.may_act(era, 2 * second));
+    lease.ended(era);
+    assert!(!lease.may_act(era, second));
+    assert!(lease.may_act(StoreEra(2), 2 * second));
 }
 
 /// The calls for changes per second over all nodes stay within the limit, and so does the pause
--- a/crates/shallottide_fleet/tests/lease_term.rs
+++ b/crates/shallottide_fleet/tests/lease_term.rs
@@ -1,50 +1,24 @@
 //! Leases of tens to hundreds of nodes: few renewals, and duties that move fast.
 
-use std::collections::BTreeMap;
+mod support;
+
 use std::time::{Duration, Instant};
 
 use shallottide_fleet::lease_term::{
     DUTY_CANDIDATES, DUTY_TTL, PLAIN_TTL, fits, lease_ttl, may_claim_under,
 };
-use shallottide_fleet::retry_budget::RepeatBound;
 use shallottide_fleet::view::{Change, ControllerClaim};
 use shallottide_fleet::{ClusterView, NodeEntry, NodeOptions};
 use shallottide_types::cases;
 use shallottide_types::id::{DomainId, NodeId, StoreIndex};
-
-fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("a valid id")
-}
+use support::{id, node_options};
 
 fn domain(number: usize, domains: usize) -> DomainId {
     id(&format!("zone-{}", number % domains))
 }
 
 fn options(number: usize, domains: usize) -> NodeOptions {
-    let address = "10.0.0.1:80".parse().expect("an address");
-    NodeOptions {
-        node: id(&format!("node-{number}")),
-        domain: domain(number, domains),
-        domains: BTreeMap::new(),
-        ip: "10.0.0.1".parse().expect("an address"),
-        callers: address,
-        readiness: address,
-        peers: address,
-        loads_port: 1,
-        seeds: Vec::new(),
-        metrics: None,
-        first_start: false,
-        capacity: 250,
-        memory: 160 << 20,
-        apply_bound: Duration::from_secs(2),
-        heartbeat: Duration::from_millis(1_200),
-        repeats: RepeatBound::default(),
-        stop_grace: Duration::from_secs(8),
-        stall: Duration::from_secs(5),
-        load_window: Duration::from_secs(5),
-        store_reads: 2_000,
-        min_lease: Duration::from_secs(1),
-    }
+    node_options(&format!("node-{number}"), domain(number, domains).as_str())
 }
 
 fn view(nodes: usize, domains: usize) -> ClusterView {
--- a/crates/shallottide_fleet/tests/support/mod.rs
+++ b/crates/shallottide_fleet/tests/support/mod.rs
@@ -2,14 +2,18 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod claim_store;
 mod crashing_parts;
 mod engines;
 mod limited_upstreams;
 mod restored_store;
 mod sample;
 
+pub(crate) use claim_store::{ClaimDay, claim_nodes};
 pub(crate) use crashing_parts::{Disturbance, Scenario, Simulation};
 pub(crate) use engines::{Engines, Faults};
 pub(crate) use limited_upstreams::{LimitScenario, NodeFault, play_limits};
 pub(crate) use restored_store::RestoredDay;
-pub(crate) use sample::{catalog, engine_upstream, id, member, plain_upstream, view_of};
+pub(crate) use sample::{
+    catalog, engine_upstream, id, member, node_options, plain_upstream, view_of,
+};
--- a/crates/shallottide_fleet/tests/support/sample.rs
+++ b/crates/shallottide_fleet/tests/support/sample.rs
@@ -5,12 +5,13 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use shallottide_fleet::ClusterView;
 use shallottide_fleet::catalog::{
     CallerLimits, Catalog, EngineFacts, ModelFacts, Repeat, Route, Service, Split, Team,
 };
+use shallottide_fleet::retry_budget::RepeatBound;
 use shallottide_fleet::upstream::{Formation, GroupState, Membership, Upstream};
 use shallottide_fleet::view::Change;
+use shallottide_fleet::{ClusterView, NodeOptions};
 
 /// Reads an id that is known to be valid.
 pub(crate) fn id<T: FromStr<Err: Debug>>(text: &str) -> T {
@@ -150,3 +151,31 @@
     view.index_serving();
     view
 }
+
+/// Options of a node with addresses that nothing listens on.
+pub(crate) fn node_options(name: &str, domain: &str) -> NodeOptions {
+    let address = "10.0.0.1:80".parse().expect("an address");
+    NodeOptions {
+        node: id(name),
+        domain: id(domain),
+        domains: BTreeMap::new(),
+        ip: "10.0.0.1".parse().expect("an address"),
+        callers: address,
+        readiness: address,
+        peers: address,
+        loads_port: 1,
+        seeds: Vec::new(),
+        metrics: None,
+        first_start: false,
+        capacity: 250,
+        memory: 160 << 20,
+        apply_bound: Duration::from_secs(2),
+        heartbeat: Duration::from_millis(1_200),
+        repeats: RepeatBound::default(),
+        stop_grace: Duration::from_secs(8),
+        stall: Duration::from_secs(5),
+        load_window: Duration::from_secs(5),
+        store_reads: 2_000,
+        min_lease: Duration::from_secs(1),
+    }
+}
--- a/crates/shallottide_types/src/store_index.rs
+++ b/crates/shallottide_types/src/store_index.rs
@@ -29,7 +29,7 @@
     ///
     /// Revisions have up to 48 bits, eras up to 16.
     #[must_use]
-    pub fn new(era: StoreEra, revision: u64) -> Self {
+    pub const fn new(era: StoreEra, revision: u64) -> Self {
         Self((era.0 << REVISION_BITS) | (revision & REVISION_MASK))
     }
 
