Follow the platform of shallottided into its later eras

After the platform had been restored from an older copy, shallottided ignored all records until it was restarted: listings below the index that a node had applied counted as outdated. Where the index had caught up, records went back to older values until operators wrote them again.

The client reads Store-Era as the entry node's does; positions, watches and conditional writes then hold across a restore, and an index of an earlier era is never sent. Records of a later era count 2.1 s after a node has learned of it; until then the present ones stay in force.

--- a/crates/shallottide/src/config/config_options.rs
+++ b/crates/shallottide/src/config/config_options.rs
@@ -13,6 +13,9 @@
     pub watch_interval: Duration,
     /// Time between reads of the backup reader, which polls instead of watching.
     pub backup_read_interval: Duration,
+    /// Time after which operators must have written again what a restored platform has lost; its
+    /// records count from then on.
+    pub rewrite_time: Duration,
     /// Back-off after the first failed platform read; doubled with each further failure.
     pub first_backoff: Duration,
     /// Longest back-off after failed platform reads.
@@ -40,6 +43,7 @@
             call_timeout_margin: Duration::from_secs(3),
             watch_interval: Duration::from_millis(250),
             backup_read_interval: Duration::from_secs(5),
+            rewrite_time: Duration::from_millis(2_100),
             first_backoff: Duration::from_millis(200),
             max_backoff: Duration::from_secs(5),
             peer_sync_timeout: Duration::from_secs(1),
--- a/crates/shallottide/src/config/config_service.rs
+++ b/crates/shallottide/src/config/config_service.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use shallottide_types::id::NodeId;
+use shallottide_types::id::{NodeId, StoreEra, StoreIndex};
 use shallottide_types::peer::{PeerMsg, RecordsSince};
 
 use super::platform_watch::PlatformWatch;
@@ -35,6 +35,8 @@
     /// Time of the first tick.
     started_at: Option<Instant>,
     next_backup_read: Option<Instant>,
+    /// The platform's latest era, and when this node learned of it.
+    restored: Option<(StoreEra, Instant)>,
 }
 
 impl ConfigService {
@@ -48,6 +50,7 @@
             replicator: RecordReplicator::new(&options),
             started_at: None,
             next_backup_read: None,
+            restored: None,
             options,
         }
     }
@@ -101,6 +104,9 @@
         };
         let index = listing.index;
         let since = self.store.applied_index();
+        if !self.counts(index, cx.now()) {
+            return;
+        }
         let was_synced = self.store.is_synced();
         let applied = self.store.apply_listing(listing);
         if applied.stale {
@@ -112,6 +118,27 @@
         }
     }
 
+    /// Returns whether a listing counts.
+    ///
+    /// A restored platform lists older records than it has confirmed, until operators have written
+    /// them again.
+    fn counts(&mut self, index: StoreIndex, now: Instant) -> bool {
+        let era = index.era();
+        if !self.store.is_synced() || era <= self.store.applied_index().era() {
+            return true;
+        }
+        let since = match self.restored {
+            Some((known, since)) if known == era => since,
+            _ => {
+                let have = self.store.applied_index();
+                tracing::warn!(%index, %have, "platform was restored: its records are held back");
+                self.restored = Some((era, now));
+                now
+            }
+        };
+        now.saturating_duration_since(since) >= self.options.rewrite_time
+    }
+
     fn handle_peer_message(&mut self, received: PeerReceived, cx: &Context, out: &mut Outbox) {
         match received.msg {
             PeerMsg::RecordsRequest { have } if self.store.is_synced() => {
--- a/crates/shallottide/src/platform_client/consul_platform.rs
+++ b/crates/shallottide/src/platform_client/consul_platform.rs
@@ -1,11 +1,11 @@
 //! The platform client, in the form of Consul's key-value API.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
 use shallottide_types::duration_text;
-use shallottide_types::id::{DomainId, StoreIndex};
+use shallottide_types::id::{DomainId, StoreEra, StoreIndex};
 use shallottide_types::platform::{
     Entry, Listing, Platform, PlatformError, Precondition, SwapOutcome, Vm,
 };
@@ -31,6 +31,8 @@
     agent: ureq::Agent,
     /// Index in `addresses` at which the next call starts.
     current: AtomicUsize,
+    /// Latest era that the store has answered in.
+    era: AtomicU64,
 }
 
 impl ConsulPlatform {
@@ -43,6 +45,7 @@
             addresses: options.validated_addresses()?,
             agent: http_call::agent(&options),
             current: AtomicUsize::new(0),
+            era: AtomicU64::new(0),
             options,
         })
     }
@@ -65,6 +68,12 @@
         let index = index % self.addresses.len();
         let address = &self.addresses[index];
         let result = http_call::send(&self.agent, &self.options, address, call);
+        if let Ok(answer) = &result {
+            let known = self.era.fetch_max(answer.era.0, Ordering::Relaxed);
+            if known > 0 && answer.era > StoreEra(known) {
+                tracing::warn!(era = %answer.era, known, "store was restored from an older copy");
+            }
+        }
         // A write whose answer was lost isn't repeated, but the next call starts at the next address.
         let next = index + usize::from(matches!(result, Err(PlatformError::AnswerLost(_))));
         self.current
@@ -83,11 +92,35 @@
         let wire: Vec<WireEntry> = parse_json(&answer)?;
         let entries = wire
             .into_iter()
-            .map(Entry::try_from)
+            .map(|entry| entry.into_entry(answer.era))
             .collect::<Result<_, _>>();
         Ok((entries.map_err(malformed)?, answer.index))
     }
 
+    /// Returns whether the store has answered in a later era.
+    fn has_left(&self, era: StoreEra) -> bool {
+        self.era.load(Ordering::Relaxed) > era.0
+    }
+
+    /// Sends a write that holds only if a key was last changed at `index`.
+    fn send_write_at(
+        &self,
+        index: StoreIndex,
+        call: &HttpCall<'_>,
+    ) -> Result<SwapOutcome, PlatformError> {
+        if self.has_left(index.era()) {
+            return Ok(SwapOutcome::Conflict);
+        }
+        let written = self.send_conditional_write(call)?;
+        // The index may be another write's in a later era.
+        if written && self.has_left(index.era()) {
+            return Err(PlatformError::AnswerLost(
+                "the store was restored from an older copy".into(),
+            ));
+        }
+        Ok(swap_outcome(written))
+    }
+
     /// Sends a conditional write. The platform answers `true` if it took effect, else `false`.
     fn send_conditional_write(&self, call: &HttpCall<'_>) -> Result<bool, PlatformError> {
         let answer = self.send(call)?;
@@ -114,9 +147,11 @@
     ) -> Result<Listing, PlatformError> {
         let mut path = format!("{}?recurse=true", key_path(prefix));
         let mut hold_time = Duration::ZERO;
-        if let Some(index) = after.filter(|_| !wait.is_zero()) {
+        // A store in a later era has changed since.
+        let after = after.filter(|index| !wait.is_zero() && !self.has_left(index.era()));
+        if let Some(index) = after {
             let wait_text = duration_text::format(wait);
-            path = format!("{path}&index={index}&wait={wait_text}");
+            path = format!("{path}&index={}&wait={wait_text}", index.revision());
             hold_time = wait + wait / WATCH_JITTER_DIVISOR;
         }
         let (entries, index) = self.read_entries(&HttpCall::read(path).hold_for(hold_time))?;
@@ -130,19 +165,22 @@
         value: &[u8],
         expect: Precondition,
     ) -> Result<SwapOutcome, PlatformError> {
-        let index = match expect {
-            Precondition::Absent => StoreIndex(0),
-            Precondition::Index(index) => index,
-        };
-        let path = format!("{}?cas={index}", key_path(key));
-        self.send_conditional_write(&HttpCall::write(path, value))
-            .map(swap_outcome)
+        match expect {
+            Precondition::Absent => {
+                let path = format!("{}?cas=0", key_path(key));
+                self.send_conditional_write(&HttpCall::write(path, value))
+                    .map(swap_outcome)
+            }
+            Precondition::Index(index) => {
+                let path = format!("{}?cas={}", key_path(key), index.revision());
+                self.send_write_at(index, &HttpCall::write(path, value))
+            }
+        }
     }
 
     fn remove(&self, key: &str, expect: StoreIndex) -> Result<SwapOutcome, PlatformError> {
-        let path = format!("{}?cas={expect}", key_path(key));
-        self.send_conditional_write(&HttpCall::delete(path))
-            .map(swap_outcome)
+        let path = format!("{}?cas={}", key_path(key), expect.revision());
+        self.send_write_at(expect, &HttpCall::delete(path))
     }
 
     fn open_session(&self, ttl: Duration) -> Result<String, PlatformError> {
--- a/crates/shallottide/src/platform_client/http_call.rs
+++ b/crates/shallottide/src/platform_client/http_call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use shallottide_types::id::StoreIndex;
+use shallottide_types::id::{StoreEra, StoreIndex};
 use shallottide_types::platform::PlatformError;
 use ureq::Agent;
 use ureq::unversioned::resolver::DefaultResolver;
@@ -14,6 +14,9 @@
 /// Response header with the store's index.
 const INDEX_HEADER: &str = "x-consul-index";
 
+/// Response header with the store's era.
+const ERA_HEADER: &str = "store-era";
+
 /// Request header with the access token.
 const TOKEN_HEADER: &str = "x-consul-token";
 
@@ -69,7 +72,9 @@
 pub(super) struct HttpAnswer {
     /// Whether the status was 200.
     pub(super) found: bool,
-    /// The store's index, if the answer has the header.
+    /// The store's era; the first one if the answer has no such header.
+    pub(super) era: StoreEra,
+    /// The store's position, if the answer has the header of its index.
     pub(super) index: Option<StoreIndex>,
     pub(super) body: Vec<u8>,
 }
@@ -106,7 +111,9 @@
     let mut response =
         exchange(agent, options, address, call).map_err(|e| transport_error(address, &e))?;
     let status = response.status();
-    let index = store_index(&response);
+    let era = header_number(&response, ERA_HEADER).map_or(StoreEra(0), StoreEra);
+    let index = header_number(&response, INDEX_HEADER);
+    let index = index.map(|index| StoreIndex::new(era, index));
     let body = response
         .body_mut()
         .with_config()
@@ -116,6 +123,7 @@
     match status {
         StatusCode::OK | StatusCode::NOT_FOUND => Ok(HttpAnswer {
             found: status == StatusCode::OK,
+            era,
             index,
             body,
         }),
@@ -175,12 +183,6 @@
     }
 }
 
-fn store_index(response: &http::Response<ureq::Body>) -> Option<StoreIndex> {
-    response
-        .headers()
-        .get(INDEX_HEADER)?
-        .to_str()
-        .ok()?
-        .parse()
-        .ok()
+fn header_number(response: &http::Response<ureq::Body>, name: &str) -> Option<u64> {
+    response.headers().get(name)?.to_str().ok()?.parse().ok()
 }
--- a/crates/shallottide/src/platform_client/wire.rs
+++ b/crates/shallottide/src/platform_client/wire.rs
@@ -4,7 +4,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
 
-use shallottide_types::id::StoreIndex;
+use shallottide_types::id::{StoreEra, StoreIndex};
 use shallottide_types::platform::Entry;
 
 /// A stored key and value. Unused fields are ignored.
@@ -17,15 +17,14 @@
     session: Option<String>,
 }
 
-impl TryFrom<WireEntry> for Entry {
-    type Error = base64::DecodeError;
-
-    fn try_from(wire: WireEntry) -> Result<Self, Self::Error> {
-        Ok(Self {
-            key: wire.key,
-            value: STANDARD.decode(wire.value.unwrap_or_default())?,
-            index: StoreIndex(wire.modify_index),
-            session: wire.session.filter(|session| !session.is_empty()),
+impl WireEntry {
+    /// Converts to an entry that was read in an era of the store.
+    pub(super) fn into_entry(self, era: StoreEra) -> Result<Entry, base64::DecodeError> {
+        Ok(Entry {
+            key: self.key,
+            value: STANDARD.decode(self.value.unwrap_or_default())?,
+            index: StoreIndex::new(era, self.modify_index),
+            session: self.session.filter(|session| !session.is_empty()),
         })
     }
 }
--- a/crates/shallottide/tests/config_cluster/fake_platform.rs
+++ b/crates/shallottide/tests/config_cluster/fake_platform.rs
@@ -5,7 +5,7 @@
 
 use shallottide::kernel::Name;
 use shallottide::message::{PlatformAnswer, PlatformOp, PlatformReply, PlatformRequest};
-use shallottide_types::id::{DomainId, StoreIndex};
+use shallottide_types::id::{DomainId, StoreEra, StoreIndex};
 use shallottide_types::platform::{Entry, Listing, PlatformError, Precondition, SwapOutcome};
 
 /// Whether a failure domain reaches the platform.
@@ -44,23 +44,52 @@
     pub(crate) lose_answers: bool,
     /// Returned by list operations of records instead of the current state.
     pub(crate) stale_listing: Option<Listing>,
+    /// Number of restores.
+    era: StoreEra,
     index: u64,
     entries: BTreeMap<String, Entry>,
     pending_watches: Vec<PendingWatch>,
 }
 
+/// A copy of what the platform stores.
+pub(crate) struct PlatformCopy {
+    index: u64,
+    entries: BTreeMap<String, Entry>,
+}
+
 impl FakePlatform {
+    pub(crate) fn copy(&self) -> PlatformCopy {
+        PlatformCopy {
+            index: self.index,
+            entries: self.entries.clone(),
+        }
+    }
+
+    /// Restores the platform from a copy: later writes are lost, and their indexes are given out again.
+    pub(crate) fn restore(&mut self, copy: PlatformCopy) {
+        self.era = self.era.next();
+        self.index = copy.index;
+        self.entries = copy.entries;
+        for entry in self.entries.values_mut() {
+            entry.index = StoreIndex::new(self.era, entry.index.revision());
+        }
+    }
+
+    fn position(&self) -> StoreIndex {
+        StoreIndex::new(self.era, self.index)
+    }
+
     /// Writes a value unconditionally.
     pub(crate) fn put(&mut self, key: &str, value: Vec<u8>) -> StoreIndex {
         self.index += 1;
         let entry = Entry {
             key: key.into(),
             value,
-            index: StoreIndex(self.index),
+            index: self.position(),
             session: None,
         };
         self.entries.insert(key.into(), entry);
-        StoreIndex(self.index)
+        self.position()
     }
 
     /// Writes an upstream record of schema 2; tests use its full limit as its version.
@@ -81,7 +110,7 @@
     pub(crate) fn listing(&self, prefix: &str) -> Listing {
         let entries = self.entries.values();
         Listing {
-            index: StoreIndex(self.index),
+            index: self.position(),
             entries: entries
                 .filter(|e| e.key.starts_with(prefix))
                 .cloned()
@@ -120,7 +149,10 @@
                 prefix,
                 after: Some(after),
                 wait,
-            } if self.stale_listing.is_none() && wait > Duration::ZERO && self.index <= after.0 => {
+            } if self.stale_listing.is_none()
+                && wait > Duration::ZERO
+                && self.position() <= after =>
+            {
                 self.pending_watches.push(PendingWatch {
                     node,
                     domain: domain.clone(),
@@ -164,10 +196,10 @@
 
     /// Removes the watches that expired or saw a change and returns their replies.
     pub(crate) fn take_due_replies(&mut self, now: Instant) -> Vec<(usize, Name, PlatformReply)> {
-        let index = self.index;
+        let index = self.position();
         let (due, pending) = std::mem::take(&mut self.pending_watches)
             .into_iter()
-            .partition(|w| w.expires <= now || w.after.0 < index);
+            .partition(|w| w.expires <= now || w.after < index);
         self.pending_watches = pending;
         let due: Vec<PendingWatch> = due;
         due.into_iter()
--- a/crates/shallottide/tests/platform_client/main.rs
+++ b/crates/shallottide/tests/platform_client/main.rs
@@ -327,3 +327,29 @@
     let head = server.join().expect("the server ends");
     assert!(head.contains("x-consul-token: t0ken\r\n"), "{head}");
 }
+
+/// Guards against writes that take effect on the wrong value, and watches that miss changes, because a
+/// restored store gives indexes out again.
+#[test]
+fn indexes_of_an_earlier_era_are_not_used_after_a_restore() {
+    let (server, platform) = start_stand_in();
+    let copy = server.platform().copy();
+    let written = platform.swap("a/b", b"1", Precondition::Absent);
+    assert_eq!(written, Ok(SwapOutcome::Written));
+    let before = platform.get("a/b").expect("get").expect("entry");
+    server.platform().restore(copy);
+    let written = server.platform().swap("a/b", b"2", Precondition::Absent);
+    assert_eq!(written, Ok(SwapOutcome::Written));
+    let listing = platform
+        .list("a/", Some(before.index), WATCH_WAIT)
+        .expect("listing");
+    assert!(listing.index > before.index);
+    assert_eq!(listing.entries[0].index.revision(), before.index.revision());
+    let outdated = platform.swap("a/b", b"3", Precondition::Index(before.index));
+    assert_eq!(outdated, Ok(SwapOutcome::Conflict));
+    let outdated = platform.remove("a/b", before.index);
+    assert_eq!(outdated, Ok(SwapOutcome::Conflict));
+    let current = listing.entries[0].index;
+    let written = platform.swap("a/b", b"4", Precondition::Index(current));
+    assert_eq!(written, Ok(SwapOutcome::Written));
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -13,7 +13,7 @@
 mod vm_list;
 
 pub use call_counts::{CallCounts, CallKind};
-pub use memory_platform::MemoryPlatform;
+pub use memory_platform::{MemoryPlatform, PlatformCopy};
 pub use platform_faults::PlatformFaults;
 pub use platform_options::PlatformOptions;
 pub use platform_server::PlatformServer;
--- a/crates/standin/src/platform/memory_platform.rs
+++ b/crates/standin/src/platform/memory_platform.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use shallottide_types::clock::{Clock, SystemClock};
-use shallottide_types::id::{DomainId, StoreIndex};
+use shallottide_types::id::{DomainId, StoreEra, StoreIndex};
 use shallottide_types::platform::{
     Entry, Listing, Platform, PlatformError, Precondition, SwapOutcome, Vm,
 };
@@ -40,6 +40,10 @@
     changed: Condvar,
 }
 
+/// A copy of what a [`MemoryPlatform`] stores.
+#[derive(Debug, Clone)]
+pub struct PlatformCopy(Store);
+
 #[derive(Default)]
 struct State {
     store: Store,
@@ -112,10 +116,28 @@
         self.lock().counts.clone()
     }
 
-    /// Returns the index of the last change.
+    /// Returns the position of the last change.
     #[must_use]
     pub fn index(&self) -> StoreIndex {
-        StoreIndex(self.lock().store.index())
+        let state = self.lock();
+        state.store.position(state.store.index())
+    }
+
+    /// Returns the store's era.
+    pub(super) fn era(&self) -> StoreEra {
+        self.lock().store.era()
+    }
+
+    /// Returns a copy of the store, from which it can be restored.
+    #[must_use]
+    pub fn copy(&self) -> PlatformCopy {
+        PlatformCopy(self.lock().store.clone())
+    }
+
+    /// Restores the store from a copy: later changes are lost, and their indexes are given out again.
+    pub fn restore(&self, copy: PlatformCopy) {
+        self.lock().store.restore(copy.0);
+        self.shared.changed.notify_all();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -180,10 +202,10 @@
     }
 
     /// Reads one value with its metadata and the store's index.
-    pub(super) fn read(&self, key: &str) -> Result<(u64, Option<Stored>), PlatformError> {
+    pub(super) fn read(&self, key: &str) -> Result<(StoreIndex, Option<Stored>), PlatformError> {
         let state = self.admit(CallKind::Get, key)?;
         let store = state.visible_store();
-        Ok((store.index(), store.get(key).cloned()))
+        Ok((store.position(store.index()), store.get(key).cloned()))
     }
 
     /// Reads a prefix, blocking until a change as [`Platform::list`] does.
@@ -216,7 +238,7 @@
                 return Err(PlatformError::AnswerLost("connection closed".into()));
             }
             let left = wait.saturating_sub(start.elapsed());
-            if left.is_zero() || state.visible_store().has_changed_since(prefix, after.0) {
+            if left.is_zero() || state.visible_store().has_changed_since(prefix, after) {
                 return Ok(state);
             }
             let waited = self
@@ -264,8 +286,8 @@
 
 impl Platform for MemoryPlatform {
     fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
-        let (_, stored) = self.read(key)?;
-        Ok(stored.map(|stored| stored.entry(key)))
+        let (index, stored) = self.read(key)?;
+        Ok(stored.map(|stored| stored.entry(key, index.era())))
     }
 
     fn list(
--- a/crates/standin/src/platform/platform_server.rs
+++ b/crates/standin/src/platform/platform_server.rs
@@ -14,6 +14,8 @@
 use crate::http::{Exchange, Handler, HttpServer, ListenOptions, Reply, StartError};
 
 const INDEX_HEADER: &str = "X-Consul-Index";
+/// Header with the store's era, in the answers of reads and writes of keys.
+const ERA_HEADER: &str = "Store-Era";
 
 /// Longest wait of a blocking read without a `wait` parameter.
 const DEFAULT_WAIT: Duration = Duration::from_mins(5);
@@ -150,7 +152,8 @@
     }
 
     fn list(&self, exchange: &Exchange, prefix: &str) -> CallResult {
-        let after = query_number(exchange, "index")?.map(StoreIndex);
+        let after = query_number(exchange, "index")?;
+        let after = after.map(|index| StoreIndex::new(self.platform.era(), index));
         let wait = exchange
             .query("wait")
             .map(|text| duration_text::parse(&text));
@@ -158,7 +161,8 @@
         let listing = self.platform.read_prefix(prefix, after, wait, |store| {
             let entries = store.iter_prefix(prefix);
             let entries = entries.map(|(key, stored)| KvEntry::new(key, stored));
-            (store.index(), entries.collect::<Vec<_>>())
+            let index = store.position(store.index());
+            (index, entries.collect::<Vec<_>>())
         });
         Ok(listing.map(|(index, entries)| entries_reply(index, &entries)))
     }
@@ -172,17 +176,22 @@
         } else {
             let expect = match required_cas(exchange)? {
                 0 => Precondition::Absent,
-                index => Precondition::Index(StoreIndex(index)),
+                index => Precondition::Index(StoreIndex::new(self.platform.era(), index)),
             };
             into_written(self.platform.swap(key, value, expect))
         };
-        Ok(written.map(|written| Reply::json(200, &written)))
+        Ok(written.map(|written| self.written_reply(written)))
+    }
+
+    /// Responds with whether a write took effect.
+    fn written_reply(&self, written: bool) -> Reply {
+        Reply::json(200, &written).header(ERA_HEADER, self.platform.era().to_string())
     }
 
     fn delete(&self, exchange: &Exchange, key: &str) -> CallResult {
-        let index = StoreIndex(required_cas(exchange)?);
+        let index = StoreIndex::new(self.platform.era(), required_cas(exchange)?);
         let written = into_written(self.platform.remove(key, index));
-        Ok(written.map(|written| Reply::json(200, &written)))
+        Ok(written.map(|written| self.written_reply(written)))
     }
 }
 
@@ -203,9 +212,11 @@
 
 /// Responds with the entries, or with 404 when there are none; either way the store's index is in a
 /// header.
-fn entries_reply(index: u64, entries: &[impl Serialize]) -> Reply {
+fn entries_reply(index: StoreIndex, entries: &[impl Serialize]) -> Reply {
     let status = if entries.is_empty() { 404 } else { 200 };
-    Reply::json(status, &entries).header(INDEX_HEADER, index.to_string())
+    Reply::json(status, &entries)
+        .header(INDEX_HEADER, index.revision().to_string())
+        .header(ERA_HEADER, index.era().to_string())
 }
 
 fn send_result(exchange: Exchange, result: CallResult) {
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use shallottide_types::id::StoreIndex;
+use shallottide_types::id::{StoreEra, StoreIndex};
 use shallottide_types::platform::{Entry, Listing, Precondition, SwapOutcome};
 
 /// One stored value with the metadata that the HTTP interface returns.
@@ -23,11 +23,11 @@
 
 impl Stored {
     /// Converts the value to an entry of the `Platform` trait.
-    pub(super) fn entry(&self, key: &str) -> Entry {
+    pub(super) fn entry(&self, key: &str, era: StoreEra) -> Entry {
         Entry {
             key: key.into(),
             value: self.value.clone(),
-            index: StoreIndex(self.modified),
+            index: StoreIndex::new(era, self.modified),
             session: self.session.clone(),
         }
     }
@@ -43,7 +43,9 @@
 /// caller passes in.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Store {
-    /// Incremented with every change.
+    /// Number of times that it was restored from a copy.
+    era: StoreEra,
+    /// Incremented with every change of an era.
     index: u64,
     values: BTreeMap<String, Stored>,
     /// Tombstones: the index at which each deleted key was deleted.
@@ -53,6 +55,25 @@
 }
 
 impl Store {
+    /// Goes back to a copy, in the next era. Session ids are not given out again.
+    pub(super) fn restore(&mut self, copy: Self) {
+        *self = Self {
+            era: self.era.next(),
+            sessions_opened: self.sessions_opened,
+            ..copy
+        };
+    }
+
+    /// Returns the era.
+    pub(super) fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Returns the position of an index in the current era.
+    pub(super) fn position(&self, index: u64) -> StoreIndex {
+        StoreIndex::new(self.era, index)
+    }
+
     /// Returns the index of the last change.
     pub(super) fn index(&self) -> u64 {
         self.index
@@ -76,13 +97,19 @@
     pub(super) fn listing(&self, prefix: &str) -> Listing {
         let entries = self.iter_prefix(prefix);
         Listing {
-            index: StoreIndex(self.index),
-            entries: entries.map(|(key, stored)| stored.entry(key)).collect(),
+            index: self.position(self.index),
+            entries: entries
+                .map(|(key, stored)| stored.entry(key, self.era))
+                .collect(),
         }
     }
 
-    /// Returns whether a key under the prefix has changed after an index.
-    pub(super) fn has_changed_since(&self, prefix: &str, index: u64) -> bool {
+    /// Returns whether a key under the prefix has changed after a position.
+    pub(super) fn has_changed_since(&self, prefix: &str, after: StoreIndex) -> bool {
+        if after.era() != self.era {
+            return true;
+        }
+        let index = after.revision();
         let deleted = self.deleted.range(prefix.to_owned()..);
         let mut deleted = deleted.take_while(|(key, _)| key.starts_with(prefix));
         self.iter_prefix(prefix)
@@ -92,10 +119,10 @@
 
     /// Writes a value by compare-and-swap. A lease on the key is kept.
     pub(super) fn swap(&mut self, key: &str, value: &[u8], expect: Precondition) -> SwapOutcome {
-        let found = self.values.get(key).map(|stored| stored.modified);
+        let found = self.modified_at(key);
         let expected = match expect {
             Precondition::Absent => None,
-            Precondition::Index(index) => Some(index.0),
+            Precondition::Index(index) => Some(index),
         };
         if found != expected {
             return SwapOutcome::Conflict;
@@ -104,6 +131,11 @@
         SwapOutcome::Written
     }
 
+    fn modified_at(&self, key: &str) -> Option<StoreIndex> {
+        let stored = self.values.get(key)?;
+        Some(self.position(stored.modified))
+    }
+
     fn write(&mut self, key: &str, value: &[u8]) -> &mut Stored {
         self.index += 1;
         self.deleted.remove(key);
@@ -121,8 +153,7 @@
 
     /// Deletes a value by compare-and-swap.
     pub(super) fn remove(&mut self, key: &str, expect: StoreIndex) -> SwapOutcome {
-        let found = self.values.get(key).map(|stored| stored.modified);
-        if found != Some(expect.0) {
+        if self.modified_at(key) != Some(expect) {
             return SwapOutcome::Conflict;
         }
         self.index += 1;
