--- a/crates/shallottide/src/claims/claim_service.rs
+++ b/crates/shallottide/src/claims/claim_service.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use shallottide_types::id::{CallId, NodeId};
+use shallottide_types::id::{CallId, NodeId, StoreEra};
 use shallottide_types::peer::{ClaimAnswer, ClaimId, ClaimRequest, PeerMsg};
 
 use super::ClaimOptions;
@@ -50,6 +50,8 @@
     pub(super) tickets: TicketTracker,
     /// Time of the last check for timeouts.
     last_expiry_check: Option<Instant>,
+    /// Era of the store that the records in force were read in, at the last tick.
+    era: Option<StoreEra>,
 }
 
 impl ClaimService {
@@ -68,6 +70,7 @@
             tokens: TokenSource::default(),
             tickets: TicketTracker::default(),
             last_expiry_check: None,
+            era: None,
         }
     }
 
@@ -271,6 +274,12 @@
     }
 
     fn on_tick(&mut self, cx: &Context, out: &mut Outbox) {
+        let era = cx.config().index.era();
+        if self.era.replace(era).is_some_and(|known| known < era) {
+            for partition in &mut self.partitions {
+                partition.on_restored(era);
+            }
+        }
         for number in 0..PARTITION_COUNT {
             self.advance_partition(number, cx, out);
         }
--- a/crates/shallottide/src/claims/partition.rs
+++ b/crates/shallottide/src/claims/partition.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use shallottide_types::id::StoreIndex;
+use shallottide_types::id::{StoreEra, StoreIndex};
 use shallottide_types::peer::ClaimAnswer;
 use shallottide_types::platform::{Entry, PlatformError, Precondition, SwapOutcome};
 
@@ -53,6 +53,14 @@
     WriteOld,
 }
 
+/// Claims that this node knows to have been in the store.
+#[derive(Debug)]
+struct KnownClaims {
+    value: RecentClaims,
+    /// Era in which they were there; the first one if it is not known.
+    era: StoreEra,
+}
+
 /// A value written by this node, with its encoding.
 #[derive(Debug)]
 pub(super) struct WrittenValue {
@@ -85,6 +93,11 @@
     /// Precondition of a write whose answer was lost. The write may still take effect until the
     /// value's index changes.
     lost_write: Option<Precondition>,
+    /// The claims that were last read or written, to be written again after a restore of the store.
+    known: Option<KnownClaims>,
+    /// Whether `recent` contains claims that a restored store has lost, and that must be written
+    /// before any job is answered.
+    pub(super) must_rewrite: bool,
 }
 
 impl Partition {
@@ -101,6 +114,16 @@
             refresh: false,
             conflicts: 0,
             lost_write: None,
+            known: None,
+            must_rewrite: false,
+        }
+    }
+
+    /// Reads the claims again if they were last seen before this era of the store.
+    pub(super) fn on_restored(&mut self, era: StoreEra) {
+        if self.known.as_ref().is_some_and(|known| known.era < era) {
+            self.recent = None;
+            self.refresh = true;
         }
     }
 
@@ -178,11 +201,12 @@
         as_of: u64,
     ) -> bool {
         let written = self.written.take();
-        let Some(cached) =
+        let Some(mut cached) =
             reuse_written(written, &result, as_of).or_else(|| cached_value(result, as_of))
         else {
             return false;
         };
+        self.add_lost_claims(&mut cached);
         if self.lost_write.is_some_and(|lost| lost != cached.expect) {
             self.lost_write = None;
             for job in &mut self.queue {
@@ -196,6 +220,27 @@
         true
     }
 
+    /// Adds the claims that a restored store has lost: their calls may have run.
+    fn add_lost_claims(&mut self, cached: &mut CachedValue<RecentClaims>) {
+        let era = era_of(cached.expect);
+        if let Some(known) = &self.known {
+            // Claims are never removed as a whole.
+            let is_restored = era > known.era || cached.expect == Precondition::Absent;
+            if (is_restored || self.must_rewrite) && cached.value.add_missing(&known.value) {
+                tracing::warn!(
+                    partition = self.number,
+                    "claims lost in a restore of the store: written again"
+                );
+                self.must_rewrite = true;
+                self.old = None;
+            }
+        }
+        self.known = Some(KnownClaims {
+            value: cached.value.clone(),
+            era: era.max(self.known.as_ref().map_or(era, |known| known.era)),
+        });
+    }
+
     fn on_old_read(&mut self, result: Result<PlatformAnswer, PlatformError>, as_of: u64) -> bool {
         let cached = cached_value(result, as_of);
         let done = cached.is_some();
@@ -243,6 +288,13 @@
             Ok(PlatformAnswer::Swap(SwapOutcome::Written)) => {
                 self.recent = None;
                 self.refresh = true;
+                self.must_rewrite = false;
+                if let Some(written) = &self.written {
+                    self.known = Some(KnownClaims {
+                        value: written.value.clone(),
+                        era: era_of(expect),
+                    });
+                }
                 let answers = batch
                     .into_iter()
                     .map(|(job, answer)| job.into_answer(answer));
@@ -277,6 +329,14 @@
     }
 }
 
+/// Returns the era in which a value was read.
+fn era_of(expect: Precondition) -> StoreEra {
+    match expect {
+        Precondition::Absent => StoreEra(0),
+        Precondition::Index(index) => index.era(),
+    }
+}
+
 /// Returns the value that this node wrote, if the entry read back has the same encoding.
 fn reuse_written(
     written: Option<WrittenValue>,
--- a/crates/shallottide/src/claims/partition_round.rs
+++ b/crates/shallottide/src/claims/partition_round.rs
@@ -59,6 +59,9 @@
         if self.refresh {
             return true;
         }
+        if self.must_rewrite && self.may_start_round(snapshot) {
+            return true;
+        }
         let is_ready = |job: &Job| {
             job.task.is_claim() || snapshot.now >= job.enqueued_at + options.outcome_delay
         };
@@ -97,7 +100,7 @@
         round: &mut Round,
     ) {
         self.refresh = false;
-        if self.queue.is_empty() {
+        if self.queue.is_empty() && !self.must_rewrite {
             return;
         }
         let may_write = self.may_start_round(snapshot);
@@ -139,7 +142,7 @@
         let expect = recent.expect;
         let mut next = recent.value.clone();
         let outdated = next.outdated(snapshot, options);
-        let mut changed = next.drop_old(&outdated, &old.value);
+        let mut changed = next.drop_old(&outdated, &old.value) || self.must_rewrite;
         let mut answers = Vec::new();
         for job in &self.queue {
             let applied = next.apply(&job.task, &old.value, snapshot, options);
--- a/crates/shallottide/src/claims/recent_claims.rs
+++ b/crates/shallottide/src/claims/recent_claims.rs
@@ -118,6 +118,23 @@
         !ran
     }
 
+    /// Adds the claims and outcomes of `known` that are missing here; returns whether there were any.
+    pub(super) fn add_missing(&mut self, known: &Self) -> bool {
+        let mut changed = false;
+        for (claim, entry) in &known.entries {
+            let held = self.entries.entry(*claim).or_insert_with(|| {
+                changed = true;
+                entry.clone()
+            });
+            if held.holder == entry.holder
+                && let Some(end) = &entry.end
+            {
+                changed |= held.set_end(end.clone());
+            }
+        }
+        changed
+    }
+
     /// Returns whether the requesting call holds the key.
     pub(super) fn is_held_by(&self, request: &ClaimRequest) -> bool {
         let entry = self.entries.get(&request.claim);
--- a/crates/shallottide/tests/call_support/platform.rs
+++ b/crates/shallottide/tests/call_support/platform.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use shallottide::message::{PlatformAnswer, PlatformOp};
-use shallottide_types::id::StoreIndex;
+use shallottide_types::id::{StoreEra, StoreIndex};
 use shallottide_types::platform::{Entry, PlatformError, Precondition, SwapOutcome};
 
 /// Fault of one write.
@@ -25,6 +25,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FakePlatform {
     values: BTreeMap<String, (Vec<u8>, u64)>,
+    /// Number of restores.
+    era: StoreEra,
     index: u64,
     /// Faults of the next writes, in order.
     pub(crate) faults: VecDeque<WriteFault>,
@@ -35,7 +37,28 @@
     pub(crate) largest_value: usize,
 }
 
+/// A copy of what the platform stores.
+pub(crate) struct PlatformCopy {
+    values: BTreeMap<String, (Vec<u8>, u64)>,
+    index: u64,
+}
+
 impl FakePlatform {
+    pub(crate) fn copy(&self) -> PlatformCopy {
+        PlatformCopy {
+            values: self.values.clone(),
+            index: self.index,
+        }
+    }
+
+    /// Restores the platform from a copy: later writes are lost, and their indexes are given out again.
+    pub(crate) fn restore(&mut self, copy: PlatformCopy) {
+        self.era = self.era.next();
+        self.values = copy.values;
+        self.index = copy.index;
+        self.delayed.clear();
+    }
+
     pub(crate) fn run(&mut self, op: PlatformOp) -> Result<PlatformAnswer, PlatformError> {
         match op {
             PlatformOp::Get(key) => Ok(self.get(&key)),
@@ -63,7 +86,7 @@
         let entry = self.values.get(key).map(|(value, index)| Entry {
             key: key.into(),
             value: value.clone(),
-            index: StoreIndex(*index),
+            index: StoreIndex::new(self.era, *index),
             session: None,
         });
         PlatformAnswer::Entry(entry)
@@ -95,10 +118,11 @@
     }
 
     fn write(&mut self, key: String, value: Vec<u8>, expect: Precondition) -> SwapOutcome {
-        let found = self.values.get(&key).map(|(_, index)| *index);
+        let found = self.values.get(&key);
+        let found = found.map(|(_, index)| StoreIndex::new(self.era, *index));
         let wanted = match expect {
             Precondition::Absent => None,
-            Precondition::Index(index) => Some(index.0),
+            Precondition::Index(index) => Some(index),
         };
         if found != wanted {
             return SwapOutcome::Conflict;
