Log a digest of calls whose upstream disconnected

A call's id is new each time that it comes, so logs could not tell one request that ends upstream after upstream from many. The digest covers method, path, caller and body.

--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod prompt_part;
 pub mod quarantine;
 pub mod report_targets;
+pub mod request_digest;
 pub mod request_rate;
 pub mod restored;
 pub mod retry_budget;
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -22,6 +22,7 @@
 use crate::balance::{Choice, NoPlace};
 use crate::catalog::{Catalog, Repeat, Route};
 use crate::event_stream::{EventSplitter, WholeEvents};
+use crate::request_digest::RequestDigest;
 use crate::routes::{RouteError, choose_service};
 
 /// Deadline of a request that does not state one.
@@ -106,6 +107,7 @@
         }
     };
     log.route = call.route.name.clone();
+    let digest = RequestDigest::new(&parts.method, &parts.uri, call.team.as_deref(), &body);
     let call = Call {
         node: node.clone(),
         service: call.service,
@@ -120,6 +122,7 @@
             urgency: call.priority.min(9),
             deadline: call.deadline,
             shared_parts: head.shared_parts,
+            digest,
         },
         route: call.route,
         tried: Vec::new(),
--- a/crates/shallottide_fleet/src/serve/quarantine.rs
+++ b/crates/shallottide_fleet/src/serve/quarantine.rs
@@ -69,7 +69,7 @@
         let written = first_event_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let parts: Vec<_> = call.shared_parts.iter().map(ToString::to_string).collect();
         tracing::info!(
-            call = %call.id, upstream = %id, in_flight,
+            call = %call.id, request = %call.digest, upstream = %id, in_flight,
             written_ms = u64::try_from(written.as_millis()).unwrap_or(u64::MAX), parts = parts.join(","),
             "upstream disconnected"
         );
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -20,6 +20,7 @@
 use crate::crash_evidence::{EndedRequest, Lifetime};
 use crate::named_limits::LimitChange;
 use crate::prompt_part::PromptPart;
+use crate::request_digest::RequestDigest;
 use crate::upstream::Upstream;
 
 /// Time for which an upstream that reported itself full gets no requests, and the limit for reading
@@ -42,6 +43,7 @@
     pub(super) urgency: u8,
     pub(super) deadline: Instant,
     pub(super) shared_parts: Vec<PromptPart>,
+    pub(super) digest: RequestDigest,
 }
 
 impl OutgoingRequest {
