--- a/crates/shallottide_fleet/src/adapter.rs
+++ b/crates/shallottide_fleet/src/adapter.rs
@@ -12,10 +12,10 @@
 };
 use shallottide_types::refusal::Refusal;
 
+use crate::crash_trigger::TriggerKey;
 use crate::groups::Order;
 use crate::node_entry::NodeEntry;
 use crate::prompt_part::PromptPart;
-use crate::quarantine::PartKey;
 use crate::request_rate::RequestRate;
 use crate::upstream::Upstream;
 use crate::view::Change;
@@ -111,20 +111,22 @@
         era: StoreEra,
         replaces: Option<StoreIndex>,
     ) -> Pending<'_, Result<(), StoreError>>;
-    /// Writes the record of a quarantined prompt part if there is none, or in place of the revision
+    /// Writes the record that one more crash puts a request at fault; it ends with the lease.
+    fn put_suspected(&self, lease: Lease, key: &TriggerKey) -> Pending<'_, Result<(), StoreError>>;
+    /// Writes the record of a quarantined request or prompt part if there is none, or in place of the revision
     /// `replaces`.
     ///
     /// Returns the revision of the record, or `None` if another one exists.
     fn put_quarantine(
         &self,
-        key: &PartKey,
+        key: &TriggerKey,
         trials: u32,
         replaces: Option<StoreIndex>,
     ) -> Pending<'_, Result<Option<StoreIndex>, StoreError>>;
-    /// Removes the record of a prompt part if its revision is still `revision`.
+    /// Removes the record of a trigger if its revision is still `revision`.
     fn remove_quarantine(
         &self,
-        key: &PartKey,
+        key: &TriggerKey,
         revision: StoreIndex,
     ) -> Pending<'_, Result<(), StoreError>>;
 }
--- a/crates/shallottide_fleet/src/crash_evidence.rs
+++ b/crates/shallottide_fleet/src/crash_evidence.rs
@@ -1,7 +1,8 @@
-//! Finds the prompt parts that end the upstreams which run requests with them.
+//! Finds the requests, and the prompt parts, that end the upstreams which run them.
 //!
-//! When an upstream ends, all requests in flight there are interrupted. The part at fault is the one
-//! that is among them at upstream after upstream, and in no request that completes meanwhile. No
+//! When an upstream ends, all requests in flight there are interrupted. At fault is the request that is
+//! among them at upstream after upstream and never completes; or, if no single request explains the
+//! crashes, the part of prompts that is in such requests, and in none that completes meanwhile. No
 //! node sees all requests of an upstream, so nodes exchange what they saw.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,10 +13,11 @@
 use shallottide_types::id::{ServiceId, UpstreamId};
 use shallottide_types::rendezvous::{hash, weight};
 
+use crate::crash_trigger::{CrashTrigger, TriggerKey};
 use crate::prompt_part::PromptPart;
-use crate::quarantine::PartKey;
+use crate::request_digest::RequestDigest;
 
-/// Crashes with a part, and no completed request with it since, from which the part is at fault.
+/// Crashes with a trigger, and no completed request with it since, from which it is at fault.
 const MIN_CRASHES: usize = 3;
 /// Crashes by which the part at fault exceeds every other part.
 const MIN_LEAD: usize = 2;
@@ -37,21 +39,25 @@
 const FORWARD_TIME: Duration = Duration::from_secs(1);
 /// Time from a crash for which peers hear which of its parts have completed.
 const COMPLETION_REPORT_TIME: Duration = Duration::from_secs(10);
-/// Requests with a part at fault that an upstream holds when it ends; one that holds more has begun
+/// Requests with the trigger at fault that an upstream holds when it ends; one that holds more has begun
 /// to answer some of them before.
 const MAX_REQUESTS: usize = 3;
 /// Most crashes that are kept.
 const MAX_CRASHES: usize = 256;
-/// Most parts that are kept of a crash.
-const MAX_CRASH_PARTS: usize = 44;
+/// Most triggers that are kept of a crash: the requests that an upstream holds, with some parts each.
+const MAX_CRASH_TRIGGERS: usize = 256;
+/// Most triggers of a crash in one report.
+const MAX_REPORT_TRIGGERS: usize = 40;
+/// Position of the request itself behind all parts of its prompt.
+const REQUEST_DEPTH: u8 = u8::MAX;
 /// Most parts of completed requests that are kept.
 const MAX_COMPLETIONS: usize = 4_096;
 /// Most bytes of one report; fits a datagram.
 pub const MAX_REPORT_BYTES: usize = 1_350;
-/// Most encoded bytes of a crash or completion without its service and parts, of a part, and of a
-/// request.
-const ENTRY_BYTES: usize = 16;
-const PART_BYTES: usize = 16;
+/// Most encoded bytes of a crash or completion without its service and triggers, of a trigger, and of
+/// a request's id.
+const ENTRY_BYTES: usize = 20;
+const TRIGGER_BYTES: usize = 18;
 const REQUEST_BYTES: usize = 3;
 
 /// One lifetime of an upstream, as a hash of its id and start.
@@ -72,12 +78,13 @@
     }
 }
 
-/// A part of requests that an upstream's end interrupted.
+/// A trigger in requests that an upstream's end interrupted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Interruption<T> {
     /// When it was, or in a report its age in milliseconds.
     at: T,
-    /// Position of the part in its prompt. Prompts that share a part mostly share those before it.
+    /// Position in the prompt, the request itself last. Prompts that share a part mostly share those
+    /// before it.
     depth: u8,
     /// Hashes of the ids of different requests, as many as matter.
     requests: Vec<u16>,
@@ -101,6 +108,8 @@
 pub struct EndedRequest<'a> {
     /// The request's id.
     pub id: &'a str,
+    /// Its digest, which stays the same when it comes again.
+    pub digest: RequestDigest,
     /// The parts of its prompt that other requests may share.
     pub parts: &'a [PromptPart],
     /// The service.
@@ -110,6 +119,13 @@
 }
 
 impl EndedRequest<'_> {
+    /// Returns what may be at fault for an end, with its position in the prompt.
+    fn triggers(&self) -> impl Iterator<Item = (CrashTrigger, u8)> {
+        let parts = self.parts.iter().copied().map(CrashTrigger::Part);
+        let request = (CrashTrigger::Request(self.digest), REQUEST_DEPTH);
+        parts.zip(0..).chain([request])
+    }
+
     fn hash(&self) -> u16 {
         let [a, b, ..] = hash(self.id).to_be_bytes();
         u16::from_be_bytes([a, b])
@@ -120,13 +136,13 @@
 #[derive(Debug, Clone)]
 struct Crash {
     service: ServiceId,
-    /// Parts of requests that were in flight.
-    parts: BTreeMap<PromptPart, Interruption<Instant>>,
-    /// When a part was last added.
+    /// The requests that were in flight and the parts of their prompts.
+    triggers: BTreeMap<CrashTrigger, Interruption<Instant>>,
+    /// When a trigger was last added.
     changed_at: Instant,
 }
 
-/// A part with which no request has completed since upstreams ended.
+/// A trigger with which no request has completed since upstreams ended.
 #[derive(Debug, Clone, Default)]
 struct Suspect {
     depth: u8,
@@ -138,13 +154,24 @@
         separate(self.crashes.values().copied()).len()
     }
 
+    /// Returns whether another suspect had the same crashes.
+    fn shares_crashes_with(&self, other: &Self) -> bool {
+        let mut crashes = self.crashes.keys();
+        crashes.all(|lifetime| other.crashes.contains_key(lifetime))
+    }
+
+    /// Returns whether another suspect had the same crashes, and more.
+    fn is_explained_by(&self, other: &Self) -> bool {
+        other.crashes.len() > self.crashes.len() && self.shares_crashes_with(other)
+    }
+
     /// Returns whether this part is at fault for its crashes.
     ///
     /// A rival that stands before this part in prompts is in more requests, and explains less.
     fn is_culprit(
         &self,
-        suspects: &BTreeMap<PartKey, Self>,
-        key: &PartKey,
+        suspects: &BTreeMap<TriggerKey, Self>,
+        key: &TriggerKey,
         has_completed: bool,
     ) -> bool {
         let count = self.count();
@@ -153,7 +180,9 @@
         }
         let (mut rival, mut deeper_rival) = (0, 0);
         for (other, suspect) in suspects {
-            if other == key || other.service != key.service || suspect.depth < self.depth {
+            let is_request = other.trigger.is_request();
+            let is_before = suspect.depth < self.depth;
+            if is_request || is_before || other == key || other.service != key.service {
                 continue;
             }
             let shared = self
@@ -173,15 +202,15 @@
 }
 
 impl Crash {
-    fn has(&self, key: &PartKey) -> bool {
-        self.service == key.service && self.parts.contains_key(&key.part)
+    fn has(&self, key: &TriggerKey) -> bool {
+        self.service == key.service && self.triggers.contains_key(&key.trigger)
     }
 
-    /// Returns the most bytes that the crash takes in a report.
-    fn encoded_bytes(&self) -> usize {
-        let parts = self.parts.values();
-        let parts = parts.map(|part| PART_BYTES + REQUEST_BYTES * part.requests.len());
-        ENTRY_BYTES + self.service.as_str().len() + parts.sum::<usize>()
+    fn key(&self, trigger: CrashTrigger) -> TriggerKey {
+        TriggerKey {
+            service: self.service.clone(),
+            trigger,
+        }
     }
 }
 
@@ -189,6 +218,7 @@
 #[derive(Debug, Clone)]
 struct ClosedAnswer {
     id: CompactString,
+    digest: RequestDigest,
     lifetime: Lifetime,
     service: ServiceId,
     parts: Vec<PromptPart>,
@@ -202,15 +232,24 @@
 pub struct CrashReport {
     lifetime: Lifetime,
     service: ServiceId,
-    parts: Vec<(PromptPart, Interruption<u32>)>,
+    triggers: Vec<(CrashTrigger, Interruption<u32>)>,
+}
+
+impl CrashReport {
+    /// Returns the most bytes that it takes.
+    fn encoded_bytes(&self) -> usize {
+        let triggers = self.triggers.iter();
+        let bytes = triggers.map(|(_, i)| TRIGGER_BYTES + REQUEST_BYTES * i.requests.len());
+        ENTRY_BYTES + self.service.as_str().len() + bytes.sum::<usize>()
+    }
 }
 
 /// What a node tells its peers of crashes and completed requests.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvidenceReport {
     crashes: Vec<CrashReport>,
-    /// Parts of completed requests, and how many milliseconds ago the last one completed.
-    completions: Vec<(PartKey, u32)>,
+    /// Triggers in completed requests, and how many milliseconds ago the last one completed.
+    completions: Vec<(TriggerKey, u32)>,
 }
 
 impl EvidenceReport {
@@ -221,13 +260,15 @@
     }
 }
 
-/// A part that is at fault for crashes.
+/// A request or part that is at fault for crashes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Culprit {
-    /// The part.
-    pub key: PartKey,
-    /// Its crashes, without those at the same moment.
+    /// The request or part.
+    pub key: TriggerKey,
+    /// Its crashes; those of a part without others at the same moment.
     pub crashes: usize,
+    /// Whether no other request explains the same crashes.
+    pub is_certain: bool,
     /// When there were enough of them.
     pub suspected_at: Instant,
 }
@@ -236,8 +277,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashEvidence {
     crashes: BTreeMap<Lifetime, Crash>,
-    /// When a request with a part last completed.
-    completions: BTreeMap<PartKey, Instant>,
+    /// When a request with a trigger last completed.
+    completions: BTreeMap<TriggerKey, Instant>,
     /// Upstreams that answered after a connection to them had ended, and when.
     alive: BTreeMap<Lifetime, Instant>,
     closed: Vec<ClosedAnswer>,
@@ -254,22 +295,26 @@
         now: Instant,
     ) {
         if written >= MAX_CRASH_DELAY {
-            for part in request.parts {
-                self.complete(request.service, *part, now);
-            }
+            self.complete_request(request, now);
         } else {
             self.add_request(request, now, now);
         }
     }
 
     fn add_request(&mut self, request: EndedRequest<'_>, at: Instant, now: Instant) {
-        for (part, depth) in request.parts.iter().zip(0..) {
+        for (trigger, depth) in request.triggers() {
             let interruption = Interruption {
                 at,
                 depth,
                 requests: vec![request.hash()],
             };
-            self.add(request.lifetime, request.service, *part, interruption, now);
+            self.add(
+                request.lifetime,
+                request.service,
+                trigger,
+                interruption,
+                now,
+            );
         }
     }
 
@@ -278,6 +323,7 @@
     pub fn record_closed_answer(&mut self, request: EndedRequest<'_>, now: Instant) {
         self.closed.push(ClosedAnswer {
             id: request.id.into(),
+            digest: request.digest,
             lifetime: request.lifetime,
             service: request.service.clone(),
             parts: request.parts.to_vec(),
@@ -300,21 +346,28 @@
         if let Some(crash) = self.crashes.get(&lifetime) {
             let was_alive =
                 |at: &Instant| sent_at > *at && now.saturating_duration_since(*at) < ALIVE_DOUBT;
-            if crash.parts.values().any(|part| was_alive(&part.at)) {
+            if crash.triggers.values().any(|i| was_alive(&i.at)) {
                 self.crashes.remove(&lifetime);
                 self.alive.insert(lifetime, now);
             }
         }
-        for part in request.parts {
-            self.complete(request.service, *part, now);
+        self.complete_request(request, now);
+    }
+
+    fn complete_request(&mut self, request: EndedRequest<'_>, at: Instant) {
+        for (trigger, _) in request.triggers() {
+            let key = TriggerKey {
+                service: request.service.clone(),
+                trigger,
+            };
+            // All requests differ, so only those that were interrupted are kept.
+            if !trigger.is_request() || self.crashes.values().any(|crash| crash.has(&key)) {
+                self.complete(key, at);
+            }
         }
     }
 
-    fn complete(&mut self, service: &ServiceId, part: PromptPart, at: Instant) {
-        let key = PartKey {
-            service: service.clone(),
-            part,
-        };
+    fn complete(&mut self, key: TriggerKey, at: Instant) {
         if self.completions.len() >= MAX_COMPLETIONS && !self.completions.contains_key(&key) {
             return;
         }
@@ -326,7 +379,7 @@
         &mut self,
         lifetime: Lifetime,
         service: &ServiceId,
-        part: PromptPart,
+        trigger: CrashTrigger,
         interruption: Interruption<Instant>,
         now: Instant,
     ) {
@@ -345,13 +398,13 @@
         }
         let crash = self.crashes.entry(lifetime).or_insert_with(|| Crash {
             service: service.clone(),
-            parts: BTreeMap::new(),
+            triggers: BTreeMap::new(),
             changed_at: now,
         });
-        let has_room = crash.parts.len() < MAX_CRASH_PARTS;
-        let is_news = match crash.parts.get_mut(&part) {
+        let has_room = crash.triggers.len() < MAX_CRASH_TRIGGERS;
+        let is_news = match crash.triggers.get_mut(&trigger) {
             Some(known) => known.add_requests(&interruption.requests),
-            None if has_room => crash.parts.insert(part, interruption).is_none(),
+            None if has_room => crash.triggers.insert(trigger, interruption).is_none(),
             None => false,
         };
         if is_news {
@@ -365,7 +418,7 @@
         for mut answer in std::mem::take(&mut self.closed) {
             let crash = self.crashes.get(&answer.lifetime);
             answer.has_upstream_ended |= crash.is_some_and(|crash| {
-                let mut times = crash.parts.values().map(|part| part.at);
+                let mut times = crash.triggers.values().map(|i| i.at);
                 times.any(|at| at.max(answer.at) - at.min(answer.at) < CLOSE_DOUBT)
             });
             if !answer.has_upstream_ended && age(answer.at) < CLOSE_DOUBT {
@@ -374,6 +427,7 @@
             }
             let request = EndedRequest {
                 id: &answer.id,
+                digest: answer.digest,
                 parts: &answer.parts,
                 service: &answer.service,
                 lifetime: answer.lifetime,
@@ -381,9 +435,7 @@
             if answer.has_upstream_ended {
                 self.add_request(request, answer.at, now);
             } else {
-                for part in request.parts {
-                    self.complete(request.service, *part, answer.at);
-                }
+                self.complete_request(request, answer.at);
             }
         }
         self.crashes
@@ -399,50 +451,88 @@
         self.crashes.is_empty() && self.closed.is_empty()
     }
 
-    /// Returns when a request with a part last completed, if that is not long ago.
+    /// Returns when a request with a trigger last completed, if that is not long ago.
     #[must_use]
-    pub fn last_completion(&self, key: &PartKey) -> Option<Instant> {
+    pub fn last_completion(&self, key: &TriggerKey) -> Option<Instant> {
         self.completions.get(key).copied()
     }
 
     /// Returns whether a request with a part has completed lately.
     #[must_use]
     pub fn has_completed(&self, service: &ServiceId, part: PromptPart) -> bool {
-        let service = service.clone();
-        self.completions.contains_key(&PartKey { service, part })
+        let (service, trigger) = (service.clone(), CrashTrigger::Part(part));
+        self.completions
+            .contains_key(&TriggerKey { service, trigger })
     }
 
-    /// Returns the part that is at fault for the most crashes, if any is.
+    /// Returns the requests at fault; or if there are none, the part that is at fault for the most
+    /// crashes.
     ///
-    /// Crashes with one of the parts in `known` are explained and count against no other part.
+    /// Crashes with a trigger in `known` are explained and count against no other one. Requests in
+    /// `suspected` had all crashes but one before the given time, as far as the store knows.
     #[must_use]
-    pub fn find_culprit(&self, known: &[&PartKey]) -> Option<Culprit> {
+    pub fn find_culprits(
+        &self,
+        known: &[&TriggerKey],
+        suspected: &BTreeMap<TriggerKey, Instant>,
+    ) -> Vec<Culprit> {
         let suspects = self.suspects(known);
+        let requests = request_culprits(&suspects, suspected);
+        if requests.is_empty() {
+            self.part_culprit(&suspects).into_iter().collect()
+        } else {
+            requests
+        }
+    }
+
+    fn part_culprit(&self, suspects: &BTreeMap<TriggerKey, Suspect>) -> Option<Culprit> {
         let (key, suspect) = suspects
             .iter()
+            .filter(|(key, _)| !key.trigger.is_request())
             .max_by_key(|(_, suspect)| (suspect.count(), suspect.depth))?;
         let has_completed = self.completions.contains_key(key);
-        if !suspect.is_culprit(&suspects, key, has_completed) {
+        if !suspect.is_culprit(suspects, key, has_completed) {
             return None;
         }
         let crashes = separate(suspect.crashes.values().copied());
         Some(Culprit {
             key: key.clone(),
             crashes: crashes.len(),
+            is_certain: false,
             suspected_at: *crashes.get(MIN_CRASHES - 1)?,
         })
     }
 
-    /// Returns the number of crashes with a part.
+    /// Returns whether a request has ended more than one upstream, and none of its answers has
+    /// completed since.
+    #[must_use]
+    pub fn is_suspect(&self, service: &ServiceId, digest: RequestDigest) -> bool {
+        let key = TriggerKey {
+            service: service.clone(),
+            trigger: CrashTrigger::Request(digest),
+        };
+        let crashes = self.crashes.values();
+        let interruptions = crashes.filter_map(|crash| {
+            let is_at_service = crash.service == key.service;
+            is_at_service.then(|| crash.triggers.get(&key.trigger))?
+        });
+        let uncleared = interruptions.filter(|i| self.is_uncleared(&key, i.at));
+        uncleared.count() >= MIN_CRASHES - 1
+    }
+
+    /// Returns the number of crashes with a trigger.
     #[must_use]
-    pub fn count(&self, key: &PartKey) -> usize {
+    pub fn count(&self, key: &TriggerKey) -> usize {
         self.crashes.values().filter(|crash| crash.has(key)).count()
     }
 
-    /// Returns whether the evidence speaks against a part's guilt: it had crashes that other parts
+    /// Returns whether the evidence speaks against a trigger's guilt: it had crashes that others
     /// explain as well, or that requests with it have survived.
     #[must_use]
-    pub fn is_exonerated(&self, key: &PartKey, known: &[&PartKey]) -> bool {
+    pub fn is_exonerated(&self, key: &TriggerKey, known: &[&TriggerKey]) -> bool {
+        if key.trigger.is_request() {
+            return self.is_request_exonerated(key, known);
+        }
         let others: Vec<_> = known
             .iter()
             .copied()
@@ -456,19 +546,29 @@
                 .is_none_or(|suspect| !suspect.is_culprit(&suspects, key, has_completed))
     }
 
-    /// Returns the parts with which no request has completed since crashes that no part in `known`
+    /// Returns whether another known request explains all crashes of a request, and more.
+    fn is_request_exonerated(&self, key: &TriggerKey, known: &[&TriggerKey]) -> bool {
+        let suspects = self.suspects(&[]);
+        let Some(suspect) = suspects.get(key) else {
+            return false;
+        };
+        let others = known.iter().filter(|other| {
+            other.trigger.is_request() && other.service == key.service && **other != key
+        });
+        let mut others = others.filter_map(|other| suspects.get(*other));
+        others.any(|other| suspect.is_explained_by(other))
+    }
+
+    /// Returns the triggers with which no request has completed since crashes that nothing in `known`
     /// explains.
-    fn suspects(&self, known: &[&PartKey]) -> BTreeMap<PartKey, Suspect> {
-        let mut suspects: BTreeMap<PartKey, Suspect> = BTreeMap::new();
+    fn suspects(&self, known: &[&TriggerKey]) -> BTreeMap<TriggerKey, Suspect> {
+        let mut suspects: BTreeMap<TriggerKey, Suspect> = BTreeMap::new();
         for (lifetime, crash) in &self.crashes {
             if known.iter().any(|key| crash.has(key)) {
                 continue;
             }
-            for (part, interruption) in &crash.parts {
-                let key = PartKey {
-                    service: crash.service.clone(),
-                    part: *part,
-                };
+            for (trigger, interruption) in &crash.triggers {
+                let key = crash.key(*trigger);
                 let is_crowded = interruption.requests.len() > MAX_REQUESTS;
                 if !is_crowded && self.is_uncleared(&key, interruption.at) {
                     let suspect = suspects.entry(key).or_default();
@@ -480,10 +580,10 @@
         suspects
     }
 
-    /// Returns whether no request with a part has completed since one was interrupted.
+    /// Returns whether no request with a trigger has completed since one was interrupted.
     ///
     /// Nodes measure times with an error, so a completion just before counts as well.
-    fn is_uncleared(&self, key: &PartKey, interrupted_at: Instant) -> bool {
+    fn is_uncleared(&self, key: &TriggerKey, interrupted_at: Instant) -> bool {
         let last = self.completions.get(key);
         last.is_none_or(|last| *last + MIN_CRASH_INTERVAL <= interrupted_at)
     }
@@ -507,30 +607,31 @@
             crashes.filter(move |(_, crash)| age(crash.changed_at) < time)
         };
         for (lifetime, crash) in recent(FORWARD_TIME) {
-            reserve(&mut reports, crash.encoded_bytes());
-            let parts = crash.parts.iter().map(|(part, interruption)| {
-                let reported = Interruption {
-                    at: millis(interruption.at),
-                    depth: interruption.depth,
-                    requests: interruption.requests.clone(),
-                };
-                (*part, reported)
-            });
-            if let Some(report) = reports.last_mut() {
-                report.crashes.push(CrashReport {
+            let triggers: Vec<_> = crash.triggers.iter().collect();
+            for triggers in triggers.chunks(MAX_REPORT_TRIGGERS) {
+                let triggers = triggers.iter().map(|(trigger, interruption)| {
+                    let reported = Interruption {
+                        at: millis(interruption.at),
+                        depth: interruption.depth,
+                        requests: interruption.requests.clone(),
+                    };
+                    (**trigger, reported)
+                });
+                let crash = CrashReport {
                     lifetime: *lifetime,
                     service: crash.service.clone(),
-                    parts: parts.collect(),
-                });
+                    triggers: triggers.collect(),
+                };
+                reserve(&mut reports, crash.encoded_bytes());
+                if let Some(report) = reports.last_mut() {
+                    report.crashes.push(crash);
+                }
             }
         }
         let mut reported = BTreeSet::new();
         for (_, crash) in recent(COMPLETION_REPORT_TIME) {
-            for part in crash.parts.keys() {
-                let key = PartKey {
-                    service: crash.service.clone(),
-                    part: *part,
-                };
+            for trigger in crash.triggers.keys() {
+                let key = crash.key(*trigger);
                 let Some(at) = self.completions.get(&key) else {
                     continue;
                 };
@@ -555,19 +656,57 @@
             now.checked_sub(age).unwrap_or(now)
         };
         for crash in &report.crashes {
-            for (part, reported) in &crash.parts {
+            for (trigger, reported) in &crash.triggers {
                 let interruption = Interruption {
                     at: then(reported.at),
                     depth: reported.depth,
                     requests: reported.requests.clone(),
                 };
-                self.add(crash.lifetime, &crash.service, *part, interruption, now);
+                self.add(crash.lifetime, &crash.service, *trigger, interruption, now);
             }
         }
         for (key, age) in &report.completions {
-            self.complete(&key.service, key.part, then(*age));
+            self.complete(key.clone(), then(*age));
+        }
+    }
+}
+
+/// Returns the requests that are at fault: those that no other request explains.
+fn request_culprits(
+    suspects: &BTreeMap<TriggerKey, Suspect>,
+    suspected: &BTreeMap<TriggerKey, Instant>,
+) -> Vec<Culprit> {
+    let requests = || suspects.iter().filter(|(key, _)| key.trigger.is_request());
+    let mut culprits = Vec::new();
+    for (key, suspect) in requests() {
+        let mut times: Vec<_> = suspect.crashes.values().copied().collect();
+        times.sort_unstable();
+        let was_suspected = |key: &TriggerKey, suspect: &Suspect| {
+            let first = suspect.crashes.values().min();
+            suspected.get(key).is_some_and(|at| first > Some(at))
+        };
+        let is_suspected = was_suspected(key, suspect);
+        let needed = if is_suspected { 1 } else { MIN_CRASHES };
+        let Some(suspected_at) = times.get(needed - 1).copied() else {
+            continue;
+        };
+        let rivals = || {
+            let others = requests().filter(|(other, _)| *other != key);
+            others.filter(|(other, _)| other.service == key.service)
+        };
+        if rivals().any(|(_, rival)| suspect.is_explained_by(rival)) {
+            continue;
         }
+        culprits.push(Culprit {
+            key: key.clone(),
+            crashes: times.len(),
+            is_certain: !rivals().any(|(key, rival)| {
+                suspect.shares_crashes_with(rival) && was_suspected(key, rival) == is_suspected
+            }),
+            suspected_at,
+        });
     }
+    culprits
 }
 
 /// Returns the times that are apart from each other, in order.
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -11,8 +11,8 @@
 //! - [`routes`]: lookup of a request's route and team.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`wait_queue`]: choice of a request's upstream,
 //!   limits on requests, and the queue of waiting requests.
-//! - [`crash_evidence`], [`quarantine`]: prompt parts that end upstreams, and refusal of requests with
-//!   them.
+//! - [`crash_trigger`], [`crash_evidence`], [`quarantine`]: requests and prompt parts that end
+//!   upstreams, and their refusal.
 //! - [`named_limits`], [`send_window`]: limits that upstreams name, and their division between nodes.
 //! - [`byte_budget`]: limit on the bytes of bodies in transfer.
 //! - [`groups`]: formation of groups of engines.
@@ -29,6 +29,7 @@
 pub mod change_log;
 pub mod cold_gate;
 pub mod crash_evidence;
+pub mod crash_trigger;
 pub mod domain_claims;
 pub mod event_stream;
 pub mod feed_tree;
--- a/crates/shallottide_fleet/src/quarantine.rs
+++ b/crates/shallottide_fleet/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Prompt parts that end the upstreams which run requests with them, and when to try them again.
+//! Requests and prompt parts that end the upstreams which run them, and when to try them again.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -7,13 +7,18 @@
 use shallottide_types::id::{ServiceId, StoreIndex};
 
 use crate::crash_evidence::{CrashEvidence, Culprit};
+use crate::crash_trigger::{CrashTrigger, TriggerKey};
 use crate::prompt_part::PromptPart;
 use crate::report_targets::REPORT_FANOUT;
+use crate::request_digest::RequestDigest;
 
 /// Interval at which nodes report to their peers.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Delays of the first two trials, which tell soon whether a part was quarantined wrongly.
-const FIRST_TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(6)];
+const FIRST_TRIAL_DELAYS: [Duration; FIRST_TRIALS as usize] =
+    [Duration::from_secs(2), Duration::from_secs(6)];
+/// Trials after which the delays are long.
+const FIRST_TRIALS: u32 = 2;
 /// Delay of the third trial; a failed trial costs a group of engines.
 const LATER_TRIAL_DELAY: Duration = Duration::from_mins(2);
 /// Time for which a trial waits for a request whose other parts are known to be sound.
@@ -28,40 +33,33 @@
 const WRITE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which the record of a part that was not tried meanwhile is removed.
 const RECORD_LIFETIME: Duration = Duration::from_hours(24);
-/// Most parts that are quarantined at a time.
-const MAX_PARTS: usize = 256;
+/// Most triggers that are quarantined at a time.
+const MAX_TRIGGERS: usize = 256;
 /// Longest delay of a trial.
 const MAX_TRIAL_DELAY: Duration = Duration::from_hours(6);
 
-/// A prompt part at one service.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct PartKey {
-    /// The service whose upstreams it ends.
-    pub service: ServiceId,
-    /// The part.
-    pub part: PromptPart,
-}
-
-/// The record of a quarantined part.
+/// The record of a quarantined request or part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct QuarantineRecord {
-    /// Requests with the part that were sent on trial since it was quarantined.
+    /// Requests that were sent on trial since it was quarantined.
     pub trials: u32,
     /// Store revision of the record; `None` while it is not known to be in the store.
     pub revision: Option<StoreIndex>,
 }
 
-/// A quarantined part, as this node knows it.
+/// A quarantined request or part, as this node knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Quarantined {
     record: QuarantineRecord,
-    /// When this node learned that the part is quarantined.
+    /// When this node learned that it is quarantined.
     found_at: Instant,
-    /// From when requests with the part are refused.
+    /// From when requests with it are refused.
     refused_from: Instant,
-    /// Whether this node found the part.
+    /// When all nodes have had the time to report what they saw of it.
+    settled_at: Instant,
+    /// Whether this node found it.
     is_own: bool,
-    /// Whether later evidence was checked: that of other nodes, or of parts found since.
+    /// Whether later evidence was checked: that of other nodes, or of triggers found since.
     is_checked: bool,
     /// When this node learned of the record's revision.
     seen: Instant,
@@ -72,12 +70,12 @@
 /// Whether a request may be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Admission {
-    /// No part of its prompt is quarantined.
+    /// Neither it nor a part of its prompt is quarantined.
     Allowed,
     /// A trial is due: the request may be sent once if this node replaces the record, which no two
     /// nodes can do.
-    TrialDue(PartKey, QuarantineRecord),
-    /// The part ends upstreams; the time until its next trial.
+    TrialDue(TriggerKey, QuarantineRecord),
+    /// It ends upstreams; the time until the next trial.
     Refused(Duration),
 }
 
@@ -90,51 +88,54 @@
     Remove(StoreIndex),
 }
 
-/// The quarantined parts that a node knows of.
+/// The quarantined requests and parts that a node knows of.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
-    parts: BTreeMap<PartKey, Quarantined>,
+    triggers: BTreeMap<TriggerKey, Quarantined>,
+    /// Requests that one more crash puts at fault, also after all nodes have restarted, and when this
+    /// node learned of it.
+    suspected: BTreeMap<TriggerKey, Instant>,
 }
 
 impl Quarantine {
-    /// Returns the number of quarantined parts.
+    /// Returns the number of quarantined requests and parts.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.parts.len()
+        self.triggers.len()
     }
 
-    /// Returns whether no part is quarantined.
+    /// Returns whether nothing is quarantined.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+        self.triggers.is_empty()
     }
 
     /// Returns all records.
-    pub fn records(&self) -> impl Iterator<Item = (&PartKey, QuarantineRecord)> {
-        self.parts.iter().map(|(key, known)| (key, known.record))
+    pub fn records(&self) -> impl Iterator<Item = (&TriggerKey, QuarantineRecord)> {
+        self.triggers.iter().map(|(key, known)| (key, known.record))
     }
 
-    /// Returns the record of a part, if it is quarantined.
+    /// Returns the record of a trigger, if it is quarantined.
     #[must_use]
-    pub fn record(&self, key: &PartKey) -> Option<QuarantineRecord> {
-        self.parts.get(key).map(|known| known.record)
+    pub fn record(&self, key: &TriggerKey) -> Option<QuarantineRecord> {
+        self.triggers.get(key).map(|known| known.record)
     }
 
-    /// Applies a record of the store, or of a peer's view; `None` releases the part.
-    pub fn apply(&mut self, key: PartKey, record: Option<QuarantineRecord>, now: Instant) {
+    /// Applies a record of the store, or of a peer's view; `None` releases the trigger.
+    pub fn apply(&mut self, key: TriggerKey, record: Option<QuarantineRecord>, now: Instant) {
         let Some(record) = record else {
-            if self.parts.remove(&key).is_some() {
-                tracing::info!(service = %key.service, part = %key.part, "prompt part released");
+            if self.triggers.remove(&key).is_some() {
+                tracing::info!(service = %key.service, trigger = %key.trigger, "released from quarantine");
             }
             return;
         };
-        let known = self.parts.get(&key);
+        let known = self.triggers.get(&key);
         if known.is_some_and(|known| known.record.revision >= record.revision) {
             return;
         }
         tracing::info!(
-            service = %key.service, part = %key.part, trials = record.trials,
-            revision = record.revision.map(|revision| revision.0), "prompt part is quarantined"
+            service = %key.service, trigger = %key.trigger, trials = record.trials,
+            revision = record.revision.map(|revision| revision.0), "quarantined"
         );
         let mut record = record;
         if let Some(known) = known
@@ -147,23 +148,49 @@
             record,
             found_at: known.map_or(now, |known| known.found_at),
             refused_from: known.map_or(now, |known| known.refused_from),
+            settled_at: known.map_or(now, |known| known.settled_at),
             is_own: known.is_some_and(|known| known.is_own),
             is_checked: known.is_some_and(|known| known.is_checked),
             seen: known.map_or(now, |known| known.refused_from).max(now),
             write_at: now,
         };
-        self.parts.insert(key, known);
+        self.triggers.insert(key, known);
+    }
+
+    /// Applies a record that a request is suspected, or its removal.
+    pub fn apply_suspected(&mut self, key: TriggerKey, is_suspected: bool, now: Instant) {
+        if is_suspected {
+            self.suspected.entry(key).or_insert(now);
+        } else {
+            self.suspected.remove(&key);
+        }
+    }
+
+    /// Returns the requests that are suspected.
+    pub fn suspected(&self) -> impl Iterator<Item = &TriggerKey> {
+        self.suspected.keys()
+    }
+
+    /// Returns whether a request is suspected.
+    #[must_use]
+    pub fn is_suspected(&self, key: &TriggerKey) -> bool {
+        self.suspected.contains_key(key)
+    }
+
+    /// Drops the suspected requests that a listing of the store lacks.
+    pub fn retain_suspected(&mut self, listed: &BTreeSet<TriggerKey>) {
+        self.suspected.retain(|key, _| listed.contains(key));
     }
 
-    /// Releases the parts whose records a listing of the store lacks.
-    pub fn retain_listed(&mut self, listed: &BTreeSet<PartKey>) {
-        self.parts
+    /// Releases the triggers whose records a listing of the store lacks.
+    pub fn retain_listed(&mut self, listed: &BTreeSet<TriggerKey>) {
+        self.triggers
             .retain(|key, known| known.record.revision.is_none() || listed.contains(key));
     }
 
     /// Plans to write again the records that a restored store lacks.
-    pub fn rewrite_unlisted(&mut self, listed: &BTreeSet<PartKey>, now: Instant) {
-        for (key, known) in &mut self.parts {
+    pub fn rewrite_unlisted(&mut self, listed: &BTreeSet<TriggerKey>, now: Instant) {
+        for (key, known) in &mut self.triggers {
             if known
                 .record
                 .revision
@@ -182,11 +209,11 @@
         }
     }
 
-    /// Quarantines the parts that are at fault, and returns them.
+    /// Quarantines the requests and parts that are at fault, and returns them.
     ///
-    /// `nodes` is the number of nodes. A part is refused once all nodes had the time to report what
-    /// they saw, if it is still at fault then; its record is written before, so that it survives the
-    /// nodes.
+    /// `nodes` is the number of nodes. A request is refused at once. A part, which many requests may
+    /// hold, is refused once all nodes had the time to report what they saw, if it is still at fault
+    /// then; its record is written before, so that it survives the nodes.
     pub fn evaluate(
         &mut self,
         crashes: &mut CrashEvidence,
@@ -195,38 +222,47 @@
     ) -> Vec<Culprit> {
         crashes.expire(now);
         let mut found = Vec::new();
-        while self.parts.len() < MAX_PARTS
-            && let Some(culprit) = crashes.find_culprit(&self.keys())
-        {
-            let refused_from = now.max(culprit.suspected_at + settle_time(nodes));
-            for known in self.parts.values_mut() {
+        while self.triggers.len() < MAX_TRIGGERS {
+            let culprits = crashes.find_culprits(&self.keys(), &self.suspected);
+            if culprits.is_empty() {
+                break;
+            }
+            for known in self.triggers.values_mut() {
                 known.is_checked = false;
             }
-            self.insert_unwritten(culprit.key.clone(), now, refused_from, now, true);
-            found.push(culprit);
+            for culprit in culprits {
+                let settled_at = now.max(culprit.suspected_at + settle_time(nodes));
+                self.insert_unwritten(culprit.key.clone(), now, settled_at, now, true);
+                if let Some(known) = self.triggers.get_mut(&culprit.key)
+                    && culprit.is_certain
+                {
+                    known.record.trials = FIRST_TRIALS;
+                }
+                found.push(culprit);
+            }
         }
         found
     }
 
-    fn keys(&self) -> Vec<&PartKey> {
-        self.parts.keys().collect()
+    fn keys(&self) -> Vec<&TriggerKey> {
+        self.triggers.keys().collect()
     }
 
-    /// Quarantines a part that a peer found, unless a request with it has completed lately; returns
+    /// Quarantines what a peer found, unless a request with it has completed lately; returns
     /// whether it is new.
     ///
     /// This node writes the record at `write_at` if nobody else has.
     pub fn learn(
         &mut self,
-        key: PartKey,
+        key: TriggerKey,
         crashes: &CrashEvidence,
         nodes: usize,
         now: Instant,
         write_at: Instant,
     ) -> bool {
-        let is_new = !self.parts.contains_key(&key)
+        let is_new = !self.triggers.contains_key(&key)
             && crashes.last_completion(&key).is_none()
-            && self.parts.len() < MAX_PARTS;
+            && self.triggers.len() < MAX_TRIGGERS;
         if is_new {
             self.insert_unwritten(key, now, now + settle_time(nodes), write_at, false);
         }
@@ -235,40 +271,46 @@
 
     fn insert_unwritten(
         &mut self,
-        key: PartKey,
+        key: TriggerKey,
         now: Instant,
-        refused_from: Instant,
+        settled_at: Instant,
         write_at: Instant,
         is_own: bool,
     ) {
+        let refused_from = if key.trigger.is_request() {
+            now
+        } else {
+            settled_at
+        };
         let known = Quarantined {
             record: QuarantineRecord::default(),
             found_at: now,
             refused_from,
+            settled_at,
             is_own,
             is_checked: false,
-            seen: refused_from,
+            seen: settled_at,
             write_at,
         };
-        self.parts.insert(key, known);
+        self.triggers.insert(key, known);
     }
 
-    /// Returns the parts without a record in the store.
-    pub fn unwritten(&self) -> impl Iterator<Item = &PartKey> {
+    /// Returns the triggers without a record in the store.
+    pub fn unwritten(&self) -> impl Iterator<Item = &TriggerKey> {
         let unwritten = |known: &Quarantined| known.record.revision.is_none();
-        let parts = self.parts.iter();
+        let parts = self.triggers.iter();
         parts.filter_map(move |(key, known)| unwritten(known).then_some(key))
     }
 
-    /// Releases the parts that are not at fault after all: a request with them has completed since,
-    /// or other parts explain their crashes. Returns them with the revisions of their records.
+    /// Releases the triggers that are not at fault after all: a request with them has completed
+    /// since, or others explain their crashes. Returns them with the revisions of their records.
     pub fn release_cleared(
         &mut self,
         crashes: &CrashEvidence,
         now: Instant,
-    ) -> Vec<(PartKey, Option<StoreIndex>)> {
+    ) -> Vec<(TriggerKey, Option<StoreIndex>)> {
         let mut cleared: Vec<_> = self
-            .parts
+            .triggers
             .iter()
             .filter(|(key, known)| {
                 let last = crashes.last_completion(key);
@@ -277,31 +319,34 @@
             .map(|(key, _)| key.clone())
             .collect();
         let mut own = Vec::new();
-        for (key, known) in &mut self.parts {
-            if known.is_own && !known.is_checked && now >= known.refused_from {
+        for (key, known) in &mut self.triggers {
+            if known.is_own && !known.is_checked && now >= known.settled_at {
                 known.is_checked = true;
                 own.push(key.clone());
             }
         }
-        // Of two parts that explain the same crashes, the one with fewer is released.
+        // Of two triggers that explain the same crashes, the one with fewer is released.
         own.sort_by_key(|key| crashes.count(key));
         for key in own {
-            let others = self.parts.keys().filter(|other| !cleared.contains(other));
+            let others = self
+                .triggers
+                .keys()
+                .filter(|other| !cleared.contains(other));
             if crashes.is_exonerated(&key, &others.collect::<Vec<_>>()) {
                 cleared.push(key);
             }
         }
         let released = cleared.into_iter().filter_map(|key| {
-            let known = self.parts.remove(&key)?;
+            let known = self.triggers.remove(&key)?;
             Some((key, known.record.revision))
         });
         released.collect()
     }
 
     /// Returns the records that this node must write or remove now.
-    pub fn due_writes(&mut self, now: Instant) -> Vec<(PartKey, RecordWrite)> {
+    pub fn due_writes(&mut self, now: Instant) -> Vec<(TriggerKey, RecordWrite)> {
         let mut writes = Vec::new();
-        for (key, known) in &mut self.parts {
+        for (key, known) in &mut self.triggers {
             let is_expired = now.saturating_duration_since(known.seen) >= RECORD_LIFETIME;
             let write = match known.record.revision {
                 None => RecordWrite::Create(known.record.trials),
@@ -316,42 +361,54 @@
         writes
     }
 
-    /// Records the revision at which this node wrote a record; returns whether the part is still
+    /// Records the revision at which this node wrote a record; returns whether its trigger is still
     /// quarantined.
-    pub fn record_written(&mut self, key: &PartKey, revision: StoreIndex) -> bool {
-        let known = self.parts.get_mut(key);
+    pub fn record_written(&mut self, key: &TriggerKey, revision: StoreIndex) -> bool {
+        let known = self.triggers.get_mut(key);
         known.is_some_and(|known| {
             known.record.revision = known.record.revision.max(Some(revision));
             true
         })
     }
 
-    /// Returns whether a request with these parts may be sent to a service.
+    /// Returns whether a request with this digest and these parts may be sent to a service.
     ///
     /// When a trial is due, the next one of this node waits until the claim of this one is decided.
     pub fn admit(
         &mut self,
         service: &ServiceId,
+        digest: RequestDigest,
         parts: &[PromptPart],
         crashes: &CrashEvidence,
         now: Instant,
     ) -> Admission {
-        let quarantined = self.parts.iter_mut().filter(|(key, known)| {
-            key.service == *service && parts.contains(&key.part) && now >= known.refused_from
+        let has = |trigger: &CrashTrigger| match trigger {
+            CrashTrigger::Part(part) => parts.contains(part),
+            CrashTrigger::Request(request) => *request == digest,
+        };
+        let quarantined = self.triggers.iter_mut().filter(|(key, known)| {
+            key.service == *service && has(&key.trigger) && now >= known.refused_from
         });
         let mut admission = Admission::Allowed;
         for (key, known) in quarantined {
             let next_trial = known.seen + trial_delay(known.record.trials);
             let wait = next_trial.saturating_duration_since(now);
             if !wait.is_zero() || admission != Admission::Allowed {
-                // A request with two quarantined parts would be no trial of either.
+                // A request with two quarantined triggers would be no trial of either.
                 return Admission::Refused(wait);
             }
-            let mut others = parts.iter().filter(|part| **part != key.part);
+            let tried = key.trigger;
+            let mut others = parts
+                .iter()
+                .filter(|part| !tried.is_request() && tried != CrashTrigger::Part(**part));
             let is_clean = others.all(|part| crashes.has_completed(service, *part));
             if !is_clean && now < next_trial + CLEAN_TRIAL_WAIT {
                 return Admission::Refused(wait);
             }
+            // It would tell nothing of the part if the request alone is at fault.
+            if !tried.is_request() && crashes.is_suspect(service, digest) {
+                return Admission::Refused(wait);
+            }
             known.seen = now;
             admission = Admission::TrialDue(key.clone(), known.record);
         }
@@ -370,7 +427,20 @@
     REPORT_INTERVAL * rounds
 }
 
-/// Returns how long after a change of its record a part may be tried.
+/// Returns the number of trials to record for one more.
+///
+/// A request is tried early once at most: a second early trial would only tell that it ends upstreams.
+#[must_use]
+pub fn trials_after(trigger: CrashTrigger, earlier: u32) -> u32 {
+    let trials = earlier + 1;
+    if trigger.is_request() {
+        trials.max(FIRST_TRIALS)
+    } else {
+        trials
+    }
+}
+
+/// Returns how long after a change of its record a trigger may be tried.
 #[must_use]
 pub fn trial_delay(trials: u32) -> Duration {
     let index = usize::try_from(trials).unwrap_or(usize::MAX);
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -502,6 +502,13 @@
         self.can_fail_over()
     }
 
+    /// Returns whether the call may be one that ends the upstreams which run it. Its caller may send it
+    /// again; this node does not.
+    fn is_suspect(&self) -> bool {
+        let crashes = &self.node.state.borrow().crashes;
+        crashes.is_suspect(&self.service, self.request.digest)
+    }
+
     /// Consumes one retry of the service's budget; returns whether there was one.
     pub(super) fn take_retry(&self) -> bool {
         let state = &mut *self.node.state.borrow_mut();
@@ -542,7 +549,7 @@
             }
             SendError::OutcomeUnknown(why) => {
                 self.may_have_run = true;
-                if self.can_retry() && self.take_retry() {
+                if self.can_retry() && !self.is_suspect() && self.take_retry() {
                     return None;
                 }
                 why
--- a/crates/shallottide_fleet/src/serve/quarantine.rs
+++ b/crates/shallottide_fleet/src/serve/quarantine.rs
@@ -1,4 +1,4 @@
-//! Collects evidence of prompt parts that end upstreams, and refuses the calls that hold them.
+//! Collects evidence of calls and prompt parts that end upstreams, and refuses them.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,35 +13,38 @@
 use super::send::{OutgoingRequest, UpstreamResponse};
 use crate::adapter::StoreError;
 use crate::crash_evidence::{EvidenceReport, Lifetime};
-use crate::quarantine::{Admission, PartKey, RecordWrite};
+use crate::crash_trigger::{CrashTrigger, TriggerKey};
+use crate::quarantine::{Admission, RecordWrite, trials_after};
 
 /// Longest wait for the store when a trial is claimed.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which the store keeps that a request is suspected.
+const SUSPECTED_LIFETIME: Duration = Duration::from_mins(2);
 /// Time after which a node writes a record that the node that found the part has not written, and
 /// the range of its jitter.
 const PEER_WRITE_DELAY: Duration = Duration::from_secs(3);
 const PEER_WRITE_JITTER: Duration = Duration::from_secs(5);
 /// Shortest `retry-after` of a call with a quarantined part.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Quarantined parts in one message to peers.
+/// Quarantined triggers in one message to peers.
 const MAX_MESSAGE_KEYS: usize = 12;
 /// Version of the message format; messages of other versions are ignored. Differs from all versions
 /// of the load report, which comes over the same port.
-pub(super) const EVIDENCE_VERSION: u8 = 3;
+pub(super) const EVIDENCE_VERSION: u8 = 5;
 
 /// What a node tells its peers of crashes and of what it found from them.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct EvidenceMessage {
     version: u8,
     report: EvidenceReport,
-    /// Quarantined parts without a record in the store.
-    quarantined: Vec<PartKey>,
+    /// Quarantined triggers without a record in the store.
+    quarantined: Vec<TriggerKey>,
 }
 
-/// A claimed trial of a quarantined part: its call may be sent once.
+/// A claimed trial of a quarantined call or part: its call may be sent once.
 #[derive(Debug)]
 pub(super) struct Trial {
-    key: PartKey,
+    key: TriggerKey,
     /// Trials before this one.
     earlier: u32,
     revision: StoreIndex,
@@ -52,7 +55,7 @@
     ///
     /// `first_event_at` is when its first event arrived, if one did.
     pub(super) fn record_disconnect(
-        &self,
+        self: &Rc<Self>,
         id: &UpstreamId,
         lifetime: Lifetime,
         call: &OutgoingRequest,
@@ -64,7 +67,7 @@
         let Some(known) = state.view.upstreams.get(id) else {
             return;
         };
-        let service = &known.upstream.service;
+        let (service, is_draining) = (known.upstream.service.clone(), known.upstream.draining);
         self.metrics.count("disconnects", service.as_str());
         let written = first_event_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let parts: Vec<_> = call.shared_parts.iter().map(ToString::to_string).collect();
@@ -74,9 +77,43 @@
             "upstream disconnected"
         );
         // An upstream that drains ends by itself.
-        if !known.upstream.draining {
-            let request = call.ended(service, lifetime);
+        if !is_draining {
+            let request = call.ended(&service, lifetime);
             state.crashes.record_interruption(request, written, now);
+            // Before the call is sent to another upstream.
+            self.find_culprits(state);
+            self.write_due_records(state);
+            let key = TriggerKey {
+                service,
+                trigger: CrashTrigger::Request(call.digest),
+            };
+            let is_suspect = state.crashes.is_suspect(&key.service, call.digest);
+            let quarantine = &mut state.view.quarantine;
+            if is_suspect && quarantine.record(&key).is_none() && !quarantine.is_suspected(&key) {
+                quarantine.apply_suspected(key.clone(), true, now);
+                write_suspected(self, key);
+            }
+        }
+    }
+
+    /// Writes the records that the store must have, so that they survive this node.
+    fn write_due_records(self: &Rc<Self>, state: &mut State) {
+        for (key, write) in state.view.quarantine.due_writes(self.now()) {
+            write_record(self, key, write);
+        }
+    }
+
+    /// Quarantines what the evidence shows to be at fault.
+    fn find_culprits(&self, state: &mut State) {
+        let (nodes, now) = (state.node_count(), self.now());
+        let quarantine = &mut state.view.quarantine;
+        for culprit in quarantine.evaluate(&mut state.crashes, nodes, now) {
+            self.metrics.count("quarantine", "found");
+            tracing::warn!(
+                service = %culprit.key.service, trigger = %culprit.key.trigger,
+                crashes = culprit.crashes, is_certain = culprit.is_certain,
+                "ends upstreams: quarantined"
+            );
         }
     }
 
@@ -99,14 +136,14 @@
         self.release_cleared(state);
     }
 
-    /// Releases quarantined parts that are not at fault after all.
+    /// Releases what is quarantined and not at fault after all.
     fn release_cleared(self: &Rc<Self>, state: &mut State) {
         let quarantine = &mut state.view.quarantine;
         for (key, revision) in quarantine.release_cleared(&state.crashes, self.now()) {
             self.metrics.count("quarantine", "released");
             tracing::info!(
-                service = %key.service, part = %key.part,
-                "prompt part released: not at fault"
+                service = %key.service, trigger = %key.trigger,
+                "released from quarantine: not at fault"
             );
             if let Some(revision) = revision {
                 write_record(self, key, RecordWrite::Remove(revision));
@@ -122,19 +159,9 @@
     if state.crashes.is_empty() && state.view.quarantine.is_empty() {
         return Vec::new();
     }
-    let nodes = state.node_count();
-    let quarantine = &mut state.view.quarantine;
-    for culprit in quarantine.evaluate(&mut state.crashes, nodes, now) {
-        node.metrics.count("quarantine", "found");
-        tracing::warn!(
-            service = %culprit.key.service, part = %culprit.key.part, crashes = culprit.crashes,
-            "prompt part ends upstreams"
-        );
-    }
+    node.find_culprits(state);
     node.release_cleared(state);
-    for (key, write) in state.view.quarantine.due_writes(now) {
-        write_record(node, key, write);
-    }
+    node.write_due_records(state);
     let unwritten = state.view.quarantine.unwritten();
     let quarantined: Vec<_> = unwritten.take(MAX_MESSAGE_KEYS).cloned().collect();
     let message = |report, quarantined| EvidenceMessage {
@@ -151,7 +178,7 @@
 }
 
 /// Writes or removes a record in the store, in a task of its own.
-fn write_record(node: &Rc<Node>, key: PartKey, write: RecordWrite) {
+fn write_record(node: &Rc<Node>, key: TriggerKey, write: RecordWrite) {
     let node = node.clone();
     spawn_local(async move {
         let written = match write {
@@ -162,13 +189,32 @@
         };
         if let Err(error) = written {
             // A record that is missing is written later; one too many is removed after a trial.
-            tracing::info!(part = %key.part, ?write, %error, "could not write quarantine record");
+            tracing::info!(trigger = %key.trigger, ?write, %error, "could not write quarantine record");
+        }
+    });
+}
+
+/// Writes the record of a suspected request, in a task of its own.
+fn write_suspected(node: &Rc<Node>, key: TriggerKey) {
+    let node = node.clone();
+    spawn_local(async move {
+        let store = &node.platform.store;
+        let written = match store.grant(SUSPECTED_LIFETIME).await {
+            Ok(lease) => store.put_suspected(lease, &key).await,
+            Err(error) => Err(error),
+        };
+        match written {
+            Ok(()) => tracing::info!(service = %key.service, trigger = %key.trigger, "suspected"),
+            // The next crash is found from what the nodes know, unless all restart before.
+            Err(error) => {
+                tracing::info!(trigger = %key.trigger, %error, "could not write suspected request");
+            }
         }
     });
 }
 
-/// Creates a record, and removes it again if the part was released meanwhile.
-async fn create_record(node: &Node, key: &PartKey, trials: u32) -> Result<(), StoreError> {
+/// Creates a record, and removes it again if its trigger was released meanwhile.
+async fn create_record(node: &Node, key: &TriggerKey, trials: u32) -> Result<(), StoreError> {
     let store = &node.platform.store;
     let Some(revision) = store.put_quarantine(key, trials, None).await? else {
         return Ok(());
@@ -196,14 +242,15 @@
         if quarantine.learn(key.clone(), &state.crashes, nodes, now, write_at) {
             node.metrics.count("quarantine", "learned");
             tracing::info!(
-                service = %key.service, part = %key.part, "prompt part quarantined by a peer"
+                service = %key.service, trigger = %key.trigger, "quarantined by a peer"
             );
         }
     }
 }
 
 impl Call {
-    /// Checks that no part of the prompt is quarantined, or claims a trial that is due.
+    /// Checks that neither the call nor a part of its prompt is quarantined, or claims a trial that is
+    /// due.
     ///
     /// # Errors
     /// The refusal of a call that would end its upstream.
@@ -214,9 +261,9 @@
         let now = self.node.now();
         let admission = {
             let state = &mut *self.node.state.borrow_mut();
-            let parts = &self.request.shared_parts;
+            let (digest, parts) = (self.request.digest, &self.request.shared_parts);
             let quarantine = &mut state.view.quarantine;
-            quarantine.admit(&self.service, parts, &state.crashes, now)
+            quarantine.admit(&self.service, digest, parts, &state.crashes, now)
         };
         let (key, record) = match admission {
             Admission::Allowed => return Ok(()),
@@ -228,14 +275,14 @@
         };
         let earlier = record.trials;
         let store = &self.node.platform.store;
-        let claim = store.put_quarantine(&key, earlier + 1, record.revision);
+        let claim = store.put_quarantine(&key, trials_after(key.trigger, earlier), record.revision);
         let claimed = tokio::time::timeout(CLAIM_TIMEOUT, claim)
             .await
             .unwrap_or_else(|_| Err(StoreError::NoAnswer("timed out".into())));
         match claimed {
             Ok(Some(revision)) => {
                 self.node.metrics.count("quarantine", "trial");
-                tracing::info!(call = %self.request.id, part = %key.part, earlier, "call sent on trial");
+                tracing::info!(call = %self.request.id, trigger = %key.trigger, earlier, "call sent on trial");
                 self.trial = Some(Trial {
                     key,
                     earlier,
@@ -245,14 +292,14 @@
             }
             Ok(None) => Err(self.refuse_quarantined(MIN_RETRY_AFTER)),
             Err(error) => {
-                tracing::info!(part = %key.part, %error, "could not claim trial");
+                tracing::info!(trigger = %key.trigger, %error, "could not claim trial");
                 Err(self.refuse_quarantined(MIN_RETRY_AFTER))
             }
         }
     }
 
     fn refuse_quarantined(&self, wait: Duration) -> Refusal {
-        let message = "upstreams end when they run calls with a part of this prompt: change the prompt, or retry when the upstreams are repaired";
+        let message = "upstreams end when they run this call, or calls with a part of its prompt: change it, or retry when the upstreams are repaired";
         if self.may_have_run {
             return Refusal::new(RefusalKind::UpstreamFailed, Ran::Unknown, message);
         }
@@ -275,7 +322,7 @@
             let store = &node.platform.store;
             let returned = store.put_quarantine(&key, earlier, Some(revision)).await;
             if let Err(error) = returned {
-                tracing::info!(part = %key.part, %error, "could not return trial");
+                tracing::info!(trigger = %key.trigger, %error, "could not return trial");
             }
         });
     }
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -55,6 +55,7 @@
     ) -> EndedRequest<'a> {
         EndedRequest {
             id: &self.id,
+            digest: self.digest,
             parts: &self.shared_parts,
             service,
             lifetime,
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -8,10 +8,11 @@
 
 use crate::catalog::Catalog;
 use crate::change_log::ChangeLog;
+use crate::crash_trigger::TriggerKey;
 use crate::domain_claims::OpenClaims;
 use crate::groups::has_all_members;
 use crate::node_entry::NodeEntry;
-use crate::quarantine::{PartKey, Quarantine, QuarantineRecord};
+use crate::quarantine::{Quarantine, QuarantineRecord};
 use crate::restored::{RemovedUpstreams, Unconfirmed};
 use crate::upstream::{Formation, Upstream};
 
@@ -42,8 +43,10 @@
     Controller(DomainId, Option<ControllerClaim>),
     /// The record that opens claims to all nodes; `None` when it was removed.
     OpenClaims(Option<OpenClaims>),
-    /// A prompt part was quarantined or tried; `None` when it was released.
-    Quarantined(PartKey, Option<QuarantineRecord>),
+    /// One more crash puts a request at fault (`true`), or no longer does.
+    Suspected(TriggerKey, bool),
+    /// A request or prompt part was quarantined or tried; `None` when it was released.
+    Quarantined(TriggerKey, Option<QuarantineRecord>),
 }
 
 /// A node's claim to be the controller of a domain's groups.
@@ -111,7 +114,7 @@
     /// The era in which all nodes may claim; differs from the view's while leases of an earlier one may
     /// hold.
     pub open_claims: Option<OpenClaims>,
-    /// Prompt parts that end the upstreams which run requests with them.
+    /// Requests and prompt parts that end the upstreams which run them.
     pub quarantine: Quarantine,
     /// When a call of this node to the store last failed.
     pub last_store_failure: Option<Instant>,
@@ -194,6 +197,9 @@
             }
             Change::Controller(domain, claim) => self.controllers.get(domain) != claim.as_ref(),
             Change::OpenClaims(open) => self.open_claims != *open,
+            Change::Suspected(key, is_suspected) => {
+                self.quarantine.is_suspected(key) != *is_suspected
+            }
             Change::Quarantined(key, record) => self.quarantine.record(key) != *record,
         }
     }
@@ -241,6 +247,9 @@
                 self.controllers.remove(&domain);
             }
             Change::OpenClaims(open) => self.open_claims = open,
+            Change::Suspected(key, is_suspected) => {
+                self.quarantine.apply_suspected(key, is_suspected, now);
+            }
             Change::Quarantined(key, record) => self.quarantine.apply(key, record, now),
         }
     }
@@ -393,6 +402,7 @@
             }
         }
         self.open_claims = None;
+        self.quarantine.retain_suspected(&listed.suspected);
         self.controllers
             .retain(|domain, _| listed.controllers.contains(domain));
         if self.unconfirmed.is_pending(now) {
@@ -504,6 +514,8 @@
                 .map(|(domain, claim)| Change::Controller(domain.clone(), Some(claim.clone()))),
         );
         changes.extend(self.open_claims.map(|open| Change::OpenClaims(Some(open))));
+        let suspected = self.quarantine.suspected();
+        changes.extend(suspected.map(|key| Change::Suspected(key.clone(), true)));
         let quarantined = self.quarantine.records();
         changes.extend(
             quarantined.map(|(key, record)| Change::Quarantined(key.clone(), Some(record))),
@@ -533,7 +545,8 @@
     evacuated: BTreeSet<DomainId>,
     nodes: BTreeSet<NodeId>,
     controllers: BTreeSet<DomainId>,
-    quarantined: BTreeSet<PartKey>,
+    suspected: BTreeSet<TriggerKey>,
+    quarantined: BTreeSet<TriggerKey>,
 }
 
 impl Listed {
@@ -551,6 +564,9 @@
             Change::Controller(domain, Some(_)) => {
                 self.controllers.insert(domain.clone());
             }
+            Change::Suspected(key, true) => {
+                self.suspected.insert(key.clone());
+            }
             Change::Quarantined(key, Some(_)) => {
                 self.quarantined.insert(key.clone());
             }
--- a/crates/shallottide_fleet/tests/quarantine.rs
+++ b/crates/shallottide_fleet/tests/quarantine.rs
@@ -8,8 +8,10 @@
 use shallottide_fleet::crash_evidence::{
     CrashEvidence, EndedRequest, EvidenceReport, Lifetime, MAX_REPORT_BYTES,
 };
+use shallottide_fleet::crash_trigger::{CrashTrigger, TriggerKey};
 use shallottide_fleet::prompt_part::PromptPart;
-use shallottide_fleet::quarantine::{PartKey, Quarantine};
+use shallottide_fleet::quarantine::Quarantine;
+use shallottide_fleet::request_digest::RequestDigest;
 use shallottide_types::cases;
 use shallottide_types::id::{ServiceId, StoreIndex};
 use support::{Disturbance, Scenario, Simulation, id};
@@ -105,6 +107,69 @@
     answers_that_end_with_their_connection_at_hundred_nodes: Scenario { unframed: 0.4, ..many(100, Disturbance::None) };
 }
 
+/// Guards against one request that crashes upstream after upstream each time that it comes, at any
+/// node, and against sound requests beside it that are refused.
+fn request_is_stopped_and_sound_requests_go_on(scenario: Scenario) {
+    for seed in seeds(scenario.nodes) {
+        let outcome = Simulation::new(scenario, seed).run();
+        assert!(outcome.late_deadly <= MAX_LATE, "seed {seed}: {outcome:?}");
+        let least = MIN_SOUND_SHARE * outcome.begun_before;
+        assert!(
+            outcome
+                .begun_beside_deadly
+                .is_none_or(|share| share >= least),
+            "seed {seed}: {outcome:?}"
+        );
+        assert!(
+            outcome.sound_quarantined.is_empty(),
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+fn deadly(nodes: usize, requests: u64, disturbance: Disturbance) -> Scenario {
+    let scenario = if nodes > 20 {
+        many(nodes, disturbance)
+    } else {
+        with(nodes, disturbance)
+    };
+    Scenario {
+        crashing_rate: 0.0,
+        deadly_requests: requests,
+        ..scenario
+    }
+}
+
+fn plain(scenario: Scenario) -> Scenario {
+    Scenario {
+        has_prompts: false,
+        ..scenario
+    }
+}
+
+cases! {
+    request_is_stopped_and_sound_requests_go_on;
+    request_at_two_nodes: deadly(2, 1, Disturbance::None);
+    request_at_seven_nodes: deadly(7, 1, Disturbance::None);
+    request_at_hundred_nodes: deadly(100, 1, Disturbance::None);
+    request_at_four_hundred_nodes: deadly(400, 1, Disturbance::None);
+    four_requests_at_seven_nodes: deadly(7, 4, Disturbance::None);
+    four_requests_at_four_hundred_nodes: deadly(400, 4, Disturbance::None);
+    request_without_a_prompt: plain(deadly(7, 1, Disturbance::None));
+    requests_without_a_prompt_at_hundred_nodes: plain(deadly(100, 3, Disturbance::None));
+    request_that_comes_every_five_seconds: Scenario { deadly_interval: Duration::from_secs(5), length: Duration::from_mins(1), ..deadly(7, 1, Disturbance::None) };
+    request_that_comes_five_times_a_second: Scenario { deadly_interval: Duration::from_millis(200), ..deadly(7, 1, Disturbance::None) };
+    request_with_some_nodes_cut_off: deadly(7, 1, Disturbance::NodesCutOff);
+    request_with_nodes_that_restart: deadly(7, 1, Disturbance::NodesRestart);
+    request_with_all_killed_before_it_is_known: deadly(7, 1, Disturbance::AllKilledAfter(2));
+    request_with_all_killed_at_the_third_crash: deadly(7, 1, Disturbance::AllKilledAfter(3));
+    request_with_all_killed_afterwards: deadly(7, 1, Disturbance::AllKilledAfter(4));
+    request_with_four_hundred_nodes_killed_at_the_third_crash: deadly(400, 1, Disturbance::AllKilledAfter(3));
+    request_while_upstreams_end_together: deadly(7, 1, Disturbance::UpstreamsEnd);
+    request_while_the_store_is_away: deadly(7, 1, Disturbance::StoreAway);
+    request_while_the_store_is_away_at_four_hundred_nodes: deadly(400, 1, Disturbance::StoreAway);
+}
+
 /// Guards against reports that do not fit a datagram and get lost: upstreams with many requests end,
 /// and all their parts have completed before.
 #[test]
@@ -119,6 +184,7 @@
             let parts = [PromptPart(u64::MAX), PromptPart(u64::MAX - request / 3)];
             let ended = EndedRequest {
                 id: &format!("r{upstream}-{request}"),
+                digest: RequestDigest(u64::MAX - request),
                 parts: &parts,
                 service: &service,
                 lifetime,
@@ -142,9 +208,9 @@
 fn record_of_a_released_part_is_not_kept() {
     let now = Instant::now();
     let mut quarantine = Quarantine::default();
-    let key = PartKey {
+    let key = TriggerKey {
         service: id("engines"),
-        part: PromptPart(7),
+        trigger: CrashTrigger::Part(PromptPart(7)),
     };
     assert!(quarantine.learn(key.clone(), &CrashEvidence::default(), 7, now, now));
     assert!(quarantine.record_written(&key, StoreIndex(4)));
--- a/crates/shallottide_fleet/tests/store_eras.rs
+++ b/crates/shallottide_fleet/tests/store_eras.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use shallottide_fleet::ClusterView;
-use shallottide_fleet::quarantine::{PartKey, QuarantineRecord, RecordWrite};
+use shallottide_fleet::crash_trigger::TriggerKey;
+use shallottide_fleet::quarantine::{QuarantineRecord, RecordWrite};
 use shallottide_fleet::restored::REWRITE_TIME;
 use shallottide_fleet::view::Change;
 use shallottide_types::cases;
@@ -230,10 +231,10 @@
     assert_eq!(view.nodes.len(), 1);
 }
 
-fn part_record(trials: u32, revision: StoreIndex) -> (PartKey, Change) {
-    let key = PartKey {
+fn part_record(trials: u32, revision: StoreIndex) -> (TriggerKey, Change) {
+    let key = TriggerKey {
         service: id("engines"),
-        part: "5c1e07a2".parse().expect("a part"),
+        trigger: "5c1e07a2".parse().expect("a part"),
     };
     let record = QuarantineRecord {
         trials,
--- a/crates/shallottide_fleet/tests/support/crashing_parts.rs
+++ b/crates/shallottide_fleet/tests/support/crashing_parts.rs
@@ -1,4 +1,5 @@
-//! Simulated nodes, upstreams and store, with requests that crash the upstream which answers them.
+//! Simulated nodes, upstreams and store, with requests that crash the upstream which runs them: all
+//! with one prompt part, or single ones that come again.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -7,11 +8,13 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use shallottide_fleet::crash_evidence::{CrashEvidence, EndedRequest, EvidenceReport, Lifetime};
+use shallottide_fleet::crash_trigger::{CrashTrigger, TriggerKey};
 use shallottide_fleet::prompt_part::PromptPart;
 use shallottide_fleet::quarantine::{
-    Admission, PartKey, Quarantine, QuarantineRecord, RecordWrite,
+    Admission, Quarantine, QuarantineRecord, RecordWrite, trials_after,
 };
 use shallottide_fleet::report_targets::REPORT_FANOUT;
+use shallottide_fleet::request_digest::RequestDigest;
 use shallottide_types::id::{ServiceId, StoreIndex};
 
 use super::id;
@@ -32,6 +35,10 @@
 const SLOTS: usize = 17;
 /// Share of the reports between nodes that get lost.
 const REPORT_LOSS: f64 = 0.02;
+/// Digests below this are of single requests that crash upstreams.
+const DEADLY_DIGESTS: u64 = 1_000;
+/// Crashes of a single request from which the rule binds.
+const DEADLY_CRASHES: usize = 3;
 /// Sound parts below the first one.
 const SUBJECTS: u64 = 60;
 /// The part that crashes upstreams, and the first part of all prompts.
@@ -62,6 +69,11 @@
     /// Requests with the crashing part a second, and sound ones.
     pub(crate) crashing_rate: f64,
     pub(crate) sound_rate: f64,
+    /// Single requests that crash upstreams, and the mean time after which each comes again.
+    pub(crate) deadly_requests: u64,
+    pub(crate) deadly_interval: Duration,
+    /// Whether requests have prompts; those of plain services have none.
+    pub(crate) has_prompts: bool,
     pub(crate) disturbance: Disturbance,
     /// Share of the answers that end with their connection.
     pub(crate) unframed: f64,
@@ -75,6 +87,9 @@
             upstreams: 20,
             crashing_rate: 8.0,
             sound_rate: 80.0,
+            deadly_requests: 0,
+            deadly_interval: Duration::from_secs(1),
+            has_prompts: true,
             disturbance: Disturbance::None,
             unframed: 0.0,
             length: Duration::from_secs(30),
@@ -89,12 +104,17 @@
     pub(crate) crashes: usize,
     /// Requests with the part that machines in touch sent too late.
     pub(crate) late: usize,
+    /// The most sends of a single request that machines in touch sent too late.
+    pub(crate) late_deadly: usize,
+    /// Shares of sound requests that began at the first attempt before the first crash, and from
+    /// twice the stable time after the first time that a single request has crashed its third upstream.
+    pub(crate) begun_beside_deadly: Option<f64>,
     /// Shares of sound requests that began at the first attempt before the first crash, and from
     /// twice the stable time after the fifth one.
     pub(crate) begun_before: f64,
     pub(crate) begun_after: f64,
-    /// Sound parts that some node holds quarantined at the end.
-    pub(crate) sound_quarantined: BTreeSet<PartKey>,
+    /// Sound requests and parts that some node holds quarantined at the end.
+    pub(crate) sound_quarantined: BTreeSet<TriggerKey>,
     /// Nodes that do not know the crashing part at the end.
     pub(crate) unaware: usize,
 }
@@ -118,6 +138,7 @@
 #[derive(Clone)]
 struct Running {
     id: String,
+    digest: RequestDigest,
     node: usize,
     parts: Vec<PromptPart>,
     sent_at: Instant,
@@ -128,7 +149,8 @@
 
 #[derive(Default)]
 struct Store {
-    records: BTreeMap<PartKey, QuarantineRecord>,
+    records: BTreeMap<TriggerKey, QuarantineRecord>,
+    suspected: BTreeSet<TriggerKey>,
     revision: u64,
     away_until: Option<Instant>,
 }
@@ -146,7 +168,13 @@
     crash_times: Vec<Instant>,
     is_disturbed: bool,
     begun: [(u32, u32); 2],
+    begun_beside_deadly: (u32, u32),
     late: usize,
+    /// Crash times of each single request, and how often it was sent too late.
+    deadly_crashes: BTreeMap<RequestDigest, Vec<Instant>>,
+    late_deadly: BTreeMap<RequestDigest, usize>,
+    /// Requests with the crashing part.
+    crashing_digests: BTreeSet<RequestDigest>,
     sent: u64,
 }
 
@@ -172,7 +200,11 @@
             crash_times: Vec::new(),
             is_disturbed: false,
             begun: [(0, 0); 2],
+            begun_beside_deadly: (0, 0),
             late: 0,
+            deadly_crashes: BTreeMap::new(),
+            late_deadly: BTreeMap::new(),
+            crashing_digests: BTreeSet::new(),
             sent: 0,
             scenario,
         }
@@ -195,20 +227,29 @@
             }
         }
         let share = |(begun, sent): (u32, u32)| f64::from(begun) / f64::from(sent.max(1));
-        let key = |part| PartKey {
+        let crashing = TriggerKey {
             service: self.service.clone(),
-            part,
+            trigger: CrashTrigger::Part(CRASHING),
+        };
+        let knows = |node: &&Node| node.quarantine.record(&crashing).is_some();
+        let is_sound = |key: &TriggerKey| match key.trigger {
+            CrashTrigger::Part(part) => part != CRASHING,
+            CrashTrigger::Request(digest) => {
+                digest.0 >= DEADLY_DIGESTS && !self.crashing_digests.contains(&digest)
+            }
         };
-        let knows = |node: &&Node| node.quarantine.record(&key(CRASHING)).is_some();
         let quarantined = self.nodes.iter().flat_map(|node| node.quarantine.records());
         Outcome {
             crashes: self.crash_times.len(),
             late: self.late,
+            late_deadly: self.late_deadly.values().copied().max().unwrap_or(0),
+            begun_beside_deadly: (self.begun_beside_deadly.1 > 0)
+                .then(|| share(self.begun_beside_deadly)),
             begun_before: share(self.begun[0]),
             begun_after: share(self.begun[1]),
             sound_quarantined: quarantined
                 .map(|(key, _)| key.clone())
-                .filter(|key| key.part != CRASHING)
+                .filter(is_sound)
                 .collect(),
             unaware: self.nodes.len() - self.nodes.iter().filter(knows).count(),
         }
@@ -301,8 +342,23 @@
                 let written = now.saturating_duration_since(running.sent_at + BEGIN_DELAY);
                 crashes.record_interruption(request, written, now);
             }
-            if running.attempt == 1 && !running.is_trial && !is_unframed {
-                self.send(running.node, &running.parts, 2);
+            let node = &mut self.nodes[running.node];
+            node.quarantine
+                .evaluate(&mut node.crashes, self.scenario.nodes, now);
+            let is_suspect = node.crashes.is_suspect(&self.service, running.digest);
+            let key = TriggerKey {
+                service: self.service.clone(),
+                trigger: CrashTrigger::Request(running.digest),
+            };
+            if is_suspect && node.quarantine.record(&key).is_none() {
+                node.quarantine.apply_suspected(key.clone(), true, now);
+                if self.can_reach_store(running.node) {
+                    self.store.suspected.insert(key);
+                }
+            }
+            self.write_due_records(running.node);
+            if running.attempt == 1 && !running.is_trial && !is_unframed && !is_suspect {
+                self.send(running.node, running.digest, &running.parts, 2);
             }
         }
     }
@@ -316,6 +372,13 @@
         for number in 0..self.upstreams.len() {
             if self.upstreams[number].crash_at.is_some_and(|at| now >= at) {
                 self.crash_times.push(now);
+                let running = &self.upstreams[number].running;
+                let is_due =
+                    |running: &&Running| now >= running.sent_at + BEGIN_DELAY + CRASH_DELAY;
+                let begun = running.iter().filter(is_due).map(|running| running.digest);
+                for digest in begun.filter(|digest| digest.0 < DEADLY_DIGESTS) {
+                    self.deadly_crashes.entry(digest).or_default().push(now);
+                }
                 self.end_upstream(number);
             }
             let lifetime = self.lifetime(number);
@@ -352,12 +415,36 @@
             } else {
                 vec![FIRST, subject, CRASHING]
             };
-            self.send(node, &parts, 1);
+            let digest = self.next_digest();
+            self.crashing_digests.insert(digest);
+            self.send(node, digest, &parts, 1);
+        }
+        for number in 0..self.scenario.deadly_requests {
+            let rate = if has_begun { 1.0 } else { 0.0 };
+            let mean = rate * step / self.scenario.deadly_interval.as_secs_f64();
+            for _ in 0..draw_count(mean, &mut self.rng) {
+                let node = self.rng.random_range(0..self.nodes.len());
+                let parts = self.prompt(PromptPart(100 + number % SUBJECTS));
+                self.send(node, RequestDigest(number), &parts, 1);
+            }
         }
         for _ in 0..draw_count(self.scenario.sound_rate * step, &mut self.rng) {
             let node = self.rng.random_range(0..self.nodes.len());
-            let parts = vec![FIRST, self.subject()];
-            let is_begun = self.send(node, &parts, 1);
+            let subject = self.subject();
+            let parts = self.prompt(subject);
+            let digest = self.next_digest();
+            let is_begun = self.send(node, digest, &parts, 1);
+            let third = self
+                .deadly_crashes
+                .values()
+                .filter_map(|times| times.get(DEADLY_CRASHES - 1))
+                .min();
+            if third.is_some_and(|third| self.now >= *third + 2 * STABLE_TIME)
+                && self.is_in_touch(node)
+            {
+                self.begun_beside_deadly.0 += u32::from(is_begun);
+                self.begun_beside_deadly.1 += 1;
+            }
             let calm = self.start + Duration::from_secs(4);
             let period = match self.crash_times.get(4) {
                 None if self.crash_times.is_empty() && self.now < calm => 0,
@@ -377,12 +464,31 @@
         PromptPart(100 + draw.isqrt())
     }
 
+    fn prompt(&self, subject: PromptPart) -> Vec<PromptPart> {
+        if self.scenario.has_prompts {
+            vec![FIRST, subject]
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Returns the digest of a request that comes once.
+    fn next_digest(&self) -> RequestDigest {
+        RequestDigest(DEADLY_DIGESTS + self.sent)
+    }
+
     /// Sends a request from a node; returns whether an upstream runs it.
-    fn send(&mut self, node: usize, parts: &[PromptPart], attempt: u32) -> bool {
+    fn send(
+        &mut self,
+        node: usize,
+        digest: RequestDigest,
+        parts: &[PromptPart],
+        attempt: u32,
+    ) -> bool {
         let now = self.now;
         let sender = &mut self.nodes[node];
         let quarantine = &mut sender.quarantine;
-        let trial = match quarantine.admit(&self.service, parts, &sender.crashes, now) {
+        let trial = match quarantine.admit(&self.service, digest, parts, &sender.crashes, now) {
             Admission::Allowed => None,
             Admission::TrialDue(key, record) if attempt == 1 => {
                 if !self.claim_trial(node, &key, record) {
@@ -407,6 +513,7 @@
         self.sent += 1;
         upstream.running.push(Running {
             id: format!("r{}", self.sent),
+            digest,
             node,
             parts: parts.to_vec(),
             sent_at: now,
@@ -414,10 +521,19 @@
             attempt,
             is_trial: trial.is_some(),
         });
-        if parts.contains(&CRASHING) {
+        let is_deadly = digest.0 < DEADLY_DIGESTS;
+        if is_deadly || parts.contains(&CRASHING) {
             let crash_at = now + BEGIN_DELAY + CRASH_DELAY;
             let earlier = upstream.crash_at.unwrap_or(crash_at);
             upstream.crash_at = Some(earlier.min(crash_at));
+        }
+        if is_deadly {
+            let times = self.deadly_crashes.get(&digest);
+            let third = times.and_then(|times| times.get(DEADLY_CRASHES - 1));
+            if self.is_in_touch(node) && third.is_some_and(|third| now > *third + STABLE_TIME) {
+                *self.late_deadly.entry(digest).or_default() += 1;
+            }
+        } else if parts.contains(&CRASHING) {
             let fifth = self.crash_times.get(4);
             if self.is_in_touch(node) && fifth.is_some_and(|fifth| now > *fifth + STABLE_TIME) {
                 self.late += 1;
@@ -431,17 +547,17 @@
         !self.is_cut(node) && away_until.is_none_or(|until| self.now >= until)
     }
 
-    fn claim_trial(&mut self, node: usize, key: &PartKey, record: QuarantineRecord) -> bool {
+    fn claim_trial(&mut self, node: usize, key: &TriggerKey, record: QuarantineRecord) -> bool {
         let current = self.store.records.get(key);
         let current = current.and_then(|record| record.revision);
         if !self.can_reach_store(node) || current != record.revision {
             return false;
         }
-        self.put(key, record.trials + 1);
+        self.put(key, trials_after(key.trigger, record.trials));
         true
     }
 
-    fn put(&mut self, key: &PartKey, trials: u32) {
+    fn put(&mut self, key: &TriggerKey, trials: u32) {
         self.store.revision += 1;
         let record = QuarantineRecord {
             trials,
@@ -450,8 +566,25 @@
         self.store.records.insert(key.clone(), record);
     }
 
+    fn write_due_records(&mut self, node: usize) {
+        if !self.can_reach_store(node) {
+            return;
+        }
+        for (key, write) in self.nodes[node].quarantine.due_writes(self.now) {
+            match write {
+                RecordWrite::Create(trials) if !self.store.records.contains_key(&key) => {
+                    self.put(&key, trials);
+                }
+                RecordWrite::Create(_) => {}
+                RecordWrite::Remove(_) => {
+                    self.store.records.remove(&key);
+                }
+            }
+        }
+    }
+
     fn exchange_reports(&mut self) {
-        let mut sent: Vec<(usize, EvidenceReport, Vec<PartKey>)> = Vec::new();
+        let mut sent: Vec<(usize, EvidenceReport, Vec<TriggerKey>)> = Vec::new();
         for number in 0..self.nodes.len() {
             let now = self.now;
             let node = &mut self.nodes[number];
@@ -463,11 +596,6 @@
             if reports.is_empty() && !unwritten.is_empty() {
                 reports.push(EvidenceReport::default());
             }
-            let writes = if self.can_reach_store(number) {
-                self.nodes[number].quarantine.due_writes(now)
-            } else {
-                Vec::new()
-            };
             for (key, revision) in released {
                 let current = self
                     .store
@@ -478,17 +606,7 @@
                     self.store.records.remove(&key);
                 }
             }
-            for (key, write) in writes {
-                match write {
-                    RecordWrite::Create(trials) if !self.store.records.contains_key(&key) => {
-                        self.put(&key, trials);
-                    }
-                    RecordWrite::Create(_) => {}
-                    RecordWrite::Remove(_) => {
-                        self.store.records.remove(&key);
-                    }
-                }
-            }
+            self.write_due_records(number);
             let others = (0..self.scenario.nodes).filter(|other| *other != number);
             let targets = others.sample(&mut self.rng, REPORT_FANOUT);
             for target in targets {
@@ -523,6 +641,10 @@
             return;
         }
         let quarantine = &mut self.nodes[number].quarantine;
+        quarantine.retain_suspected(&self.store.suspected);
+        for key in &self.store.suspected {
+            quarantine.apply_suspected(key.clone(), true, self.now);
+        }
         quarantine.retain_listed(&self.store.records.keys().cloned().collect());
         for (key, record) in &self.store.records {
             quarantine.apply(key.clone(), Some(*record), self.now);
@@ -537,6 +659,7 @@
 fn ended<'a>(running: &'a Running, service: &'a ServiceId, lifetime: Lifetime) -> EndedRequest<'a> {
     EndedRequest {
         id: &running.id,
+        digest: running.digest,
         parts: &running.parts,
         service,
         lifetime,
