Take evacuations that only a restored store knows at once

A node that met the restore 3 s late listed an evacuation that was new to it, and held it back for 2.1 s as possibly brought back from the copy. Only the loss of an evacuation is held back now; a domain that the copy brings back is left out until operators return it again.

--- a/crates/shallottide_fleet/src/restored.rs
+++ b/crates/shallottide_fleet/src/restored.rs
@@ -17,8 +17,9 @@
 pub struct Unconfirmed {
     /// When this node learned of the restore; `None` when all differences count.
     since: Option<Instant>,
-    /// Failure domains that are evacuated in the store and were not before, or the reverse.
-    evacuated: BTreeMap<DomainId, bool>,
+    /// Failure domains that were evacuated and are not in the store. Those that only the store calls
+    /// evacuated count at once: operators may have evacuated them since.
+    returned: BTreeSet<DomainId>,
     /// Nodes whose entries the store lacks.
     missing_nodes: BTreeSet<NodeId>,
 }
@@ -39,12 +40,9 @@
             .is_some_and(|since| now.saturating_duration_since(since) < REWRITE_TIME)
     }
 
-    /// Keeps the domains that the store does not list as evacuated as before.
+    /// Keeps the domains evacuated that the store no longer lists.
     pub fn compare_domains(&mut self, known: &BTreeSet<DomainId>, listed: &BTreeSet<DomainId>) {
-        let differing = known.symmetric_difference(listed);
-        self.evacuated = differing
-            .map(|domain| (domain.clone(), listed.contains(domain)))
-            .collect();
+        self.returned = known.difference(listed).cloned().collect();
     }
 
     /// Keeps the known nodes that the store does not list.
@@ -57,15 +55,10 @@
         self.missing_nodes = missing.cloned().collect();
     }
 
-    /// Returns what the store says of a domain, if that does not count yet.
+    /// Returns whether the store no longer lists an evacuated domain, which does not count yet.
     #[must_use]
-    pub fn evacuated(&self, domain: &DomainId) -> Option<bool> {
-        self.evacuated.get(domain).copied()
-    }
-
-    /// Returns the domains of which the store says what does not count yet.
-    pub fn domains(&self) -> impl Iterator<Item = (&DomainId, bool)> {
-        self.evacuated.iter().map(|(domain, is)| (domain, *is))
+    pub fn is_returned(&self, domain: &DomainId) -> bool {
+        self.returned.contains(domain)
     }
 
     /// Returns whether the store lacks a node's entry, which does not count yet.
@@ -76,7 +69,7 @@
 
     /// Records that operators have written or removed the evacuation of a domain.
     pub fn confirm_domain(&mut self, domain: &DomainId) {
-        self.evacuated.remove(domain);
+        self.returned.remove(domain);
     }
 
     /// Records that a node's entry was written or removed.
@@ -85,12 +78,12 @@
     }
 
     /// Returns the differences that count from now on: nobody has written again what the store lacks.
-    pub fn take_due(&mut self, now: Instant) -> (BTreeMap<DomainId, bool>, BTreeSet<NodeId>) {
+    pub fn take_due(&mut self, now: Instant) -> (BTreeSet<DomainId>, BTreeSet<NodeId>) {
         if self.since.is_none() || self.is_pending(now) {
             return Default::default();
         }
         let due = std::mem::take(self);
-        (due.evacuated, due.missing_nodes)
+        (due.returned, due.missing_nodes)
     }
 }
 
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -190,7 +190,7 @@
             }
             Change::Evacuated(domain, is_evacuated) => {
                 self.evacuated.contains(domain) != *is_evacuated
-                    || self.unconfirmed.evacuated(domain).is_some()
+                    || self.unconfirmed.is_returned(domain)
             }
             Change::Node(id, entry) => {
                 self.nodes.get(id) != entry.as_ref() || self.unconfirmed.is_missing(id)
@@ -335,9 +335,9 @@
     pub fn expire(&mut self, now: Instant) {
         self.remove_unnamed_formations();
         self.removed.expire(now);
-        let (evacuated, missing_nodes) = self.unconfirmed.take_due(now);
-        for (domain, is_evacuated) in evacuated {
-            self.apply(Change::Evacuated(domain, is_evacuated), now);
+        let (returned, missing_nodes) = self.unconfirmed.take_due(now);
+        for domain in returned {
+            self.apply(Change::Evacuated(domain, false), now);
         }
         for id in missing_nodes {
             self.apply(Change::Node(id, None), now);
@@ -442,7 +442,6 @@
                 });
                 is_older || (known.is_none() && self.removed.contains(entry))
             }
-            Change::Evacuated(domain, _) => self.unconfirmed.evacuated(domain).is_some(),
             _ => false,
         }
     }
@@ -497,14 +496,8 @@
         }
         // A peer decides for itself what counts of a restored store.
         let evacuated = self.evacuated.iter();
-        let evacuated = evacuated.filter(|domain| self.unconfirmed.evacuated(domain).is_none());
-        let unconfirmed = self.unconfirmed.domains();
-        let unconfirmed = unconfirmed.filter_map(|(domain, is)| is.then_some(domain));
-        changes.extend(
-            evacuated
-                .chain(unconfirmed)
-                .map(|domain| Change::Evacuated(domain.clone(), true)),
-        );
+        let evacuated = evacuated.filter(|domain| !self.unconfirmed.is_returned(domain));
+        changes.extend(evacuated.map(|domain| Change::Evacuated(domain.clone(), true)));
         let nodes = self.nodes.iter();
         let nodes = nodes.filter(|(id, _)| !self.unconfirmed.is_missing(id));
         changes.extend(nodes.map(|(id, entry)| Change::Node(id.clone(), Some(entry.clone()))));
