Refuse calls that end the upstreams which run them in shallottided

In shallottided, a call that ended its upstream was sent to the next one, up to four at a time, each time that its caller sent it again: nothing kept what had happened to it.

The node that a caller reached now reports lost answers, by a digest of team, target, method, path and body, to two nodes that all choose equally. Three crashes without an answer, and these tell all nodes to refuse the call for two minutes; one more crash refuses it again. A call that has ended two upstreams is not sent a third time by its node. What is known is lost when all nodes are killed.

The tests of retry budgets send calls with different bodies, as equal ones would be refused.

--- a/crates/shallottide/src/calls.rs
+++ b/crates/shallottide/src/calls.rs
@@ -15,6 +15,8 @@
 mod call_service;
 mod call_table;
 mod claiming;
+mod crash_reports;
+mod crashing_calls;
 mod dispatching;
 mod refusals;
 mod retry_budget;
--- a/crates/shallottide/src/calls/arrival.rs
+++ b/crates/shallottide/src/calls/arrival.rs
@@ -25,6 +25,17 @@
             }
         };
         let call = self.new_call(arrived, rules, cx);
+        if let Some(refusal) = self
+            .refusal_of_crashing(&call, cx)
+            .filter(|_| !call.is_from_peer())
+        {
+            let refusal = match call.claim {
+                Claim::NotNeeded => refusal,
+                Claim::Waiting(_) | Claim::Held(_) => with_unchecked_key(refusal),
+            };
+            send_reply(call.reply_to, ReplyEvent::Fail(refusal), out);
+            return;
+        }
         let number = self.calls.next_number();
         match call.claim {
             Claim::Waiting(claim) => {
--- a/crates/shallottide/src/calls/attempt_events.rs
+++ b/crates/shallottide/src/calls/attempt_events.rs
@@ -2,7 +2,7 @@
 
 use shallottide_types::call::{ReplyEvent, Target};
 use shallottide_types::id::AttemptId;
-use shallottide_types::refusal::Refusal;
+use shallottide_types::refusal::{Refusal, RefusalKind};
 
 use super::CallService;
 use super::answer_buffer::AnswerError;
@@ -31,7 +31,7 @@
             return;
         };
         if let AttemptEvent::Failed(failure) = event {
-            self.on_failure(number, call, failure, cx, out);
+            self.on_failure(number, call, failure, true, cx, out);
             return;
         }
         if is_engine_error(&call, &event) {
@@ -81,21 +81,26 @@
     ) {
         send_cancel(&call, out);
         let failure = AttemptFailure::Lost(why.into());
-        self.on_failure(number, call, failure, cx, out);
+        self.on_failure(number, call, failure, false, cx, out);
     }
 
     fn complete(&mut self, mut call: Call, cx: &Context, out: &mut Outbox) {
         let ok = call.attempt.as_ref().is_some_and(|a| !a.server_error);
         self.close_attempt(&mut call, ok, cx);
+        if ok {
+            self.report_answer(&call, cx, out);
+        }
         let outcome = call.answer.outcome();
         report_claim_ended(&call, outcome, out);
     }
 
+    /// Handles the end of an attempt without an answer; `is_crash` unless this node gave it up.
     fn on_failure(
         &mut self,
         number: CallNumber,
         mut call: Call,
         failure: AttemptFailure,
+        is_crash: bool,
         cx: &Context,
         out: &mut Outbox,
     ) {
@@ -104,6 +109,9 @@
         };
         let refusal = refusals::from_failure(failure, attempt);
         let route = attempt.route.clone();
+        if is_crash && refusal.kind == RefusalKind::UpstreamFailed && !call.is_from_peer() {
+            self.report_loss(&call, &route, cx, out);
+        }
         self.close_attempt(&mut call, false, cx);
         call.exclude(&route);
         call.ran = call.ran.max(refusal.ran);
@@ -141,6 +149,7 @@
             && refusals::is_about_upstream(refusal.kind)
             && call.attempts < self.options.max_attempts
             && call.deadline > cx.now()
+            && !self.is_suspect(call)
             && self.budget.take()
     }
 }
--- a/crates/shallottide/src/calls/call_service.rs
+++ b/crates/shallottide/src/calls/call_service.rs
@@ -8,6 +8,7 @@
 use super::call::Call;
 use super::call_table::CallTable;
 use super::claiming::{outlives_receiver, report_claim_refused};
+use super::crashing_calls::CrashingCalls;
 use super::refusals;
 use super::retry_budget::RetryBudget;
 use crate::admission::Admission;
@@ -25,6 +26,7 @@
     pub(super) admission: Box<dyn Admission>,
     pub(super) calls: CallTable,
     pub(super) budget: RetryBudget,
+    pub(super) crashing: CrashingCalls,
     pub(super) last_attempt: AttemptId,
     pub(super) stopping: bool,
 }
@@ -40,6 +42,7 @@
         Self {
             calls: CallTable::new(options.counts.clone()),
             budget: RetryBudget::new(&options),
+            crashing: CrashingCalls::default(),
             last_attempt: AttemptId::default(),
             stopping: false,
             options,
@@ -157,6 +160,7 @@
             Message::ReceiverDisconnected(reply_to) => self.on_call_gone(reply_to, cx, out),
             Message::Attempt(id, event) => self.on_attempt(id, event, cx, out),
             Message::ClaimReply(claim_reply) => self.on_claim_reply(claim_reply, cx, out),
+            Message::PeerReceived(received) => self.on_peer_report(&received.msg, cx, out),
             Message::Tick => self.on_tick(cx, out),
             Message::Stop => self.stopping = true,
             _ => {}
--- a/crates/shallottide/src/calls/claiming.rs
+++ b/crates/shallottide/src/calls/claiming.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use sha2::{Digest, Sha256};
 use shallottide_types::call::{ReplyEvent, ReplyHead, Target};
-use shallottide_types::id::{IdempotencyKey, TeamId};
+use shallottide_types::id::{CallDigest, IdempotencyKey, TeamId};
 use shallottide_types::peer::{ClaimAnswer, ClaimEnd, ClaimId};
 use shallottide_types::refusal::Ran;
 use shallottide_types::ticket::Ticket;
@@ -39,6 +39,14 @@
     u64::from_be_bytes(*first)
 }
 
+/// Returns the digest of a call, which is the same each time that the call comes.
+pub(super) fn call_digest(call: &Call) -> CallDigest {
+    let team = call.head.team.as_str();
+    let hash = hash_parts(&[team.as_bytes(), &digest(call).to_be_bytes()]);
+    let (first, _) = hash.split_first_chunk().expect("SHA-256 has 32 bytes");
+    CallDigest(u64::from_be_bytes(*first))
+}
+
 /// Hashes parts, each with a length prefix, so that different lists of parts are not confused.
 fn hash_parts(parts: &[&[u8]]) -> [u8; 32] {
     let mut hasher = Sha256::new();
--- a/crates/shallottide/src/peers/peer_client.rs
+++ b/crates/shallottide/src/peers/peer_client.rs
@@ -141,6 +141,9 @@
         PeerMsg::Reports(_) => "reports",
         PeerMsg::Vms(_) => "vms",
         PeerMsg::Claim(_) | PeerMsg::Claimed { .. } | PeerMsg::ClaimEnded(_) => "claims",
+        PeerMsg::CallLost { .. } | PeerMsg::CallAnswered(_) | PeerMsg::CallRefused { .. } => {
+            "crash_reports"
+        }
     }
 }
 
--- a/crates/shallottide/src/peers/peer_server.rs
+++ b/crates/shallottide/src/peers/peer_server.rs
@@ -241,5 +241,8 @@
         }
         PeerMsg::Placement(_) | PeerMsg::Reports(_) | PeerMsg::Vms(_) => names::GROUPS,
         PeerMsg::Claim(_) | PeerMsg::Claimed { .. } | PeerMsg::ClaimEnded(_) => names::CLAIMS,
+        PeerMsg::CallLost { .. } | PeerMsg::CallAnswered(_) | PeerMsg::CallRefused { .. } => {
+            names::CALLS
+        }
     }
 }
--- a/crates/shallottide/tests/call_support/mod.rs
+++ b/crates/shallottide/tests/call_support/mod.rs
@@ -105,8 +105,17 @@
 
 /// Creates a calls service with a fake router and admission.
 pub(crate) fn calls_node(options: CallOptions, fakes: &SharedFakes) -> ServiceHarness {
+    calls_node_at(node_info("node-1", "dom-1"), options, fakes)
+}
+
+/// Creates the calls service of a given node.
+pub(crate) fn calls_node_at(
+    me: NodeInfo,
+    options: CallOptions,
+    fakes: &SharedFakes,
+) -> ServiceHarness {
     let clock = ManualClock::default();
-    let cx = Context::new(Arc::new(clock.clone()), node_info("node-1", "dom-1"));
+    let cx = Context::new(Arc::new(clock.clone()), me);
     cx.publish_config(records());
     let (router, admission) = (Box::new(fakes.clone()), Box::new(fakes.clone()));
     let service = Box::new(CallService::new(options, router, admission));
--- a/crates/shallottide/tests/calls_rules.rs
+++ b/crates/shallottide/tests/calls_rules.rs
@@ -274,16 +274,39 @@
     let routes = ["a", "b", "c", "d", "e", "f"].map(local).to_vec();
     let (mut node, _) = node(routes, CallOptions::default());
     node.send(arriving_call(Kind::Count, FRONT));
+    let not_run = |attempt| failed(attempt, AttemptFailure::NotRun("full".into()));
     for attempt in 1..4 {
-        assert_eq!(dispatches(&node.send(lost(attempt))).len(), 1);
+        assert_eq!(dispatches(&node.send(not_run(attempt))).len(), 1);
     }
-    let sent = node.send(lost(4));
+    let sent = node.send(not_run(4));
+    assert_eq!(
+        kind_and_ran(&sent),
+        Some((RefusalKind::Overloaded, Ran::No))
+    );
+}
+
+/// Guards against a call that ends upstream after upstream by its own retries.
+#[test]
+fn call_that_was_lost_at_two_upstreams_is_not_sent_again() {
+    let routes = ["a", "b", "c", "d", "e", "f"].map(local).to_vec();
+    let (mut node, _) = node(routes, CallOptions::default());
+    node.send(arriving_call(Kind::Count, FRONT));
+    assert_eq!(dispatches(&node.send(lost(1))).len(), 1);
+    let sent = node.send(lost(2));
     assert_eq!(
         kind_and_ran(&sent),
         Some((RefusalKind::UpstreamFailed, Ran::Unknown))
     );
 }
 
+/// Returns a call that differs from all others in its body.
+fn distinct_call(number: u32) -> CallArrived {
+    CallArrived {
+        body: format!("body {number}").into(),
+        ..arriving_call(Kind::Count, ReplyTo::Front(number.into()))
+    }
+}
+
 #[test]
 fn retries_stay_within_the_node_budget() {
     const CALLS: u32 = 1_000;
@@ -293,7 +316,7 @@
     let mut total_sent = 0;
     let mut last_attempt = 0;
     for i in 0..CALLS {
-        let mut sent = node.send(arriving_call(Kind::Count, ReplyTo::Front(i.into())));
+        let mut sent = node.send(distinct_call(i));
         while !dispatches(&sent).is_empty() {
             total_sent += 1;
             last_attempt += 1;
@@ -319,7 +342,7 @@
     let mut retries = 0;
     let mut last_attempt = 0;
     for i in 0..CALLS {
-        node.send(arriving_call(Kind::Count, ReplyTo::Front(i.into())));
+        node.send(distinct_call(i));
         last_attempt += 1;
         let sent = node.send(lost(last_attempt));
         if forward(&sent).is_some() {
--- a/crates/shallottide_types/src/id.rs
+++ b/crates/shallottide_types/src/id.rs
@@ -68,6 +68,9 @@
     Incarnation,
     /// Number of a ticket among those minted during one start of an entry VM.
     TicketNumber,
+    /// Digest of what makes a call the same one when it comes again under another id: its team,
+    /// target, method, path and body.
+    CallDigest,
     /// One attempt to run a call on one upstream.
     AttemptId,
     /// Revision of one record or value; each write increments it by one.
--- a/crates/shallottide_types/src/peer.rs
+++ b/crates/shallottide_types/src/peer.rs
@@ -10,7 +10,8 @@
 use crate::data;
 use crate::engine::EngineReport;
 use crate::id::{
-    CallId, DomainId, FencingToken, GroupId, Incarnation, NodeId, StoreIndex, UpstreamId,
+    CallDigest, CallId, DomainId, FencingToken, GroupId, Incarnation, NodeId, StoreIndex,
+    UpstreamId,
 };
 use crate::placement::Placement;
 use crate::platform::Vm;
@@ -48,6 +49,22 @@
         /// The VMs whose engines the receiver must poll; for a controller candidate, all VMs
         /// of the failure domain.
         Vms(Vec<Vm>),
+        /// The answer of a call was lost at an upstream.
+        CallLost {
+            /// The call.
+            call: CallDigest,
+            /// Where it ran.
+            slot: SlotTag,
+        },
+        /// A call whose answers were lost before was answered.
+        CallAnswered(CallDigest),
+        /// A call ends the upstreams that run it.
+        CallRefused {
+            /// The call.
+            call: CallDigest,
+            /// Time for which nodes must refuse it.
+            time: Duration,
+        },
     }
 
     /// Periodic message that shows that a node is alive; carries gossip about other nodes.
