--- a/crates/shallottide/src/config/config_service.rs
+++ b/crates/shallottide/src/config/config_service.rs
@@ -104,7 +104,7 @@
         };
         let index = listing.index;
         let since = self.store.applied_index();
-        if !self.counts(index, cx.now()) {
+        if !self.takes_effect(index, cx.now()) {
             return;
         }
         let was_synced = self.store.is_synced();
@@ -118,11 +118,11 @@
         }
     }
 
-    /// Returns whether a listing counts.
+    /// Returns whether a listing takes effect.
     ///
     /// A restored platform lists older records than it has confirmed, until operators have written
     /// them again.
-    fn counts(&mut self, index: StoreIndex, now: Instant) -> bool {
+    fn takes_effect(&mut self, index: StoreIndex, now: Instant) -> bool {
         let era = index.era();
         if !self.store.is_synced() || era <= self.store.applied_index().era() {
             return true;
--- a/crates/shallottide_fleet/src/quarantine.rs
+++ b/crates/shallottide_fleet/src/quarantine.rs
@@ -135,7 +135,7 @@
         }
         tracing::info!(
             service = %key.service, trigger = %key.trigger, trials = record.trials,
-            revision = record.revision.map(|revision| revision.0), "quarantined"
+            revision = record.revision.map(tracing::field::display), "quarantined"
         );
         let mut record = record;
         if let Some(known) = known
