Log why a stream is cut, and when a caller's connection times out

A stream that could not be resumed had one line, the outcome "cut": an empty retry budget, full upstreams and a quarantine looked alike. `stream cut` now says which. `caller's connection timed out` says under which configuration the connection was opened and which one is in force. Panics already have a line (`thread panicked`). With these the three hypotheses of the unanswered requests can be told apart.

--- a/crates/shallottide_fleet/src/serve/callers.rs
+++ b/crates/shallottide_fleet/src/serve/callers.rs
@@ -64,12 +64,11 @@
         tracing::debug!(%error, "caller's connection closed before it was served");
         return;
     }
-    let limits = {
+    let (limits, config) = {
         let state = node.state.borrow();
         let catalog = state.view.catalog.as_ref();
-        catalog
-            .map(|catalog| catalog.limits.clone())
-            .unwrap_or_default()
+        let limits = catalog.map(|catalog| catalog.limits.clone());
+        (limits.unwrap_or_default(), state.routes_version)
     };
     let mut phase = node.phase.subscribe();
     let service_node = node.clone();
@@ -84,11 +83,12 @@
             Ok::<_, Infallible>(response)
         }
     });
+    // Also limits idle time: hyper waits for the next head from the end of the last response.
+    let timeout = limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN;
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        // Also limits idle time: hyper waits for the next head from the end of the last response.
-        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN)
+        .header_read_timeout(timeout)
         .max_buf_size(limits.head_bytes.max(8192) + 4096)
         .auto_date_header(false);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -104,6 +104,13 @@
         connection.await
     };
     if let Err(error) = result {
+        if error.is_timeout() {
+            let current = node.state.borrow().routes_version;
+            let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+            node.metrics.count("caller_connections", "timed_out");
+            tracing::info!(timeout_ms, config, current, "caller's connection timed out");
+            return;
+        }
         node.metrics.count("caller_connections_broken", "");
         tracing::debug!(%error, "caller's connection failed");
     }
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -12,6 +12,7 @@
 use super::connection::is_disconnect;
 use super::response_body::{EventChunk, ResponseBody, StreamCut};
 use super::send::{UpstreamResponse, send};
+use crate::balance::NoPlace;
 use crate::event_stream::{EventSplitter, WholeEvents};
 
 /// Chunks buffered for a slow caller before backpressure reaches the upstream.
@@ -67,6 +68,34 @@
     }
 }
 
+/// Why an interrupted stream did not resume.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum ResumeError {
+    #[error("the route allows no other attempt")]
+    NoAttemptLeft,
+    #[error("the time of the call or its route is over")]
+    DeadlineExceeded,
+    #[error("no event had an id to resume after")]
+    NoEventId,
+    #[error("the retry budget is used up")]
+    NoRetryLeft,
+    #[error("the call or a part of its prompt is quarantined")]
+    Quarantined,
+    #[error("every other upstream is full")]
+    Full,
+    #[error("no other upstream serves the call")]
+    NoUpstream,
+}
+
+impl From<NoPlace> for ResumeError {
+    fn from(no_place: NoPlace) -> Self {
+        match no_place {
+            NoPlace::Full => Self::Full,
+            NoPlace::None => Self::NoUpstream,
+        }
+    }
+}
+
 /// Relays one stream from its upstream to the caller.
 pub(super) struct StreamRelay {
     call: Call,
@@ -143,7 +172,10 @@
                         resumed = self.resume(&next) => resumed,
                         () = tx.closed() => return,
                     };
-                    if !resumed {
+                    if let Err(error) = resumed {
+                        let (call, last) = (&self.call.request.id, self.last_id);
+                        tracing::info!(%call, last, why = %error, "stream cut");
+                        self.call.node.metrics.count("streams", "cut");
                         self.call.log.set_outcome("cut", 200);
                         // Sending fails only when the caller has disconnected.
                         let _ = tx.send(Err(StreamCut)).await;
@@ -216,7 +248,7 @@
     }
 
     /// Resumes the stream at another upstream, after the last event that was sent to the caller.
-    async fn resume(&mut self, interruption: &NextEvents) -> bool {
+    async fn resume(&mut self, interruption: &NextEvents) -> Result<(), ResumeError> {
         if let Some(response) = self.response.take() {
             let call = &self.call.request.id;
             let upstream = &response.in_flight.upstream;
@@ -230,16 +262,20 @@
             self.call.tried.push(upstream.clone());
         }
         self.splitter = EventSplitter::default();
-        while self.call.can_resume() && self.time_left() > Duration::ZERO {
-            if self.last_id.is_none() || !self.call.take_retry() {
-                return false;
+        while self.call.can_resume() {
+            if self.time_left().is_zero() {
+                return Err(ResumeError::DeadlineExceeded);
+            }
+            if self.last_id.is_none() {
+                return Err(ResumeError::NoEventId);
+            }
+            if !self.call.take_retry() {
+                return Err(ResumeError::NoRetryLeft);
             }
             if self.call.pass_quarantine().await.is_err() {
-                return false;
+                return Err(ResumeError::Quarantined);
             }
-            let Ok((choice, in_flight)) = self.call.select_upstream().await else {
-                return false;
-            };
+            let (choice, in_flight) = self.call.select_upstream().await?;
             self.call.attempts += 1;
             self.call.log.attempts += 1;
             let node = Rc::clone(&self.call.node);
@@ -256,11 +292,11 @@
                 self.call.node.metrics.count("streams", "resumed");
                 self.call.log.upstream = Some(choice.upstream.clone());
                 self.response = Some(response);
-                return true;
+                return Ok(());
             }
             self.call.tried.push(choice.upstream.clone());
         }
-        false
+        Err(ResumeError::NoAttemptLeft)
     }
 
     fn time_left(&self) -> Duration {
