Keep the stream of a silent upstream until another one sends its next events

Cause: after 0.7 s, or three times the route's longest pause, the relay closed the silent upstream's connection and only then looked for another upstream. If none had a place, the retry budget was used up, or the next one turned the call away, failed or was silent too, nothing was left to pass on, although the first upstream was sound and would have gone on.

The relay now waits for the silent upstream and for another one at the same time, and gives up the first only for events of the second. If no other takes the stream, the first is kept until the deadline, and the search is repeated while the route allows attempts. A resumed run goes on after the last event that was passed on, so no piece comes twice whichever is first; the one that is not needed ends with its connection.

--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -5,6 +5,7 @@
 
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
+use shallottide_types::id::UpstreamId;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
@@ -104,8 +105,8 @@
     splitter: EventSplitter,
     /// Id of the last event that was sent to the caller.
     last_id: Option<u64>,
-    /// Events that arrived before the relay started.
-    first: Option<WholeEvents>,
+    /// What arrived already and was not sent to the caller yet.
+    received: Option<NextEvents>,
     headers: HeaderMap,
 }
 
@@ -126,7 +127,7 @@
             response: Some(response),
             splitter,
             last_id: None,
-            first: Some(first),
+            received: Some(NextEvents::Events(first)),
             headers,
         }
     }
@@ -146,11 +147,6 @@
 
 impl StreamRelay {
     async fn run(mut self, tx: Sender) {
-        if let Some(first) = self.first.take()
-            && !self.forward(first, &tx).await
-        {
-            return;
-        }
         loop {
             let next = tokio::select! {
                 next = self.next() => next,
@@ -167,26 +163,49 @@
                     self.finish();
                     return;
                 }
-                NextEvents::Disconnected | NextEvents::Invalid | NextEvents::TimedOut => {
+                NextEvents::TimedOut if self.time_left().is_zero() => {
+                    self.cut(ResumeError::DeadlineExceeded, &tx).await;
+                    return;
+                }
+                NextEvents::TimedOut => {
+                    tokio::select! {
+                        () = self.replace_silent() => {}
+                        () = tx.closed() => return,
+                    }
+                }
+                NextEvents::Disconnected | NextEvents::Invalid => {
+                    self.end_interrupted(&next);
                     let resumed = tokio::select! {
-                        resumed = self.resume(&next) => resumed,
+                        resumed = self.resume() => resumed,
                         () = tx.closed() => return,
                     };
-                    if let Err(error) = resumed {
-                        let (call, last) = (&self.call.request.id, self.last_id);
-                        tracing::info!(%call, last, why = %error, "stream cut");
-                        self.call.node.metrics.count("streams", "cut");
-                        self.call.log.set_outcome("cut", 200);
-                        // Sending fails only when the caller has disconnected.
-                        let _ = tx.send(Err(StreamCut)).await;
-                        return;
+                    match resumed {
+                        Ok(response) => self.response = Some(response),
+                        Err(error) => {
+                            self.cut(error, &tx).await;
+                            return;
+                        }
                     }
                 }
             }
         }
     }
 
+    /// Ends the caller's response before its last event.
+    async fn cut(&mut self, error: ResumeError, tx: &Sender) {
+        let (call, last) = (&self.call.request.id, self.last_id);
+        tracing::info!(%call, last, why = %error, "stream cut");
+        self.call.node.metrics.count("streams", "cut");
+        self.call.log.set_outcome("cut", 200);
+        // Sending fails only when the caller has disconnected.
+        let _ = tx.send(Err(StreamCut)).await;
+    }
+
+    /// Waits for the next events; the ones that [`Self::replace_silent`] received come first.
     async fn next(&mut self) -> NextEvents {
+        if let Some(next) = self.received.take() {
+            return next;
+        }
         let deadline = self.call.request.deadline;
         let stall_timeout =
             (self.call.route.longest_gap * STALL_TIMEOUT_GAPS).max(MIN_STALL_TIMEOUT);
@@ -247,21 +266,82 @@
         }
     }
 
-    /// Resumes the stream at another upstream, after the last event that was sent to the caller.
-    async fn resume(&mut self, interruption: &NextEvents) -> Result<(), ResumeError> {
-        if let Some(response) = self.response.take() {
-            let call = &self.call.request.id;
-            let upstream = &response.in_flight.upstream;
-            tracing::info!(%call, %upstream, was_silent = matches!(interruption, NextEvents::TimedOut), last = self.last_id, "stream interrupted");
-            self.call.node.record_stall(upstream);
-            if matches!(interruption, NextEvents::Disconnected) {
-                let (node, lifetime) = (&self.call.node, response.in_flight.lifetime);
-                let first_event_at = response.first_event_at;
-                node.record_disconnect(upstream, lifetime, &self.call.request, first_event_at);
-            }
-            self.call.tried.push(upstream.clone());
+    /// Records why the upstream's stream ended, and drops its response.
+    fn end_interrupted(&mut self, interruption: &NextEvents) {
+        let Some(response) = self.response.take() else {
+            return;
+        };
+        let upstream = &response.in_flight.upstream;
+        self.record_interruption(upstream, false);
+        if matches!(interruption, NextEvents::Disconnected) {
+            let (node, lifetime) = (&self.call.node, response.in_flight.lifetime);
+            let first_event_at = response.first_event_at;
+            node.record_disconnect(upstream, lifetime, &self.call.request, first_event_at);
         }
+        self.call.tried.push(upstream.clone());
         self.splitter = EventSplitter::default();
+    }
+
+    fn record_interruption(&self, upstream: &UpstreamId, was_silent: bool) {
+        let call = &self.call.request.id;
+        tracing::info!(%call, %upstream, was_silent, last = self.last_id, "stream interrupted");
+        self.call.node.record_stall(upstream);
+    }
+
+    /// Seeks another upstream for the stream of a silent one, which is given up only for events of the
+    /// other: it may be sound, and no other may have a place.
+    async fn replace_silent(&mut self) {
+        let Some(mut silent) = self.response.take() else {
+            return;
+        };
+        let mut splitter = std::mem::take(&mut self.splitter);
+        let upstream = silent.in_flight.upstream.clone();
+        self.record_interruption(&upstream, true);
+        if !self.call.tried.contains(&upstream) {
+            self.call.tried.push(upstream.clone());
+        }
+        let deadline = tokio::time::Instant::from_std(self.call.request.deadline);
+        let received = tokio::select! {
+            biased;
+            next = next_events(&mut silent, &mut splitter) => {
+                tracing::info!(call = %self.call.request.id, %upstream, "silent stream continued");
+                Some(next)
+            }
+            replaced = self.resume_with_events() => match replaced {
+                Ok(()) => return,
+                Err(error) => {
+                    let call = &self.call.request.id;
+                    tracing::info!(%call, %upstream, why = %error, "silent upstream kept");
+                    None
+                }
+            },
+            () = tokio::time::sleep_until(deadline) => Some(NextEvents::TimedOut),
+        };
+        self.call.log.upstream = Some(upstream);
+        self.received = received;
+        self.response = Some(silent);
+        self.splitter = splitter;
+    }
+
+    /// Resumes the stream at another upstream and waits for its first events.
+    async fn resume_with_events(&mut self) -> Result<(), ResumeError> {
+        loop {
+            let mut response = self.resume().await?;
+            let mut splitter = EventSplitter::default();
+            let next = next_events(&mut response, &mut splitter).await;
+            if matches!(next, NextEvents::Events(_) | NextEvents::End) {
+                self.received = Some(next);
+                self.response = Some(response);
+                self.splitter = splitter;
+                return Ok(());
+            }
+            self.response = Some(response);
+            self.end_interrupted(&next);
+        }
+    }
+
+    /// Sends the call to another upstream, to go on after the last event that was sent to the caller.
+    async fn resume(&mut self) -> Result<UpstreamResponse, ResumeError> {
         while self.call.can_resume() {
             if self.time_left().is_zero() {
                 return Err(ResumeError::DeadlineExceeded);
@@ -291,8 +371,7 @@
                 tracing::info!(%call, upstream = %choice.upstream, from = self.last_id, "stream resumed");
                 self.call.node.metrics.count("streams", "resumed");
                 self.call.log.upstream = Some(choice.upstream.clone());
-                self.response = Some(response);
-                return Ok(());
+                return Ok(response);
             }
             self.call.tried.push(choice.upstream.clone());
         }
