Keep a silent upstream's attempt until another one has answered

Callers got 502 for calls whose upstream was silent for about a second before its answer, or the first event of a stream, began, though it was sound and answered in time.

After four times the route's target latency, or when the upstream's other streams stalled, the attempt was dropped before it was known whether another upstream had a place, a retry was left, and the next one would answer.

An attempt is now a future of its own (serve/attempt.rs). When it is silent the call starts another one beside it, within the attempts of the route and the retry budget, and takes whichever answers first; the others end with their connections. If none answers, the call ends at its deadline, with an upstream's own error if there was one. A retry that found no place is given back to the budget.

--- a/crates/shallottide_fleet/src/retry_budget.rs
+++ b/crates/shallottide_fleet/src/retry_budget.rs
@@ -57,6 +57,11 @@
         self.repeats.push_back(now);
         true
     }
+
+    /// Gives back the repeat that was taken last, as nothing was sent.
+    pub fn give_back(&mut self) {
+        self.repeats.pop_back();
+    }
 }
 
 fn remove_expired(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
--- a/crates/shallottide_fleet/src/serve.rs
+++ b/crates/shallottide_fleet/src/serve.rs
@@ -1,5 +1,6 @@
 //! The tasks of a node that own sockets. All run on one thread and share one [`Node`].
 
+mod attempt;
 mod call;
 mod call_log;
 mod callers;
--- /dev/null
+++ b/crates/shallottide_fleet/src/serve/attempt.rs
@@ -0,0 +1,303 @@
+//! One attempt of a call at an upstream, up to its whole response or the first events of a stream.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use http::{Response, StatusCode};
+use shallottide_types::id::{ServiceId, UpstreamId};
+
+use super::call::{Call, CallResult};
+use super::connection::HttpError;
+use super::node::Node;
+use super::response_body::ResponseBody;
+use super::send::{InFlightGuard, OutgoingRequest, SendError, UpstreamResponse, send};
+use super::stream_relay::{self, NextEvents};
+use crate::balance::Choice;
+use crate::catalog::Route;
+use crate::event_stream::EventSplitter;
+
+/// Time without a response, or without the first event after its head, after which an upstream counts
+/// as silent, as a multiple of the route's target latency.
+const SILENCE_FACTOR: u32 = 4;
+/// Interval at which a stream without a first event checks whether its upstream has stalled.
+const STALL_POLL_INTERVAL: Duration = Duration::from_millis(80);
+/// Consecutive checks that must find the upstream stalled before it counts as silent.
+const STALLED_POLLS: u32 = 3;
+/// Largest response body that is not a stream, in bytes.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
+/// Why an attempt gave no response that can be returned to the caller.
+pub(super) enum AttemptError {
+    /// The upstream gave no response.
+    Send(SendError),
+    /// The upstream answered with an error, which is returned if no other attempt gives better.
+    ErrorAnswer(Response<ResponseBody>),
+}
+
+impl From<SendError> for AttemptError {
+    fn from(error: SendError) -> Self {
+        Self::Send(error)
+    }
+}
+
+/// An attempt; independent of the others of its call, which may run at the same time.
+pub(super) struct Attempt {
+    node: Rc<Node>,
+    request: Rc<OutgoingRequest>,
+    route: Rc<Route>,
+    service: ServiceId,
+    choice: Choice,
+    in_flight: InFlightGuard,
+    resume_from: Option<u64>,
+    /// When the attempt began, or the head of its response arrived.
+    heard_at: Rc<Cell<Instant>>,
+}
+
+impl Attempt {
+    pub(super) fn new(
+        call: &Call,
+        choice: Choice,
+        in_flight: InFlightGuard,
+        resume_from: Option<u64>,
+    ) -> Self {
+        Self {
+            node: call.node.clone(),
+            request: call.request.clone(),
+            route: call.route.clone(),
+            service: call.service.clone(),
+            choice,
+            in_flight,
+            resume_from,
+            heard_at: Rc::new(Cell::new(call.node.now())),
+        }
+    }
+
+    /// Returns a future that completes when the upstream is silent.
+    pub(super) fn silence(&self) -> Silence {
+        Silence::new(SilenceWatch {
+            node: self.node.clone(),
+            request: self.request.clone(),
+            upstream: self.choice.upstream.clone(),
+            heard_at: self.heard_at.clone(),
+            timeout: self.route.target_latency * SILENCE_FACTOR,
+            is_stream: self.route.streaming,
+        })
+    }
+
+    /// Sends the call and waits for the response.
+    pub(super) async fn run(self) -> (Choice, Result<CallResult, AttemptError>) {
+        let choice = self.choice.clone();
+        (choice, self.wait_for_response().await)
+    }
+
+    async fn wait_for_response(self) -> Result<CallResult, AttemptError> {
+        let Self {
+            node,
+            request,
+            route,
+            service,
+            choice,
+            in_flight,
+            resume_from,
+            heard_at,
+        } = self;
+        let response = send(&node, &request, &choice, in_flight, resume_from).await?;
+        if route.streaming && response.inner.status() == StatusCode::OK {
+            heard_at.set(node.now());
+            return Ok(wait_for_first_events(&node, &request, response).await?);
+        }
+        read_response(&node, &request, &service, response).await
+    }
+}
+
+async fn wait_for_first_events(
+    node: &Rc<Node>,
+    request: &OutgoingRequest,
+    mut response: UpstreamResponse,
+) -> Result<CallResult, SendError> {
+    let mut splitter = EventSplitter::default();
+    let upstream = response.in_flight.upstream.clone();
+    match stream_relay::next_events(&mut response, &mut splitter).await {
+        NextEvents::Events(first) => {
+            let now = node.now();
+            let took = now.saturating_duration_since(response.sent_at);
+            response.first_event_at = Some(now);
+            let mut state = node.state.borrow_mut();
+            state.loads.record_success(&upstream, took);
+            drop(state);
+            node.metrics.record_duration("first_event", took);
+            response.in_flight.record_stream_start();
+            Ok(CallResult::Stream(Box::new(response), splitter, first))
+        }
+        ended => {
+            node.record_stall(&upstream);
+            if matches!(ended, NextEvents::Disconnected) || response.ends_with_connection {
+                let lifetime = response.in_flight.lifetime;
+                node.record_disconnect(&upstream, lifetime, request, None);
+            }
+            Err(SendError::OutcomeUnknown(
+                "the stream ended before its first event",
+            ))
+        }
+    }
+}
+
+/// Reads a response that is not a stream.
+async fn read_response(
+    node: &Rc<Node>,
+    request: &OutgoingRequest,
+    service: &ServiceId,
+    response: UpstreamResponse,
+) -> Result<CallResult, AttemptError> {
+    let UpstreamResponse {
+        inner,
+        head,
+        mut pooled,
+        in_flight,
+        sent_at,
+        ends_with_connection,
+        ..
+    } = response;
+    let (parts, body) = inner.into_parts();
+    let connection = pooled.connection();
+    let reading = connection.read_response_body(body, MAX_RESPONSE_BYTES, &node.body_budget);
+    let body = match reading.await {
+        Ok(body) => body,
+        Err(error) => {
+            record_truncated(node, request, &in_flight, &error);
+            return Err(SendError::OutcomeUnknown("the answer was cut").into());
+        }
+    };
+    let now = node.now();
+    let upstream = &in_flight.upstream;
+    node.pool.release(upstream, pooled, head.keep_alive, now);
+    if parts.status.is_success() && head.genuine {
+        let took = now.saturating_duration_since(sent_at);
+        let mut state = node.state.borrow_mut();
+        state.loads.record_success(upstream, took);
+        // Without a length, an answer that was cut off looks complete.
+        if !ends_with_connection {
+            let ended = request.ended(service, in_flight.lifetime);
+            state.crashes.record_completion(ended, sent_at, now);
+        }
+    } else {
+        node.state.borrow_mut().loads.record_error_answer(upstream);
+        if parts.status.is_success() {
+            tracing::warn!(call = %request.id, %upstream, "response without the upstream's signature");
+            return Err(SendError::OutcomeUnknown("the answer was not the upstream's").into());
+        }
+    }
+    drop(in_flight);
+    let mut response = Response::new(ResponseBody::Complete(Some(body)));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = node.platform.call_format.caller_headers(&parts.headers);
+    if parts.status.is_server_error() {
+        return Err(AttemptError::ErrorAnswer(response));
+    }
+    Ok(CallResult::Complete(response))
+}
+
+fn record_truncated(
+    node: &Rc<Node>,
+    request: &OutgoingRequest,
+    in_flight: &InFlightGuard,
+    error: &HttpError,
+) {
+    let upstream = &in_flight.upstream;
+    tracing::info!(call = %request.id, %upstream, %error, "response truncated");
+    if error.is_disconnect() {
+        node.record_disconnect(upstream, in_flight.lifetime, request, None);
+    }
+    let mut state = node.state.borrow_mut();
+    match error {
+        HttpError::TooLarge => state.loads.record_failure(upstream, node.now()),
+        _ => state.loads.record_error_answer(upstream),
+    }
+}
+
+struct SilenceWatch {
+    node: Rc<Node>,
+    request: Rc<OutgoingRequest>,
+    upstream: UpstreamId,
+    heard_at: Rc<Cell<Instant>>,
+    timeout: Duration,
+    is_stream: bool,
+}
+
+impl SilenceWatch {
+    /// Waits until the timeout has passed since the upstream was heard, or its other streams stall.
+    async fn wait(&self, since: Instant) {
+        let mut stalled_polls = 0;
+        loop {
+            let now = self.node.now();
+            let silent_at = self.heard_at.get().max(since) + self.timeout;
+            if now >= silent_at {
+                break;
+            }
+            if !self.is_stream {
+                tokio::time::sleep(silent_at - now).await;
+                continue;
+            }
+            tokio::time::sleep(STALL_POLL_INTERVAL.min(silent_at - now)).await;
+            let state = self.node.state.borrow();
+            let is_stalled = state.loads.is_stalled(&self.upstream, self.node.now());
+            stalled_polls = if is_stalled { stalled_polls + 1 } else { 0 };
+            if stalled_polls >= STALLED_POLLS {
+                break;
+            }
+        }
+        let (call, upstream) = (&self.request.id, &self.upstream);
+        tracing::info!(%call, %upstream, "upstream is silent");
+        self.node.record_stall(&self.upstream);
+    }
+}
+
+/// Completes when the upstream of an attempt has been silent for too long; pending once it has.
+pub(super) struct Silence {
+    watch: Option<Rc<SilenceWatch>>,
+    wait: Pin<Box<dyn Future<Output = ()>>>,
+}
+
+impl Silence {
+    fn new(watch: SilenceWatch) -> Self {
+        let watch = Rc::new(watch);
+        let since = watch.heard_at.get();
+        let wait = Self::wait(&watch, since);
+        Self {
+            watch: Some(watch),
+            wait,
+        }
+    }
+
+    /// Returns a future that never completes.
+    pub(super) fn never() -> Self {
+        Self {
+            watch: None,
+            wait: Box::pin(std::future::pending()),
+        }
+    }
+
+    /// Waits once more.
+    pub(super) fn restart(&mut self) {
+        if let Some(watch) = &self.watch {
+            self.wait = Self::wait(watch, watch.node.now());
+        }
+    }
+
+    fn wait(watch: &Rc<SilenceWatch>, since: Instant) -> Pin<Box<dyn Future<Output = ()>>> {
+        let watch = watch.clone();
+        Box::pin(async move { watch.wait(since).await })
+    }
+}
+
+impl Future for Silence {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        self.wait.as_mut().poll(cx)
+    }
+}
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -5,17 +5,20 @@
 use std::time::{Duration, Instant};
 
 use compact_str::{CompactString, format_compact};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 use shallottide_types::id::{DomainId, ModelId, ServiceId, UpstreamId};
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
 
+use super::attempt::{Attempt, AttemptError, Silence};
 use super::call_log::CallLog;
 use super::connection::{HttpError, read_body};
 use super::node::Node;
 use super::quarantine::Trial;
 use super::response_body::ResponseBody;
-use super::send::{InFlightGuard, OutgoingRequest, SendError, UpstreamResponse, send};
+use super::send::{InFlightGuard, OutgoingRequest, SendError, UpstreamResponse};
 use super::stop::Phase;
 use super::stream_relay::{self, StreamRelay};
 use crate::adapter::CallHead;
@@ -27,28 +30,19 @@
 
 /// Deadline of a request that does not state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Timeout for the first event, as a multiple of the route's target latency; after it the stream is
-/// started at another upstream.
-const FIRST_EVENT_TIMEOUT_FACTOR: u32 = 4;
-/// Interval at which a stream without a first event checks whether its upstream has stalled.
-const STALL_POLL_INTERVAL: Duration = Duration::from_millis(80);
-/// Consecutive checks that must find the upstream stalled before the stream moves to another one.
-const STALLED_POLLS: u32 = 3;
 /// Number of attempts that did not reach their upstream after which the call is refused.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 /// Shortest and longest `retry-after` of a refusal.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
-/// Largest response body that is not a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// A caller's request with its route, and the state of its attempts.
 pub(super) struct Call {
     pub(super) node: Rc<Node>,
-    pub(super) route: Route,
+    pub(super) route: Rc<Route>,
     pub(super) service: ServiceId,
     pub(super) model: Option<ModelId>,
-    pub(super) request: OutgoingRequest,
+    pub(super) request: Rc<OutgoingRequest>,
     pub(super) tried: Vec<UpstreamId>,
     /// Attempts that an upstream may have run.
     pub(super) attempts: u32,
@@ -112,7 +106,7 @@
         node: node.clone(),
         service: call.service,
         model: head.model.clone(),
-        request: OutgoingRequest {
+        request: Rc::new(OutgoingRequest {
             id: head.id.clone(),
             method: parts.method,
             uri: parts.uri,
@@ -123,8 +117,8 @@
             deadline: call.deadline,
             shared_parts: head.shared_parts,
             digest,
-        },
-        route: call.route,
+        }),
+        route: Rc::new(call.route),
         tried: Vec::new(),
         attempts: 0,
         unsent_attempts: 0,
@@ -256,6 +250,10 @@
         let Ok(response) =
             tokio::time::timeout_at(deadline, self.send_until_answered(resume_from)).await
         else {
+            if let Some(response) = self.fallback_response.take() {
+                self.log.set_outcome("answered", response.status().as_u16());
+                return response;
+            }
             let ran = if self.attempts > 0 {
                 Ran::Unknown
             } else {
@@ -298,49 +296,91 @@
             if let Err(refusal) = self.pass_quarantine().await {
                 return CallResult::Refused(refusal);
             }
-            let (choice, in_flight) = match self.select_upstream().await {
+            let selected = match self.select_upstream().await {
                 Ok(selected) => selected,
                 Err(no_place) => {
                     return CallResult::Refused(self.refuse_without_upstream(no_place));
                 }
             };
-            match self.try_upstream(&choice, in_flight, resume_from).await {
-                Ok(result) => return result,
-                Err(error) => {
-                    if let Some(refusal) = self.record_failed_attempt(&choice, &error) {
-                        return CallResult::Refused(refusal);
+            if let Some(result) = self.try_upstream(selected, resume_from).await {
+                return result;
+            }
+        }
+    }
+
+    /// Sends the call to an upstream, and to others beside it as long as none responds: a silent upstream
+    /// may be sound, and is given up only for the response of another. Returns `None` if all of them
+    /// failed and the call may be tried again.
+    async fn try_upstream(
+        &mut self,
+        selected: (Choice, InFlightGuard),
+        resume_from: Option<u64>,
+    ) -> Option<CallResult> {
+        let mut attempts = FuturesUnordered::new();
+        let attempt = self.begin_attempt(selected, resume_from);
+        let mut silence = attempt.silence();
+        attempts.push(attempt.run());
+        loop {
+            tokio::select! {
+                biased;
+                ended = attempts.next() => {
+                    let (choice, result) = ended?;
+                    let error = match result {
+                        Ok(result) => {
+                            self.log.upstream = Some(choice.upstream);
+                            return Some(result);
+                        }
+                        Err(error) => error,
+                    };
+                    if !attempts.is_empty() {
+                        self.record_lost_attempt(error);
+                    } else if let Some(refusal) = self.record_failed_attempt(error) {
+                        return Some(CallResult::Refused(refusal));
+                    } else {
+                        return None;
+                    }
+                }
+                () = &mut silence => {
+                    if !self.can_fail_over() || self.is_suspect() {
+                        silence = Silence::never();
+                    } else if let Some(selected) = self.select_replacement().await {
+                        let attempt = self.begin_attempt(selected, resume_from);
+                        silence = attempt.silence();
+                        attempts.push(attempt.run());
+                    } else {
+                        silence.restart();
                     }
                 }
             }
         }
     }
 
-    async fn try_upstream(
+    fn begin_attempt(
         &mut self,
-        choice: &Choice,
-        in_flight: InFlightGuard,
+        (choice, in_flight): (Choice, InFlightGuard),
         resume_from: Option<u64>,
-    ) -> Result<CallResult, SendError> {
+    ) -> Attempt {
         self.attempts += 1;
         self.log.attempts += 1;
         self.log.upstream = Some(choice.upstream.clone());
-        let sending = send(&self.node, &self.request, choice, in_flight, resume_from);
-        let response = if self.can_fail_over() {
-            let timeout = self.route.target_latency * FIRST_EVENT_TIMEOUT_FACTOR;
-            if let Ok(response) = tokio::time::timeout(timeout, sending).await {
-                response?
-            } else {
-                self.node.record_stall(&choice.upstream);
-                return Err(SendError::OutcomeUnknown("silent"));
-            }
-        } else {
-            sending.await?
-        };
-        let is_ok = response.inner.status() == StatusCode::OK;
-        if self.route.streaming && is_ok {
-            return self.wait_for_first_events(response).await;
+        self.tried.push(choice.upstream.clone());
+        Attempt::new(self, choice, in_flight, resume_from)
+    }
+
+    /// Selects another upstream beside silent ones, if one has a place and the retry budget allows it.
+    async fn select_replacement(&mut self) -> Option<(Choice, InFlightGuard)> {
+        if !self.take_retry() {
+            return None;
+        }
+        if self.pass_quarantine().await.is_err() {
+            self.return_retry();
+            return None;
         }
-        self.read_response(response).await
+        let selected = self.select_upstream().await;
+        if selected.is_err() {
+            self.return_retry();
+        }
+        selected.ok()
     }
 
     /// Returns whether the call moves to another upstream when its upstream does not respond.
@@ -353,153 +393,9 @@
         self.attempts < self.route.max_attempts && self.trial.is_none()
     }
 
-    /// Waits for the first event, so that a stream without one can start at another upstream.
-    async fn wait_for_first_events(
-        &mut self,
-        mut response: UpstreamResponse,
-    ) -> Result<CallResult, SendError> {
-        let timeout = self.route.target_latency * FIRST_EVENT_TIMEOUT_FACTOR;
-        let can_fail_over = self.can_fail_over();
-        let mut splitter = EventSplitter::default();
-        let upstream = response.in_flight.upstream.clone();
-        let first = stream_relay::next_events(&mut response, &mut splitter);
-        let first = if can_fail_over {
-            tokio::select! {
-                first = tokio::time::timeout(timeout, first) => {
-                    first.unwrap_or(stream_relay::NextEvents::TimedOut)
-                }
-                () = wait_until_stalled(&self.node, &upstream) => stream_relay::NextEvents::TimedOut,
-            }
-        } else {
-            first.await
-        };
-        match first {
-            stream_relay::NextEvents::Events(first) => {
-                let now = self.node.now();
-                let took = now.saturating_duration_since(response.sent_at);
-                response.first_event_at = Some(now);
-                let mut state = self.node.state.borrow_mut();
-                state
-                    .loads
-                    .record_success(&response.in_flight.upstream, took);
-                drop(state);
-                self.node.metrics.record_duration("first_event", took);
-                response.in_flight.record_stream_start();
-                Ok(CallResult::Stream(Box::new(response), splitter, first))
-            }
-            stream_relay::NextEvents::TimedOut => {
-                self.node.record_stall(&response.in_flight.upstream);
-                Err(SendError::OutcomeUnknown("silent"))
-            }
-            stream_relay::NextEvents::End
-            | stream_relay::NextEvents::Disconnected
-            | stream_relay::NextEvents::Invalid => {
-                self.node.record_stall(&upstream);
-                if matches!(first, stream_relay::NextEvents::Disconnected)
-                    || response.ends_with_connection
-                {
-                    let lifetime = response.in_flight.lifetime;
-                    self.node
-                        .record_disconnect(&upstream, lifetime, &self.request, None);
-                }
-                Err(SendError::OutcomeUnknown(
-                    "the stream ended before its first event",
-                ))
-            }
-        }
-    }
-
-    /// Reads a response that is not a stream.
-    async fn read_response(&mut self, response: UpstreamResponse) -> Result<CallResult, SendError> {
-        let UpstreamResponse {
-            inner,
-            head,
-            mut pooled,
-            in_flight,
-            sent_at,
-            ends_with_connection,
-            ..
-        } = response;
-        let (parts, body) = inner.into_parts();
-        let budget = &self.node.body_budget;
-        let connection = pooled.connection();
-        let reading = connection.read_response_body(body, MAX_RESPONSE_BYTES, budget);
-        let time_left = if self.can_fail_over() {
-            let timeout = self.route.target_latency * FIRST_EVENT_TIMEOUT_FACTOR;
-            (sent_at + timeout).saturating_duration_since(self.node.now())
-        } else {
-            Duration::MAX
-        };
-        let Ok(read) = tokio::time::timeout(time_left, reading).await else {
-            self.node.record_stall(&in_flight.upstream);
-            return Err(SendError::OutcomeUnknown("slow"));
-        };
-        let body = match read {
-            Ok(body) => body,
-            Err(error) => {
-                tracing::info!(call = %self.request.id, upstream = %in_flight.upstream, %error, "response truncated");
-                if error.is_disconnect() {
-                    let (id, lifetime) = (&in_flight.upstream, in_flight.lifetime);
-                    self.node
-                        .record_disconnect(id, lifetime, &self.request, None);
-                }
-                let mut state = self.node.state.borrow_mut();
-                match error {
-                    HttpError::TooLarge => {
-                        let now = self.node.now();
-                        state.loads.record_failure(&in_flight.upstream, now);
-                    }
-                    _ => state.loads.record_error_answer(&in_flight.upstream),
-                }
-                return Err(SendError::OutcomeUnknown("the answer was cut"));
-            }
-        };
-        let now = self.node.now();
-        self.node
-            .pool
-            .release(&in_flight.upstream, pooled, head.keep_alive, now);
-        let is_valid = parts.status.is_success() && head.genuine;
-        if is_valid {
-            let took = now.saturating_duration_since(sent_at);
-            let mut state = self.node.state.borrow_mut();
-            state.loads.record_success(&in_flight.upstream, took);
-            // Without a length, an answer that was cut off looks complete.
-            if !ends_with_connection {
-                let request = self.request.ended(&self.service, in_flight.lifetime);
-                state.crashes.record_completion(request, sent_at, now);
-            }
-        } else {
-            self.node
-                .state
-                .borrow_mut()
-                .loads
-                .record_error_answer(&in_flight.upstream);
-            if parts.status.is_success() {
-                tracing::warn!(call = %self.request.id, upstream = %in_flight.upstream, "response without the upstream's signature");
-                return Err(SendError::OutcomeUnknown(
-                    "the answer was not the upstream's",
-                ));
-            }
-        }
-        drop(in_flight);
-        let is_failure = parts.status.is_server_error();
-        let mut response = Response::new(ResponseBody::Complete(Some(body)));
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = self
-            .node
-            .platform
-            .call_format
-            .caller_headers(&parts.headers);
-        if is_failure && self.can_retry() {
-            self.fallback_response = Some(response);
-            return Err(SendError::OutcomeUnknown("the upstream failed"));
-        }
-        Ok(CallResult::Complete(response))
-    }
-
-    /// Returns whether the route allows another attempt; does not consume the retry budget.
-    fn can_retry(&self) -> bool {
-        self.can_fail_over()
+    /// Returns whether the call may run again after an attempt that may have run it.
+    fn may_repeat(&self) -> bool {
+        self.can_fail_over() && !self.is_suspect()
     }
 
     /// Returns whether the call may be one that ends the upstreams which run it. Its caller may send it
@@ -521,40 +417,57 @@
         taken
     }
 
-    /// Records a failed attempt; returns a refusal unless the call may be tried again.
-    fn record_failed_attempt(&mut self, choice: &Choice, error: &SendError) -> Option<Refusal> {
-        self.tried.push(choice.upstream.clone());
-        let why = match error {
-            SendError::NotSent => {
-                self.attempts -= 1;
-                self.unsent_attempts += 1;
-                if self.unsent_attempts < MAX_UNSENT_ATTEMPTS {
-                    return None;
-                }
-                "no upstream could be reached"
-            }
-            SendError::Misdirected => {
+    /// Gives back a retry that was taken and not sent.
+    pub(super) fn return_retry(&self) {
+        let state = &mut *self.node.state.borrow_mut();
+        if let Some(budget) = state.retry_budgets.get_mut(&self.service) {
+            budget.give_back();
+        }
+    }
+
+    /// Records a failed attempt beside which others still run.
+    fn record_lost_attempt(&mut self, error: AttemptError) {
+        match error {
+            AttemptError::Send(SendError::NotSent | SendError::Misdirected) => {
                 self.attempts -= 1;
                 self.unsent_attempts += 1;
-                if self.unsent_attempts < MAX_UNSENT_ATTEMPTS && self.take_retry() {
-                    return None;
-                }
-                "the upstream is gone"
-            }
-            SendError::NotRun => {
-                if self.has_attempts_left() && self.take_retry() {
-                    return None;
-                }
-                "the upstream is full"
             }
-            SendError::OutcomeUnknown(why) => {
+            AttemptError::Send(SendError::NotRun) => {}
+            AttemptError::Send(SendError::OutcomeUnknown(_)) => self.may_have_run = true,
+            AttemptError::ErrorAnswer(response) => {
                 self.may_have_run = true;
-                if self.can_retry() && !self.is_suspect() && self.take_retry() {
-                    return None;
-                }
-                why
+                self.fallback_response = Some(response);
             }
+        }
+    }
+
+    /// Records a failed attempt; returns a refusal unless the call may be tried again.
+    fn record_failed_attempt(&mut self, error: AttemptError) -> Option<Refusal> {
+        let (why, may_try_again) = match &error {
+            AttemptError::Send(SendError::NotSent) => (
+                "no upstream could be reached",
+                self.unsent_attempts + 1 < MAX_UNSENT_ATTEMPTS,
+            ),
+            AttemptError::Send(SendError::Misdirected) => (
+                "the upstream is gone",
+                self.unsent_attempts + 1 < MAX_UNSENT_ATTEMPTS && self.take_retry(),
+            ),
+            AttemptError::Send(SendError::NotRun) => (
+                "the upstream is full",
+                self.has_attempts_left() && self.take_retry(),
+            ),
+            AttemptError::Send(SendError::OutcomeUnknown(why)) => {
+                (*why, self.may_repeat() && self.take_retry())
+            }
+            AttemptError::ErrorAnswer(_) => (
+                "the upstream failed",
+                self.may_repeat() && self.take_retry(),
+            ),
         };
+        self.record_lost_attempt(error);
+        if may_try_again {
+            return None;
+        }
         Some(if self.may_have_run {
             let message = format!("the upstream did not answer: {why}");
             Refusal::new(RefusalKind::UpstreamFailed, Ran::Unknown, message)
@@ -598,19 +511,8 @@
     }
 }
 
-/// Waits until consecutive checks have found the upstream's other streams stalled.
-async fn wait_until_stalled(node: &Node, upstream: &UpstreamId) {
-    let mut stalled_polls = 0;
-    while stalled_polls < STALLED_POLLS {
-        tokio::time::sleep(STALL_POLL_INTERVAL).await;
-        let now = node.now();
-        let is_stalled = node.state.borrow().loads.is_stalled(upstream, now);
-        stalled_polls = if is_stalled { stalled_polls + 1 } else { 0 };
-    }
-}
-
 /// Result of a call's attempts; a stream comes with its splitter and first events.
-enum CallResult {
+pub(super) enum CallResult {
     Refused(Refusal),
     Complete(Response<ResponseBody>),
     Stream(Box<UpstreamResponse>, EventSplitter, WholeEvents),
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -353,9 +353,16 @@
                 return Err(ResumeError::NoRetryLeft);
             }
             if self.call.pass_quarantine().await.is_err() {
+                self.call.return_retry();
                 return Err(ResumeError::Quarantined);
             }
-            let (choice, in_flight) = self.call.select_upstream().await?;
+            let (choice, in_flight) = match self.call.select_upstream().await {
+                Ok(selected) => selected,
+                Err(no_place) => {
+                    self.call.return_retry();
+                    return Err(no_place.into());
+                }
+            };
             self.call.attempts += 1;
             self.call.log.attempts += 1;
             let node = Rc::clone(&self.call.node);
--- a/crates/shallottide_fleet/tests/bounds.rs
+++ b/crates/shallottide_fleet/tests/bounds.rs
@@ -56,6 +56,17 @@
     assert!(budget.take(now + Duration::from_secs(11), 8, &LIMIT));
 }
 
+/// Guards against a retry budget that is used up by repeats that found no place and were not sent.
+#[test]
+fn repeats_that_are_given_back_can_be_taken_again() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::default();
+    while budget.take(now, 8, &LIMIT) {}
+    budget.give_back();
+    assert!(budget.take(now, 8, &LIMIT));
+    assert!(!budget.take(now, 8, &LIMIT));
+}
+
 /// Every node sends as many requests as it may to one cold upstream within a second.
 fn cold_upstream_gets_at_most_its_limit(nodes: usize, per_second: u32) {
     let upstream = id("e1");
