Close callers' idle connections by the limit that is in force

Callers that kept a connection within the operators' idle limit found it closed with their next request unread, after a configuration had raised that limit.

Cause: the limit was read when the connection was opened and given to hyper's timer, which can't be changed. A connection that was opened under a limit of 1.5 s was closed after 2 s although 10 s had been in force for longer than that.

The node now watches each connection's exchanges itself and asks for the limit when the time is over. It closes with hyper's graceful shutdown, which answers a request that arrives meanwhile; before, hyper dropped the connection.

--- a/crates/shallottide_fleet/src/serve.rs
+++ b/crates/shallottide_fleet/src/serve.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod call;
 mod call_log;
+mod caller_activity;
 mod callers;
 mod connection;
 mod connection_pool;
--- /dev/null
+++ b/crates/shallottide_fleet/src/serve/caller_activity.rs
@@ -0,0 +1,116 @@
+//! Since when a caller's connection is idle.
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+use super::node::Node;
+use super::response_body::{ResponseBody, StreamCut};
+use crate::catalog::CallerLimits;
+
+/// Time added to the operators' idle timeout before an idle connection is closed.
+const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
+
+/// Returns the operators' limits that are in force.
+pub(super) fn caller_limits(node: &Node) -> CallerLimits {
+    let state = node.state.borrow();
+    let catalog = state.view.catalog.as_ref();
+    let limits = catalog.map(|catalog| catalog.limits.clone());
+    limits.unwrap_or_default()
+}
+
+/// Exchanges of one connection, and since when it has none.
+pub(super) struct Activity {
+    node: Rc<Node>,
+    exchanges: Cell<u32>,
+    idle_since: Cell<Instant>,
+}
+
+impl Activity {
+    pub(super) fn new(node: &Rc<Node>) -> Self {
+        Self {
+            node: node.clone(),
+            exchanges: Cell::new(0),
+            idle_since: Cell::new(node.now()),
+        }
+    }
+
+    pub(super) fn begin(self: &Rc<Self>) -> Exchange {
+        self.exchanges.set(self.exchanges.get() + 1);
+        Exchange(self.clone())
+    }
+
+    /// Waits until no complete head has arrived for the limit that is in force by then, which may have
+    /// changed since the connection was opened.
+    pub(super) async fn wait_until_idle(&self) {
+        let node = &self.node;
+        let begin = node.now();
+        loop {
+            let limits = caller_limits(node);
+            let limit = limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN;
+            let now = node.now();
+            let idle_since = match self.exchanges.get() {
+                0 => self.idle_since.get().max(begin),
+                _ => now,
+            };
+            let left = (idle_since + limit).saturating_duration_since(now);
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
+        }
+    }
+}
+
+/// A request whose response is not complete yet.
+pub(super) struct Exchange(Rc<Activity>);
+
+impl Exchange {
+    pub(super) fn with_body(self, body: ResponseBody) -> ExchangeBody {
+        ExchangeBody {
+            body,
+            _exchange: self,
+        }
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        let activity = &self.0;
+        activity
+            .exchanges
+            .set(activity.exchanges.get().saturating_sub(1));
+        activity.idle_since.set(activity.node.now());
+    }
+}
+
+/// The body of an exchange's response.
+pub(super) struct ExchangeBody {
+    body: ResponseBody,
+    _exchange: Exchange,
+}
+
+impl Body for ExchangeBody {
+    type Data = Bytes;
+    type Error = StreamCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/shallottide_fleet/src/serve/callers.rs
+++ b/crates/shallottide_fleet/src/serve/callers.rs
@@ -10,12 +10,13 @@
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 use super::call;
+use super::caller_activity::{Activity, caller_limits};
 use super::node::Node;
 use super::stop::Phase;
 
@@ -23,8 +24,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time for which sent bytes may stay unacknowledged before a caller's connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time added to the operators' idle timeout before an idle connection is closed.
-const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
 /// Answers a readiness check: 503 while callers must not be sent to this node.
 pub(super) fn respond_readiness(node: &Node) -> Response<Full<Bytes>> {
@@ -64,31 +63,24 @@
         tracing::debug!(%error, "caller's connection closed before it was served");
         return;
     }
-    let (limits, config) = {
-        let state = node.state.borrow();
-        let catalog = state.view.catalog.as_ref();
-        let limits = catalog.map(|catalog| catalog.limits.clone());
-        (limits.unwrap_or_default(), state.routes_version)
-    };
+    let limits = caller_limits(&node);
+    let activity = Rc::new(Activity::new(&node));
     let mut phase = node.phase.subscribe();
-    let service_node = node.clone();
+    let (service_node, service_activity) = (node.clone(), activity.clone());
     let service = service_fn(move |request| {
         let node = service_node.clone();
+        let exchange = service_activity.begin();
         async move {
             let mut response = call::handle(&node, request).await;
             if node.is_stopping() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| exchange.with_body(body)))
         }
     });
-    // Also limits idle time: hyper waits for the next head from the end of the last response.
-    let timeout = limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN;
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(timeout)
         .max_buf_size(limits.head_bytes.max(8192) + 4096)
         .auto_date_header(false);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -96,21 +88,23 @@
     let result = tokio::select! {
         result = connection.as_mut() => Some(result),
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => None,
+        () = activity.wait_until_idle() => {
+            node.metrics.count("caller_connections", "idle");
+            tracing::info!(config = node.state.borrow().routes_version, "caller's idle connection closed");
+            None
+        }
     };
     let result = if let Some(result) = result {
         result
     } else {
         connection.as_mut().graceful_shutdown();
-        connection.await
+        tokio::select! {
+            result = connection => result,
+            // A head that began to arrive may still be completed.
+            () = activity.wait_until_idle() => return,
+        }
     };
     if let Err(error) = result {
-        if error.is_timeout() {
-            let current = node.state.borrow().routes_version;
-            let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
-            node.metrics.count("caller_connections", "timed_out");
-            tracing::info!(timeout_ms, config, current, "caller's connection timed out");
-            return;
-        }
         node.metrics.count("caller_connections_broken", "");
         tracing::debug!(%error, "caller's connection failed");
     }
