Bound the cold time that an entry may announce

Callers got 503 from every node of a failure domain, from the moment at which another writer left an entry with a cold time such as 1e22 ms: a node that was started then never became ready, and a running one no longer followed the store.

Cause: the end of the cold phase was the current time plus the announced cold time. That sum is beyond the clock's range above some 2^63 seconds, and adding to an `Instant` panics then. The task that follows the store was started again, read the same entry and panicked again; a node that reads the store for others would have passed the entry on to them.

--- a/crates/shallottide_fleet/src/upstream.rs
+++ b/crates/shallottide_fleet/src/upstream.rs
@@ -8,6 +8,9 @@
 use shallottide_types::data;
 use shallottide_types::id::{DomainId, FabricId, GroupId, ModelId, ServiceId, UpstreamId};
 
+/// Longest cold phase that an entry may announce.
+pub const MAX_COLD_TIME: Duration = Duration::from_hours(24);
+
 /// State of a member of a group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum GroupState {
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -14,7 +14,7 @@
 use crate::node_entry::NodeEntry;
 use crate::quarantine::{Quarantine, QuarantineRecord};
 use crate::restored::{RemovedUpstreams, Unconfirmed};
-use crate::upstream::{Formation, Upstream};
+use crate::upstream::{Formation, MAX_COLD_TIME, Upstream};
 
 /// Time after a failure of the store during which removed entries may return; the platform states
 /// about two seconds.
@@ -271,7 +271,8 @@
     }
 
     fn apply_upstream(&mut self, id: UpstreamId, upstream: Upstream, now: Instant) {
-        let cold_until = (!upstream.cold_left.is_zero()).then(|| now + upstream.cold_left);
+        let cold_time = cold_time(&upstream);
+        let cold_until = (!cold_time.is_zero()).then(|| now + cold_time);
         let old = self.upstreams.get(&id);
         if old.is_some_and(|old| is_older(&upstream, old, now)) {
             tracing::info!(upstream = %id, beat = upstream.heartbeat_seq, "ignored an upstream entry older than the known one");
@@ -615,5 +616,10 @@
     let old = known
         .cold_until
         .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-    old.abs_diff(entry.cold_left) > COLD_TOLERANCE
+    old.abs_diff(cold_time(entry)) > COLD_TOLERANCE
+}
+
+/// Returns how long an entry says that its upstream stays cold, at most [`MAX_COLD_TIME`].
+fn cold_time(entry: &Upstream) -> Duration {
+    entry.cold_left.min(MAX_COLD_TIME)
 }
--- a/crates/shallottide_fleet/tests/view.rs
+++ b/crates/shallottide_fleet/tests/view.rs
@@ -104,6 +104,32 @@
     assert!(view.upstreams.contains_key(&id("a")));
 }
 
+/// Guards against a cold phase that ends beyond the clock's range, which ended the task that follows
+/// the store and those of all nodes to which the entry was passed on.
+fn cold_phase_of_any_length_is_applied(cold_left: Duration) {
+    let now = Instant::now();
+    let mut cold = plain_upstream("a", "booking", "zone-a");
+    cold.cold_left = cold_left;
+    let change = Change::Upstream(id("a"), Some(Box::new(cold)));
+    let mut view = view_of([plain_upstream("b", "booking", "zone-a")], now);
+    view.advance(StoreIndex(5), vec![change.clone()], now);
+    assert!(view.upstreams[&id("a")].is_cold(now + Duration::from_hours(1)));
+    assert!(!view.upstreams[&id("b")].is_cold(now));
+    // The same entry again changes nothing for followers.
+    view.advance(StoreIndex(6), vec![change], now);
+    assert_eq!(view.changes_since(StoreIndex(5)), Some(Vec::new()));
+    let mut follower = ClusterView::default();
+    assert!(follower.adopt(view.snapshot(Duration::ZERO, now), now));
+    assert!(follower.upstreams[&id("a")].is_cold(now));
+}
+
+cases! {
+    cold_phase_of_any_length_is_applied;
+    cold_phase_of_two_hours: Duration::from_hours(2);
+    cold_phase_beyond_the_clock: Duration::from_secs(1 << 63);
+    longest_cold_phase: Duration::MAX;
+}
+
 #[test]
 fn unusable_entry_removes_its_upstream() {
     let now = Instant::now();
