Add an upstream's slots and its queue without overflow

With builds that check for overflow, callers whose request might go to an upstream that announces slots got no answer: the number of requests that it may hold is its slots plus its queue, and that sum is beyond a u32. The call's task panicked and its connection closed. In release builds the sum wrapped, and such an upstream counted as full from a handful of requests on.

The sum is now one of floats, as is the load that it is compared with.

Evidence: entry_with_the_highest_number_of_slots failed on the old code with "a response" (none had arrived), and the node's log said "attempt to add with overflow" at balance.rs:318.

--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -315,7 +315,7 @@
                 continue;
             }
             let count = self.estimate(&upstream.id, now);
-            if count >= f64::from(upstream.slots + need.queue) {
+            if count >= f64::from(upstream.slots) + f64::from(need.queue) {
                 continue;
             }
             let mut score = (count + 1.0) / f64::from(upstream.slots.max(1));
