Drop responses without an id on connections that were used before

A faulty server wrote an earlier refusal once more on a kept connection, after it had read the next request and while it ran that. The caller got 503 for a request that ran, or the request ran at a second server too.

Cause: a response that names another request was dropped, but one without an id counted as the answer to the current request, whatever had come over the connection before. The load that such a response reports was recorded even when it named another request.

Servers echo the id of a request. A response without one now counts only on a connection that has carried no earlier response; on others the outcome of the request is unknown, so that its caller is told neither that it ran nor that it did not, and only what may be repeated is.

--- a/crates/shallottide_fleet/src/serve/connection_pool.rs
+++ b/crates/shallottide_fleet/src/serve/connection_pool.rs
@@ -48,6 +48,11 @@
     pub(super) fn connection(&mut self) -> &mut Connection {
         self.connection.as_mut().expect("present until released")
     }
+
+    /// Returns whether an earlier response has arrived over the connection.
+    pub(super) fn was_used(&self) -> bool {
+        self.connection.as_ref().is_some_and(|c| c.was_used)
+    }
 }
 
 impl ConnectionPool {
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -187,19 +187,24 @@
         }
     };
     let head = node.read_answer(&response);
-    if let Some(load) = head.load {
-        node.state
-            .borrow_mut()
-            .loads
-            .record_reported_load(&upstream.id, load, now);
-    }
-    if head.id.as_ref().is_some_and(|id| *id != call.id) {
+    // An extra response to an earlier request may lack an id; a new connection has had no earlier one.
+    let is_own = head
+        .id
+        .as_ref()
+        .map_or(!pooled.was_used(), |id| *id == call.id);
+    if !is_own {
         tracing::warn!(
             call = %call.id, upstream = %upstream.id, answered = head.id.as_deref(),
             "dropped response to another call"
         );
         return Err(SendError::OutcomeUnknown("the answer was another call's"));
     }
+    if let Some(load) = head.load {
+        node.state
+            .borrow_mut()
+            .loads
+            .record_reported_load(&upstream.id, load, now);
+    }
     record_limit(node, &upstream.id, choice.lifetime, &head);
     if head.verdict != Verdict::MayHaveRun {
         return Err(handle_rejection(
