Test earlier refusals that upstreams of shallottided write again

shallottided opens a connection for each attempt and closes it after the answer, so that an earlier refusal can't take the place of a later answer. The new test checks that the connection closes and that the next attempt gets another one; a refusal that names another call does not count as one.

--- a/crates/shallottide/tests/upstreams/main.rs
+++ b/crates/shallottide/tests/upstreams/main.rs
@@ -56,7 +56,7 @@
     // Short only if the script never answers, so that a slow machine causes no failure.
     let idle_timeout = match script {
         Script::NeverAnswer | Script::StallMidway => Duration::from_millis(50),
-        Script::Answer(_) => Duration::from_secs(30),
+        Script::Answer(_) | Script::AnswerAndKeep(_) => Duration::from_secs(30),
     };
     kernel.adapter.send(dispatch(address, idle_timeout).into());
     assert_eq!(&wait_for_outcome(&kernel.events), expected);
@@ -83,6 +83,7 @@
     upstream_that_never_answers_is_lost: Script::NeverAnswer, &Outcome::Lost;
     answer_that_stalls_midway_is_lost: Script::StallMidway, &Outcome::Lost;
     refusal_before_running_is_not_run: Script::Answer("HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\n\r\n"), &Outcome::NotRun;
+    refusal_of_another_call_is_lost: Script::Answer("HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-request-id: call-2\r\nx-not-run: 1\r\n\r\n"), &Outcome::Lost;
     stream_with_done_event_is_complete: Script::Answer("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n1a\r\ndata: a\n\ndata: [DONE]\n\n...\r\n"), &Outcome::Complete(200, parts(&["data: a\n\n", "data: [DONE]\n\n"]));
     stream_without_done_event_is_lost: Script::Answer("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n"), &Outcome::Lost;
 }
@@ -116,6 +117,27 @@
         .expect("the upstream sees the connection close");
 }
 
+/// Guards against an earlier refusal that is written once more on a kept connection and counts as the
+/// answer to the next call: each call has a connection of its own.
+#[test]
+fn repeated_refusal_is_not_the_next_answer() {
+    const REFUSED_TWICE: &str = "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\n\r\n\
+         HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\n\r\n";
+    let kernel = KernelThread::start();
+    let (address, recorded) = Script::AnswerAndKeep(REFUSED_TWICE).serve();
+    for attempt in [AttemptId(1), AttemptId(2)] {
+        let mut dispatch = dispatch(address, Duration::from_secs(30));
+        dispatch.attempt = attempt;
+        kernel.adapter.send(dispatch.into());
+        assert_eq!(wait_for_outcome(&kernel.events), Outcome::NotRun);
+        recorded
+            .closed
+            .recv()
+            .expect("the connection closes after its only answer");
+    }
+    assert_eq!(recorded.requests.iter().take(2).count(), 2);
+}
+
 #[test]
 fn request_carries_ids_and_is_sent_once() {
     let kernel = KernelThread::start();
--- a/crates/shallottide/tests/upstreams/scripted_upstream.rs
+++ b/crates/shallottide/tests/upstreams/scripted_upstream.rs
@@ -20,6 +20,8 @@
 pub(crate) enum Script {
     /// Sends these bytes and closes the connection.
     Answer(&'static str),
+    /// Sends these bytes and keeps the connection open.
+    AnswerAndKeep(&'static str),
     /// Sends nothing and keeps the connection open.
     NeverAnswer,
     /// Sends a head and part of the body, and keeps the connection open.
@@ -50,7 +52,7 @@
     fn answer(self, mut stream: TcpStream, requests: &Sender<String>, closed: &Sender<()>) {
         let _ = requests.send(read_request(&mut stream));
         let text = match self {
-            Self::Answer(text) => text,
+            Self::Answer(text) | Self::AnswerAndKeep(text) => text,
             Self::NeverAnswer => "",
             Self::StallMidway => "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
         };
