Pass on only events that continue a stream when it is resumed

When a stream broke off after its start and the next upstream answered the request to resume with anything but the next events, its caller found that answer in the middle of its stream: the text of an error, an event of type error, or the whole head of a second response. An empty answer ended the stream as if it were complete, and an event that the second upstream left out was missing.

Cause: each response with status 200 was taken for the rest of the stream, whatever its type, signature and content; events were checked only for a first id that is not above the last one.

A resumed response now needs the upstream's signature and the content type of the first one. Each of its events must consist of fields and have one id above the one before, and the next id if the upstreams number their events consecutively; it may not be an error. A response that ends without any event, or sends only comments, does not complete the stream either. The stream is resumed elsewhere then, within the attempts of its route, or cut. First responses are passed on as before.

Errors with a status of their own, refusals and streams from their start did not reach callers before either.

--- a/crates/shallottide_fleet/src/event_stream.rs
+++ b/crates/shallottide_fleet/src/event_stream.rs
@@ -99,7 +99,8 @@
     lines.any(|line| !line.is_empty() && line[0] != b':')
 }
 
-fn ids_of(events: &[u8]) -> impl Iterator<Item = u64> + '_ {
+/// Returns the ids of complete events, in order.
+pub(crate) fn ids_of(events: &[u8]) -> impl Iterator<Item = u64> + '_ {
     events.split(|&b| b == b'\n').filter_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod crash_evidence;
 pub mod crash_trigger;
 pub mod domain_claims;
+pub mod event_numbering;
 pub mod event_stream;
 pub mod feed_tree;
 pub mod groups;
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, Response, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -12,6 +13,7 @@
 use super::connection::is_disconnect;
 use super::response_body::{EventChunk, ResponseBody, StreamCut};
 use super::send::{UpstreamResponse, send};
+use crate::event_numbering::EventNumbering;
 use crate::event_stream::{EventSplitter, WholeEvents};
 
 /// Chunks buffered for a slow caller before backpressure reaches the upstream.
@@ -75,9 +77,14 @@
     splitter: EventSplitter,
     /// Id of the last event that was sent to the caller.
     last_id: Option<u64>,
+    /// Id of the last event that came from an earlier upstream; `None` before the stream is resumed.
+    resumed_after: Option<u64>,
+    numbering: EventNumbering,
     /// Events that arrived before the relay started.
     first: Option<WholeEvents>,
     headers: HeaderMap,
+    /// Content type of the first upstream's response.
+    content_type: Option<HeaderValue>,
 }
 
 impl StreamRelay {
@@ -93,10 +100,13 @@
             .call_format
             .caller_headers(response.inner.headers());
         Self {
+            content_type: response.inner.headers().get(CONTENT_TYPE).cloned(),
             call,
             response: Some(response),
             splitter,
             last_id: None,
+            resumed_after: None,
+            numbering: EventNumbering::default(),
             first: Some(first),
             headers,
         }
@@ -169,9 +179,31 @@
             return NextEvents::Disconnected;
         };
         let next = next_events(response, &mut self.splitter);
-        tokio::time::timeout_at(tokio::time::Instant::from_std(until), next)
+        let next = tokio::time::timeout_at(tokio::time::Instant::from_std(until), next)
             .await
-            .unwrap_or(NextEvents::TimedOut)
+            .unwrap_or(NextEvents::TimedOut);
+        if self.is_continued_by(&next) {
+            return next;
+        }
+        let call = &self.call.request.id;
+        tracing::warn!(%call, last = self.last_id, "upstream did not continue the stream");
+        NextEvents::Invalid
+    }
+
+    /// Returns whether what came next, if the stream was resumed, continues what its caller has.
+    fn is_continued_by(&self, next: &NextEvents) -> bool {
+        let (Some(resumed_after), Some(last)) = (self.resumed_after, self.last_id) else {
+            return true;
+        };
+        let has_events = last != resumed_after;
+        match next {
+            NextEvents::Events(events) => {
+                (has_events || events.last_id.is_some())
+                    && self.numbering.continues(last, &events.bytes)
+            }
+            NextEvents::End => has_events,
+            NextEvents::Disconnected | NextEvents::Invalid | NextEvents::TimedOut => true,
+        }
     }
 
     /// Sends events to the caller; returns whether the relay can continue.
@@ -185,6 +217,7 @@
             let _ = tx.send(Err(StreamCut)).await;
             return false;
         }
+        self.numbering.record(self.last_id, &events.bytes);
         self.last_id = events.last_id.or(self.last_id);
         self.call.log.record_events();
         let now = self.call.node.now();
@@ -247,7 +280,7 @@
             let deadline = tokio::time::Instant::from_std(self.call.request.deadline);
             let result = tokio::time::timeout_at(deadline, sending).await;
             if let Ok(Ok(response)) = result
-                && response.inner.status() == StatusCode::OK
+                && self.is_same_stream(&response)
             {
                 let mut response = response;
                 response.in_flight.record_stream_start();
@@ -256,6 +289,7 @@
                 self.call.node.metrics.count("streams", "resumed");
                 self.call.log.upstream = Some(choice.upstream.clone());
                 self.response = Some(response);
+                self.resumed_after = self.last_id;
                 return true;
             }
             self.call.tried.push(choice.upstream.clone());
@@ -263,6 +297,13 @@
         false
     }
 
+    /// Returns whether a response's head is that of a stream which may continue this one.
+    fn is_same_stream(&self, response: &UpstreamResponse) -> bool {
+        response.inner.status() == StatusCode::OK
+            && response.head.genuine
+            && response.inner.headers().get(CONTENT_TYPE) == self.content_type.as_ref()
+    }
+
     fn time_left(&self) -> Duration {
         let now: Instant = self.call.node.now();
         self.call.request.deadline.saturating_duration_since(now)
