--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, Response, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use shallottide_types::id::UpstreamId;
 use tokio::sync::mpsc;
@@ -14,6 +15,7 @@
 use super::response_body::{EventChunk, ResponseBody, StreamCut};
 use super::send::{UpstreamResponse, send};
 use crate::balance::NoPlace;
+use crate::event_numbering::EventNumbering;
 use crate::event_stream::{EventSplitter, WholeEvents};
 
 /// Chunks buffered for a slow caller before backpressure reaches the upstream.
@@ -107,7 +109,12 @@
     last_id: Option<u64>,
     /// What arrived already and was not sent to the caller yet.
     received: Option<NextEvents>,
+    /// Id of the last event that came from an earlier upstream; `None` before the stream is resumed.
+    resumed_after: Option<u64>,
+    numbering: EventNumbering,
     headers: HeaderMap,
+    /// Content type of the first upstream's response.
+    content_type: Option<HeaderValue>,
 }
 
 impl StreamRelay {
@@ -123,11 +130,14 @@
             .call_format
             .caller_headers(response.inner.headers());
         Self {
+            content_type: response.inner.headers().get(CONTENT_TYPE).cloned(),
             call,
             response: Some(response),
             splitter,
             last_id: None,
             received: Some(NextEvents::Events(first)),
+            resumed_after: None,
+            numbering: EventNumbering::default(),
             headers,
         }
     }
@@ -180,7 +190,10 @@
                         () = tx.closed() => return,
                     };
                     match resumed {
-                        Ok(response) => self.response = Some(response),
+                        Ok(response) => {
+                            self.response = Some(response);
+                            self.resumed_after = self.last_id;
+                        }
                         Err(error) => {
                             self.cut(error, &tx).await;
                             return;
@@ -203,9 +216,23 @@
 
     /// Waits for the next events; the ones that [`Self::replace_silent`] received come first.
     async fn next(&mut self) -> NextEvents {
-        if let Some(next) = self.received.take() {
+        let next = match self.received.take() {
+            Some(next) => next,
+            None => self.wait_for_next().await,
+        };
+        if self.is_continued_by(&next, self.resumed_after) {
             return next;
         }
+        self.record_invalid_continuation();
+        NextEvents::Invalid
+    }
+
+    fn record_invalid_continuation(&self) {
+        let call = &self.call.request.id;
+        tracing::warn!(%call, last = self.last_id, "upstream did not continue the stream");
+    }
+
+    async fn wait_for_next(&mut self) -> NextEvents {
         let deadline = self.call.request.deadline;
         let stall_timeout =
             (self.call.route.longest_gap * STALL_TIMEOUT_GAPS).max(MIN_STALL_TIMEOUT);
@@ -225,6 +252,23 @@
             .unwrap_or(NextEvents::TimedOut)
     }
 
+    /// Returns whether what came next continues what the caller has; true unless the stream was resumed,
+    /// after the event with id `resumed_after`.
+    fn is_continued_by(&self, next: &NextEvents, resumed_after: Option<u64>) -> bool {
+        let (Some(resumed_after), Some(last)) = (resumed_after, self.last_id) else {
+            return true;
+        };
+        let has_events = last != resumed_after;
+        match next {
+            NextEvents::Events(events) => {
+                (has_events || events.last_id.is_some())
+                    && self.numbering.continues(last, &events.bytes)
+            }
+            NextEvents::End => has_events,
+            NextEvents::Disconnected | NextEvents::Invalid | NextEvents::TimedOut => true,
+        }
+    }
+
     /// Sends events to the caller; returns whether the relay can continue.
     async fn forward(&mut self, events: WholeEvents, tx: &Sender) -> bool {
         if let (Some(last), Some(first)) = (self.last_id, events.first_id)
@@ -236,6 +280,7 @@
             let _ = tx.send(Err(StreamCut)).await;
             return false;
         }
+        self.numbering.record(self.last_id, &events.bytes);
         self.last_id = events.last_id.or(self.last_id);
         self.call.log.record_events();
         let now = self.call.node.now();
@@ -328,14 +373,18 @@
         loop {
             let mut response = self.resume().await?;
             let mut splitter = EventSplitter::default();
-            let next = next_events(&mut response, &mut splitter).await;
-            if matches!(next, NextEvents::Events(_) | NextEvents::End) {
+            let mut next = next_events(&mut response, &mut splitter).await;
+            if !self.is_continued_by(&next, self.last_id) {
+                self.record_invalid_continuation();
+                next = NextEvents::Invalid;
+            }
+            self.response = Some(response);
+            if matches!(next, NextEvents::Events(_)) {
                 self.received = Some(next);
-                self.response = Some(response);
                 self.splitter = splitter;
+                self.resumed_after = self.last_id;
                 return Ok(());
             }
-            self.response = Some(response);
             self.end_interrupted(&next);
         }
     }
@@ -370,7 +419,7 @@
             let deadline = tokio::time::Instant::from_std(self.call.request.deadline);
             let result = tokio::time::timeout_at(deadline, sending).await;
             if let Ok(Ok(response)) = result
-                && response.inner.status() == StatusCode::OK
+                && self.is_same_stream(&response)
             {
                 let mut response = response;
                 response.in_flight.record_stream_start();
@@ -385,6 +434,13 @@
         Err(ResumeError::NoAttemptLeft)
     }
 
+    /// Returns whether a response's head is that of a stream which may continue this one.
+    fn is_same_stream(&self, response: &UpstreamResponse) -> bool {
+        response.inner.status() == StatusCode::OK
+            && response.head.genuine
+            && response.inner.headers().get(CONTENT_TYPE) == self.content_type.as_ref()
+    }
+
     fn time_left(&self) -> Duration {
         let now: Instant = self.call.node.now();
         self.call.request.deadline.saturating_duration_since(now)
