Stop sending to upstreams that announce their departure

An upstream that is leaving says so in all its answers, with the header `Server-Leaving: 1`, perhaps before its entry in the store says it or while the node can't reach the store. Nothing read the header, so calls went on to such an upstream until its entry changed, and streams and calls that may not run twice were lost when it ended.

The node now records the announcement by the upstream's lifetime, from answers of every kind: successes, failures, refusals, heads of streams. From then on the upstream gets a request only while no other one has a place, and none later than half of `bounds.drain_ms` after the first announcement. The choice is made when the request is sent, which is never before its caller sent it, so the bound holds for requests that waited, repeats, trials and resumed streams as well. Kept connections are closed once idle, streams finish, a new lifetime of the id is free, and an announcement outlasts a lapse of the entry. Nodes report announcements to their peers, in datagrams of their own version.

Controllers go by the entries, as before.

--- a/crates/shallottide_fleet/src/adapter.rs
+++ b/crates/shallottide_fleet/src/adapter.rs
@@ -202,6 +202,8 @@
     pub load: Option<ReportedLoad>,
     /// The requests that the upstream takes from all nodes together, if it names a limit.
     pub limit: Option<RequestRate>,
+    /// Whether the upstream announces that it is leaving.
+    pub is_leaving: bool,
     /// The group member whose loss the answer names as the cause of a failure.
     pub at_fault: Option<UpstreamId>,
     /// How long the upstream keeps the connection open when idle.
--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -8,6 +8,7 @@
 use crate::adapter::ReportedLoad;
 use crate::cold_gate::ColdGate;
 use crate::crash_evidence::Lifetime;
+use crate::departures::Departures;
 use crate::named_limits::NamedLimits;
 use crate::view::{ClusterView, KnownUpstream};
 
@@ -56,6 +57,8 @@
     pub cold: &'a ColdGate,
     /// Requests to upstreams that name a limit.
     pub named: &'a NamedLimits,
+    /// Upstreams that are leaving; they get requests only while no other has a place.
+    pub departures: &'a Departures,
 }
 
 /// Why no upstream was chosen.
@@ -296,9 +299,15 @@
         let mut is_served = false;
         let mut eligible: Vec<(f64, &KnownUpstream, f64)> = Vec::new();
         let mean = self.mean_first_byte(need, view);
+        let mut leaving: Vec<(f64, &KnownUpstream, f64)> = Vec::new();
         let has_named_limits = !limits.named.is_empty();
+        let has_departures = !limits.departures.is_empty();
         for known in serving(need, view) {
             let upstream = &known.upstream;
+            let is_leaving = has_departures && limits.departures.is_leaving(known.lifetime());
+            if is_leaving && !limits.departures.allows_last_use(known.lifetime(), now) {
+                continue;
+            }
             let load = self.loads.get(&upstream.id);
             is_served = true;
             if need.tried.contains(&upstream.id)
@@ -311,7 +320,7 @@
             if known.is_cold(now) && !cold_allows(known, view, limits.cold, own.0, now) {
                 continue;
             }
-            if has_named_limits && !limits.named.allows(lifetime_of(known), now) {
+            if has_named_limits && !limits.named.allows(known.lifetime(), now) {
                 continue;
             }
             let count = self.estimate(&upstream.id, now);
@@ -334,7 +343,14 @@
             if known.lapsed_at.is_some() {
                 score += 1.0;
             }
-            eligible.push((score, known, count));
+            if is_leaving {
+                leaving.push((score, known, count));
+            } else {
+                eligible.push((score, known, count));
+            }
+        }
+        if eligible.is_empty() {
+            eligible = leaving;
         }
         let best = eligible
             .iter()
@@ -352,7 +368,7 @@
         let (_, known, load) = eligible.swap_remove(draw as usize % eligible.len());
         Ok(Choice {
             upstream: known.upstream.id.clone(),
-            lifetime: lifetime_of(known),
+            lifetime: known.lifetime(),
             load,
             candidates,
             entry_age: now.saturating_duration_since(known.seen),
@@ -376,10 +392,6 @@
     }
 }
 
-fn lifetime_of(known: &KnownUpstream) -> Lifetime {
-    Lifetime::new(&known.upstream.id, known.upstream.born)
-}
-
 /// Returns the upstreams that may get a request, in the order of their ids.
 fn serving<'a>(need: &Need<'_>, view: &'a ClusterView) -> impl Iterator<Item = &'a KnownUpstream> {
     let ids = view.serving(need.service, need.model).iter();
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`crash_trigger`], [`crash_evidence`], [`quarantine`]: requests and prompt parts that end
 //!   upstreams, and their refusal.
 //! - [`named_limits`], [`send_window`]: limits that upstreams name, and their division between nodes.
+//! - [`departures`]: upstreams that announced that they are leaving.
 //! - [`byte_budget`]: limit on the bytes of bodies in transfer.
 //! - [`groups`]: formation of groups of engines.
 //! - [`watch_pause`]: pause between two calls to the store for changes.
@@ -30,6 +31,7 @@
 pub mod cold_gate;
 pub mod crash_evidence;
 pub mod crash_trigger;
+pub mod departures;
 pub mod domain_claims;
 pub mod event_stream;
 pub mod feed_tree;
--- a/crates/shallottide_fleet/src/options.rs
+++ b/crates/shallottide_fleet/src/options.rs
@@ -42,6 +42,8 @@
     pub apply_bound: Duration,
     /// Interval between two heartbeats of an upstream.
     pub heartbeat: Duration,
+    /// Time for which an upstream that leaves still serves, and after which it gets no requests.
+    pub drain: Duration,
     /// Limit on repeated sends per service.
     pub repeats: RepeatBound,
     /// Time between SIGTERM and SIGKILL.
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -24,13 +24,14 @@
 use crate::byte_budget::ByteBudget;
 use crate::cold_gate::ColdGate;
 use crate::crash_evidence::CrashEvidence;
+use crate::departures::Departures;
 use crate::groups::{Demand, EngineCounts};
 use crate::lease_validity::LeaseValidity;
 use crate::named_limits::NamedLimits;
 use crate::options::NodeOptions;
 use crate::retry_budget::RetryBudget;
 use crate::routes::RouteTable;
-use crate::view::ClusterView;
+use crate::view::{ClusterView, KnownUpstream};
 use crate::wait_queue::{Ticket, WaitQueue};
 
 /// Part of the VM's memory that bodies in transfer may use, as a divisor.
@@ -81,6 +82,7 @@
     pub(super) loads: LoadTracker,
     pub(super) cold: ColdGate,
     pub(super) named_limits: NamedLimits,
+    pub(super) departures: Departures,
     pub(super) retry_budgets: BTreeMap<ServiceId, RetryBudget>,
     pub(super) waiting: WaitQueue,
     pub(super) wakers: BTreeMap<Ticket, Rc<Notify>>,
@@ -189,11 +191,15 @@
         .build()?;
     let local = LocalSet::new();
     let body_budget = ByteBudget::new(options.memory / BODY_MEMORY_DIVISOR);
+    let state = State {
+        departures: Departures::new(options.drain),
+        ..State::default()
+    };
     let node = Rc::new(Node {
         options,
         platform: platform(),
         clock,
-        state: RefCell::default(),
+        state: state.into(),
         pool: ConnectionPool::default(),
         body_budget,
         last_delta: RefCell::default(),
@@ -278,8 +284,16 @@
         let view = &state.view;
         state.loads.retain(|id| view.upstreams.contains_key(id));
         state.cold.retain(|id| view.upstreams.contains_key(id));
-        node.pool
-            .evict_idle(|id| view.upstreams.contains_key(id), now);
+        if !state.departures.is_empty() {
+            let known = view.upstreams.values().map(KnownUpstream::lifetime);
+            state.departures.retain(&known.collect(), now);
+        }
+        let departures = &state.departures;
+        let is_kept = |id: &UpstreamId| {
+            let known = view.upstreams.get(id);
+            known.is_some_and(|known| !departures.is_leaving(known.lifetime()))
+        };
+        node.pool.evict_idle(is_kept, now);
         state.refresh_derived();
         // Decays slowly, so that a node whose view has lost others keeps the smaller share.
         state.peak_nodes = state
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -25,6 +25,7 @@
 use super::node::Node;
 use super::quarantine::{self, EVIDENCE_VERSION};
 use super::supervise::supervise;
+use crate::departures::DepartureReport;
 use crate::groups::DemandReport;
 use crate::named_limits::LimitReport;
 use crate::quarantine::REPORT_INTERVAL;
@@ -51,6 +52,8 @@
 const LOAD_REPORT_VERSION: u8 = 2;
 /// Version of the format of named limits, which come over the same port.
 const LIMITS_VERSION: u8 = 4;
+/// Version of the format of upstreams' departures, which come over the same port.
+const DEPARTURES_VERSION: u8 = 6;
 
 /// Load that a node reports to its peers; upstreams are identified by the hash of their id.
 #[derive(Debug, Serialize, Deserialize)]
@@ -72,6 +75,13 @@
     limits: Vec<LimitReport>,
 }
 
+/// Announcements of upstreams that they are leaving, which reached a node.
+#[derive(Debug, Serialize, Deserialize)]
+struct DepartureMessage {
+    version: u8,
+    departures: Vec<DepartureReport>,
+}
+
 #[derive(Clone)]
 struct LocalExecutor;
 
@@ -269,8 +279,11 @@
         let evidence = evidence.iter().filter_map(encode_datagram);
         let limits = limit_messages(&node);
         let limits = limits.iter().filter_map(encode_datagram);
+        let departures = departure_messages(&node);
+        let departures = departures.iter().filter_map(encode_datagram);
         let (load, peers) = load_report(&node);
-        for message in load.into_iter().chain(evidence).chain(limits) {
+        let messages = load.into_iter().chain(evidence).chain(limits);
+        for message in messages.chain(departures) {
             for peer in &peers {
                 if let Err(error) = socket.send_to(&message, peer).await {
                     // Not retried: later reports repeat what matters.
@@ -297,6 +310,15 @@
     messages.collect()
 }
 
+fn departure_messages(node: &Node) -> Vec<DepartureMessage> {
+    let reports = node.state.borrow().departures.reports(node.now());
+    let messages = reports.into_iter().map(|departures| DepartureMessage {
+        version: DEPARTURES_VERSION,
+        departures,
+    });
+    messages.collect()
+}
+
 /// Encodes a message that must fit one datagram.
 fn encode_datagram(message: &impl Serialize) -> Option<Vec<u8>> {
     match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
@@ -371,6 +393,14 @@
             let now = node.now();
             node.state.borrow_mut().named_limits.merge(&limits, now);
         }
+        DEPARTURES_VERSION => {
+            let DepartureMessage { departures, .. } = decode_datagram(bytes)?;
+            let now = node.now();
+            let known = &mut node.state.borrow_mut().departures;
+            for _ in 0..known.merge(&departures, now) {
+                node.metrics.count("departures", "reported");
+            }
+        }
         _ => return None,
     }
     Some(())
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -201,6 +201,7 @@
         return Err(SendError::OutcomeUnknown("the answer was another call's"));
     }
     record_limit(node, &upstream.id, choice.lifetime, &head);
+    record_departure(node, &upstream.id, choice.lifetime, &head);
     if head.verdict != Verdict::MayHaveRun {
         return Err(handle_rejection(
             node, call, &upstream, &head, response, pooled, now,
@@ -245,6 +246,19 @@
     }
 }
 
+/// Records that an upstream announces that it is leaving.
+fn record_departure(node: &Node, upstream: &UpstreamId, lifetime: Lifetime, head: &AnswerHead) {
+    if !head.is_leaving || head.verdict == Verdict::Misdirected {
+        return;
+    }
+    let now = node.now();
+    let departures = &mut node.state.borrow_mut().departures;
+    if departures.record_answer(lifetime, now) {
+        node.metrics.count("departures", "announced");
+        tracing::info!(%upstream, "upstream announced that it is leaving");
+    }
+}
+
 /// Backs off from an upstream that did not run the call, and reuses its connection if possible.
 fn handle_rejection(
     node: &Rc<Node>,
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -8,6 +8,7 @@
 
 use crate::catalog::Catalog;
 use crate::change_log::ChangeLog;
+use crate::crash_evidence::Lifetime;
 use crate::crash_trigger::TriggerKey;
 use crate::domain_claims::OpenClaims;
 use crate::groups::has_all_members;
@@ -72,6 +73,12 @@
 }
 
 impl KnownUpstream {
+    /// Returns its lifetime.
+    #[must_use]
+    pub fn lifetime(&self) -> Lifetime {
+        Lifetime::new(&self.upstream.id, self.upstream.born)
+    }
+
     /// Returns whether it is still cold.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
--- a/crates/shallottide_fleet/tests/balance.rs
+++ b/crates/shallottide_fleet/tests/balance.rs
@@ -9,11 +9,15 @@
 use shallottide_fleet::adapter::ReportedLoad;
 use shallottide_fleet::balance::{LoadTracker, Need, NoPlace, SendLimits};
 use shallottide_fleet::cold_gate::ColdGate;
+use shallottide_fleet::departures::Departures;
 use shallottide_fleet::named_limits::NamedLimits;
 use shallottide_types::id::{DomainId, NodeId, ServiceId, UpstreamId};
 use shallottide_types::rendezvous;
 use support::{id, plain_upstream, view_of};
 
+/// Time after which an upstream that is leaving gets no requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 struct Fixture {
     loads: LoadTracker,
     view: ClusterView,
@@ -23,6 +27,7 @@
     domains: Option<BTreeSet<DomainId>>,
     now: Instant,
     named_limits: NamedLimits,
+    departures: Departures,
 }
 
 fn fixture(domains: &[&str]) -> Fixture {
@@ -39,6 +44,7 @@
         service: id("booking"),
         domains: None,
         named_limits: NamedLimits::default(),
+        departures: Departures::new(DRAIN_TIME),
         now,
     }
 }
@@ -56,6 +62,7 @@
         let limits = SendLimits {
             cold: &ColdGate::default(),
             named: &self.named_limits,
+            departures: &self.departures,
         };
         let chosen = self
             .loads
@@ -221,3 +228,28 @@
     fixture.domains = Some(BTreeSet::from([id("zone-c")]));
     assert_eq!(fixture.choose(&[], 0), Err(NoPlace::None));
 }
+
+/// Guards against requests to an upstream that is leaving while others have a place, and against
+/// refusals while it still serves; a new lifetime of its id is free.
+#[test]
+fn upstream_that_is_leaving_is_used_last_and_not_for_long() {
+    let mut fixture = fixture(&["zone-a", "zone-b"]);
+    let lifetime = fixture.view.upstreams[&id("u0")].lifetime();
+    fixture.departures.record_answer(lifetime, fixture.now);
+    for _ in 0..6 {
+        assert_eq!(fixture.choose(&[], 0), Ok(id("u1")));
+        fixture.loads.started(&id("u1"));
+    }
+    assert_eq!(fixture.choose(&[], 0), Ok(id("u0")));
+    fixture.now += DRAIN_TIME / 2;
+    assert_eq!(fixture.choose(&[], 0), Err(NoPlace::Full));
+    fixture.loads.ended(&id("u1"));
+    assert_eq!(fixture.choose(&[], 0), Ok(id("u1")));
+    assert_eq!(fixture.choose(&[id("u1")], 0), Err(NoPlace::Full));
+    fixture.domains = Some(BTreeSet::from([id("zone-a")]));
+    assert_eq!(fixture.choose(&[], 0), Err(NoPlace::None));
+    let mut restarted = plain_upstream("u0", "booking", "zone-a");
+    restarted.born += 1;
+    fixture.view = view_of([restarted], fixture.now);
+    assert_eq!(fixture.choose(&[], 0), Ok(id("u0")));
+}
--- a/crates/shallottide_fleet/tests/support/sample.rs
+++ b/crates/shallottide_fleet/tests/support/sample.rs
@@ -171,6 +171,7 @@
         memory: 160 << 20,
         apply_bound: Duration::from_secs(2),
         heartbeat: Duration::from_millis(1_200),
+        drain: Duration::from_secs(2),
         repeats: RepeatBound::default(),
         stop_grace: Duration::from_secs(8),
         stall: Duration::from_secs(5),
