Send nothing to upstreams that ask for no requests

An upstream that turns a request away with 503 may add `Retry-After`: it wants nothing from that node for so long. The node read the header nowhere. It left a full upstream out for 150 ms, and only until the next success, which an earlier request that was still running could bring. So upstreams that asked for seconds of rest got requests all the time, and callers were held and refused again and again.

The node now keeps the end of the time by the upstream's lifetime, apart from the back-off. It binds first sends, repeats, trials and resumed streams, as all take their upstream from the same choice. It holds with and without `Not-Run`, and for the head of a group that names another member as the cause. When all upstreams that could serve a call have asked for none, the call is refused at once, as not run, with a `Retry-After` that ends after the earliest of these times, or with the usual short one if its deadline is sooner.

Controllers send orders and report requests all the same: they are no callers' requests, and a group could not be mended without them. What one node was asked does not bind others.

--- a/crates/shallottide_fleet/src/adapter.rs
+++ b/crates/shallottide_fleet/src/adapter.rs
@@ -202,6 +202,8 @@
     pub load: Option<ReportedLoad>,
     /// The requests that the upstream takes from all nodes together, if it names a limit.
     pub limit: Option<RequestRate>,
+    /// How long the upstream, which turned the request away, asks for no requests of this node.
+    pub retry_after: Option<Duration>,
     /// Whether the upstream announces that it is leaving.
     pub is_leaving: bool,
     /// The group member whose loss the answer names as the cause of a failure.
--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -7,6 +7,7 @@
 
 use crate::adapter::ReportedLoad;
 use crate::cold_gate::ColdGate;
+use crate::cooldowns::Cooldowns;
 use crate::crash_evidence::Lifetime;
 use crate::departures::Departures;
 use crate::named_limits::NamedLimits;
@@ -57,6 +58,8 @@
     pub cold: &'a ColdGate,
     /// Requests to upstreams that name a limit.
     pub named: &'a NamedLimits,
+    /// Upstreams that asked for no requests for a time.
+    pub cooldowns: &'a Cooldowns,
     /// Upstreams that are leaving; they get requests only while no other has a place.
     pub departures: &'a Departures,
 }
@@ -66,6 +69,9 @@
 pub enum NoPlace {
     /// Every upstream that serves such a request is full, was tried before or is backed off from.
     Full,
+    /// Every upstream that serves such a request and was not tried before asked for no requests for a
+    /// time; with the earliest end.
+    CoolingDown(Instant),
     /// No known upstream serves such a request, whatever its load.
     None,
 }
@@ -301,6 +307,8 @@
         let mean = self.mean_first_byte(need, view);
         let mut leaving: Vec<(f64, &KnownUpstream, f64)> = Vec::new();
         let has_named_limits = !limits.named.is_empty();
+        let has_cooldowns = !limits.cooldowns.is_empty();
+        let (mut cooldown_end, mut is_only_cooling) = (None::<Instant>, true);
         let has_departures = !limits.departures.is_empty();
         for known in serving(need, view) {
             let upstream = &known.upstream;
@@ -310,6 +318,11 @@
             }
             let load = self.loads.get(&upstream.id);
             is_served = true;
+            if has_cooldowns && let Some(end) = limits.cooldowns.end(known.lifetime(), now) {
+                cooldown_end = Some(cooldown_end.map_or(end, |earliest| end.min(earliest)));
+                continue;
+            }
+            is_only_cooling &= need.tried.contains(&upstream.id);
             if need.tried.contains(&upstream.id)
                 || load.is_some_and(|load| {
                     load.backoff_until.is_some_and(|until| now < until) || load.is_stalled(now)
@@ -359,10 +372,10 @@
         let candidates = eligible.len();
         eligible.retain(|(score, ..)| *score <= best + SCORE_TOLERANCE);
         if eligible.is_empty() {
-            return Err(if is_served {
-                NoPlace::Full
-            } else {
-                NoPlace::None
+            return Err(match cooldown_end {
+                Some(end) if is_only_cooling => NoPlace::CoolingDown(end),
+                _ if is_served => NoPlace::Full,
+                _ => NoPlace::None,
             });
         }
         let (_, known, load) = eligible.swap_remove(draw as usize % eligible.len());
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`crash_trigger`], [`crash_evidence`], [`quarantine`]: requests and prompt parts that end
 //!   upstreams, and their refusal.
 //! - [`named_limits`], [`send_window`]: limits that upstreams name, and their division between nodes.
+//! - [`cooldowns`]: upstreams that asked for no requests for a time.
 //! - [`departures`]: upstreams that announced that they are leaving.
 //! - [`byte_budget`]: limit on the bytes of bodies in transfer.
 //! - [`groups`]: formation of groups of engines.
@@ -29,6 +30,7 @@
 pub mod catalog;
 pub mod change_log;
 pub mod cold_gate;
+pub mod cooldowns;
 pub mod crash_evidence;
 pub mod crash_trigger;
 pub mod departures;
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -573,6 +573,11 @@
                 let message = "every upstream that could serve the call is full";
                 Refusal::new(RefusalKind::Overloaded, Ran::No, message)
             }
+            NoPlace::CoolingDown(end) => {
+                let message = "every upstream that could serve the call asked for no requests now";
+                let refusal = Refusal::new(RefusalKind::Overloaded, Ran::No, message);
+                return refusal.retry_after(self.retry_after_end(end));
+            }
             NoPlace::None => {
                 let message = "no upstream can serve the call now";
                 Refusal::new(RefusalKind::NoUpstream, Ran::No, message)
@@ -581,6 +586,20 @@
         refusal.retry_after(self.retry_after())
     }
 
+    /// Returns a `retry-after` with jitter that ends after `end`, or sooner if the caller does not wait so
+    /// long: another node may serve it.
+    fn retry_after_end(&self, end: Instant) -> Duration {
+        let now = self.node.now();
+        let time_left = self.request.deadline.saturating_duration_since(now);
+        let wait = end.saturating_duration_since(now);
+        let wait = if wait < time_left {
+            wait
+        } else {
+            Duration::ZERO
+        };
+        (wait + self.retry_after()).min(time_left)
+    }
+
     /// Returns a `retry-after` with jitter, within the caller's remaining time.
     fn retry_after(&self) -> Duration {
         let time_left = self
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -23,6 +23,7 @@
 use crate::balance::LoadTracker;
 use crate::byte_budget::ByteBudget;
 use crate::cold_gate::ColdGate;
+use crate::cooldowns::Cooldowns;
 use crate::crash_evidence::CrashEvidence;
 use crate::departures::Departures;
 use crate::groups::{Demand, EngineCounts};
@@ -82,6 +83,7 @@
     pub(super) loads: LoadTracker,
     pub(super) cold: ColdGate,
     pub(super) named_limits: NamedLimits,
+    pub(super) cooldowns: Cooldowns,
     pub(super) departures: Departures,
     pub(super) retry_budgets: BTreeMap<ServiceId, RetryBudget>,
     pub(super) waiting: WaitQueue,
@@ -284,6 +286,7 @@
         let view = &state.view;
         state.loads.retain(|id| view.upstreams.contains_key(id));
         state.cold.retain(|id| view.upstreams.contains_key(id));
+        state.cooldowns.expire(now);
         if !state.departures.is_empty() {
             let known = view.upstreams.values().map(KnownUpstream::lifetime);
             state.departures.retain(&known.collect(), now);
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -201,6 +201,7 @@
         return Err(SendError::OutcomeUnknown("the answer was another call's"));
     }
     record_limit(node, &upstream.id, choice.lifetime, &head);
+    record_cooldown(node, &upstream.id, choice.lifetime, &head);
     record_departure(node, &upstream.id, choice.lifetime, &head);
     if head.verdict != Verdict::MayHaveRun {
         return Err(handle_rejection(
@@ -246,6 +247,20 @@
     }
 }
 
+/// Records that an upstream asks for no requests for a time.
+fn record_cooldown(node: &Node, upstream: &UpstreamId, lifetime: Lifetime, head: &AnswerHead) {
+    let Some(wait) = head.retry_after else {
+        return;
+    };
+    let now = node.now();
+    let cooldowns = &mut node.state.borrow_mut().cooldowns;
+    if cooldowns.record_answer(lifetime, wait, now) {
+        node.metrics.count("cooldowns", "asked");
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(%upstream, wait_ms, "upstream asked for no requests for a time");
+    }
+}
+
 /// Records that an upstream announces that it is leaving.
 fn record_departure(node: &Node, upstream: &UpstreamId, lifetime: Lifetime, head: &AnswerHead) {
     if !head.is_leaving || head.verdict == Verdict::Misdirected {
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -78,6 +78,7 @@
         let limits = SendLimits {
             cold: &state.cold,
             named: &state.named_limits,
+            cooldowns: &state.cooldowns,
             departures: &state.departures,
         };
         let choice = state
--- a/crates/shallottide_fleet/tests/balance.rs
+++ b/crates/shallottide_fleet/tests/balance.rs
@@ -9,6 +9,7 @@
 use shallottide_fleet::adapter::ReportedLoad;
 use shallottide_fleet::balance::{LoadTracker, Need, NoPlace, SendLimits};
 use shallottide_fleet::cold_gate::ColdGate;
+use shallottide_fleet::cooldowns::Cooldowns;
 use shallottide_fleet::departures::Departures;
 use shallottide_fleet::named_limits::NamedLimits;
 use shallottide_types::id::{DomainId, NodeId, ServiceId, UpstreamId};
@@ -27,6 +28,7 @@
     domains: Option<BTreeSet<DomainId>>,
     now: Instant,
     named_limits: NamedLimits,
+    cooldowns: Cooldowns,
     departures: Departures,
 }
 
@@ -44,6 +46,7 @@
         service: id("booking"),
         domains: None,
         named_limits: NamedLimits::default(),
+        cooldowns: Cooldowns::default(),
         departures: Departures::new(DRAIN_TIME),
         now,
     }
@@ -62,6 +65,7 @@
         let limits = SendLimits {
             cold: &ColdGate::default(),
             named: &self.named_limits,
+            cooldowns: &self.cooldowns,
             departures: &self.departures,
         };
         let chosen = self
@@ -253,3 +257,41 @@
     fixture.view = view_of([restarted], fixture.now);
     assert_eq!(fixture.choose(&[], 0), Ok(id("u0")));
 }
+
+/// Guards against requests to an upstream that asked for none, also after it has answered an earlier
+/// request with success or a shorter time, and against callers that wait for a place in vain.
+#[test]
+fn upstream_that_asked_for_no_requests_gets_none_until_the_end() {
+    let mut fixture = fixture(&["zone-a", "zone-b"]);
+    let lifetimes = ["u0", "u1"].map(|name| fixture.view.upstreams[&id(name)].lifetime());
+    let wait = Duration::from_secs(3);
+    let end = fixture.now + wait;
+    assert!(
+        fixture
+            .cooldowns
+            .record_answer(lifetimes[0], wait, fixture.now)
+    );
+    fixture
+        .loads
+        .record_success(&id("u0"), Duration::from_millis(60));
+    fixture
+        .cooldowns
+        .record_answer(lifetimes[0], Duration::from_secs(1), fixture.now);
+    assert_eq!(fixture.choose(&[], 0), Ok(id("u1")));
+    assert_eq!(
+        fixture.choose(&[id("u1")], 0),
+        Err(NoPlace::CoolingDown(end))
+    );
+    fixture.loads.started(&id("u1"));
+    for _ in 0..5 {
+        fixture.loads.started(&id("u1"));
+    }
+    assert_eq!(fixture.choose(&[], 0), Err(NoPlace::Full));
+    fixture
+        .cooldowns
+        .record_answer(lifetimes[1], wait * 2, fixture.now);
+    fixture.now += Duration::from_millis(2_999);
+    assert_eq!(fixture.choose(&[], 0), Err(NoPlace::CoolingDown(end)));
+    fixture.now = end;
+    assert_eq!(fixture.choose(&[], 0), Ok(id("u0")));
+}
--- a/crates/shallottide_fleet/tests/departures.rs
+++ b/crates/shallottide_fleet/tests/departures.rs
@@ -11,6 +11,7 @@
 use shallottide_fleet::ClusterView;
 use shallottide_fleet::balance::{LoadTracker, Need, NoPlace, SendLimits};
 use shallottide_fleet::cold_gate::ColdGate;
+use shallottide_fleet::cooldowns::Cooldowns;
 use shallottide_fleet::crash_evidence::Lifetime;
 use shallottide_fleet::departures::Departures;
 use shallottide_fleet::named_limits::NamedLimits;
@@ -91,6 +92,7 @@
         let limits = SendLimits {
             cold: &ColdGate::default(),
             named: &NamedLimits::default(),
+            cooldowns: &Cooldowns::default(),
             departures: &self.departures,
         };
         let own = (&self.id, &self.domain);
