--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -206,6 +206,8 @@
             .record_reported_load(&upstream.id, load, now);
     }
     record_limit(node, &upstream.id, choice.lifetime, &head);
+    record_cooldown(node, &upstream.id, choice.lifetime, &head);
+    record_departure(node, &upstream.id, choice.lifetime, &head);
     if head.verdict != Verdict::MayHaveRun {
         return Err(handle_rejection(
             node, call, &upstream, &head, response, pooled, now,
@@ -250,6 +252,33 @@
     }
 }
 
+/// Records that an upstream asks for no requests for a time.
+fn record_cooldown(node: &Node, upstream: &UpstreamId, lifetime: Lifetime, head: &AnswerHead) {
+    let Some(wait) = head.retry_after else {
+        return;
+    };
+    let now = node.now();
+    let cooldowns = &mut node.state.borrow_mut().cooldowns;
+    if cooldowns.record_answer(lifetime, wait, now) {
+        node.metrics.count("cooldowns", "asked");
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(%upstream, wait_ms, "upstream asked for no requests for a time");
+    }
+}
+
+/// Records that an upstream announces that it is leaving.
+fn record_departure(node: &Node, upstream: &UpstreamId, lifetime: Lifetime, head: &AnswerHead) {
+    if !head.is_leaving || head.verdict == Verdict::Misdirected {
+        return;
+    }
+    let now = node.now();
+    let departures = &mut node.state.borrow_mut().departures;
+    if departures.record_answer(lifetime, now) {
+        node.metrics.count("departures", "announced");
+        tracing::info!(%upstream, "upstream announced that it is leaving");
+    }
+}
+
 /// Backs off from an upstream that did not run the call, and reuses its connection if possible.
 fn handle_rejection(
     node: &Rc<Node>,
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -84,7 +84,7 @@
     NoRetryLeft,
     #[error("the call or a part of its prompt is quarantined")]
     Quarantined,
-    #[error("every other upstream is full")]
+    #[error("every other upstream is full or asked for no requests")]
     Full,
     #[error("no other upstream serves the call")]
     NoUpstream,
@@ -93,7 +93,7 @@
 impl From<NoPlace> for ResumeError {
     fn from(no_place: NoPlace) -> Self {
         match no_place {
-            NoPlace::Full => Self::Full,
+            NoPlace::Full | NoPlace::CoolingDown(_) => Self::Full,
             NoPlace::None => Self::NoUpstream,
         }
     }
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -78,6 +78,8 @@
         let limits = SendLimits {
             cold: &state.cold,
             named: &state.named_limits,
+            cooldowns: &state.cooldowns,
+            departures: &state.departures,
         };
         let choice = state
             .loads
