Keep the replacement of a silent upstream that breaks off

Callers' streams were cut when their silent upstream broke off while another one had already taken the stream over and not yet sent an event: "the route allows no other attempt".

The relay waits for both; the end of the first, whatever it was, ended the wait, and with it the second's connection. The attempt that it had cost was gone.

Only events or a whole end of the first upstream end the search now; after any other end the relay waits for the replacement. A replacement that is silent itself is left for a third one while the route allows it, silence is recorded once and not every 0.7 s, and a stream that is cut ends its upstream's work before its caller has read what is queued.

--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -109,6 +109,8 @@
     last_id: Option<u64>,
     /// What arrived already and was not sent to the caller yet.
     received: Option<NextEvents>,
+    /// Whether the upstream was found silent since its last event.
+    was_silent: bool,
     /// Id of the last event that came from an earlier upstream; `None` before the stream is resumed.
     resumed_after: Option<u64>,
     numbering: EventNumbering,
@@ -136,6 +138,7 @@
             splitter,
             last_id: None,
             received: Some(NextEvents::Events(first)),
+            was_silent: false,
             resumed_after: None,
             numbering: EventNumbering::default(),
             headers,
@@ -206,6 +209,8 @@
 
     /// Ends the caller's response before its last event.
     async fn cut(&mut self, error: ResumeError, tx: &Sender) {
+        // Ends the upstream's work while the caller may be slow to read.
+        self.response = None;
         let (call, last) = (&self.call.request.id, self.last_id);
         tracing::info!(%call, last, why = %error, "stream cut");
         self.call.node.metrics.count("streams", "cut");
@@ -234,8 +239,7 @@
 
     async fn wait_for_next(&mut self) -> NextEvents {
         let deadline = self.call.request.deadline;
-        let stall_timeout =
-            (self.call.route.longest_gap * STALL_TIMEOUT_GAPS).max(MIN_STALL_TIMEOUT);
+        let stall_timeout = self.stall_timeout();
         let can_resume = self.call.can_resume();
         let now = self.call.node.now();
         let until = if can_resume {
@@ -280,6 +284,7 @@
             let _ = tx.send(Err(StreamCut)).await;
             return false;
         }
+        self.was_silent = false;
         self.numbering.record(self.last_id, &events.bytes);
         self.last_id = events.last_id.or(self.last_id);
         self.call.log.record_events();
@@ -316,15 +321,19 @@
         let Some(response) = self.response.take() else {
             return;
         };
+        self.record_end(&response, interruption);
+        self.call.tried.push(response.in_flight.upstream.clone());
+        self.splitter = EventSplitter::default();
+    }
+
+    fn record_end(&self, response: &UpstreamResponse, interruption: &NextEvents) {
         let upstream = &response.in_flight.upstream;
-        self.record_interruption(upstream, false);
+        self.record_interruption(upstream, matches!(interruption, NextEvents::TimedOut));
         if matches!(interruption, NextEvents::Disconnected) {
             let (node, lifetime) = (&self.call.node, response.in_flight.lifetime);
             let first_event_at = response.first_event_at;
             node.record_disconnect(upstream, lifetime, &self.call.request, first_event_at);
         }
-        self.call.tried.push(upstream.clone());
-        self.splitter = EventSplitter::default();
     }
 
     fn record_interruption(&self, upstream: &UpstreamId, was_silent: bool) {
@@ -341,29 +350,51 @@
         };
         let mut splitter = std::mem::take(&mut self.splitter);
         let upstream = silent.in_flight.upstream.clone();
-        self.record_interruption(&upstream, true);
+        if !std::mem::replace(&mut self.was_silent, true) {
+            self.record_interruption(&upstream, true);
+        }
         if !self.call.tried.contains(&upstream) {
             self.call.tried.push(upstream.clone());
         }
         let deadline = tokio::time::Instant::from_std(self.call.request.deadline);
-        let received = tokio::select! {
-            biased;
-            next = next_events(&mut silent, &mut splitter) => {
-                tracing::info!(call = %self.call.request.id, %upstream, "silent stream continued");
-                Some(next)
-            }
-            replaced = self.resume_with_events() => match replaced {
-                Ok(()) => return,
-                Err(error) => {
-                    let call = &self.call.request.id;
-                    tracing::info!(%call, %upstream, why = %error, "silent upstream kept");
-                    None
+        let mut end = None;
+        let replaced = {
+            let replacement = self.resume_with_events();
+            tokio::pin!(replacement);
+            loop {
+                tokio::select! {
+                    biased;
+                    next = next_events(&mut silent, &mut splitter), if end.is_none() => {
+                        let is_continued = matches!(next, NextEvents::Events(_) | NextEvents::End);
+                        end = Some(next);
+                        // The replacement may still succeed when the silent upstream breaks off.
+                        if is_continued {
+                            break None;
+                        }
+                    }
+                    replaced = &mut replacement => break Some(replaced),
+                    () = tokio::time::sleep_until(deadline) => {
+                        end.get_or_insert(NextEvents::TimedOut);
+                        break None;
+                    }
                 }
-            },
-            () = tokio::time::sleep_until(deadline) => Some(NextEvents::TimedOut),
+            }
         };
+        if matches!(replaced, Some(Ok(()))) {
+            if let Some(end) = end {
+                self.record_end(&silent, &end);
+            }
+            return;
+        }
+        let call = &self.call.request.id;
+        if let Some(Err(error)) = replaced {
+            tracing::info!(%call, %upstream, why = %error, "silent upstream kept");
+        }
+        if matches!(end, Some(NextEvents::Events(_))) {
+            tracing::info!(%call, %upstream, "silent stream continued");
+        }
         self.call.log.upstream = Some(upstream);
-        self.received = received;
+        self.received = end;
         self.response = Some(silent);
         self.splitter = splitter;
     }
@@ -373,7 +404,13 @@
         loop {
             let mut response = self.resume().await?;
             let mut splitter = EventSplitter::default();
-            let mut next = next_events(&mut response, &mut splitter).await;
+            let next = next_events(&mut response, &mut splitter);
+            let mut next = if self.call.can_resume() {
+                let next = tokio::time::timeout(self.stall_timeout(), next).await;
+                next.unwrap_or(NextEvents::TimedOut)
+            } else {
+                next.await
+            };
             if !self.is_continued_by(&next, self.last_id) {
                 self.record_invalid_continuation();
                 next = NextEvents::Invalid;
@@ -441,6 +478,11 @@
             && response.inner.headers().get(CONTENT_TYPE) == self.content_type.as_ref()
     }
 
+    /// Returns the time without an event after which an upstream counts as silent.
+    fn stall_timeout(&self) -> Duration {
+        (self.call.route.longest_gap * STALL_TIMEOUT_GAPS).max(MIN_STALL_TIMEOUT)
+    }
+
     fn time_left(&self) -> Duration {
         let now: Instant = self.call.node.now();
         self.call.request.deadline.saturating_duration_since(now)
