Count only calls that may move on as failures of a silent upstream

Callers got 503, "every upstream that could serve the call is full", while a call that may run only once took longer than four times its target latency at a sound upstream.

Silence is watched only for calls that may move on, and recorded once for each attempt. When an attempt beside a silent one fails, the next is sought at once.

--- a/crates/shallottide_fleet/src/serve/attempt.rs
+++ b/crates/shallottide_fleet/src/serve/attempt.rs
@@ -250,6 +250,9 @@
                 break;
             }
         }
+    }
+
+    fn record(&self) {
         let (call, upstream) = (&self.request.id, &self.upstream);
         tracing::info!(%call, %upstream, "upstream is silent");
         self.node.record_stall(&self.upstream);
@@ -259,6 +262,7 @@
 /// Completes when the upstream of an attempt has been silent for too long; pending once it has.
 pub(super) struct Silence {
     watch: Option<Rc<SilenceWatch>>,
+    is_recorded: bool,
     wait: Pin<Box<dyn Future<Output = ()>>>,
 }
 
@@ -269,6 +273,7 @@
         let wait = Self::wait(&watch, since);
         Self {
             watch: Some(watch),
+            is_recorded: false,
             wait,
         }
     }
@@ -277,15 +282,31 @@
     pub(super) fn never() -> Self {
         Self {
             watch: None,
+            is_recorded: false,
             wait: Box::pin(std::future::pending()),
         }
     }
 
+    /// Records that the upstream is silent, once.
+    pub(super) fn record(&mut self) {
+        if let Some(watch) = self.watch.as_ref().filter(|_| !self.is_recorded) {
+            watch.record();
+            self.is_recorded = true;
+        }
+    }
+
+    /// Completes at once, as an attempt beside a silent one has failed.
+    pub(super) fn expire(&mut self) {
+        self.is_recorded = true;
+        self.wait = Box::pin(std::future::ready(()));
+    }
+
     /// Waits once more.
     pub(super) fn restart(&mut self) {
-        if let Some(watch) = &self.watch {
-            self.wait = Self::wait(watch, watch.node.now());
-        }
+        self.wait = match &self.watch {
+            Some(watch) => Self::wait(watch, watch.node.now()),
+            None => Box::pin(std::future::pending()),
+        };
     }
 
     fn wait(watch: &Rc<SilenceWatch>, since: Instant) -> Pin<Box<dyn Future<Output = ()>>> {
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -318,7 +318,7 @@
     ) -> Option<CallResult> {
         let mut attempts = FuturesUnordered::new();
         let attempt = self.begin_attempt(selected, resume_from);
-        let mut silence = attempt.silence();
+        let mut silence = self.watch_silence(&attempt);
         attempts.push(attempt.run());
         loop {
             tokio::select! {
@@ -334,6 +334,7 @@
                     };
                     if !attempts.is_empty() {
                         self.record_lost_attempt(error);
+                        silence.expire();
                     } else if let Some(refusal) = self.record_failed_attempt(error) {
                         return Some(CallResult::Refused(refusal));
                     } else {
@@ -341,11 +342,14 @@
                     }
                 }
                 () = &mut silence => {
-                    if !self.can_fail_over() || self.is_suspect() {
+                    if !self.may_repeat() {
                         silence = Silence::never();
-                    } else if let Some(selected) = self.select_replacement().await {
+                        continue;
+                    }
+                    silence.record();
+                    if let Some(selected) = self.select_replacement().await {
                         let attempt = self.begin_attempt(selected, resume_from);
-                        silence = attempt.silence();
+                        silence = self.watch_silence(&attempt);
                         attempts.push(attempt.run());
                     } else {
                         silence.restart();
@@ -355,6 +359,15 @@
         }
     }
 
+    /// Watches an attempt's upstream if the call may move on when it is silent.
+    fn watch_silence(&self, attempt: &Attempt) -> Silence {
+        if self.may_repeat() {
+            attempt.silence()
+        } else {
+            Silence::never()
+        }
+    }
+
     fn begin_attempt(
         &mut self,
         (choice, in_flight): (Choice, InFlightGuard),
