Stop a node only when callers have been sent their last answers

A caller that read its answer slowly beside a planned stop got 3,932,285 of 6 million bytes and the end of its connection (LOST).

Cause: a stopping node waited for calls in flight. A call ends when its upstream's last event is queued, or its whole body handed over, for the caller's connection; up to 32 events and what hyper holds were not written then, and the process exited 3.0 s after SIGTERM of 8 s of grace.

Evidence: answer_that_is_read_late_is_whole_beside_a_stop failed with these figures and passes now; `stopped` said that no call was left.

The node now also waits for callers' connections over which requests have come: they close by themselves once the last answer is written. `stopped` says how many were left. The end of the wait is a point in time, so that slow rounds no longer add up beyond the grace period. Connections that never carried a request don't hold the exit up.

--- a/crates/shallottide_fleet/src/serve/caller_activity.rs
+++ b/crates/shallottide_fleet/src/serve/caller_activity.rs
@@ -29,6 +29,17 @@
     node: Rc<Node>,
     exchanges: Cell<u32>,
     idle_since: Cell<Instant>,
+    /// Whether a request has arrived over it.
+    was_used: Cell<bool>,
+}
+
+impl Drop for Activity {
+    fn drop(&mut self) {
+        if self.was_used.get() {
+            let used = &mut self.node.state.borrow_mut().used_connections;
+            *used = used.saturating_sub(1);
+        }
+    }
 }
 
 impl Activity {
@@ -37,10 +48,14 @@
             node: node.clone(),
             exchanges: Cell::new(0),
             idle_since: Cell::new(node.now()),
+            was_used: Cell::new(false),
         }
     }
 
     pub(super) fn begin(self: &Rc<Self>) -> Exchange {
+        if !self.was_used.replace(true) {
+            self.node.state.borrow_mut().used_connections += 1;
+        }
         self.exchanges.set(self.exchanges.get() + 1);
         Exchange(self.clone())
     }
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -105,6 +105,8 @@
     pub(super) crashes: CrashEvidence,
     /// Calls in flight.
     pub(super) in_flight: usize,
+    /// Callers' open connections over which requests have arrived.
+    pub(super) used_connections: usize,
     /// Engines by state, for each domain that this node controls.
     pub(super) engine_counts: BTreeMap<DomainId, EngineCounts>,
 }
--- a/crates/shallottide_fleet/src/serve/stop.rs
+++ b/crates/shallottide_fleet/src/serve/stop.rs
@@ -49,15 +49,22 @@
     node.phase.send_replace(Phase::Draining);
     tokio::time::sleep(READINESS_NOTICE_TIME).await;
     node.phase.send_replace(Phase::Closing);
-    let mut time_left = node
-        .options
-        .stop_grace
-        .saturating_sub(READINESS_NOTICE_TIME + EXIT_MARGIN);
-    while node.state.borrow().in_flight > 0 && !time_left.is_zero() {
+    let end = node.now()
+        + node
+            .options
+            .stop_grace
+            .saturating_sub(READINESS_NOTICE_TIME + EXIT_MARGIN);
+    // Closing connections stay open until their callers have been sent all of the last response.
+    while has_work(&node) && node.now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
-        time_left = time_left.saturating_sub(POLL_INTERVAL);
     }
     let unfinished_calls = node.state.borrow().in_flight;
-    tracing::info!(left = unfinished_calls, "stopped");
+    let connections = node.state.borrow().used_connections;
+    tracing::info!(left = unfinished_calls, connections, "stopped");
     Ok(StopReport { unfinished_calls })
 }
+
+fn has_work(node: &Node) -> bool {
+    let state = node.state.borrow();
+    state.in_flight > 0 || state.used_connections > 0
+}
