Read what has arrived before an idle connection is closed

Cause: when the process runs again its timers have expired, and are handled before the sockets. The idle limit then closed the connection, and hyper's graceful shutdown reads nothing more of an idle one.

When the limit has passed the node lets the sockets be read for 50 ms and asks once more; and a connection that is ready goes before its timer.

--- a/crates/shallottide_fleet/src/serve/caller_activity.rs
+++ b/crates/shallottide_fleet/src/serve/caller_activity.rs
@@ -16,6 +16,9 @@
 /// Time added to the operators' idle timeout before an idle connection is closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time in which requests that have arrived already are read before an idle connection is closed.
+const ARRIVAL_CHECK_TIME: Duration = Duration::from_millis(50);
+
 /// Returns the operators' limits that are in force.
 pub(super) fn caller_limits(node: &Node) -> CallerLimits {
     let state = node.state.borrow();
@@ -63,23 +66,30 @@
     /// Waits until no complete head has arrived for the limit that is in force by then, which may have
     /// changed since the connection was opened.
     pub(super) async fn wait_until_idle(&self) {
-        let node = &self.node;
-        let begin = node.now();
+        let begin = self.node.now();
         loop {
-            let limits = caller_limits(node);
-            let limit = limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN;
-            let now = node.now();
-            let idle_since = match self.exchanges.get() {
-                0 => self.idle_since.get().max(begin),
-                _ => now,
-            };
-            let left = (idle_since + limit).saturating_duration_since(now);
+            let left = self.time_until_idle(begin);
             if left.is_zero() {
-                return;
+                // A process that was suspended sees its timers before what has arrived meanwhile.
+                tokio::time::sleep(ARRIVAL_CHECK_TIME).await;
+                if self.time_until_idle(begin).is_zero() {
+                    return;
+                }
+            } else {
+                tokio::time::sleep(left).await;
             }
-            tokio::time::sleep(left).await;
         }
     }
+
+    fn time_until_idle(&self, begin: Instant) -> Duration {
+        let limits = caller_limits(&self.node);
+        let limit = limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN;
+        if self.exchanges.get() > 0 {
+            return limit;
+        }
+        let idle_since = self.idle_since.get().max(begin);
+        (idle_since + limit).saturating_duration_since(self.node.now())
+    }
 }
 
 /// A request whose response is not complete yet.
--- a/crates/shallottide_fleet/src/serve/callers.rs
+++ b/crates/shallottide_fleet/src/serve/callers.rs
@@ -86,6 +86,7 @@
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => Some(result),
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => None,
         () = activity.wait_until_idle() => {
