Decide whether a node has lost its links to upstreams

First version of the decisions, without sockets: upstream_links finds that the links to all upstreams of a service are lost, from the outcomes of connections and of probes, and ramps up their use when they return; relay_targets chooses the nodes that get the calls meanwhile, and relay_limit bounds the calls that a node takes from others.

Nothing uses them yet. Not tested yet.

--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -11,6 +11,9 @@
 //! - [`routes`]: lookup of a request's route and team.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`wait_queue`]: choice of a request's upstream,
 //!   limits on requests, and the queue of waiting requests.
+//! - [`upstream_links`]: whether this node itself has lost its links to upstreams.
+//! - [`relay_targets`], [`relay_limit`]: which nodes get the calls of a node without such links, and
+//!   how many.
 //! - [`crash_trigger`], [`crash_evidence`], [`quarantine`]: requests and prompt parts that end
 //!   upstreams, and their refusal.
 //! - [`named_limits`], [`send_window`]: limits that upstreams name, and their division between nodes.
@@ -41,6 +44,8 @@
 pub mod options;
 pub mod prompt_part;
 pub mod quarantine;
+pub mod relay_limit;
+pub mod relay_targets;
 pub mod report_targets;
 pub mod request_digest;
 pub mod request_rate;
@@ -49,8 +54,10 @@
 pub mod routes;
 pub mod send_window;
 pub mod serve;
+mod service_links;
 
 pub mod upstream;
+pub mod upstream_links;
 pub mod view;
 pub mod wait_queue;
 pub mod watch_pause;
--- /dev/null
+++ b/crates/shallottide_fleet/src/relay_targets.rs
@@ -0,0 +1,206 @@
+//! Chooses the nodes to which calls are relayed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use shallottide_types::id::{DomainId, NodeId};
+
+use crate::node_entry::NodeEntry;
+use crate::view::ClusterView;
+
+/// Time for which a node that is cut off from upstreams as well gets no calls.
+const CUT_OFF_AVOIDANCE: Duration = Duration::from_secs(2);
+/// Time for which a node at its limit gets no calls.
+const BUSY_AVOIDANCE: Duration = Duration::from_millis(150);
+/// First time for which an unreachable node gets no calls; doubles with each failure in a row.
+const MIN_UNREACHABLE_AVOIDANCE: Duration = Duration::from_millis(400);
+/// Most doublings of [`MIN_UNREACHABLE_AVOIDANCE`].
+const MAX_DOUBLINGS: u32 = 4;
+/// Time for which a node that accepted a call is preferred to nodes without an outcome.
+const SUCCESS_TIME: Duration = Duration::from_secs(3);
+/// Weight of the newest outcome in the moving average.
+const OUTCOME_WEIGHT: f64 = 0.2;
+/// Smallest weight of a node without an outcome, so that calls spread over more nodes.
+const MIN_UNKNOWN_WEIGHT: f64 = 0.05;
+/// Weight of nodes in other failure domains, as a fraction of that of nodes in the own one.
+const OTHER_DOMAIN_WEIGHT: f64 = 0.8;
+
+/// Requirements of a call on the node to which it is relayed.
+#[derive(Debug, Clone)]
+pub struct RelayNeed<'a> {
+    /// This node and its failure domain.
+    pub own: (&'a NodeId, &'a DomainId),
+    /// Failure domains whose nodes may get the call; all if not set.
+    pub domains: Option<&'a BTreeSet<DomainId>>,
+    /// Nodes that refused the call.
+    pub tried: &'a [NodeId],
+}
+
+#[derive(Debug, Clone, Default)]
+struct RelayTarget {
+    /// Calls of this node at the target.
+    in_flight: u32,
+    avoided_until: Option<Instant>,
+    unreachable_in_row: u32,
+    /// When it last accepted a call.
+    succeeded: Option<Instant>,
+}
+
+/// Outcomes of relayed calls, by which the next nodes are chosen.
+#[derive(Debug, Clone, Default)]
+pub struct RelayTargets {
+    targets: BTreeMap<NodeId, RelayTarget>,
+    /// Until when the nodes of a failure domain are not preferred for being near.
+    cut_off_domains: BTreeMap<DomainId, Instant>,
+    /// Moving average of the refusals by nodes without a recent outcome, from 0 to 1.
+    refusal_rate: f64,
+}
+
+impl RelayTargets {
+    /// Chooses the node to which a call is relayed: of two nodes drawn at random by capacity, the one
+    /// with fewer calls of this node in flight for its capacity. `draw` is a uniform random number.
+    ///
+    /// Returns `None` when the call is to be refused at once.
+    #[must_use]
+    pub fn choose(
+        &self,
+        need: &RelayNeed<'_>,
+        view: &ClusterView,
+        now: Instant,
+        draw: u64,
+    ) -> Option<(NodeId, SocketAddr)> {
+        let mut rng = StdRng::seed_from_u64(draw);
+        let candidates: Vec<_> = view
+            .nodes
+            .iter()
+            .filter(|(id, entry)| self.is_eligible(need, id, entry, now))
+            .map(|(id, entry)| (id, entry, self.weight(need, id, entry, now)))
+            .collect();
+        let first = pick(&candidates, &mut rng)?;
+        let second = pick(&candidates, &mut rng)?;
+        let is_second_better = self.load(second) < self.load(first);
+        let (id, entry) = if is_second_better { second } else { first };
+        Some((id.clone(), entry.peers))
+    }
+
+    /// Records that a call was sent to a node.
+    pub fn started(&mut self, node: &NodeId) {
+        self.targets.entry(node.clone()).or_default().in_flight += 1;
+    }
+
+    /// Records that a relayed call has ended, in whatever way.
+    pub fn ended(&mut self, node: &NodeId) {
+        if let Some(target) = self.targets.get_mut(node) {
+            target.in_flight = target.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Records that a node refused a call because it is cut off from upstreams as well.
+    pub fn record_cut_off(&mut self, node: &NodeId, domain: &DomainId, now: Instant) {
+        self.cut_off_domains
+            .insert(domain.clone(), now + CUT_OFF_AVOIDANCE);
+        self.refusal_rate += OUTCOME_WEIGHT * (1.0 - self.refusal_rate);
+        self.avoid(node, CUT_OFF_AVOIDANCE, now).succeeded = None;
+    }
+
+    /// Records that a node refused a call because it is at its limit.
+    pub fn record_busy(&mut self, node: &NodeId, now: Instant) {
+        self.avoid(node, BUSY_AVOIDANCE, now);
+    }
+
+    /// Records that a node could not be reached, or that the connection to it broke.
+    pub fn record_unreachable(&mut self, node: &NodeId, now: Instant) {
+        let target = self.targets.entry(node.clone()).or_default();
+        target.succeeded = None;
+        let doublings = target.unreachable_in_row.min(MAX_DOUBLINGS);
+        target.unreachable_in_row += 1;
+        self.avoid(node, MIN_UNREACHABLE_AVOIDANCE * 2_u32.pow(doublings), now);
+    }
+
+    /// Records that a node accepted a call.
+    pub fn record_success(&mut self, node: &NodeId, now: Instant) {
+        let target = self.targets.entry(node.clone()).or_default();
+        let is_known = target.is_known_good(now);
+        target.succeeded = Some(now);
+        target.unreachable_in_row = 0;
+        if !is_known {
+            self.refusal_rate *= 1.0 - OUTCOME_WEIGHT;
+        }
+    }
+
+    /// Drops nodes that are no longer known and have no call in flight.
+    pub fn retain(&mut self, known: impl Fn(&NodeId) -> bool) {
+        self.targets
+            .retain(|id, target| target.in_flight > 0 || known(id));
+    }
+
+    fn avoid(&mut self, node: &NodeId, time: Duration, now: Instant) -> &mut RelayTarget {
+        let target = self.targets.entry(node.clone()).or_default();
+        target.avoided_until = target.avoided_until.max(Some(now + time));
+        target
+    }
+
+    fn is_eligible(
+        &self,
+        need: &RelayNeed<'_>,
+        id: &NodeId,
+        entry: &NodeEntry,
+        now: Instant,
+    ) -> bool {
+        let avoided_until = self.targets.get(id).and_then(|t| t.avoided_until);
+        id != need.own.0
+            && !need.tried.contains(id)
+            && need
+                .domains
+                .is_none_or(|domains| domains.contains(&entry.domain))
+            && avoided_until.is_none_or(|until| now >= until)
+    }
+
+    fn weight(&self, need: &RelayNeed<'_>, id: &NodeId, entry: &NodeEntry, now: Instant) -> f64 {
+        let mut weight = f64::from(entry.capacity.max(1));
+        let is_known_good = self.targets.get(id).is_some_and(|t| t.is_known_good(now));
+        if !is_known_good {
+            weight *= (1.0 - self.refusal_rate).max(MIN_UNKNOWN_WEIGHT);
+        }
+        let is_cut_off = |until: &Instant| now < *until;
+        let is_domain_cut_off = self
+            .cut_off_domains
+            .get(&entry.domain)
+            .is_some_and(is_cut_off);
+        if entry.domain != *need.own.1 || is_domain_cut_off {
+            weight *= OTHER_DOMAIN_WEIGHT;
+        }
+        weight
+    }
+
+    fn load(&self, (id, entry): (&NodeId, &NodeEntry)) -> f64 {
+        let in_flight = self.targets.get(id).map_or(0, |target| target.in_flight);
+        f64::from(in_flight) / f64::from(entry.capacity.max(1))
+    }
+}
+
+impl RelayTarget {
+    fn is_known_good(&self, now: Instant) -> bool {
+        self.succeeded
+            .is_some_and(|at| now.saturating_duration_since(at) < SUCCESS_TIME)
+    }
+}
+
+/// Draws a node by weight.
+fn pick<'a>(
+    candidates: &[(&'a NodeId, &'a NodeEntry, f64)],
+    rng: &mut StdRng,
+) -> Option<(&'a NodeId, &'a NodeEntry)> {
+    let total: f64 = candidates.iter().map(|(.., weight)| weight).sum();
+    let mut left = rng.random::<f64>() * total;
+    for (id, entry, weight) in candidates {
+        left -= weight;
+        if left < 0.0 {
+            return Some((id, entry));
+        }
+    }
+    candidates.last().map(|(id, entry, _)| (*id, *entry))
+}
