Judge whose fault a failure is by what was reached after it

The failure of a service's only upstream is judged by the links to other services. A probe names the number of connections to open, and silence counts relative to what is usual for the service.

--- a/crates/shallottide_fleet/src/service_links.rs
+++ b/crates/shallottide_fleet/src/service_links.rs
@@ -15,20 +15,26 @@
 const MAX_SILENCE: Duration = Duration::from_secs(1);
 /// Shortest time between the first evidence and the verdict, in which other upstreams may be heard.
 const MIN_INQUIRY: Duration = Duration::from_millis(200);
-/// Time after which probes without an outcome are sent again.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time between later rounds; longer than the time limit on opening a connection.
+const LATER_ROUND_PAUSE: Duration = Duration::from_millis(600);
 /// Time between the first two rounds of probes.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
-/// Probes of a round.
+/// Probes of all rounds but the first, which has one.
 const PROBES_PER_ROUND: usize = 3;
+/// Rounds after which an inquiry ends that has found no failure.
+const MAX_IDLE_ROUNDS: u32 = 3;
 /// Upstreams that must be unreachable for the links to count as lost; all, if fewer are known.
 const MIN_UNREACHABLE: usize = 3;
-/// Mean time between two probes of lost links.
-const LOST_PROBE_PAUSE: Duration = Duration::from_millis(500);
+/// How many of them must be unreachable by attempts that began after the first evidence.
+const MIN_PROBED: usize = 2;
+/// Upstreams with answering kept connections that must refuse new ones; all, if there are fewer.
+const MIN_HALF_LOST: usize = 2;
+/// Mean time between two probes of links that are lost or return.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which an unreachable upstream is not probed again, if others are known.
 const PROBE_AVOIDANCE: Duration = Duration::from_secs(2);
-/// Share of calls sent over links that have just returned, in thousandths.
-const FIRST_SHARE: u128 = 100;
+/// Share of calls sent over links that have just returned.
+const FIRST_SHARE: f64 = 0.1;
 /// Time in which this share increases to all calls; doubles with each relapse.
 const RAMP: Duration = Duration::from_secs(3);
 /// Most doublings of [`RAMP`].
@@ -41,6 +47,8 @@
 struct UpstreamLink {
     /// Requests and connection attempts without an end.
     waits: u32,
+    /// Since when it has owed bytes; `None` while `waits` is 0.
+    waiting_since: Option<Instant>,
     /// Since when it has owed bytes without sending any; `None` while `waits` is 0.
     silent_since: Option<Instant>,
     received: Option<Instant>,
@@ -56,9 +64,14 @@
         self.received.max(self.connected)
     }
 
+    fn failed(&self) -> Option<Instant> {
+        self.reset.max(self.unreachable.map(|(_, end)| end))
+    }
+
     fn end_wait(&mut self) {
         self.waits = self.waits.saturating_sub(1);
         if self.waits == 0 {
+            self.waiting_since = None;
             self.silent_since = None;
         }
     }
@@ -69,17 +82,17 @@
 struct Inquiry {
     /// When the first evidence began; only outcomes of attempts since then count.
     since: Instant,
+    started: Instant,
     is_suspected: bool,
     /// Rounds of probes sent.
     rounds: u32,
     next_round: Instant,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy, Default)]
 enum Phase {
-    Up {
-        inquiry: Option<Inquiry>,
-    },
+    #[default]
+    Up,
     Lost {
         since: Instant,
         next_probe: Instant,
@@ -93,32 +106,25 @@
 }
 
 /// A node's links to the upstreams of one service.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ServiceLinks {
     upstreams: BTreeMap<UpstreamId, UpstreamLink>,
     phase: Phase,
+    /// The current inquiry; only while the phase is `Up`.
+    inquiry: Option<Inquiry>,
     /// Evidence that began earlier does not count: a connection was established, or this process
     /// stood still.
     evidence_from: Option<Instant>,
-    /// Inquiries in a row that silence caused and that found upstreams reachable.
-    false_alarms: u32,
+    /// When bytes of any upstream last arrived.
+    received: Option<Instant>,
+    /// Longest usual time without bytes while some are owed.
+    usual_silence: Duration,
+    /// Inquiries since the last bytes that silence caused.
+    silences: u32,
     /// Losses in a row without a calm time between them.
     relapses: u32,
-    /// When the links last returned completely.
-    up_since: Option<Instant>,
-}
-
-impl Default for ServiceLinks {
-    fn default() -> Self {
-        Self {
-            upstreams: BTreeMap::new(),
-            phase: Phase::Up { inquiry: None },
-            evidence_from: None,
-            false_alarms: 0,
-            relapses: 0,
-            up_since: None,
-        }
-    }
+    /// When connections last succeeded again.
+    returned: Option<Instant>,
 }
 
 impl ServiceLinks {
@@ -138,25 +144,26 @@
     pub(crate) fn record_waiting(&mut self, upstream: &UpstreamId, now: Instant) {
         let link = self.link(upstream);
         link.waits += 1;
+        link.waiting_since.get_or_insert(now);
         link.silent_since.get_or_insert(now);
     }
 
-    pub(crate) fn record_wait_ended(&mut self, upstream: &UpstreamId, _now: Instant) {
+    pub(crate) fn record_wait_ended(&mut self, upstream: &UpstreamId) {
         self.link(upstream).end_wait();
     }
 
     pub(crate) fn record_received(&mut self, upstream: &UpstreamId, now: Instant) {
+        self.learn_silence(now);
+        self.received = Some(now);
+        self.silences = 0;
         let link = self.link(upstream);
         link.received = Some(now);
         link.silent_since = link.silent_since.map(|_| now);
-        self.false_alarms = 0;
         // Kept connections may live on while new ones fail.
-        if let Phase::Up {
-            inquiry: Some(inquiry),
-        } = &self.phase
-            && !self.has_unreachable_since(inquiry.since)
+        if let Some(inquiry) = &self.inquiry
+            && self.unreachable_since(inquiry.since).is_empty()
         {
-            self.phase = Phase::Up { inquiry: None };
+            self.inquiry = None;
         }
     }
 
@@ -166,21 +173,14 @@
         link.connected = Some(now);
         link.silent_since = link.silent_since.map(|_| now);
         self.evidence_from = self.evidence_from.max(Some(now));
-        match &self.phase {
-            Phase::Up { inquiry } => {
-                if inquiry.is_some() {
-                    self.false_alarms += 1;
-                }
-                self.phase = Phase::Up { inquiry: None };
-            }
-            Phase::Lost { interrupted, .. } => {
-                let elapsed = interrupted.unwrap_or_default();
-                self.phase = Phase::Returning {
-                    since: now.checked_sub(elapsed).unwrap_or(now),
-                    next_probe: now + LOST_PROBE_PAUSE,
-                };
-            }
-            Phase::Returning { .. } => {}
+        self.inquiry = None;
+        if let Phase::Lost { interrupted, .. } = self.phase {
+            let elapsed = interrupted.unwrap_or_default();
+            self.returned = Some(now);
+            self.phase = Phase::Returning {
+                since: now.checked_sub(elapsed).unwrap_or(now),
+                next_probe: now + PROBE_PAUSE,
+            };
         }
     }
 
@@ -205,22 +205,26 @@
 
     /// Makes the links suspected because those to another service are lost.
     pub(crate) fn suspect(&mut self, now: Instant) {
-        if let Phase::Up { inquiry } = &mut self.phase {
-            let inquiry = inquiry.get_or_insert(Inquiry::new(now, now));
+        self.check(now);
+        if let Some(inquiry) = &mut self.inquiry {
             inquiry.is_suspected = true;
         }
     }
 
+    /// Starts an inquiry if there is none.
+    pub(crate) fn check(&mut self, now: Instant) {
+        if matches!(self.phase, Phase::Up) {
+            self.inquiry.get_or_insert(Inquiry::new(now, now));
+        }
+    }
+
     /// Drops the evidence from before a pause of this process.
     pub(crate) fn record_pause(&mut self, now: Instant) {
         self.evidence_from = self.evidence_from.max(Some(now));
         for link in self.upstreams.values_mut() {
             link.silent_since = link.silent_since.map(|_| now);
         }
-        if let Phase::Up {
-            inquiry: Some(inquiry),
-        } = &mut self.phase
-        {
+        if let Some(inquiry) = &mut self.inquiry {
             *inquiry = Inquiry {
                 is_suspected: inquiry.is_suspected,
                 ..Inquiry::new(now, now)
@@ -230,29 +234,28 @@
 
     pub(crate) fn state(&self, now: Instant) -> LinkState {
         match &self.phase {
-            Phase::Up {
-                inquiry: Some(inquiry),
-            } if inquiry.is_suspected => LinkState::Suspected,
-            Phase::Up { .. } => LinkState::Up,
-            Phase::Lost { .. } => LinkState::Lost,
-            Phase::Returning { since, .. } => {
-                if now.saturating_duration_since(*since) < self.ramp() {
-                    LinkState::Returning
-                } else {
-                    LinkState::Up
-                }
+            Phase::Up if self.inquiry.as_ref().is_some_and(|i| i.is_suspected) => {
+                LinkState::Suspected
+            }
+            Phase::Returning { since, .. }
+                if now.saturating_duration_since(*since) < self.ramp() =>
+            {
+                LinkState::Returning
             }
+            Phase::Up | Phase::Returning { .. } => LinkState::Up,
+            Phase::Lost { .. } => LinkState::Lost,
         }
     }
 
     pub(crate) fn allows_own(&self, now: Instant, draw: u32) -> bool {
         match &self.phase {
-            Phase::Up { .. } => true,
+            Phase::Up => true,
             Phase::Lost { .. } => false,
             Phase::Returning { since, .. } => {
-                let elapsed = now.saturating_duration_since(*since).as_millis();
-                let share = FIRST_SHARE + (1_000 - FIRST_SHARE) * elapsed / self.ramp().as_millis();
-                u128::from(draw) * 1_000 < share * (u128::from(u32::MAX) + 1)
+                let elapsed = now.saturating_duration_since(*since).as_secs_f64();
+                let progress = elapsed / self.ramp().as_secs_f64();
+                let share = FIRST_SHARE + (1.0 - FIRST_SHARE) * progress;
+                f64::from(draw) < share * f64::from(u32::MAX)
             }
         }
     }
@@ -261,121 +264,167 @@
         let Phase::Lost { since, .. } = self.phase else {
             return false;
         };
-        let received = self.upstreams.values().filter_map(|link| link.received);
-        received.max().is_some_and(|at| at >= since)
+        self.received.is_some_and(|at| at >= since)
     }
 
-    pub(crate) fn is_upstreams_fault(
-        &self,
-        upstream: &UpstreamId,
-        since: Instant,
-        now: Instant,
-    ) -> bool {
-        if self.state(now) == LinkState::Lost {
-            return false;
-        }
+    /// Returns whether a failure that began at a time happened while links were not known to be lost.
+    pub(crate) fn may_be_upstreams_fault(&self, since: Instant, now: Instant) -> bool {
+        self.state(now) != LinkState::Lost && self.returned.is_none_or(|at| since >= at)
+    }
+
+    /// Returns when an upstream's last failure that began at or after a time became known.
+    pub(crate) fn failed_at(&self, upstream: &UpstreamId, since: Instant) -> Instant {
+        let failed = self.upstreams.get(upstream).and_then(UpstreamLink::failed);
+        failed.map_or(since, |at| at.max(since))
+    }
+
+    /// Returns whether another upstream was reached after a failure, and has not failed since: by a new
+    /// connection if one to the upstream could not be opened, else by any bytes.
+    pub(crate) fn is_other_reached(&self, upstream: &UpstreamId, failed_at: Instant) -> bool {
         let is_unreachable = self
             .upstreams
             .get(upstream)
             .and_then(|link| link.unreachable)
-            .is_some_and(|(_, at)| at >= since);
-        let others = self.upstreams.iter().filter(|(id, _)| *id != upstream);
-        others
-            .filter_map(|(_, link)| {
-                if is_unreachable {
-                    link.connected
-                } else {
-                    link.heard()
-                }
-            })
-            .any(|at| at > since)
+            .is_some_and(|(_, at)| at >= failed_at);
+        let mut others = self.upstreams.iter().filter(|(id, _)| *id != upstream);
+        others.any(|(_, link)| {
+            let reached = if is_unreachable {
+                link.connected
+            } else {
+                link.heard()
+            };
+            reached > Some(failed_at) && reached > link.failed()
+        })
     }
 
-    pub(crate) fn last_heard(&self) -> Option<Instant> {
-        self.upstreams
-            .values()
-            .filter_map(UpstreamLink::heard)
-            .max()
+    pub(crate) fn is_heard_after(&self, at: Instant) -> bool {
+        self.last_heard() > Some(at)
     }
 
-    /// Returns when the evidence of the inquiry began, if there is one.
-    pub(crate) fn inquiry_since(&self) -> Option<Instant> {
-        match &self.phase {
-            Phase::Up {
-                inquiry: Some(inquiry),
-            } => Some(inquiry.since),
-            _ => None,
+    /// Starts an inquiry if upstreams owe bytes and none has sent any for long.
+    pub(crate) fn check_silence(&mut self, now: Instant) {
+        if self.inquiry.is_some() || !matches!(self.phase, Phase::Up) {
+            return;
+        }
+        let last_heard = self.last_heard();
+        let owing = self.upstreams.values().filter_map(|link| link.silent_since);
+        let (count, first) = owing.fold((0, None), |(count, first), at| {
+            (
+                count + 1,
+                Some(first.map_or(at, |first: Instant| first.min(at))),
+            )
+        });
+        let Some(since) = first.max(last_heard.filter(|_| count > 0)) else {
+            return;
+        };
+        let silence = now.saturating_duration_since(since);
+        let limit = |least: Duration| {
+            let limit = least.max(self.usual_silence * 3 / 2) * 2_u32.pow(self.silences.min(2));
+            limit.min(MAX_SILENCE)
+        };
+        let is_suspected = count >= 2 && silence >= limit(SILENCE);
+        if is_suspected || silence >= limit(LONE_SILENCE) {
+            self.silences += 1;
+            self.inquiry = Some(Inquiry {
+                is_suspected,
+                ..Inquiry::new(now, now)
+            });
         }
     }
 
-    /// Starts inquiries because of silence, and ends those with a verdict; returns whether links were
-    /// found lost.
-    pub(crate) fn decide(&mut self, is_other_service_heard: bool, now: Instant) -> bool {
-        match &self.phase {
-            Phase::Returning { since, .. }
-                if now.saturating_duration_since(*since) >= self.ramp() =>
-            {
-                self.phase = Phase::Up { inquiry: None };
-                self.up_since = Some(now);
-                false
-            }
-            Phase::Up { .. } => {
-                self.check_silence(now);
-                let is_lost = self.is_lost(is_other_service_heard, now);
-                if is_lost {
-                    self.lose(None, now);
-                }
-                is_lost
-            }
-            _ => false,
+    /// Ends an inquiry that was not caused by a failure and has found none.
+    pub(crate) fn end_idle_inquiry(&mut self) {
+        let is_idle = self.inquiry.as_ref().is_some_and(|inquiry| {
+            inquiry.rounds >= MAX_IDLE_ROUNDS && self.failed_since(inquiry.since).is_empty()
+        });
+        if is_idle {
+            self.inquiry = None;
+        }
+    }
+
+    /// Ends the ramp of links that have returned.
+    pub(crate) fn end_ramp(&mut self, now: Instant) {
+        if matches!(self.phase, Phase::Returning { .. }) && self.state(now) == LinkState::Up {
+            self.phase = Phase::Up;
+        }
+    }
+
+    /// Returns whether all evidence is that no upstream accepts connections from here.
+    pub(crate) fn are_probes_failing(&self, now: Instant) -> bool {
+        let Some(inquiry) = &self.inquiry else {
+            return false;
+        };
+        if now.saturating_duration_since(inquiry.since) < MIN_INQUIRY {
+            return false;
         }
+        let known = self.upstreams.len();
+        let unreachable = self.unreachable_since(inquiry.since);
+        let probed = self.unreachable_since(inquiry.started);
+        let heard = self.heard_since(inquiry.since);
+        unreachable.len() >= MIN_UNREACHABLE.min(known)
+            && probed.len() >= MIN_PROBED.min(known)
+            && heard.intersection(&unreachable).count() >= MIN_HALF_LOST.min(heard.len())
+    }
+
+    /// Records that the links are lost.
+    pub(crate) fn lose(&mut self, now: Instant) {
+        let is_calm = self
+            .returned
+            .is_none_or(|at| now.saturating_duration_since(at) >= CALM_TIME);
+        self.relapses = if is_calm { 0 } else { self.relapses + 1 };
+        self.inquiry = None;
+        self.phase = Phase::Lost {
+            since: now,
+            next_probe: now + PROBE_PAUSE,
+            interrupted: None,
+        };
     }
 
-    pub(crate) fn due_probes(
+    /// Returns the connections to open now.
+    pub(crate) fn due_probe(
         &mut self,
         service: &ServiceId,
         now: Instant,
         draw: u32,
-    ) -> Vec<Probe> {
-        let jitter = LOST_PROBE_PAUSE.mul_f64(0.8 + 0.4 * f64::from(draw) / f64::from(u32::MAX));
+    ) -> Option<Probe> {
         let (count, since) = match &mut self.phase {
-            Phase::Up {
-                inquiry: Some(inquiry),
-            } if now >= inquiry.next_round => {
+            Phase::Up => {
+                let inquiry = self.inquiry.as_mut().filter(|i| now >= i.next_round)?;
                 inquiry.rounds += 1;
-                inquiry.next_round = now
-                    + if inquiry.rounds == 1 {
-                        ROUND_PAUSE
-                    } else {
-                        PROBE_TIMEOUT
-                    };
-                (PROBES_PER_ROUND, inquiry.since)
+                let is_first = inquiry.rounds == 1;
+                let pause = if is_first {
+                    ROUND_PAUSE
+                } else {
+                    LATER_ROUND_PAUSE
+                };
+                inquiry.next_round = now + pause;
+                let count = if is_first { 1 } else { PROBES_PER_ROUND };
+                (count, inquiry.since)
             }
-            Phase::Lost { next_probe, .. } | Phase::Returning { next_probe, .. }
-                if now >= *next_probe =>
-            {
-                *next_probe = now + jitter;
+            Phase::Lost { next_probe, .. } | Phase::Returning { next_probe, .. } => {
+                if now < *next_probe {
+                    return None;
+                }
+                let jitter = 0.8 + 0.4 * f64::from(draw) / f64::from(u32::MAX);
+                *next_probe = now + PROBE_PAUSE.mul_f64(jitter);
                 (1, now.checked_sub(PROBE_AVOIDANCE).unwrap_or(now))
             }
-            _ => return Vec::new(),
         };
-        let heard = self.heard_since(since);
-        let avoid: BTreeSet<_> = self
-            .upstreams
-            .iter()
-            .filter(|(_, link)| {
-                link.silent_since.is_some_and(|at| at >= since)
-                    || link.unreachable.is_some_and(|(from, _)| from >= since)
-            })
-            .map(|(id, _)| id.clone())
+        let avoid = self.filter(|link| {
+            link.silent_since.is_some_and(|at| at >= since)
+                || link.unreachable.is_some_and(|(begin, _)| begin >= since)
+        });
+        let prefer = self
+            .heard_since(since)
+            .difference(&avoid)
+            .cloned()
             .collect();
-        let prefer: BTreeSet<_> = heard.difference(&avoid).cloned().collect();
-        let probe = Probe {
+        Some(Probe {
             service: service.clone(),
+            count,
             prefer,
             avoid,
-        };
-        vec![probe; count]
+        })
     }
 
     fn link(&mut self, upstream: &UpstreamId) -> &mut UpstreamLink {
@@ -392,115 +441,72 @@
         if self.evidence_from.is_some_and(|from| since < from) {
             return;
         }
-        let failed = self.failed_since(since).len();
         match &mut self.phase {
-            Phase::Up { inquiry } => {
-                let inquiry = inquiry.get_or_insert(Inquiry::new(since, now));
+            Phase::Up => {
+                let inquiry = self.inquiry.get_or_insert(Inquiry::new(since, now));
                 inquiry.since = inquiry.since.min(since);
-                inquiry.is_suspected |= failed >= 2;
+                let since = inquiry.since;
+                let is_suspected = self.failed_since(since).len() >= 2;
+                if let Some(inquiry) = &mut self.inquiry {
+                    inquiry.is_suspected |= is_suspected;
+                }
             }
             Phase::Returning { since: begin, .. } => {
                 let elapsed = now.saturating_duration_since(*begin);
-                self.lose(Some(elapsed), now);
+                self.phase = Phase::Lost {
+                    since: now,
+                    next_probe: now,
+                    interrupted: Some(elapsed),
+                };
             }
-            Phase::Lost { interrupted, .. } => {
-                if interrupted.take().is_some() {
+            Phase::Lost {
+                since: lost,
+                interrupted,
+                ..
+            } => {
+                if since >= *lost && interrupted.take().is_some() {
                     self.relapses += 1;
                 }
             }
         }
     }
 
-    fn lose(&mut self, interrupted: Option<Duration>, now: Instant) {
-        if interrupted.is_none() {
-            let is_calm = self
-                .up_since
-                .is_none_or(|at| now.saturating_duration_since(at) >= CALM_TIME);
-            self.relapses = if is_calm { 0 } else { self.relapses + 1 };
-        }
-        let pause = if interrupted.is_some() {
-            Duration::ZERO
-        } else {
-            LOST_PROBE_PAUSE
-        };
-        self.phase = Phase::Lost {
-            since: now,
-            next_probe: now + pause,
-            interrupted,
-        };
+    fn last_heard(&self) -> Option<Instant> {
+        let connected = self.upstreams.values().filter_map(|link| link.connected);
+        connected.max().max(self.received)
     }
 
-    /// Starts an inquiry if upstreams owe bytes and none has sent any for long.
-    fn check_silence(&mut self, now: Instant) {
-        if !matches!(self.phase, Phase::Up { inquiry: None }) {
+    /// Learns how long upstreams are usually silent, when bytes arrive.
+    fn learn_silence(&mut self, now: Instant) {
+        let is_long = |at: Instant| now.saturating_duration_since(at) >= SILENCE / 2;
+        if self.received.is_some_and(|at| !is_long(at)) {
             return;
         }
-        let last_heard = self.last_heard();
         let owing = self
             .upstreams
             .values()
-            .filter_map(|link| link.silent_since.max(last_heard.filter(|_| link.waits > 0)));
-        let is_silent = |at: &Instant, limit: Duration| {
-            let limit = (limit * 2_u32.pow(self.false_alarms.min(4))).min(MAX_SILENCE);
-            now.saturating_duration_since(*at) >= limit
-        };
-        let owing: Vec<_> = owing.collect();
-        let Some(&first) = owing.iter().min() else {
-            return;
-        };
-        let is_suspected = owing.len() >= 2 && is_silent(&first, SILENCE);
-        if is_suspected || is_silent(&first, LONE_SILENCE) {
-            let inquiry = Inquiry {
-                is_suspected,
-                ..Inquiry::new(now, now)
-            };
-            self.phase = Phase::Up {
-                inquiry: Some(inquiry),
-            };
+            .filter_map(|link| link.waiting_since);
+        if let Some(since) = owing.min().max(self.received) {
+            let silence = now.saturating_duration_since(since);
+            self.usual_silence = silence.max(self.usual_silence * 9 / 10).min(MAX_SILENCE);
         }
     }
 
-    fn is_lost(&self, is_other_service_heard: bool, now: Instant) -> bool {
-        let Phase::Up {
-            inquiry: Some(inquiry),
-        } = &self.phase
-        else {
-            return false;
-        };
-        if inquiry.rounds == 0 || now.saturating_duration_since(inquiry.since) < MIN_INQUIRY {
-            return false;
-        }
-        let unreachable = self.unreachable_since(inquiry.since);
-        let heard = self.heard_since(inquiry.since);
-        if heard.intersection(&unreachable).count() < heard.len().min(2) {
-            return false;
-        }
-        if self.has_one_upstream() && is_other_service_heard {
-            return false;
-        }
-        !unreachable.is_empty() && unreachable.len() >= MIN_UNREACHABLE.min(self.upstreams.len())
-    }
-
-    /// Returns the upstreams from which bytes arrived since a time.
+    /// Returns the upstreams from which bytes arrived after a time.
     fn heard_since(&self, since: Instant) -> BTreeSet<UpstreamId> {
         self.filter(|link| link.received.is_some_and(|at| at > since))
     }
 
     /// Returns the upstreams to which an attempt to connect failed that began at a time or later.
     fn unreachable_since(&self, since: Instant) -> BTreeSet<UpstreamId> {
-        self.filter(|link| link.unreachable.is_some_and(|(from, _)| from >= since))
-    }
-
-    fn has_unreachable_since(&self, since: Instant) -> bool {
-        !self.unreachable_since(since).is_empty()
+        self.filter(|link| link.unreachable.is_some_and(|(begin, _)| begin >= since))
     }
 
-    /// Returns the upstreams that failed in any way since a time.
+    /// Returns the upstreams that failed in any way by attempts that began at a time or later.
     fn failed_since(&self, since: Instant) -> BTreeSet<UpstreamId> {
-        let from = self.inquiry_since().map_or(since, |at| at.min(since));
         self.filter(|link| {
-            link.unreachable.is_some_and(|(begin, _)| begin >= from)
-                || link.reset.is_some_and(|at| at >= from)
+            link.unreachable.is_some_and(|(begin, _)| begin >= since)
+                || link.reset.is_some_and(|at| at >= since)
         })
     }
 
@@ -514,6 +520,7 @@
     fn new(since: Instant, now: Instant) -> Self {
         Self {
             since,
+            started: now,
             is_suspected: false,
             rounds: 0,
             next_round: now,
--- a/crates/shallottide_fleet/src/upstream_links.rs
+++ b/crates/shallottide_fleet/src/upstream_links.rs
@@ -27,15 +27,17 @@
     Returning,
 }
 
-/// Request to open a connection to an upstream of a service.
+/// Request to open connections to upstreams of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Probe {
     /// The service.
     pub service: ServiceId,
-    /// Upstreams of which one is to be chosen if it is still known and not to be avoided: their kept
-    /// connections answer, so they show whether only new connections fail.
+    /// Number of connections to open, each to another upstream; fewer, if fewer upstreams are known.
+    pub count: usize,
+    /// Upstreams to choose before others: their kept connections answer, so they show whether only new
+    /// connections fail.
     pub prefer: BTreeSet<UpstreamId>,
-    /// Upstreams that are not to be chosen, unless no other is known.
+    /// Upstreams to choose only if all others were chosen or none is known.
     pub avoid: BTreeSet<UpstreamId>,
 }
 
@@ -63,7 +65,7 @@
 
     /// Records that a wait ended without a fault: the response was complete, or the caller left.
     pub fn record_wait_ended(&mut self, service: &ServiceId, upstream: &UpstreamId, now: Instant) {
-        self.links(service, now).record_wait_ended(upstream, now);
+        self.links(service, now).record_wait_ended(upstream);
     }
 
     /// Records that bytes of a response arrived; the wait continues until the response is complete.
@@ -100,16 +102,28 @@
     /// Returns the state of the links to a service.
     #[must_use]
     pub fn state(&self, service: &ServiceId, now: Instant) -> LinkState {
-        let links = self.services.get(service);
-        links.map_or(LinkState::Up, |links| links.state(now))
+        if let Some(links) = self.services.get(service) {
+            return links.state(now);
+        }
+        let mut states = self.services.values().map(|links| links.state(now));
+        if states.any(|state| state == LinkState::Lost) {
+            LinkState::Suspected
+        } else {
+            LinkState::Up
+        }
     }
 
     /// Returns whether a call may be sent over this node's own links: an increasing share of all calls
     /// while the links return. `draw` is a uniform random number.
+    ///
+    /// A service without any outcome yet counts as lost while the links to all others are.
     #[must_use]
     pub fn allows_own(&self, service: &ServiceId, now: Instant, draw: u32) -> bool {
-        let links = self.services.get(service);
-        links.is_none_or(|links| links.allows_own(now, draw))
+        if let Some(links) = self.services.get(service) {
+            return links.allows_own(now, draw);
+        }
+        let mut states = self.services.values().map(|links| links.state(now));
+        self.services.is_empty() || states.any(|state| state != LinkState::Lost)
     }
 
     /// Returns whether links are lost, but kept connections still answer.
@@ -123,8 +137,7 @@
     /// another one was reached after it. Otherwise this node's own links may be at fault, and the
     /// failure is no evidence against the upstream.
     ///
-    /// `false` may become `true` within [`FAULT_VERDICT_DELAY`] or, where connections hang, the time
-    /// limit on opening one.
+    /// Right after a failure no other can have been reached: ask after [`FAULT_VERDICT_DELAY`].
     #[must_use]
     pub fn is_upstreams_fault(
         &self,
@@ -136,11 +149,16 @@
         let Some(links) = self.services.get(service) else {
             return false;
         };
-        // A service with one upstream has no other that could be reached.
-        links.is_upstreams_fault(upstream, since, now)
-            || (links.has_one_upstream()
-                && links.state(now) == LinkState::Up
-                && self.is_other_service_heard(service, since))
+        if !links.may_be_upstreams_fault(since, now) {
+            return false;
+        }
+        let failed_at = links.failed_at(upstream, since);
+        if links.has_one_upstream() {
+            // It has no other that could be reached.
+            let mut others = self.others(service);
+            return others.any(|other| other.is_heard_after(failed_at));
+        }
+        links.is_other_reached(upstream, failed_at)
     }
 
     /// Returns the connections to open now to find out whether upstreams can be reached. The outcomes
@@ -148,11 +166,10 @@
     pub fn due_probes(&mut self, now: Instant, draw: u32) -> Vec<Probe> {
         self.observe(now);
         self.decide(now);
-        let mut probes = Vec::new();
-        for (service, links) in &mut self.services {
-            probes.extend(links.due_probes(service, now, draw));
-        }
-        probes
+        let services = self.services.iter_mut();
+        services
+            .filter_map(|(service, links)| links.due_probe(service, now, draw))
+            .collect()
     }
 
     /// Drops upstreams that are no longer known.
@@ -168,6 +185,11 @@
         self.services.entry(service.clone()).or_default()
     }
 
+    fn others(&self, service: &ServiceId) -> impl Iterator<Item = &ServiceLinks> {
+        let others = self.services.iter().filter(move |(id, _)| *id != service);
+        others.map(|(_, links)| links)
+    }
+
     /// Drops what was observed before a pause of this process.
     fn observe(&mut self, now: Instant) {
         let last_call = self.last_call.replace(now).unwrap_or(now);
@@ -178,29 +200,39 @@
         }
     }
 
-    /// Takes the decisions that are due, and checks the other services when the links to one are lost.
+    /// Takes the decisions that are due, and probes the other services when the links to one are lost.
     fn decide(&mut self, now: Instant) {
-        let mut is_any_lost = false;
-        let services: Vec<_> = self.services.keys().cloned().collect();
-        for service in services {
-            let inquiry = self.services[&service].inquiry_since();
-            let is_other_heard =
-                inquiry.is_some_and(|since| self.is_other_service_heard(&service, since));
-            if let Some(links) = self.services.get_mut(&service) {
-                is_any_lost |= links.decide(is_other_heard, now);
-            }
+        for links in self.services.values_mut() {
+            links.check_silence(now);
+            links.end_ramp(now);
+            links.end_idle_inquiry();
         }
-        if is_any_lost {
-            for links in self.services.values_mut() {
-                links.suspect(now);
+        let services = self.services.iter();
+        let unreachable: Vec<_> = services
+            .filter(|(_, links)| links.are_probes_failing(now))
+            .map(|(service, _)| service.clone())
+            .collect();
+        for service in unreachable {
+            let has_one = self.services[&service].has_one_upstream();
+            if has_one && !self.are_others_unreachable(&service, now) {
+                let others = self.services.iter_mut().filter(|(id, _)| **id != service);
+                others.for_each(|(_, links)| links.check(now));
+                continue;
+            }
+            for (id, links) in &mut self.services {
+                if *id == service {
+                    links.lose(now);
+                } else {
+                    links.suspect(now);
+                }
             }
         }
     }
 
-    fn is_other_service_heard(&self, service: &ServiceId, since: Instant) -> bool {
-        let others = self.services.iter().filter(|(id, _)| *id != service);
-        others
-            .filter_map(|(_, links)| links.last_heard())
-            .any(|at| at > since)
+    /// Returns whether the upstreams of all other services can't be reached either. A failure of the
+    /// only upstream of a service may be its own.
+    fn are_others_unreachable(&self, service: &ServiceId, now: Instant) -> bool {
+        self.others(service)
+            .all(|other| other.state(now) == LinkState::Lost || other.are_probes_failing(now))
     }
 }
