Test the decision on lost links on simulated nodes

A simulation of nodes, upstreams, connections and callers plays cuts (connections hang, are reset, or only new ones are refused), deaths of single upstreams and of racks, silence, and pauses of the process. It found faults of the first version, which are fixed here: answers read just after a reset held the upstream at fault, so did time limits that passed while the process stood still; and the fault of an upstream that died was not established when a retry of the same call connected first. Recording a failure now returns it, and is_upstreams_fault takes it, since a later failure of the same upstream replaced the one asked about.

--- a/crates/shallottide_fleet/src/service_links.rs
+++ b/crates/shallottide_fleet/src/service_links.rs
@@ -5,7 +5,7 @@
 
 use shallottide_types::id::{ServiceId, UpstreamId};
 
-use crate::upstream_links::{LinkState, Probe};
+use crate::upstream_links::{ConnectionFailure, LinkState, Probe};
 
 /// Time without bytes of any upstream, while several owe some, after which links are suspected.
 const SILENCE: Duration = Duration::from_millis(300);
@@ -15,6 +15,8 @@
 const MAX_SILENCE: Duration = Duration::from_secs(1);
 /// Shortest time between the first evidence and the verdict, in which other upstreams may be heard.
 const MIN_INQUIRY: Duration = Duration::from_millis(200);
+/// Time after a failure in which what arrived before it may still be read.
+const READ_DELAY: Duration = Duration::from_millis(25);
 /// Time between later rounds; longer than the time limit on opening a connection.
 const LATER_ROUND_PAUSE: Duration = Duration::from_millis(600);
 /// Time between the first two rounds of probes.
@@ -84,6 +86,10 @@
     since: Instant,
     started: Instant,
     is_suspected: bool,
+    /// Whether only a new connection can end it: one could not be opened, while kept connections may
+    /// live on.
+    needs_connection: bool,
+    last_failure: Option<Instant>,
     /// Rounds of probes sent.
     rounds: u32,
     next_round: Instant,
@@ -125,6 +131,8 @@
     relapses: u32,
     /// When connections last succeeded again.
     returned: Option<Instant>,
+    /// When this process last continued after it had stood still.
+    resumed: Option<Instant>,
 }
 
 impl ServiceLinks {
@@ -159,12 +167,7 @@
         let link = self.link(upstream);
         link.received = Some(now);
         link.silent_since = link.silent_since.map(|_| now);
-        // Kept connections may live on while new ones fail.
-        if let Some(inquiry) = &self.inquiry
-            && self.unreachable_since(inquiry.since).is_empty()
-        {
-            self.inquiry = None;
-        }
+        self.inquiry = self.inquiry.take().filter(|i| i.needs_connection);
     }
 
     pub(crate) fn record_connected(&mut self, upstream: &UpstreamId, now: Instant) {
@@ -173,7 +176,7 @@
         link.connected = Some(now);
         link.silent_since = link.silent_since.map(|_| now);
         self.evidence_from = self.evidence_from.max(Some(now));
-        self.inquiry = None;
+        self.inquiry = self.inquiry.take().and_then(|i| i.connected(now));
         if let Phase::Lost { interrupted, .. } = self.phase {
             let elapsed = interrupted.unwrap_or_default();
             self.returned = Some(now);
@@ -194,6 +197,9 @@
         link.end_wait();
         link.unreachable = Some((since, now));
         self.record_failure(since, now);
+        if let Some(inquiry) = &mut self.inquiry {
+            inquiry.needs_connection = true;
+        }
     }
 
     pub(crate) fn record_reset(&mut self, upstream: &UpstreamId, now: Instant) {
@@ -220,6 +226,7 @@
 
     /// Drops the evidence from before a pause of this process.
     pub(crate) fn record_pause(&mut self, now: Instant) {
+        self.resumed = Some(now);
         self.evidence_from = self.evidence_from.max(Some(now));
         for link in self.upstreams.values_mut() {
             link.silent_since = link.silent_since.map(|_| now);
@@ -227,6 +234,7 @@
         if let Some(inquiry) = &mut self.inquiry {
             *inquiry = Inquiry {
                 is_suspected: inquiry.is_suspected,
+                needs_connection: inquiry.needs_connection,
                 ..Inquiry::new(now, now)
             };
         }
@@ -267,38 +275,37 @@
         self.received.is_some_and(|at| at >= since)
     }
 
-    /// Returns whether a failure that began at a time happened while links were not known to be lost.
-    pub(crate) fn may_be_upstreams_fault(&self, since: Instant, now: Instant) -> bool {
-        self.state(now) != LinkState::Lost && self.returned.is_none_or(|at| since >= at)
+    /// Returns whether a failure was neither in a time in which links were lost, nor across a pause of
+    /// this process.
+    pub(crate) fn may_be_upstreams_fault(&self, failure: &ConnectionFailure, now: Instant) -> bool {
+        let ConnectionFailure { since, at, .. } = *failure;
+        self.state(now) != LinkState::Lost
+            && self.returned.is_none_or(|returned| since >= returned)
+            && self
+                .resumed
+                .is_none_or(|resumed| since >= resumed || at < resumed)
     }
 
-    /// Returns when an upstream's last failure that began at or after a time became known.
-    pub(crate) fn failed_at(&self, upstream: &UpstreamId, since: Instant) -> Instant {
-        let failed = self.upstreams.get(upstream).and_then(UpstreamLink::failed);
-        failed.map_or(since, |at| at.max(since))
-    }
-
-    /// Returns whether another upstream was reached after a failure, and has not failed since: by a new
-    /// connection if one to the upstream could not be opened, else by any bytes.
-    pub(crate) fn is_other_reached(&self, upstream: &UpstreamId, failed_at: Instant) -> bool {
-        let is_unreachable = self
-            .upstreams
-            .get(upstream)
-            .and_then(|link| link.unreachable)
-            .is_some_and(|(_, at)| at >= failed_at);
+    /// Returns whether another upstream was reached well after a failure, and has not failed since: by a
+    /// new connection if one to the upstream could not be opened, else by any bytes.
+    pub(crate) fn is_other_reached(
+        &self,
+        upstream: &UpstreamId,
+        failure: &ConnectionFailure,
+    ) -> bool {
         let mut others = self.upstreams.iter().filter(|(id, _)| *id != upstream);
         others.any(|(_, link)| {
-            let reached = if is_unreachable {
+            let reached = if failure.is_unreachable {
                 link.connected
             } else {
                 link.heard()
             };
-            reached > Some(failed_at) && reached > link.failed()
+            reached > Some(failure.at + READ_DELAY) && reached > link.failed()
         })
     }
 
     pub(crate) fn is_heard_after(&self, at: Instant) -> bool {
-        self.last_heard() > Some(at)
+        self.last_heard() > Some(at + READ_DELAY)
     }
 
     /// Starts an inquiry if upstreams owe bytes and none has sent any for long.
@@ -407,12 +414,13 @@
                 }
                 let jitter = 0.8 + 0.4 * f64::from(draw) / f64::from(u32::MAX);
                 *next_probe = now + PROBE_PAUSE.mul_f64(jitter);
-                (1, now.checked_sub(PROBE_AVOIDANCE).unwrap_or(now))
+                (1, now)
             }
         };
         let avoid = self.filter(|link| {
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < PROBE_AVOIDANCE;
             link.silent_since.is_some_and(|at| at >= since)
-                || link.unreachable.is_some_and(|(begin, _)| begin >= since)
+                || link.unreachable.is_some_and(|(begin, _)| is_recent(begin))
         });
         let prefer = self
             .heard_since(since)
@@ -435,23 +443,28 @@
         RAMP * 2_u32.pow(self.relapses.min(MAX_RAMP_DOUBLINGS))
     }
 
-    /// Counts a failure of an attempt that began at `since`, unless a connection was established or
-    /// this process stood still after that.
+    /// Records a failure of an attempt that began at `since`.
+    ///
+    /// It is evidence against the links unless a connection was established or this process stood still
+    /// since then; whose fault it is, a probe finds out in any case.
     fn record_failure(&mut self, since: Instant, now: Instant) {
-        if self.evidence_from.is_some_and(|from| since < from) {
-            return;
-        }
+        let is_evidence = self.evidence_from.is_none_or(|from| since >= from);
+        let since = if is_evidence { since } else { now };
         match &mut self.phase {
             Phase::Up => {
-                let inquiry = self.inquiry.get_or_insert(Inquiry::new(since, now));
+                let inquiry = self.inquiry.get_or_insert(Inquiry {
+                    next_round: now + READ_DELAY,
+                    ..Inquiry::new(since, now)
+                });
                 inquiry.since = inquiry.since.min(since);
+                inquiry.last_failure = Some(now);
                 let since = inquiry.since;
                 let is_suspected = self.failed_since(since).len() >= 2;
                 if let Some(inquiry) = &mut self.inquiry {
                     inquiry.is_suspected |= is_suspected;
                 }
             }
-            Phase::Returning { since: begin, .. } => {
+            Phase::Returning { since: begin, .. } if is_evidence => {
                 let elapsed = now.saturating_duration_since(*begin);
                 self.phase = Phase::Lost {
                     since: now,
@@ -463,11 +476,12 @@
                 since: lost,
                 interrupted,
                 ..
-            } => {
-                if since >= *lost && interrupted.take().is_some() {
+            } if since >= *lost && is_evidence => {
+                if interrupted.take().is_some() {
                     self.relapses += 1;
                 }
             }
+            Phase::Returning { .. } | Phase::Lost { .. } => {}
         }
     }
 
@@ -522,8 +536,24 @@
             since,
             started: now,
             is_suspected: false,
+            needs_connection: false,
+            last_failure: None,
             rounds: 0,
             next_round: now,
         }
     }
+
+    /// Returns what remains to be found out after a connection was established: the one right after a
+    /// failure may have been accepted before it.
+    fn connected(self, now: Instant) -> Option<Self> {
+        let next_round = self.last_failure? + READ_DELAY;
+        (now < next_round).then_some(Self {
+            since: now,
+            started: now,
+            is_suspected: false,
+            rounds: 0,
+            next_round,
+            ..self
+        })
+    }
 }
--- a/crates/shallottide_fleet/src/upstream_links.rs
+++ b/crates/shallottide_fleet/src/upstream_links.rs
@@ -27,6 +27,17 @@
     Returning,
 }
 
+/// A failure of a connection to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionFailure {
+    /// When the attempt to connect began, or the connection was reset.
+    pub since: Instant,
+    /// When the failure became known.
+    pub at: Instant,
+    /// Whether no connection could be opened; else an established one failed.
+    pub is_unreachable: bool,
+}
+
 /// Request to open connections to upstreams of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Probe {
@@ -86,17 +97,32 @@
         upstream: &UpstreamId,
         since: Instant,
         now: Instant,
-    ) {
+    ) -> ConnectionFailure {
         let links = self.links(service, now);
         links.record_unreachable(upstream, since, now);
         self.decide(now);
+        ConnectionFailure {
+            since,
+            at: now,
+            is_unreachable: true,
+        }
     }
 
     /// Records that an established connection was reset, or timed out, before its response was
     /// complete.
-    pub fn record_reset(&mut self, service: &ServiceId, upstream: &UpstreamId, now: Instant) {
+    pub fn record_reset(
+        &mut self,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        now: Instant,
+    ) -> ConnectionFailure {
         self.links(service, now).record_reset(upstream, now);
         self.decide(now);
+        ConnectionFailure {
+            since: now,
+            at: now,
+            is_unreachable: false,
+        }
     }
 
     /// Returns the state of the links to a service.
@@ -133,9 +159,8 @@
         links.is_some_and(ServiceLinks::is_half_lost)
     }
 
-    /// Returns whether the last failure of an upstream, which began at `since`, is the upstream's:
-    /// another one was reached after it. Otherwise this node's own links may be at fault, and the
-    /// failure is no evidence against the upstream.
+    /// Returns whether a failure is the upstream's: another one was reached after it. Otherwise this
+    /// node's own links may be at fault, and the failure is no evidence against the upstream.
     ///
     /// Right after a failure no other can have been reached: ask after [`FAULT_VERDICT_DELAY`].
     #[must_use]
@@ -143,22 +168,21 @@
         &self,
         service: &ServiceId,
         upstream: &UpstreamId,
-        since: Instant,
+        failure: &ConnectionFailure,
         now: Instant,
     ) -> bool {
         let Some(links) = self.services.get(service) else {
             return false;
         };
-        if !links.may_be_upstreams_fault(since, now) {
+        if !links.may_be_upstreams_fault(failure, now) {
             return false;
         }
-        let failed_at = links.failed_at(upstream, since);
         if links.has_one_upstream() {
             // It has no other that could be reached.
             let mut others = self.others(service);
-            return others.any(|other| other.is_heard_after(failed_at));
+            return others.any(|other| other.is_heard_after(failure.at));
         }
-        links.is_other_reached(upstream, failed_at)
+        links.is_other_reached(upstream, failure)
     }
 
     /// Returns the connections to open now to find out whether upstreams can be reached. The outcomes
--- a/crates/shallottide_fleet/tests/support/mod.rs
+++ b/crates/shallottide_fleet/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 mod claim_store;
 mod crashing_parts;
+mod cut_scenario;
+mod cut_simulation;
 mod engines;
 mod limited_upstreams;
 mod restored_store;
@@ -11,6 +13,11 @@
 
 pub(crate) use claim_store::{ClaimDay, claim_nodes};
 pub(crate) use crashing_parts::{Disturbance, Scenario, Simulation};
+pub(crate) use cut_scenario::{
+    CutOutcome, CutScenario, LinkFailure, SimConnectionFailure, SimService, large_service, ms,
+    small_service,
+};
+pub(crate) use cut_simulation::play_cut;
 pub(crate) use engines::{Engines, Faults};
 pub(crate) use limited_upstreams::{LimitScenario, NodeFault, play_limits};
 pub(crate) use restored_store::RestoredDay;
