--- /dev/null
+++ b/crates/shallottide_fleet/src/service_links.rs
@@ -0,0 +1,559 @@
+//! State machine of a node's links to the upstreams of one service.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use shallottide_types::id::{ServiceId, UpstreamId};
+
+use crate::upstream_links::{ConnectionFailure, LinkState, Probe};
+
+/// Time without bytes of any upstream, while several owe some, after which links are suspected.
+const SILENCE: Duration = Duration::from_millis(300);
+/// Time without bytes, while one upstream owes some, after which others are probed.
+const LONE_SILENCE: Duration = Duration::from_millis(400);
+/// Longest such time while probes succeed, so that slow answers cause few probes.
+const MAX_SILENCE: Duration = Duration::from_secs(1);
+/// Shortest time between the first evidence and the verdict, in which other upstreams may be heard.
+const MIN_INQUIRY: Duration = Duration::from_millis(200);
+/// Time after a failure in which what arrived before it may still be read.
+const READ_DELAY: Duration = Duration::from_millis(25);
+/// Time between later rounds; longer than the time limit on opening a connection.
+const LATER_ROUND_PAUSE: Duration = Duration::from_millis(600);
+/// Time between the first two rounds of probes.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// Probes of all rounds but the first, which has one.
+const PROBES_PER_ROUND: usize = 3;
+/// Rounds after which an inquiry ends that has found no failure.
+const MAX_IDLE_ROUNDS: u32 = 3;
+/// Upstreams that must be unreachable for the links to count as lost; all, if fewer are known.
+const MIN_UNREACHABLE: usize = 3;
+/// How many of them must be unreachable by attempts that began after the first evidence.
+const MIN_PROBED: usize = 2;
+/// Upstreams with answering kept connections that must refuse new ones; all, if there are fewer.
+const MIN_HALF_LOST: usize = 2;
+/// Mean time between two probes of links that are lost or return.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which an unreachable upstream is not probed again, if others are known.
+const PROBE_AVOIDANCE: Duration = Duration::from_secs(2);
+/// Share of calls sent over links that have just returned.
+const FIRST_SHARE: f64 = 0.1;
+/// Time in which this share increases to all calls; doubles with each relapse.
+const RAMP: Duration = Duration::from_secs(3);
+/// Most doublings of [`RAMP`].
+const MAX_RAMP_DOUBLINGS: u32 = 2;
+/// Time without a loss after which relapses are forgotten.
+const CALM_TIME: Duration = Duration::from_secs(10);
+
+/// Outcomes of the connections to one upstream.
+#[derive(Debug, Clone, Default)]
+struct UpstreamLink {
+    /// Requests and connection attempts without an end.
+    waits: u32,
+    /// Since when it has owed bytes; `None` while `waits` is 0.
+    waiting_since: Option<Instant>,
+    /// Since when it has owed bytes without sending any; `None` while `waits` is 0.
+    silent_since: Option<Instant>,
+    received: Option<Instant>,
+    connected: Option<Instant>,
+    /// Begin and end of the last failed attempt to connect.
+    unreachable: Option<(Instant, Instant)>,
+    /// When an established connection was last reset.
+    reset: Option<Instant>,
+}
+
+impl UpstreamLink {
+    fn heard(&self) -> Option<Instant> {
+        self.received.max(self.connected)
+    }
+
+    fn failed(&self) -> Option<Instant> {
+        self.reset.max(self.unreachable.map(|(_, end)| end))
+    }
+
+    fn end_wait(&mut self) {
+        self.waits = self.waits.saturating_sub(1);
+        if self.waits == 0 {
+            self.waiting_since = None;
+            self.silent_since = None;
+        }
+    }
+}
+
+/// Search for the cause of failures or of silence.
+#[derive(Debug, Clone)]
+struct Inquiry {
+    /// When the first evidence began; only outcomes of attempts since then count.
+    since: Instant,
+    started: Instant,
+    is_suspected: bool,
+    /// Whether only a new connection can end it: one could not be opened, while kept connections may
+    /// live on.
+    needs_connection: bool,
+    last_failure: Option<Instant>,
+    /// Rounds of probes sent.
+    rounds: u32,
+    next_round: Instant,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+enum Phase {
+    #[default]
+    Up,
+    Lost {
+        since: Instant,
+        next_probe: Instant,
+        /// Time into the ramp at which a failure interrupted it.
+        interrupted: Option<Duration>,
+    },
+    Returning {
+        since: Instant,
+        next_probe: Instant,
+    },
+}
+
+/// A node's links to the upstreams of one service.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ServiceLinks {
+    upstreams: BTreeMap<UpstreamId, UpstreamLink>,
+    phase: Phase,
+    /// The current inquiry; only while the phase is `Up`.
+    inquiry: Option<Inquiry>,
+    /// Evidence that began earlier does not count: a connection was established, or this process
+    /// stood still.
+    evidence_from: Option<Instant>,
+    /// When bytes of any upstream last arrived.
+    received: Option<Instant>,
+    /// Longest usual time without bytes while some are owed.
+    usual_silence: Duration,
+    /// Inquiries since the last bytes that silence caused.
+    silences: u32,
+    /// Losses in a row without a calm time between them.
+    relapses: u32,
+    /// When connections last succeeded again.
+    returned: Option<Instant>,
+    /// When this process last continued after it had stood still.
+    resumed: Option<Instant>,
+}
+
+impl ServiceLinks {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
+    pub(crate) fn has_one_upstream(&self) -> bool {
+        self.upstreams.len() == 1
+    }
+
+    pub(crate) fn retain(&mut self, known: impl Fn(&UpstreamId) -> bool) {
+        self.upstreams
+            .retain(|id, link| link.waits > 0 || known(id));
+    }
+
+    pub(crate) fn record_waiting(&mut self, upstream: &UpstreamId, now: Instant) {
+        let link = self.link(upstream);
+        link.waits += 1;
+        link.waiting_since.get_or_insert(now);
+        link.silent_since.get_or_insert(now);
+    }
+
+    pub(crate) fn record_wait_ended(&mut self, upstream: &UpstreamId) {
+        self.link(upstream).end_wait();
+    }
+
+    pub(crate) fn record_received(&mut self, upstream: &UpstreamId, now: Instant) {
+        self.learn_silence(now);
+        self.received = Some(now);
+        self.silences = 0;
+        let link = self.link(upstream);
+        link.received = Some(now);
+        link.silent_since = link.silent_since.map(|_| now);
+        self.inquiry = self.inquiry.take().filter(|i| i.needs_connection);
+    }
+
+    pub(crate) fn record_connected(&mut self, upstream: &UpstreamId, now: Instant) {
+        let link = self.link(upstream);
+        link.end_wait();
+        link.connected = Some(now);
+        link.silent_since = link.silent_since.map(|_| now);
+        self.evidence_from = self.evidence_from.max(Some(now));
+        self.inquiry = self.inquiry.take().and_then(|i| i.connected(now));
+        if let Phase::Lost { interrupted, .. } = self.phase {
+            let elapsed = interrupted.unwrap_or_default();
+            self.returned = Some(now);
+            self.phase = Phase::Returning {
+                since: now.checked_sub(elapsed).unwrap_or(now),
+                next_probe: now + PROBE_PAUSE,
+            };
+        }
+    }
+
+    pub(crate) fn record_unreachable(
+        &mut self,
+        upstream: &UpstreamId,
+        since: Instant,
+        now: Instant,
+    ) {
+        let link = self.link(upstream);
+        link.end_wait();
+        link.unreachable = Some((since, now));
+        self.record_failure(since, now);
+        if let Some(inquiry) = &mut self.inquiry {
+            inquiry.needs_connection = true;
+        }
+    }
+
+    pub(crate) fn record_reset(&mut self, upstream: &UpstreamId, now: Instant) {
+        let link = self.link(upstream);
+        link.end_wait();
+        link.reset = Some(now);
+        self.record_failure(now, now);
+    }
+
+    /// Makes the links suspected because those to another service are lost.
+    pub(crate) fn suspect(&mut self, now: Instant) {
+        self.check(now);
+        if let Some(inquiry) = &mut self.inquiry {
+            inquiry.is_suspected = true;
+        }
+    }
+
+    /// Starts an inquiry if there is none.
+    pub(crate) fn check(&mut self, now: Instant) {
+        if matches!(self.phase, Phase::Up) {
+            self.inquiry.get_or_insert(Inquiry::new(now, now));
+        }
+    }
+
+    /// Drops the evidence from before a pause of this process.
+    pub(crate) fn record_pause(&mut self, now: Instant) {
+        self.resumed = Some(now);
+        self.evidence_from = self.evidence_from.max(Some(now));
+        for link in self.upstreams.values_mut() {
+            link.silent_since = link.silent_since.map(|_| now);
+        }
+        if let Some(inquiry) = &mut self.inquiry {
+            *inquiry = Inquiry {
+                is_suspected: inquiry.is_suspected,
+                needs_connection: inquiry.needs_connection,
+                ..Inquiry::new(now, now)
+            };
+        }
+    }
+
+    pub(crate) fn state(&self, now: Instant) -> LinkState {
+        match &self.phase {
+            Phase::Up if self.inquiry.as_ref().is_some_and(|i| i.is_suspected) => {
+                LinkState::Suspected
+            }
+            Phase::Returning { since, .. }
+                if now.saturating_duration_since(*since) < self.ramp() =>
+            {
+                LinkState::Returning
+            }
+            Phase::Up | Phase::Returning { .. } => LinkState::Up,
+            Phase::Lost { .. } => LinkState::Lost,
+        }
+    }
+
+    pub(crate) fn allows_own(&self, now: Instant, draw: u32) -> bool {
+        match &self.phase {
+            Phase::Up => true,
+            Phase::Lost { .. } => false,
+            Phase::Returning { since, .. } => {
+                let elapsed = now.saturating_duration_since(*since).as_secs_f64();
+                let progress = elapsed / self.ramp().as_secs_f64();
+                let share = FIRST_SHARE + (1.0 - FIRST_SHARE) * progress;
+                f64::from(draw) < share * f64::from(u32::MAX)
+            }
+        }
+    }
+
+    pub(crate) fn is_half_lost(&self) -> bool {
+        let Phase::Lost { since, .. } = self.phase else {
+            return false;
+        };
+        self.received.is_some_and(|at| at >= since)
+    }
+
+    /// Returns whether a failure was neither in a time in which links were lost, nor across a pause of
+    /// this process.
+    pub(crate) fn may_be_upstreams_fault(&self, failure: &ConnectionFailure, now: Instant) -> bool {
+        let ConnectionFailure { since, at, .. } = *failure;
+        self.state(now) != LinkState::Lost
+            && self.returned.is_none_or(|returned| since >= returned)
+            && self
+                .resumed
+                .is_none_or(|resumed| since >= resumed || at < resumed)
+    }
+
+    /// Returns whether another upstream was reached well after a failure, and has not failed since: by a
+    /// new connection if one to the upstream could not be opened, else by any bytes.
+    pub(crate) fn is_other_reached(
+        &self,
+        upstream: &UpstreamId,
+        failure: &ConnectionFailure,
+    ) -> bool {
+        let mut others = self.upstreams.iter().filter(|(id, _)| *id != upstream);
+        others.any(|(_, link)| {
+            let reached = if failure.is_unreachable {
+                link.connected
+            } else {
+                link.heard()
+            };
+            reached > Some(failure.at + READ_DELAY) && reached > link.failed()
+        })
+    }
+
+    pub(crate) fn is_heard_after(&self, at: Instant) -> bool {
+        self.last_heard() > Some(at + READ_DELAY)
+    }
+
+    /// Starts an inquiry if upstreams owe bytes and none has sent any for long.
+    pub(crate) fn check_silence(&mut self, now: Instant) {
+        if self.inquiry.is_some() || !matches!(self.phase, Phase::Up) {
+            return;
+        }
+        let last_heard = self.last_heard();
+        let owing = self.upstreams.values().filter_map(|link| link.silent_since);
+        let (count, first) = owing.fold((0, None), |(count, first), at| {
+            (
+                count + 1,
+                Some(first.map_or(at, |first: Instant| first.min(at))),
+            )
+        });
+        let Some(since) = first.max(last_heard.filter(|_| count > 0)) else {
+            return;
+        };
+        let silence = now.saturating_duration_since(since);
+        let limit = |least: Duration| {
+            let limit = least.max(self.usual_silence * 3 / 2) * 2_u32.pow(self.silences.min(2));
+            limit.min(MAX_SILENCE)
+        };
+        let is_suspected = count >= 2 && silence >= limit(SILENCE);
+        if is_suspected || silence >= limit(LONE_SILENCE) {
+            self.silences += 1;
+            self.inquiry = Some(Inquiry {
+                is_suspected,
+                ..Inquiry::new(now, now)
+            });
+        }
+    }
+
+    /// Ends an inquiry that was not caused by a failure and has found none.
+    pub(crate) fn end_idle_inquiry(&mut self) {
+        let is_idle = self.inquiry.as_ref().is_some_and(|inquiry| {
+            inquiry.rounds >= MAX_IDLE_ROUNDS && self.failed_since(inquiry.since).is_empty()
+        });
+        if is_idle {
+            self.inquiry = None;
+        }
+    }
+
+    /// Ends the ramp of links that have returned.
+    pub(crate) fn end_ramp(&mut self, now: Instant) {
+        if matches!(self.phase, Phase::Returning { .. }) && self.state(now) == LinkState::Up {
+            self.phase = Phase::Up;
+        }
+    }
+
+    /// Returns whether all evidence is that no upstream accepts connections from here.
+    pub(crate) fn are_probes_failing(&self, now: Instant) -> bool {
+        let Some(inquiry) = &self.inquiry else {
+            return false;
+        };
+        if now.saturating_duration_since(inquiry.since) < MIN_INQUIRY {
+            return false;
+        }
+        let known = self.upstreams.len();
+        let unreachable = self.unreachable_since(inquiry.since);
+        let probed = self.unreachable_since(inquiry.started);
+        let heard = self.heard_since(inquiry.since);
+        unreachable.len() >= MIN_UNREACHABLE.min(known)
+            && probed.len() >= MIN_PROBED.min(known)
+            && heard.intersection(&unreachable).count() >= MIN_HALF_LOST.min(heard.len())
+    }
+
+    /// Records that the links are lost.
+    pub(crate) fn lose(&mut self, now: Instant) {
+        let is_calm = self
+            .returned
+            .is_none_or(|at| now.saturating_duration_since(at) >= CALM_TIME);
+        self.relapses = if is_calm { 0 } else { self.relapses + 1 };
+        self.inquiry = None;
+        self.phase = Phase::Lost {
+            since: now,
+            next_probe: now + PROBE_PAUSE,
+            interrupted: None,
+        };
+    }
+
+    /// Returns the connections to open now.
+    pub(crate) fn due_probe(
+        &mut self,
+        service: &ServiceId,
+        now: Instant,
+        draw: u32,
+    ) -> Option<Probe> {
+        let (count, since) = match &mut self.phase {
+            Phase::Up => {
+                let inquiry = self.inquiry.as_mut().filter(|i| now >= i.next_round)?;
+                inquiry.rounds += 1;
+                let is_first = inquiry.rounds == 1;
+                let pause = if is_first {
+                    ROUND_PAUSE
+                } else {
+                    LATER_ROUND_PAUSE
+                };
+                inquiry.next_round = now + pause;
+                let count = if is_first { 1 } else { PROBES_PER_ROUND };
+                (count, inquiry.since)
+            }
+            Phase::Lost { next_probe, .. } | Phase::Returning { next_probe, .. } => {
+                if now < *next_probe {
+                    return None;
+                }
+                let jitter = 0.8 + 0.4 * f64::from(draw) / f64::from(u32::MAX);
+                *next_probe = now + PROBE_PAUSE.mul_f64(jitter);
+                (1, now)
+            }
+        };
+        let avoid = self.filter(|link| {
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < PROBE_AVOIDANCE;
+            link.silent_since.is_some_and(|at| at >= since)
+                || link.unreachable.is_some_and(|(begin, _)| is_recent(begin))
+        });
+        let prefer = self
+            .heard_since(since)
+            .difference(&avoid)
+            .cloned()
+            .collect();
+        Some(Probe {
+            service: service.clone(),
+            count,
+            prefer,
+            avoid,
+        })
+    }
+
+    fn link(&mut self, upstream: &UpstreamId) -> &mut UpstreamLink {
+        self.upstreams.entry(upstream.clone()).or_default()
+    }
+
+    fn ramp(&self) -> Duration {
+        RAMP * 2_u32.pow(self.relapses.min(MAX_RAMP_DOUBLINGS))
+    }
+
+    /// Records a failure of an attempt that began at `since`.
+    ///
+    /// It is evidence against the links unless a connection was established or this process stood still
+    /// since then; whose fault it is, a probe finds out in any case.
+    fn record_failure(&mut self, since: Instant, now: Instant) {
+        let is_evidence = self.evidence_from.is_none_or(|from| since >= from);
+        let since = if is_evidence { since } else { now };
+        match &mut self.phase {
+            Phase::Up => {
+                let inquiry = self.inquiry.get_or_insert(Inquiry {
+                    next_round: now + READ_DELAY,
+                    ..Inquiry::new(since, now)
+                });
+                inquiry.since = inquiry.since.min(since);
+                inquiry.last_failure = Some(now);
+                let since = inquiry.since;
+                let is_suspected = self.failed_since(since).len() >= 2;
+                if let Some(inquiry) = &mut self.inquiry {
+                    inquiry.is_suspected |= is_suspected;
+                }
+            }
+            Phase::Returning { since: begin, .. } if is_evidence => {
+                let elapsed = now.saturating_duration_since(*begin);
+                self.phase = Phase::Lost {
+                    since: now,
+                    next_probe: now,
+                    interrupted: Some(elapsed),
+                };
+            }
+            Phase::Lost {
+                since: lost,
+                interrupted,
+                ..
+            } if since >= *lost && is_evidence => {
+                if interrupted.take().is_some() {
+                    self.relapses += 1;
+                }
+            }
+            Phase::Returning { .. } | Phase::Lost { .. } => {}
+        }
+    }
+
+    fn last_heard(&self) -> Option<Instant> {
+        let connected = self.upstreams.values().filter_map(|link| link.connected);
+        connected.max().max(self.received)
+    }
+
+    /// Learns how long upstreams are usually silent, when bytes arrive.
+    fn learn_silence(&mut self, now: Instant) {
+        let is_long = |at: Instant| now.saturating_duration_since(at) >= SILENCE / 2;
+        if self.received.is_some_and(|at| !is_long(at)) {
+            return;
+        }
+        let owing = self
+            .upstreams
+            .values()
+            .filter_map(|link| link.waiting_since);
+        if let Some(since) = owing.min().max(self.received) {
+            let silence = now.saturating_duration_since(since);
+            self.usual_silence = silence.max(self.usual_silence * 9 / 10).min(MAX_SILENCE);
+        }
+    }
+
+    /// Returns the upstreams from which bytes arrived after a time.
+    fn heard_since(&self, since: Instant) -> BTreeSet<UpstreamId> {
+        self.filter(|link| link.received.is_some_and(|at| at > since))
+    }
+
+    /// Returns the upstreams to which an attempt to connect failed that began at a time or later.
+    fn unreachable_since(&self, since: Instant) -> BTreeSet<UpstreamId> {
+        self.filter(|link| link.unreachable.is_some_and(|(begin, _)| begin >= since))
+    }
+
+    /// Returns the upstreams that failed in any way by attempts that began at a time or later.
+    fn failed_since(&self, since: Instant) -> BTreeSet<UpstreamId> {
+        self.filter(|link| {
+            link.unreachable.is_some_and(|(begin, _)| begin >= since)
+                || link.reset.is_some_and(|at| at >= since)
+        })
+    }
+
+    fn filter(&self, matches: impl Fn(&UpstreamLink) -> bool) -> BTreeSet<UpstreamId> {
+        let links = self.upstreams.iter().filter(|(_, link)| matches(link));
+        links.map(|(id, _)| id.clone()).collect()
+    }
+}
+
+impl Inquiry {
+    fn new(since: Instant, now: Instant) -> Self {
+        Self {
+            since,
+            started: now,
+            is_suspected: false,
+            needs_connection: false,
+            last_failure: None,
+            rounds: 0,
+            next_round: now,
+        }
+    }
+
+    /// Returns what remains to be found out after a connection was established: the one right after a
+    /// failure may have been accepted before it.
+    fn connected(self, now: Instant) -> Option<Self> {
+        let next_round = self.last_failure? + READ_DELAY;
+        (now < next_round).then_some(Self {
+            since: now,
+            started: now,
+            is_suspected: false,
+            rounds: 0,
+            next_round,
+            ..self
+        })
+    }
+}
