Relay calls to a peer while links to upstreams are lost

Callers of nodes that were partitioned from all upstreams, while callers, the store and the other nodes still reached them, were served 0 of 112 first tries, those of other nodes 841 of 849.

Cause: a node sent calls only over its own links. Without them it refused each call, or waited for time-outs, though the other nodes reached the upstreams. It also took its own failures for those of the upstreams: in the record, the nodes that were cut off wrote calls as suspected of ending upstreams to the store.

A node now records what its connections show of its own links and probes them when they may be lost. While they are lost, it relays its callers' calls to a peer over HTTP/2, which runs them like its own and never relays them again. A peer that is cut off too, stops or has enough calls refuses at once, and another one is tried. What the peer answers goes to the caller as it is; a hop that breaks counts as an upstream's broken connection: the outcome is unknown. Attempts are counted over both nodes, demand and first tries at the caller's node alone, and failures of upstreams at the node that saw them. Calls and streams that may run again move to a peer when the links are found lost. When links return, an increasing share of the calls is sent over them.

An attempt to resume a stream that did not reach its upstream no longer uses up one of the attempts that the route allows.

--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -212,6 +212,17 @@
         load.backoff_until = load.backoff_until.max(Some(until));
     }
 
+    /// Ends the back-offs from some upstreams, and forgets the failures that caused them.
+    pub fn end_back_offs(&mut self, is_ended: impl Fn(&UpstreamId) -> bool) {
+        for (id, load) in &mut self.loads {
+            if load.failures_in_row > 0 && is_ended(id) {
+                load.failures_in_row = 0;
+                load.failure_rate = 0.0;
+                load.backoff_until = None;
+            }
+        }
+    }
+
     /// Returns how many requests of this node are in flight at an upstream.
     #[must_use]
     pub fn in_flight(&self, upstream: &UpstreamId) -> u32 {
--- a/crates/shallottide_fleet/src/serve/attempt.rs
+++ b/crates/shallottide_fleet/src/serve/attempt.rs
@@ -11,24 +11,25 @@
 use shallottide_types::id::{ServiceId, UpstreamId};
 
 use super::call::{Call, CallResult};
-use super::connection::HttpError;
+use super::connection::{HttpError, read_body};
+use super::links::LinkWait;
 use super::node::Node;
 use super::response_body::ResponseBody;
 use super::send::{InFlightGuard, OutgoingRequest, SendError, UpstreamResponse, send};
-use super::stream_relay::{self, NextEvents};
+use super::stream_relay::{self, NextEvents, StreamSource};
 use crate::balance::Choice;
 use crate::catalog::Route;
 use crate::event_stream::EventSplitter;
 
 /// Time without a response, or without the first event after its head, after which an upstream counts
 /// as silent, as a multiple of the route's target latency.
-const SILENCE_FACTOR: u32 = 4;
+pub(super) const SILENCE_FACTOR: u32 = 4;
 /// Interval at which a stream without a first event checks whether its upstream has stalled.
 const STALL_POLL_INTERVAL: Duration = Duration::from_millis(80);
 /// Consecutive checks that must find the upstream stalled before it counts as silent.
 const STALLED_POLLS: u32 = 3;
 /// Largest response body that is not a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Why an attempt gave no response that can be returned to the caller.
 pub(super) enum AttemptError {
@@ -131,13 +132,16 @@
             drop(state);
             node.metrics.record_duration("first_event", took);
             response.in_flight.record_stream_start();
-            Ok(CallResult::Stream(Box::new(response), splitter, first))
+            let source = StreamSource::Upstream(Box::new(response));
+            Ok(CallResult::Stream(source, splitter, first))
         }
         ended => {
             node.record_stall(&upstream);
             if matches!(ended, NextEvents::Disconnected) || response.ends_with_connection {
                 let lifetime = response.in_flight.lifetime;
-                node.record_disconnect(&upstream, lifetime, request, None);
+                if response.wait.end_by_reset().await {
+                    node.record_disconnect(&upstream, lifetime, request, None);
+                }
             }
             Err(SendError::OutcomeUnknown(
                 "the stream ended before its first event",
@@ -158,17 +162,21 @@
         head,
         mut pooled,
         in_flight,
+        wait,
         sent_at,
         ends_with_connection,
         ..
     } = response;
-    let (parts, body) = inner.into_parts();
+    let (parts, mut body) = inner.into_parts();
     let connection = pooled.connection();
-    let reading = connection.read_response_body(body, MAX_RESPONSE_BYTES, &node.body_budget);
+    let reading = read_body(&mut body, MAX_RESPONSE_BYTES, &node.body_budget, || {
+        connection.record_progress();
+        wait.record_received();
+    });
     let body = match reading.await {
         Ok(body) => body,
         Err(error) => {
-            record_truncated(node, request, &in_flight, &error);
+            record_truncated(node, request, &in_flight, wait, &error).await;
             return Err(SendError::OutcomeUnknown("the answer was cut").into());
         }
     };
@@ -201,15 +209,16 @@
     Ok(CallResult::Complete(response))
 }
 
-fn record_truncated(
+async fn record_truncated(
     node: &Rc<Node>,
     request: &OutgoingRequest,
     in_flight: &InFlightGuard,
+    wait: LinkWait,
     error: &HttpError,
 ) {
     let upstream = &in_flight.upstream;
     tracing::info!(call = %request.id, %upstream, %error, "response truncated");
-    if error.is_disconnect() {
+    if error.is_disconnect() && wait.end_by_reset().await {
         node.record_disconnect(upstream, in_flight.lifetime, request, None);
     }
     let mut state = node.state.borrow_mut();
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
-use shallottide_types::id::{DomainId, ModelId, ServiceId, UpstreamId};
+use shallottide_types::id::{DomainId, ModelId, NodeId, ServiceId, UpstreamId};
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
 
 use super::attempt::{Attempt, AttemptError, Silence};
@@ -17,16 +18,19 @@
 use super::connection::{HttpError, read_body};
 use super::node::Node;
 use super::quarantine::Trial;
+use super::relay::{RelayHead, Relayed, refuse_lost};
+use super::relay_server::RelayedGuard;
 use super::response_body::ResponseBody;
-use super::send::{InFlightGuard, OutgoingRequest, SendError, UpstreamResponse};
+use super::send::{InFlightGuard, OutgoingRequest, SendError};
 use super::stop::Phase;
-use super::stream_relay::{self, StreamRelay};
+use super::stream_relay::{self, StreamRelay, StreamSource};
 use crate::adapter::CallHead;
 use crate::balance::{Choice, NoPlace};
 use crate::catalog::{Catalog, Repeat, Route};
 use crate::event_stream::{EventSplitter, WholeEvents};
 use crate::request_digest::RequestDigest;
 use crate::routes::{RouteError, choose_service};
+use crate::upstream_links::LinkState;
 
 /// Deadline of a request that does not state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -47,9 +51,9 @@
     /// Attempts that an upstream may have run.
     pub(super) attempts: u32,
     /// Attempts that did not reach the upstream: not sent, or misdirected.
-    unsent_attempts: u32,
+    pub(super) unsent_attempts: u32,
     /// An upstream's own error response, returned to the caller if no retry gives a better one.
-    fallback_response: Option<Response<ResponseBody>>,
+    pub(super) fallback_response: Option<Response<ResponseBody>>,
     /// Whether an upstream may have run the call.
     pub(super) may_have_run: bool,
     pub(super) priority: u8,
@@ -59,9 +63,23 @@
     pub(super) domains: Option<BTreeSet<DomainId>>,
     /// The trial that this call is, if a part of its prompt is quarantined.
     pub(super) trial: Option<Trial>,
+    /// Peers to which it was relayed and that did not answer it.
+    pub(super) tried_peers: Vec<NodeId>,
+    /// Uniform random number that decides whether the call is sent over links that return.
+    pub(super) link_draw: u32,
+    /// Set if a peer relayed the call to this node, which does not relay it again.
+    pub(super) relayed_from: Option<RelayedGuard>,
     pub(super) log: CallLog,
 }
 
+/// Extension of a response that is a refusal: whether the call ran.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Refused(pub(super) Ran);
+
+/// Extension of a response: the attempts that were made for the call until then.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AttemptsMade(pub(super) u32);
+
 /// Handles one request and returns its response.
 pub(super) async fn handle(node: &Rc<Node>, request: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
@@ -128,11 +146,59 @@
         queue_key: call.queue_key,
         domains: call.domains,
         trial: None,
+        tried_peers: Vec::new(),
+        link_draw: rand::random(),
+        relayed_from: None,
         log,
     };
     call.run(head.resume_from).await
 }
 
+/// Handles a call that a peer relayed; returns `None` if it is not valid.
+pub(super) async fn handle_relayed(
+    node: &Rc<Node>,
+    head: RelayHead,
+    body: Bytes,
+    guard: RelayedGuard,
+) -> Option<Response<ResponseBody>> {
+    let (method, uri, headers) = head.request()?;
+    let mut log = CallLog::start(node, head.id.clone());
+    log.route = head.route.name.clone();
+    let request = OutgoingRequest {
+        id: head.id,
+        digest: RequestDigest::new(&method, &uri, head.team.as_deref(), &body),
+        method,
+        uri,
+        headers,
+        body,
+        team: head.team,
+        urgency: head.priority.min(9),
+        deadline: node.now() + head.time_left,
+        shared_parts: head.shared_parts,
+    };
+    let call = Call {
+        node: node.clone(),
+        service: head.service,
+        model: head.model,
+        request: Rc::new(request),
+        domains: allowed_domains(node, &head.route),
+        route: Rc::new(head.route),
+        tried: Vec::new(),
+        attempts: head.attempts,
+        unsent_attempts: 0,
+        fallback_response: None,
+        may_have_run: head.may_have_run,
+        priority: head.priority,
+        queue_key: head.queue_key,
+        trial: None,
+        tried_peers: Vec::new(),
+        link_draw: rand::random(),
+        relayed_from: Some(guard),
+        log,
+    };
+    Some(call.run(head.resume_from).await)
+}
+
 /// Returns the refusal of a request whose body could not be read.
 fn refuse_unread_body(error: &HttpError) -> Refusal {
     match error {
@@ -263,7 +329,8 @@
             let refusal = Refusal::new(RefusalKind::DeadlineExceeded, ran, message);
             return self.refuse(&refusal);
         };
-        match response {
+        let attempts = AttemptsMade(self.attempts);
+        let mut response = match response {
             CallResult::Refused(refusal) if !self.may_have_run => {
                 self.return_trial();
                 self.refuse(&refusal)
@@ -279,10 +346,12 @@
                 self.log.set_outcome("answered", response.status().as_u16());
                 response
             }
-            CallResult::Stream(response, splitter, first) => {
-                stream_relay::start(StreamRelay::new(self, *response, splitter, first))
+            CallResult::Stream(source, splitter, first) => {
+                stream_relay::start(StreamRelay::new(self, source, splitter, first))
             }
-        }
+        };
+        response.extensions_mut().insert(attempts);
+        response
     }
 
     fn refuse(&mut self, refusal: &Refusal) -> Response<ResponseBody> {
@@ -293,12 +362,24 @@
     /// Tries upstreams until one answers the call or the call must be refused.
     async fn send_until_answered(&mut self, resume_from: Option<u64>) -> CallResult {
         loop {
+            if self.is_to_be_relayed()
+                && let Some(result) = self.send_to_peer(resume_from).await
+            {
+                return result;
+            }
             if let Err(refusal) = self.pass_quarantine().await {
                 return CallResult::Refused(refusal);
             }
             let selected = match self.select_upstream().await {
                 Ok(selected) => selected,
                 Err(no_place) => {
+                    let links = self.node.link_state(&self.service);
+                    if self.relayed_from.is_none()
+                        && links != LinkState::Up
+                        && let Some(result) = self.send_to_peer(resume_from).await
+                    {
+                        return result;
+                    }
                     return CallResult::Refused(self.refuse_without_upstream(no_place));
                 }
             };
@@ -320,6 +401,10 @@
         let attempt = self.begin_attempt(selected, resume_from);
         let mut silence = attempt.silence();
         attempts.push(attempt.run());
+        let (node, service) = (self.node.clone(), self.service.clone());
+        let lost = node.wait_until_links_lost(&service);
+        tokio::pin!(lost);
+        let mut is_loss_seen = self.relayed_from.is_some();
         loop {
             tokio::select! {
                 biased;
@@ -340,6 +425,14 @@
                         return None;
                     }
                 }
+                () = &mut lost, if !is_loss_seen => {
+                    is_loss_seen = true;
+                    if self.may_repeat() && self.take_retry() {
+                        // No upstream will answer; a peer gets the call.
+                        self.may_have_run = true;
+                        return None;
+                    }
+                }
                 () = &mut silence => {
                     if !self.can_fail_over() || self.is_suspect() {
                         silence = Silence::never();
@@ -355,6 +448,27 @@
         }
     }
 
+    /// Relays the call; returns `None` if no peer took it and this node's own links may serve it.
+    async fn send_to_peer(&mut self, resume_from: Option<u64>) -> Option<CallResult> {
+        loop {
+            match self.relay(resume_from).await {
+                Relayed::Taken(response) => match self.read_peer_response(response).await {
+                    Ok(result) => return Some(result),
+                    Err(Some(refusal)) => return Some(CallResult::Refused(refusal)),
+                    Err(None) => {}
+                },
+                Relayed::Lost => {
+                    let refusal = refuse_lost("the connection to a peer ended");
+                    return Some(CallResult::Refused(refusal));
+                }
+                Relayed::NoPeer => {
+                    let is_lost = self.node.link_state(&self.service) == LinkState::Lost;
+                    return is_lost.then(|| CallResult::Refused(self.refuse_cut_off()));
+                }
+            }
+        }
+    }
+
     fn begin_attempt(
         &mut self,
         (choice, in_flight): (Choice, InFlightGuard),
@@ -394,7 +508,7 @@
     }
 
     /// Returns whether the call may run again after an attempt that may have run it.
-    fn may_repeat(&self) -> bool {
+    pub(super) fn may_repeat(&self) -> bool {
         self.can_fail_over() && !self.is_suspect()
     }
 
@@ -495,7 +609,7 @@
     }
 
     /// Returns a `retry-after` with jitter, within the caller's remaining time.
-    fn retry_after(&self) -> Duration {
+    pub(super) fn retry_after(&self) -> Duration {
         let time_left = self
             .request
             .deadline
@@ -515,7 +629,7 @@
 pub(super) enum CallResult {
     Refused(Refusal),
     Complete(Response<ResponseBody>),
-    Stream(Box<UpstreamResponse>, EventSplitter, WholeEvents),
+    Stream(StreamSource, EventSplitter, WholeEvents),
 }
 
 fn refuse(
@@ -538,6 +652,7 @@
     let mut response = Response::new(ResponseBody::Complete(Some(refusal.to_json().into())));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     *response.headers_mut() = node.platform.call_format.refusal_headers(refusal, id);
+    response.extensions_mut().insert(Refused(refusal.ran));
     response
 }
 
--- a/crates/shallottide_fleet/src/serve/metrics.rs
+++ b/crates/shallottide_fleet/src/serve/metrics.rs
@@ -10,9 +10,11 @@
 use hdrhistogram::Histogram;
 use http::Response;
 use http_body_util::Full;
+use shallottide_types::id::ServiceId;
 
 use super::logs;
 use super::node::Node;
+use crate::upstream_links::LinkState;
 
 /// Quantiles reported for each histogram.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
@@ -104,6 +106,10 @@
     let limited = state.named_limits.len();
     line("limited_upstreams", "", limited.to_string());
     line("quarantined_parts", "", quarantined.to_string());
+    let services = state.view.catalog.iter().flat_map(|c| c.services.keys());
+    let is_lost = |id: &&ServiceId| state.links.state(id, now) == LinkState::Lost;
+    let lost = services.filter(is_lost).count();
+    line("links_lost", "", lost.to_string());
     line("calls_in_flight", "", state.in_flight.to_string());
     line("upstreams", "", state.view.upstreams.len().to_string());
     line("nodes", "", state.view.nodes.len().to_string());
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of a node, and the start of those tasks.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,9 +16,10 @@
 use super::connection_pool::ConnectionPool;
 use super::delta_feed::EncodedDelta;
 use super::metrics::Metrics;
+use super::relay_connections::RelayConnections;
 use super::stop::{self, Phase, StopReport};
 use super::supervise::supervise;
-use super::{callers, controller_task, metrics, peers, plain_http, status, store_sync};
+use super::{callers, controller_task, links, metrics, peers, plain_http, status, store_sync};
 use crate::adapter::{CallFormat, EngineFormat, Lease, Store};
 use crate::balance::LoadTracker;
 use crate::byte_budget::ByteBudget;
@@ -28,8 +29,11 @@
 use crate::lease_validity::LeaseValidity;
 use crate::named_limits::NamedLimits;
 use crate::options::NodeOptions;
+use crate::relay_limit::RelayLimit;
+use crate::relay_targets::RelayTargets;
 use crate::retry_budget::RetryBudget;
 use crate::routes::RouteTable;
+use crate::upstream_links::UpstreamLinks;
 use crate::view::ClusterView;
 use crate::wait_queue::{Ticket, WaitQueue};
 
@@ -79,6 +83,12 @@
     /// Version of the configuration that `routes` was built from.
     pub(super) routes_version: Option<u64>,
     pub(super) loads: LoadTracker,
+    /// This node's own links to upstreams.
+    pub(super) links: UpstreamLinks,
+    /// Nodes to which calls are relayed while links are lost.
+    pub(super) relay_targets: RelayTargets,
+    /// Limit on the calls that other nodes relay to this one.
+    pub(super) relay_limit: RelayLimit,
     pub(super) cold: ColdGate,
     pub(super) named_limits: NamedLimits,
     pub(super) retry_budgets: BTreeMap<ServiceId, RetryBudget>,
@@ -132,6 +142,9 @@
     pub(super) clock: Arc<dyn Clock>,
     pub(super) state: RefCell<State>,
     pub(super) pool: ConnectionPool,
+    pub(super) relay_connections: RelayConnections,
+    /// Services of which no upstream answers this node any more, over new or kept connections.
+    pub(super) lost_links: watch::Sender<BTreeSet<ServiceId>>,
     /// Bytes of bodies that are being read, from callers and upstreams.
     pub(super) body_budget: Rc<ByteBudget>,
     /// The last delta that was sent to a follower.
@@ -195,6 +208,8 @@
         clock,
         state: RefCell::default(),
         pool: ConnectionPool::default(),
+        relay_connections: RelayConnections::default(),
+        lost_links: watch::Sender::default(),
         body_budget,
         last_delta: RefCell::default(),
         metrics: Metrics::default(),
@@ -238,6 +253,7 @@
     start(&node, "peer views", peers::fetch_views_while_store_lost);
     start(&node, "load reports", peers::exchange_load_reports);
     start(&node, "store", store_sync::follow);
+    start(&node, "link probes", links::watch);
     start(&node, "lease", store_sync::keep_lease);
     start(&node, "controller", controller_task::run);
     start(&node, "housekeeping", run_housekeeping);
@@ -278,6 +294,10 @@
         let view = &state.view;
         state.loads.retain(|id| view.upstreams.contains_key(id));
         state.cold.retain(|id| view.upstreams.contains_key(id));
+        state.links.retain(|id| view.upstreams.contains_key(id));
+        state.relay_targets.retain(|id| view.nodes.contains_key(id));
+        let peers: BTreeSet<_> = view.nodes.values().map(|entry| entry.peers).collect();
+        node.relay_connections.retain(|peer| peers.contains(peer));
         node.pool
             .evict_idle(|id| view.upstreams.contains_key(id), now);
         state.refresh_derived();
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -18,12 +18,16 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use shallottide_types::id::NodeId;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::delta_feed;
 use super::node::Node;
 use super::quarantine::{self, EVIDENCE_VERSION};
+use super::relay::RELAY_PATH;
+use super::relay_server;
+use super::response_body::ResponseBody;
 use super::supervise::supervise;
 use crate::groups::DemandReport;
 use crate::named_limits::LimitReport;
@@ -43,6 +47,12 @@
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Idle time after which a peer's connection is pinged, and closed if the peer does not answer.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
+/// Time without an answer after which the connection to a peer that owes answers to relayed calls is
+/// pinged, and closed.
+const RELAY_PING_INTERVAL: Duration = Duration::from_millis(300);
+const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most requests of one peer at a time.
+const MAX_REQUESTS: u32 = 4_096;
 /// Time for which an upstream that a peer reported as stalled or failed gets no requests.
 const PEER_SUSPECT_AVOIDANCE: Duration = Duration::from_millis(500);
 /// Largest load report, in bytes; fits one datagram.
@@ -83,7 +93,7 @@
     }
 }
 
-/// Serves this node's view, and deltas of it, to peers.
+/// Serves this node's view, and deltas of it, to peers, and calls that they relay.
 pub(super) async fn serve(node: Rc<Node>, listener: Rc<TcpListener>) {
     loop {
         let stream = match listener.accept().await {
@@ -98,17 +108,12 @@
         spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let node = node.clone();
-                async move {
-                    let body = match delta_feed::requested_revision(request.uri().path()) {
-                        Some(after) => delta_feed::wait_for_delta(&node, after).await,
-                        None => encoded_view(&node),
-                    };
-                    Ok::<_, Infallible>(Response::new(Full::new(body)))
-                }
+                async move { Ok::<_, Infallible>(respond(&node, request).await) }
             });
             let served = server::Builder::new(LocalExecutor)
                 .timer(TokioTimer::new())
                 .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+                .max_concurrent_streams(MAX_REQUESTS)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
                 tracing::debug!(%error, "peer connection failed");
@@ -117,6 +122,18 @@
     }
 }
 
+async fn respond(node: &Rc<Node>, request: Request<Incoming>) -> Response<ResponseBody> {
+    let path = request.uri().path();
+    if path == RELAY_PATH {
+        return relay_server::respond(node, request).await;
+    }
+    let body = match delta_feed::requested_revision(path) {
+        Some(after) => delta_feed::wait_for_delta(node, after).await,
+        None => encoded_view(node),
+    };
+    Response::new(ResponseBody::Complete(Some(body)))
+}
+
 fn encoded_view(node: &Node) -> Bytes {
     let now = node.now();
     let state = node.state.borrow();
@@ -214,6 +231,26 @@
         Ok(Self { peer, sender, task })
     }
 
+    /// Opens a connection for relayed calls, which ends soon after the peer no longer answers.
+    pub(super) async fn open_for_relays(peer: SocketAddr) -> Result<Self, PeerError> {
+        let stream = TcpStream::connect(peer).await?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(RELAY_TIMEOUT))?;
+        let (sender, connection) = client::Builder::new(LocalExecutor)
+            .timer(TokioTimer::new())
+            .keep_alive_interval(RELAY_PING_INTERVAL)
+            .keep_alive_timeout(RELAY_TIMEOUT)
+            .handshake(TokioIo::new(stream))
+            .await?;
+        let task = spawn_local(connection);
+        Ok(Self { peer, sender, task })
+    }
+
+    /// Returns a sender of requests, unless the connection is closed.
+    pub(super) fn open_sender(&self) -> Option<client::SendRequest<Full<Bytes>>> {
+        (!self.sender.is_closed()).then(|| self.sender.clone())
+    }
+
     pub(super) fn peer(&self) -> SocketAddr {
         self.peer
     }
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -13,6 +13,7 @@
 
 use super::connection::HttpError;
 use super::connection_pool::PooledConnection;
+use super::links::LinkWait;
 use super::node::Node;
 use crate::adapter::{AnswerHead, SendHead, Verdict};
 use crate::balance::Choice;
@@ -22,6 +23,8 @@
 use crate::prompt_part::PromptPart;
 use crate::request_digest::RequestDigest;
 use crate::upstream::Upstream;
+use crate::upstream_links::ConnectionFailure;
+use crate::view::KnownUpstream;
 
 /// Time for which an upstream that reported itself full gets no requests, and the limit for reading
 /// the rest of its response.
@@ -116,6 +119,8 @@
     pub(super) head: AnswerHead,
     pub(super) pooled: PooledConnection,
     pub(super) in_flight: InFlightGuard,
+    /// Wait for the rest of the response.
+    pub(super) wait: LinkWait,
     pub(super) sent_at: Instant,
     /// When its first event arrived.
     pub(super) first_event_at: Option<Instant>,
@@ -155,30 +160,19 @@
         None => send_on_new_connection(node, call, &upstream, resume_from).await,
     };
     let result = match first_result {
-        Err(HttpError::NotSent) if was_idle => {
+        Err((HttpError::NotSent, _)) if was_idle => {
             send_on_new_connection(node, call, &upstream, resume_from).await
         }
         other => other,
     };
-    let now = node.now();
-    let (response, pooled, sent_at) = match result {
+    let (response, pooled, wait) = match result {
         Ok(sent) => sent,
-        Err(error) => {
+        Err((error, failure)) => {
+            record_send_failure(node, call, &upstream, choice, &error, &failure).await;
             tracing::info!(
                 call = %call.id, upstream = %upstream.id, %error, was_kept = was_idle,
                 "send failed"
             );
-            node.state
-                .borrow_mut()
-                .loads
-                .record_failure(&upstream.id, now);
-            record_suspect(node, &upstream);
-            if error.is_disconnect() {
-                node.record_disconnect(&upstream.id, choice.lifetime, call, None);
-            } else if error.is_refused() {
-                let crashes = &mut node.state.borrow_mut().crashes;
-                crashes.record_refused_connection(choice.lifetime, now);
-            }
             return Err(if error.was_not_sent() {
                 SendError::NotSent
             } else {
@@ -186,6 +180,8 @@
             });
         }
     };
+    let now = node.now();
+    let sent_at = wait.since;
     let head = node.read_answer(&response);
     if let Some(load) = head.load {
         node.state
@@ -215,6 +211,7 @@
         head,
         pooled,
         in_flight,
+        wait,
         sent_at,
         first_event_at: None,
     })
@@ -294,17 +291,51 @@
     }
 }
 
-type SentRequest = (Response<Incoming>, PooledConnection, Instant);
+/// Records that a call could not be sent or got no response.
+async fn record_send_failure(
+    node: &Rc<Node>,
+    call: &OutgoingRequest,
+    upstream: &Upstream,
+    choice: &Choice,
+    error: &HttpError,
+    failure: &ConnectionFailure,
+) {
+    let (id, now) = (&upstream.id, node.now());
+    node.state.borrow_mut().loads.record_failure(id, now);
+    let service = &upstream.service;
+    if !node.is_upstreams_fault(service, id, failure).await {
+        return;
+    }
+    record_suspect(node, upstream);
+    if error.is_disconnect() {
+        node.record_disconnect(id, choice.lifetime, call, None);
+    } else if error.is_refused() {
+        let crashes = &mut node.state.borrow_mut().crashes;
+        crashes.record_refused_connection(choice.lifetime, now);
+    }
+}
+
+type SentRequest = (Response<Incoming>, PooledConnection, LinkWait);
+type FailedRequest = (HttpError, ConnectionFailure);
 
 async fn send_on_new_connection(
     node: &Rc<Node>,
     call: &OutgoingRequest,
     upstream: &Upstream,
     resume_from: Option<u64>,
-) -> Result<SentRequest, HttpError> {
+) -> Result<SentRequest, FailedRequest> {
     let timeout = call.deadline.saturating_duration_since(node.now());
-    let pooled = node.pool.open(upstream, timeout).await?;
-    send_on_connection(node, call, upstream, pooled, resume_from).await
+    let wait = LinkWait::start(node, upstream);
+    match node.pool.open(upstream, timeout).await {
+        Ok(pooled) => {
+            wait.record_connected();
+            send_on_connection(node, call, upstream, pooled, resume_from).await
+        }
+        Err(error) => {
+            let failure = wait.record_unreachable();
+            Err((error, failure))
+        }
+    }
 }
 
 async fn send_on_connection(
@@ -313,11 +344,11 @@
     upstream: &Upstream,
     mut pooled: PooledConnection,
     resume_from: Option<u64>,
-) -> Result<SentRequest, HttpError> {
+) -> Result<SentRequest, FailedRequest> {
     let now = node.now();
     let time_left = call.deadline.saturating_duration_since(now);
     if time_left.is_zero() {
-        return Err(HttpError::NotSent);
+        return Err((HttpError::NotSent, failure_at(now)));
     }
     let head = SendHead {
         upstream: &upstream.id,
@@ -333,8 +364,30 @@
         .platform
         .call_format
         .upstream_headers(&call.headers, &head);
-    let response = pooled.connection().send(request).await?;
-    Ok((response, pooled, now))
+    let mut wait = LinkWait::start(node, upstream);
+    match pooled.connection().send(request).await {
+        Ok(response) => {
+            wait.record_received();
+            Ok((response, pooled, wait))
+        }
+        Err(error) => {
+            let failure = if error.is_disconnect() {
+                wait.record_reset()
+            } else {
+                failure_at(node.now())
+            };
+            Err((error, failure))
+        }
+    }
+}
+
+/// Returns the failure of an established connection.
+fn failure_at(now: Instant) -> ConnectionFailure {
+    ConnectionFailure {
+        since: now,
+        at: now,
+        is_unreachable: false,
+    }
 }
 
 fn find_upstream(node: &Node, id: &UpstreamId) -> Option<Upstream> {
@@ -366,12 +419,18 @@
     }
 
     /// Records that an upstream stopped responding while it ran a request.
-    pub(super) fn record_stall(&self, id: &UpstreamId) {
+    pub(super) fn record_stall(self: &Rc<Self>, id: &UpstreamId) {
         let now = self.now();
         self.state.borrow_mut().loads.record_failure(id, now);
         let known = self.state.borrow().view.upstreams.get(id).cloned();
-        if let Some(known) = known {
-            record_suspect(self, &known.upstream);
+        if let Some(KnownUpstream { upstream, .. }) = known {
+            let (node, failure) = (self.clone(), failure_at(now));
+            tokio::task::spawn_local(async move {
+                let (service, id) = (&upstream.service, &upstream.id);
+                if node.is_upstreams_fault(service, id, &failure).await {
+                    record_suspect(&node, &upstream);
+                }
+            });
         }
     }
 }
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -5,16 +5,19 @@
 
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use shallottide_types::id::UpstreamId;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
 use super::call::Call;
 use super::connection::is_disconnect;
+use super::relay::{PeerResponse, Relayed};
 use super::response_body::{EventChunk, ResponseBody, StreamCut};
-use super::send::{UpstreamResponse, send};
+use super::send::{SendError, UpstreamResponse, send};
 use crate::balance::NoPlace;
 use crate::event_stream::{EventSplitter, WholeEvents};
+use crate::upstream_links::LinkState;
 
 /// Chunks buffered for a slow caller before backpressure reaches the upstream.
 const MAX_BUFFERED_CHUNKS: usize = 32;
@@ -39,11 +42,11 @@
 
 /// Waits for the next complete events.
 pub(super) async fn next_events(
-    response: &mut UpstreamResponse,
+    source: &mut impl EventSource,
     splitter: &mut EventSplitter,
 ) -> NextEvents {
     loop {
-        match response.inner.body_mut().frame().await {
+        match source.body().frame().await {
             None => {
                 return match splitter.take_last_comments() {
                     Some(comments) => NextEvents::Events(comments),
@@ -57,7 +60,7 @@
                 let Ok(bytes) = frame.into_data() else {
                     continue;
                 };
-                response.pooled.connection().record_progress();
+                source.record_received();
                 if let Some(events) = splitter.push(&bytes) {
                     return NextEvents::Events(events);
                 }
@@ -86,6 +89,8 @@
     Full,
     #[error("no other upstream serves the call")]
     NoUpstream,
+    #[error("this node has lost its links, and no other node resumed the stream")]
+    NoPeer,
 }
 
 impl From<NoPlace> for ResumeError {
@@ -97,11 +102,62 @@
     }
 }
 
-/// Relays one stream from its upstream to the caller.
+/// Where a stream comes from.
+pub(super) enum StreamSource {
+    Upstream(Box<UpstreamResponse>),
+    /// A peer, to which the call was relayed.
+    Peer(PeerResponse),
+}
+
+impl StreamSource {
+    fn headers(&self) -> &HeaderMap {
+        match self {
+            Self::Upstream(response) => response.inner.headers(),
+            Self::Peer(response) => response.inner.headers(),
+        }
+    }
+}
+
+/// A response whose body is a stream of events.
+pub(super) trait EventSource {
+    fn body(&mut self) -> &mut Incoming;
+    /// Records that a part of the body arrived.
+    fn record_received(&mut self);
+}
+
+impl EventSource for UpstreamResponse {
+    fn body(&mut self) -> &mut Incoming {
+        self.inner.body_mut()
+    }
+
+    fn record_received(&mut self) {
+        self.pooled.connection().record_progress();
+        self.wait.record_received();
+    }
+}
+
+impl EventSource for StreamSource {
+    fn body(&mut self) -> &mut Incoming {
+        match self {
+            Self::Upstream(response) => response.body(),
+            Self::Peer(response) => response.inner.body_mut(),
+        }
+    }
+
+    fn record_received(&mut self) {
+        if let Self::Upstream(response) = self {
+            response.record_received();
+        }
+    }
+}
+
+/// Relays one stream from its source to the caller.
 pub(super) struct StreamRelay {
     call: Call,
     /// `None` while the stream is being resumed.
-    response: Option<UpstreamResponse>,
+    source: Option<StreamSource>,
+    /// Whether the loss of this node's links has interrupted the stream.
+    has_seen_loss: bool,
     splitter: EventSplitter,
     /// Id of the last event that was sent to the caller.
     last_id: Option<u64>,
@@ -113,7 +169,7 @@
 impl StreamRelay {
     pub(super) fn new(
         call: Call,
-        response: UpstreamResponse,
+        source: StreamSource,
         splitter: EventSplitter,
         first: WholeEvents,
     ) -> Self {
@@ -121,10 +177,11 @@
             .node
             .platform
             .call_format
-            .caller_headers(response.inner.headers());
+            .caller_headers(source.headers());
         Self {
             call,
-            response: Some(response),
+            source: Some(source),
+            has_seen_loss: false,
             splitter,
             last_id: None,
             received: Some(NextEvents::Events(first)),
@@ -174,13 +231,13 @@
                     }
                 }
                 NextEvents::Disconnected | NextEvents::Invalid => {
-                    self.end_interrupted(&next);
+                    self.end_interrupted(&next).await;
                     let resumed = tokio::select! {
                         resumed = self.resume() => resumed,
                         () = tx.closed() => return,
                     };
                     match resumed {
-                        Ok(response) => self.response = Some(response),
+                        Ok(source) => self.source = Some(source),
                         Err(error) => {
                             self.cut(error, &tx).await;
                             return;
@@ -216,13 +273,22 @@
         } else {
             deadline
         };
-        let Some(response) = &mut self.response else {
+        let Some(source) = &mut self.source else {
             return NextEvents::Disconnected;
         };
-        let next = next_events(response, &mut self.splitter);
-        tokio::time::timeout_at(tokio::time::Instant::from_std(until), next)
-            .await
-            .unwrap_or(NextEvents::TimedOut)
+        // Once: a silent upstream is kept while no peer takes the stream over.
+        let is_seen = self.has_seen_loss || matches!(source, StreamSource::Peer(_));
+        let next = next_events(source, &mut self.splitter);
+        let next = tokio::time::timeout_at(tokio::time::Instant::from_std(until), next);
+        let (node, service) = (&self.call.node, &self.call.service);
+        tokio::select! {
+            biased;
+            next = next => next.unwrap_or(NextEvents::TimedOut),
+            () = node.wait_until_links_lost(service), if !is_seen && can_resume => {
+                self.has_seen_loss = true;
+                NextEvents::TimedOut
+            }
+        }
     }
 
     /// Sends events to the caller; returns whether the relay can continue.
@@ -239,7 +305,7 @@
         self.last_id = events.last_id.or(self.last_id);
         self.call.log.record_events();
         let now = self.call.node.now();
-        if let Some(response) = &mut self.response {
+        if let Some(StreamSource::Upstream(response)) = &mut self.source {
             response.in_flight.record_stream_progress();
             response.first_event_at.get_or_insert(now);
         }
@@ -252,7 +318,7 @@
 
     fn finish(&mut self) {
         self.call.log.set_outcome("answered", 200);
-        if let Some(response) = self.response.take() {
+        if let Some(StreamSource::Upstream(response)) = self.source.take() {
             let (service, request) = (&self.call.service, &self.call.request);
             self.call.node.record_answer(&response, service, request);
             let now = self.call.node.now();
@@ -266,82 +332,119 @@
         }
     }
 
-    /// Records why the upstream's stream ended, and drops its response.
-    fn end_interrupted(&mut self, interruption: &NextEvents) {
-        let Some(response) = self.response.take() else {
+    /// Records why the stream ended early, and drops its source.
+    async fn end_interrupted(&mut self, interruption: &NextEvents) {
+        self.splitter = EventSplitter::default();
+        let Some(source) = self.source.take() else {
             return;
         };
-        let upstream = &response.in_flight.upstream;
-        self.record_interruption(upstream, false);
-        if matches!(interruption, NextEvents::Disconnected) {
-            let (node, lifetime) = (&self.call.node, response.in_flight.lifetime);
-            let first_event_at = response.first_event_at;
-            node.record_disconnect(upstream, lifetime, &self.call.request, first_event_at);
+        self.record_interruption(&source, false);
+        match source {
+            StreamSource::Upstream(response) => {
+                let upstream = response.in_flight.upstream.clone();
+                if matches!(interruption, NextEvents::Disconnected) {
+                    let lifetime = response.in_flight.lifetime;
+                    let first_event_at = response.first_event_at;
+                    if response.wait.end_by_reset().await {
+                        let (node, request) = (&self.call.node, &self.call.request);
+                        node.record_disconnect(&upstream, lifetime, request, first_event_at);
+                    }
+                }
+                self.call.tried.push(upstream);
+            }
+            StreamSource::Peer(response) => {
+                self.call.tried_peers.push(response.peer().clone());
+            }
         }
-        self.call.tried.push(upstream.clone());
-        self.splitter = EventSplitter::default();
     }
 
-    fn record_interruption(&self, upstream: &UpstreamId, was_silent: bool) {
-        let call = &self.call.request.id;
-        tracing::info!(%call, %upstream, was_silent, last = self.last_id, "stream interrupted");
-        self.call.node.record_stall(upstream);
+    fn record_interruption(&self, source: &StreamSource, was_silent: bool) {
+        let (call, last) = (&self.call.request.id, self.last_id);
+        match source {
+            StreamSource::Upstream(response) => {
+                let upstream = &response.in_flight.upstream;
+                tracing::info!(%call, %upstream, was_silent, last, "stream interrupted");
+                self.call.node.record_stall(upstream);
+            }
+            StreamSource::Peer(response) => {
+                let peer = response.peer();
+                tracing::info!(%call, %peer, was_silent, last, "stream interrupted");
+            }
+        }
     }
 
     /// Seeks another upstream for the stream of a silent one, which is given up only for events of the
     /// other: it may be sound, and no other may have a place.
     async fn replace_silent(&mut self) {
-        let Some(mut silent) = self.response.take() else {
+        let Some(mut silent) = self.source.take() else {
             return;
         };
         let mut splitter = std::mem::take(&mut self.splitter);
-        let upstream = silent.in_flight.upstream.clone();
-        self.record_interruption(&upstream, true);
-        if !self.call.tried.contains(&upstream) {
-            self.call.tried.push(upstream.clone());
+        self.record_interruption(&silent, true);
+        match &silent {
+            StreamSource::Upstream(response) => {
+                let upstream = &response.in_flight.upstream;
+                if !self.call.tried.contains(upstream) {
+                    self.call.tried.push(upstream.clone());
+                }
+            }
+            StreamSource::Peer(response) => {
+                let peer = response.peer();
+                if !self.call.tried_peers.contains(peer) {
+                    self.call.tried_peers.push(peer.clone());
+                }
+            }
         }
         let deadline = tokio::time::Instant::from_std(self.call.request.deadline);
+        let upstream = match &silent {
+            StreamSource::Upstream(response) => Some(response.in_flight.upstream.clone()),
+            StreamSource::Peer(_) => None,
+        };
+        let id = upstream.as_ref().map(UpstreamId::as_str);
         let received = tokio::select! {
             biased;
             next = next_events(&mut silent, &mut splitter) => {
-                tracing::info!(call = %self.call.request.id, %upstream, "silent stream continued");
+                tracing::info!(call = %self.call.request.id, upstream = id, "silent stream continued");
                 Some(next)
             }
             replaced = self.resume_with_events() => match replaced {
                 Ok(()) => return,
                 Err(error) => {
                     let call = &self.call.request.id;
-                    tracing::info!(%call, %upstream, why = %error, "silent upstream kept");
+                    tracing::info!(%call, upstream = id, why = %error, "silent upstream kept");
                     None
                 }
             },
             () = tokio::time::sleep_until(deadline) => Some(NextEvents::TimedOut),
         };
-        self.call.log.upstream = Some(upstream);
+        if upstream.is_some() {
+            self.call.log.upstream = upstream;
+        }
         self.received = received;
-        self.response = Some(silent);
+        self.source = Some(silent);
         self.splitter = splitter;
     }
 
     /// Resumes the stream at another upstream and waits for its first events.
     async fn resume_with_events(&mut self) -> Result<(), ResumeError> {
         loop {
-            let mut response = self.resume().await?;
+            let mut source = self.resume().await?;
             let mut splitter = EventSplitter::default();
-            let next = next_events(&mut response, &mut splitter).await;
+            let next = next_events(&mut source, &mut splitter).await;
             if matches!(next, NextEvents::Events(_) | NextEvents::End) {
                 self.received = Some(next);
-                self.response = Some(response);
+                self.source = Some(source);
                 self.splitter = splitter;
                 return Ok(());
             }
-            self.response = Some(response);
-            self.end_interrupted(&next);
+            self.source = Some(source);
+            self.end_interrupted(&next).await;
         }
     }
 
     /// Sends the call to another upstream, to go on after the last event that was sent to the caller.
-    async fn resume(&mut self) -> Result<UpstreamResponse, ResumeError> {
+    async fn resume(&mut self) -> Result<StreamSource, ResumeError> {
+        let mut has_retry = false;
         while self.call.can_resume() {
             if self.time_left().is_zero() {
                 return Err(ResumeError::DeadlineExceeded);
@@ -349,9 +452,14 @@
             if self.last_id.is_none() {
                 return Err(ResumeError::NoEventId);
             }
-            if !self.call.take_retry() {
+            if !has_retry && !self.call.take_retry() {
                 return Err(ResumeError::NoRetryLeft);
             }
+            if self.call.is_to_be_relayed()
+                && let Some(source) = self.resume_at_peer().await?
+            {
+                return Ok(source);
+            }
             if self.call.pass_quarantine().await.is_err() {
                 self.call.return_retry();
                 return Err(ResumeError::Quarantined);
@@ -369,6 +477,11 @@
             let sending = send(&node, &self.call.request, &choice, in_flight, self.last_id);
             let deadline = tokio::time::Instant::from_std(self.call.request.deadline);
             let result = tokio::time::timeout_at(deadline, sending).await;
+            has_retry = matches!(result, Ok(Err(SendError::NotSent)));
+            if has_retry {
+                self.call.attempts -= 1;
+                self.call.unsent_attempts += 1;
+            }
             if let Ok(Ok(response)) = result
                 && response.inner.status() == StatusCode::OK
             {
@@ -378,13 +491,33 @@
                 tracing::info!(%call, upstream = %choice.upstream, from = self.last_id, "stream resumed");
                 self.call.node.metrics.count("streams", "resumed");
                 self.call.log.upstream = Some(choice.upstream.clone());
-                return Ok(response);
+                return Ok(StreamSource::Upstream(Box::new(response)));
             }
             self.call.tried.push(choice.upstream.clone());
         }
         Err(ResumeError::NoAttemptLeft)
     }
 
+    /// Relays the call; returns `None` if no peer took it and this node's own links may serve it.
+    async fn resume_at_peer(&mut self) -> Result<Option<StreamSource>, ResumeError> {
+        match self.call.relay(self.last_id).await {
+            Relayed::Taken(response) if response.inner.status() == StatusCode::OK => {
+                let (call, peer) = (&self.call.request.id, response.peer());
+                tracing::info!(%call, %peer, from = self.last_id, "stream resumed");
+                self.call.node.metrics.count("streams", "resumed");
+                Ok(Some(StreamSource::Peer(response)))
+            }
+            Relayed::Taken(_) | Relayed::Lost => Err(ResumeError::NoPeer),
+            Relayed::NoPeer => {
+                let is_lost = self.call.node.link_state(&self.call.service) == LinkState::Lost;
+                if is_lost {
+                    return Err(ResumeError::NoPeer);
+                }
+                Ok(None)
+            }
+        }
+    }
+
     fn time_left(&self) -> Duration {
         let now: Instant = self.call.node.now();
         self.call.request.deadline.saturating_duration_since(now)
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -105,7 +105,7 @@
 }
 
 /// Returns how many connections to one upstream this node may have open; at least 1.
-fn connection_share(state: &State, service: &ServiceId) -> u32 {
+pub(super) fn connection_share(state: &State, service: &ServiceId) -> u32 {
     let catalog = state.view.catalog.as_ref();
     let limit = catalog
         .and_then(|catalog| catalog.services.get(service))
