--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, Response, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use shallottide_types::id::UpstreamId;
@@ -16,6 +17,7 @@
 use super::response_body::{EventChunk, ResponseBody, StreamCut};
 use super::send::{SendError, UpstreamResponse, send};
 use crate::balance::NoPlace;
+use crate::event_numbering::EventNumbering;
 use crate::event_stream::{EventSplitter, WholeEvents};
 use crate::upstream_links::LinkState;
 
@@ -163,7 +165,12 @@
     last_id: Option<u64>,
     /// What arrived already and was not sent to the caller yet.
     received: Option<NextEvents>,
+    /// Id of the last event that came from an earlier upstream; `None` before the stream is resumed.
+    resumed_after: Option<u64>,
+    numbering: EventNumbering,
     headers: HeaderMap,
+    /// Content type of the first upstream's response.
+    content_type: Option<HeaderValue>,
 }
 
 impl StreamRelay {
@@ -179,12 +186,15 @@
             .call_format
             .caller_headers(source.headers());
         Self {
+            content_type: source.headers().get(CONTENT_TYPE).cloned(),
             call,
             source: Some(source),
             has_seen_loss: false,
             splitter,
             last_id: None,
             received: Some(NextEvents::Events(first)),
+            resumed_after: None,
+            numbering: EventNumbering::default(),
             headers,
         }
     }
@@ -237,7 +247,10 @@
                         () = tx.closed() => return,
                     };
                     match resumed {
-                        Ok(source) => self.source = Some(source),
+                        Ok(source) => {
+                            self.source = Some(source);
+                            self.resumed_after = self.last_id;
+                        }
                         Err(error) => {
                             self.cut(error, &tx).await;
                             return;
@@ -260,9 +273,23 @@
 
     /// Waits for the next events; the ones that [`Self::replace_silent`] received come first.
     async fn next(&mut self) -> NextEvents {
-        if let Some(next) = self.received.take() {
+        let next = match self.received.take() {
+            Some(next) => next,
+            None => self.wait_for_next().await,
+        };
+        if self.is_continued_by(&next, self.resumed_after) {
             return next;
         }
+        self.record_invalid_continuation();
+        NextEvents::Invalid
+    }
+
+    fn record_invalid_continuation(&self) {
+        let call = &self.call.request.id;
+        tracing::warn!(%call, last = self.last_id, "upstream did not continue the stream");
+    }
+
+    async fn wait_for_next(&mut self) -> NextEvents {
         let deadline = self.call.request.deadline;
         let stall_timeout =
             (self.call.route.longest_gap * STALL_TIMEOUT_GAPS).max(MIN_STALL_TIMEOUT);
@@ -291,6 +318,23 @@
         }
     }
 
+    /// Returns whether what came next continues what the caller has; true unless the stream was resumed,
+    /// after the event with id `resumed_after`.
+    fn is_continued_by(&self, next: &NextEvents, resumed_after: Option<u64>) -> bool {
+        let (Some(resumed_after), Some(last)) = (resumed_after, self.last_id) else {
+            return true;
+        };
+        let has_events = last != resumed_after;
+        match next {
+            NextEvents::Events(events) => {
+                (has_events || events.last_id.is_some())
+                    && self.numbering.continues(last, &events.bytes)
+            }
+            NextEvents::End => has_events,
+            NextEvents::Disconnected | NextEvents::Invalid | NextEvents::TimedOut => true,
+        }
+    }
+
     /// Sends events to the caller; returns whether the relay can continue.
     async fn forward(&mut self, events: WholeEvents, tx: &Sender) -> bool {
         if let (Some(last), Some(first)) = (self.last_id, events.first_id)
@@ -302,6 +346,7 @@
             let _ = tx.send(Err(StreamCut)).await;
             return false;
         }
+        self.numbering.record(self.last_id, &events.bytes);
         self.last_id = events.last_id.or(self.last_id);
         self.call.log.record_events();
         let now = self.call.node.now();
@@ -430,14 +475,18 @@
         loop {
             let mut source = self.resume().await?;
             let mut splitter = EventSplitter::default();
-            let next = next_events(&mut source, &mut splitter).await;
-            if matches!(next, NextEvents::Events(_) | NextEvents::End) {
+            let mut next = next_events(&mut source, &mut splitter).await;
+            if !self.is_continued_by(&next, self.last_id) {
+                self.record_invalid_continuation();
+                next = NextEvents::Invalid;
+            }
+            self.source = Some(source);
+            if matches!(next, NextEvents::Events(_)) {
                 self.received = Some(next);
-                self.source = Some(source);
                 self.splitter = splitter;
+                self.resumed_after = self.last_id;
                 return Ok(());
             }
-            self.source = Some(source);
             self.end_interrupted(&next).await;
         }
     }
@@ -483,7 +532,7 @@
                 self.call.unsent_attempts += 1;
             }
             if let Ok(Ok(response)) = result
-                && response.inner.status() == StatusCode::OK
+                && self.is_same_stream(&response.inner)
             {
                 let mut response = response;
                 response.in_flight.record_stream_start();
@@ -501,7 +550,7 @@
     /// Relays the call; returns `None` if no peer took it and this node's own links may serve it.
     async fn resume_at_peer(&mut self) -> Result<Option<StreamSource>, ResumeError> {
         match self.call.relay(self.last_id).await {
-            Relayed::Taken(response) if response.inner.status() == StatusCode::OK => {
+            Relayed::Taken(response) if self.is_same_stream(&response.inner) => {
                 let (call, peer) = (&self.call.request.id, response.peer());
                 tracing::info!(%call, %peer, from = self.last_id, "stream resumed");
                 self.call.node.metrics.count("streams", "resumed");
@@ -518,6 +567,15 @@
         }
     }
 
+    /// Returns whether a response's head is that of a stream which may continue this one.
+    fn is_same_stream(&self, response: &Response<Incoming>) -> bool {
+        let (status, headers) = (response.status(), response.headers());
+        let call_format = &self.call.node.platform.call_format;
+        status == StatusCode::OK
+            && call_format.read_answer(status, headers).genuine
+            && headers.get(CONTENT_TYPE) == self.content_type.as_ref()
+    }
+
     fn time_left(&self) -> Duration {
         let now: Instant = self.call.node.now();
         self.call.request.deadline.saturating_duration_since(now)
