--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -6,17 +6,20 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use shallottide_types::id::UpstreamId;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
 use super::call::Call;
 use super::connection::is_disconnect;
+use super::relay::{PeerResponse, Relayed};
 use super::response_body::{EventChunk, ResponseBody, StreamCut};
-use super::send::{UpstreamResponse, send};
+use super::send::{SendError, UpstreamResponse, send};
 use crate::balance::NoPlace;
 use crate::event_numbering::EventNumbering;
 use crate::event_stream::{EventSplitter, WholeEvents};
+use crate::upstream_links::LinkState;
 
 /// Chunks buffered for a slow caller before backpressure reaches the upstream.
 const MAX_BUFFERED_CHUNKS: usize = 32;
@@ -41,11 +44,11 @@
 
 /// Waits for the next complete events.
 pub(super) async fn next_events(
-    response: &mut UpstreamResponse,
+    source: &mut impl EventSource,
     splitter: &mut EventSplitter,
 ) -> NextEvents {
     loop {
-        match response.inner.body_mut().frame().await {
+        match source.body().frame().await {
             None => {
                 return match splitter.take_last_comments() {
                     Some(comments) => NextEvents::Events(comments),
@@ -59,7 +62,7 @@
                 let Ok(bytes) = frame.into_data() else {
                     continue;
                 };
-                response.pooled.connection().record_progress();
+                source.record_received();
                 if let Some(events) = splitter.push(&bytes) {
                     return NextEvents::Events(events);
                 }
@@ -88,6 +91,8 @@
     Full,
     #[error("no other upstream serves the call")]
     NoUpstream,
+    #[error("this node has lost its links, and no other node resumed the stream")]
+    NoPeer,
 }
 
 impl From<NoPlace> for ResumeError {
@@ -99,11 +104,62 @@
     }
 }
 
-/// Relays one stream from its upstream to the caller.
+/// Where a stream comes from.
+pub(super) enum StreamSource {
+    Upstream(Box<UpstreamResponse>),
+    /// A peer, to which the call was relayed.
+    Peer(PeerResponse),
+}
+
+impl StreamSource {
+    fn headers(&self) -> &HeaderMap {
+        match self {
+            Self::Upstream(response) => response.inner.headers(),
+            Self::Peer(response) => response.inner.headers(),
+        }
+    }
+}
+
+/// A response whose body is a stream of events.
+pub(super) trait EventSource {
+    fn body(&mut self) -> &mut Incoming;
+    /// Records that a part of the body arrived.
+    fn record_received(&mut self);
+}
+
+impl EventSource for UpstreamResponse {
+    fn body(&mut self) -> &mut Incoming {
+        self.inner.body_mut()
+    }
+
+    fn record_received(&mut self) {
+        self.pooled.connection().record_progress();
+        self.wait.record_received();
+    }
+}
+
+impl EventSource for StreamSource {
+    fn body(&mut self) -> &mut Incoming {
+        match self {
+            Self::Upstream(response) => response.body(),
+            Self::Peer(response) => response.inner.body_mut(),
+        }
+    }
+
+    fn record_received(&mut self) {
+        if let Self::Upstream(response) = self {
+            response.record_received();
+        }
+    }
+}
+
+/// Relays one stream from its source to the caller.
 pub(super) struct StreamRelay {
     call: Call,
     /// `None` while the stream is being resumed.
-    response: Option<UpstreamResponse>,
+    source: Option<StreamSource>,
+    /// Whether the loss of this node's links has interrupted the stream.
+    has_seen_loss: bool,
     splitter: EventSplitter,
     /// Id of the last event that was sent to the caller.
     last_id: Option<u64>,
@@ -122,7 +178,7 @@
 impl StreamRelay {
     pub(super) fn new(
         call: Call,
-        response: UpstreamResponse,
+        source: StreamSource,
         splitter: EventSplitter,
         first: WholeEvents,
     ) -> Self {
@@ -130,11 +186,12 @@
             .node
             .platform
             .call_format
-            .caller_headers(response.inner.headers());
+            .caller_headers(source.headers());
         Self {
-            content_type: response.inner.headers().get(CONTENT_TYPE).cloned(),
+            content_type: source.headers().get(CONTENT_TYPE).cloned(),
             call,
-            response: Some(response),
+            source: Some(source),
+            has_seen_loss: false,
             splitter,
             last_id: None,
             received: Some(NextEvents::Events(first)),
@@ -187,14 +244,14 @@
                     }
                 }
                 NextEvents::Disconnected | NextEvents::Invalid => {
-                    self.end_interrupted(&next);
+                    self.end_interrupted(&next).await;
                     let resumed = tokio::select! {
                         resumed = self.resume() => resumed,
                         () = tx.closed() => return,
                     };
                     match resumed {
-                        Ok(response) => {
-                            self.response = Some(response);
+                        Ok(source) => {
+                            self.source = Some(source);
                             self.resumed_after = self.last_id;
                         }
                         Err(error) => {
@@ -210,7 +267,7 @@
     /// Ends the caller's response before its last event.
     async fn cut(&mut self, error: ResumeError, tx: &Sender) {
         // Ends the upstream's work while the caller may be slow to read.
-        self.response = None;
+        self.source = None;
         let (call, last) = (&self.call.request.id, self.last_id);
         tracing::info!(%call, last, why = %error, "stream cut");
         self.call.node.metrics.count("streams", "cut");
@@ -247,13 +304,22 @@
         } else {
             deadline
         };
-        let Some(response) = &mut self.response else {
+        let Some(source) = &mut self.source else {
             return NextEvents::Disconnected;
         };
-        let next = next_events(response, &mut self.splitter);
-        tokio::time::timeout_at(tokio::time::Instant::from_std(until), next)
-            .await
-            .unwrap_or(NextEvents::TimedOut)
+        // Once: a silent upstream is kept while no peer takes the stream over.
+        let is_seen = self.has_seen_loss || matches!(source, StreamSource::Peer(_));
+        let next = next_events(source, &mut self.splitter);
+        let next = tokio::time::timeout_at(tokio::time::Instant::from_std(until), next);
+        let (node, service) = (&self.call.node, &self.call.service);
+        tokio::select! {
+            biased;
+            next = next => next.unwrap_or(NextEvents::TimedOut),
+            () = node.wait_until_links_lost(service), if !is_seen && can_resume => {
+                self.has_seen_loss = true;
+                NextEvents::TimedOut
+            }
+        }
     }
 
     /// Returns whether what came next continues what the caller has; true unless the stream was resumed,
@@ -289,7 +355,7 @@
         self.last_id = events.last_id.or(self.last_id);
         self.call.log.record_events();
         let now = self.call.node.now();
-        if let Some(response) = &mut self.response {
+        if let Some(StreamSource::Upstream(response)) = &mut self.source {
             response.in_flight.record_stream_progress();
             response.first_event_at.get_or_insert(now);
         }
@@ -302,7 +368,7 @@
 
     fn finish(&mut self) {
         self.call.log.set_outcome("answered", 200);
-        if let Some(response) = self.response.take() {
+        if let Some(StreamSource::Upstream(response)) = self.source.take() {
             let (service, request) = (&self.call.service, &self.call.request);
             self.call.node.record_answer(&response, service, request);
             let now = self.call.node.now();
@@ -316,46 +382,85 @@
         }
     }
 
-    /// Records why the upstream's stream ended, and drops its response.
-    fn end_interrupted(&mut self, interruption: &NextEvents) {
-        let Some(response) = self.response.take() else {
+    /// Records why the stream ended early, and drops its source.
+    async fn end_interrupted(&mut self, interruption: &NextEvents) {
+        self.splitter = EventSplitter::default();
+        let Some(source) = self.source.take() else {
             return;
         };
-        self.record_end(&response, interruption);
-        self.call.tried.push(response.in_flight.upstream.clone());
-        self.splitter = EventSplitter::default();
+        self.record_end(source, interruption).await;
+    }
+
+    /// Records how a source ended, so that the stream is not resumed there.
+    async fn record_end(&mut self, source: StreamSource, interruption: &NextEvents) {
+        self.record_interruption(&source, matches!(interruption, NextEvents::TimedOut));
+        match source {
+            StreamSource::Upstream(response) => {
+                let upstream = response.in_flight.upstream.clone();
+                if matches!(interruption, NextEvents::Disconnected) {
+                    let lifetime = response.in_flight.lifetime;
+                    let first_event_at = response.first_event_at;
+                    if response.wait.end_by_reset().await {
+                        let (node, request) = (&self.call.node, &self.call.request);
+                        node.record_disconnect(&upstream, lifetime, request, first_event_at);
+                    }
+                }
+                self.call.tried.push(upstream);
+            }
+            StreamSource::Peer(response) => {
+                self.call.tried_peers.push(response.peer().clone());
+            }
+        }
     }
 
-    fn record_end(&self, response: &UpstreamResponse, interruption: &NextEvents) {
-        let upstream = &response.in_flight.upstream;
-        self.record_interruption(upstream, matches!(interruption, NextEvents::TimedOut));
-        if matches!(interruption, NextEvents::Disconnected) {
-            let (node, lifetime) = (&self.call.node, response.in_flight.lifetime);
-            let first_event_at = response.first_event_at;
-            node.record_disconnect(upstream, lifetime, &self.call.request, first_event_at);
+    /// Excludes a source from those at which the stream is resumed.
+    fn exclude(&mut self, source: &StreamSource) {
+        match source {
+            StreamSource::Upstream(response) => {
+                let upstream = &response.in_flight.upstream;
+                if !self.call.tried.contains(upstream) {
+                    self.call.tried.push(upstream.clone());
+                }
+            }
+            StreamSource::Peer(response) => {
+                let peer = response.peer();
+                if !self.call.tried_peers.contains(peer) {
+                    self.call.tried_peers.push(peer.clone());
+                }
+            }
         }
     }
 
-    fn record_interruption(&self, upstream: &UpstreamId, was_silent: bool) {
-        let call = &self.call.request.id;
-        tracing::info!(%call, %upstream, was_silent, last = self.last_id, "stream interrupted");
-        self.call.node.record_stall(upstream);
+    fn record_interruption(&self, source: &StreamSource, was_silent: bool) {
+        let (call, last) = (&self.call.request.id, self.last_id);
+        match source {
+            StreamSource::Upstream(response) => {
+                let upstream = &response.in_flight.upstream;
+                tracing::info!(%call, %upstream, was_silent, last, "stream interrupted");
+                self.call.node.record_stall(upstream);
+            }
+            StreamSource::Peer(response) => {
+                let peer = response.peer();
+                tracing::info!(%call, %peer, was_silent, last, "stream interrupted");
+            }
+        }
     }
 
     /// Seeks another upstream for the stream of a silent one, which is given up only for events of the
     /// other: it may be sound, and no other may have a place.
     async fn replace_silent(&mut self) {
-        let Some(mut silent) = self.response.take() else {
+        let Some(mut silent) = self.source.take() else {
             return;
         };
         let mut splitter = std::mem::take(&mut self.splitter);
-        let upstream = silent.in_flight.upstream.clone();
         if !std::mem::replace(&mut self.was_silent, true) {
-            self.record_interruption(&upstream, true);
-        }
-        if !self.call.tried.contains(&upstream) {
-            self.call.tried.push(upstream.clone());
+            self.record_interruption(&silent, true);
         }
+        self.exclude(&silent);
+        let upstream = match &silent {
+            StreamSource::Upstream(response) => Some(response.in_flight.upstream.clone()),
+            StreamSource::Peer(_) => None,
+        };
         let deadline = tokio::time::Instant::from_std(self.call.request.deadline);
         let mut end = None;
         let replaced = {
@@ -382,29 +487,34 @@
         };
         if matches!(replaced, Some(Ok(()))) {
             if let Some(end) = end {
-                self.record_end(&silent, &end);
+                self.record_end(silent, &end).await;
             }
             return;
         }
-        let call = &self.call.request.id;
+        let (call, id) = (
+            &self.call.request.id,
+            upstream.as_ref().map(UpstreamId::as_str),
+        );
         if let Some(Err(error)) = replaced {
-            tracing::info!(%call, %upstream, why = %error, "silent upstream kept");
+            tracing::info!(%call, upstream = id, why = %error, "silent upstream kept");
         }
         if matches!(end, Some(NextEvents::Events(_))) {
-            tracing::info!(%call, %upstream, "silent stream continued");
+            tracing::info!(%call, upstream = id, "silent stream continued");
+        }
+        if upstream.is_some() {
+            self.call.log.upstream = upstream;
         }
-        self.call.log.upstream = Some(upstream);
         self.received = end;
-        self.response = Some(silent);
+        self.source = Some(silent);
         self.splitter = splitter;
     }
 
     /// Resumes the stream at another upstream and waits for its first events.
     async fn resume_with_events(&mut self) -> Result<(), ResumeError> {
         loop {
-            let mut response = self.resume().await?;
+            let mut source = self.resume().await?;
             let mut splitter = EventSplitter::default();
-            let next = next_events(&mut response, &mut splitter);
+            let next = next_events(&mut source, &mut splitter);
             let mut next = if self.call.can_resume() {
                 let next = tokio::time::timeout(self.stall_timeout(), next).await;
                 next.unwrap_or(NextEvents::TimedOut)
@@ -415,19 +525,20 @@
                 self.record_invalid_continuation();
                 next = NextEvents::Invalid;
             }
-            self.response = Some(response);
+            self.source = Some(source);
             if matches!(next, NextEvents::Events(_)) {
                 self.received = Some(next);
                 self.splitter = splitter;
                 self.resumed_after = self.last_id;
                 return Ok(());
             }
-            self.end_interrupted(&next);
+            self.end_interrupted(&next).await;
         }
     }
 
     /// Sends the call to another upstream, to go on after the last event that was sent to the caller.
-    async fn resume(&mut self) -> Result<UpstreamResponse, ResumeError> {
+    async fn resume(&mut self) -> Result<StreamSource, ResumeError> {
+        let mut has_retry = false;
         while self.call.can_resume() {
             if self.time_left().is_zero() {
                 return Err(ResumeError::DeadlineExceeded);
@@ -435,9 +546,14 @@
             if self.last_id.is_none() {
                 return Err(ResumeError::NoEventId);
             }
-            if !self.call.take_retry() {
+            if !has_retry && !self.call.take_retry() {
                 return Err(ResumeError::NoRetryLeft);
             }
+            if self.call.is_to_be_relayed()
+                && let Some(source) = self.resume_at_peer().await?
+            {
+                return Ok(source);
+            }
             if self.call.pass_quarantine().await.is_err() {
                 self.call.return_retry();
                 return Err(ResumeError::Quarantined);
@@ -455,8 +571,13 @@
             let sending = send(&node, &self.call.request, &choice, in_flight, self.last_id);
             let deadline = tokio::time::Instant::from_std(self.call.request.deadline);
             let result = tokio::time::timeout_at(deadline, sending).await;
+            has_retry = matches!(result, Ok(Err(SendError::NotSent)));
+            if has_retry {
+                self.call.attempts -= 1;
+                self.call.unsent_attempts += 1;
+            }
             if let Ok(Ok(response)) = result
-                && self.is_same_stream(&response)
+                && self.is_same_stream(&response.inner)
             {
                 let mut response = response;
                 response.in_flight.record_stream_start();
@@ -464,18 +585,40 @@
                 tracing::info!(%call, upstream = %choice.upstream, from = self.last_id, "stream resumed");
                 self.call.node.metrics.count("streams", "resumed");
                 self.call.log.upstream = Some(choice.upstream.clone());
-                return Ok(response);
+                return Ok(StreamSource::Upstream(Box::new(response)));
             }
             self.call.tried.push(choice.upstream.clone());
         }
         Err(ResumeError::NoAttemptLeft)
     }
 
+    /// Relays the call; returns `None` if no peer took it and this node's own links may serve it.
+    async fn resume_at_peer(&mut self) -> Result<Option<StreamSource>, ResumeError> {
+        match self.call.relay(self.last_id).await {
+            Relayed::Taken(response) if self.is_same_stream(&response.inner) => {
+                let (call, peer) = (&self.call.request.id, response.peer());
+                tracing::info!(%call, %peer, from = self.last_id, "stream resumed");
+                self.call.node.metrics.count("streams", "resumed");
+                Ok(Some(StreamSource::Peer(response)))
+            }
+            Relayed::Taken(_) | Relayed::Lost => Err(ResumeError::NoPeer),
+            Relayed::NoPeer => {
+                let is_lost = self.call.node.link_state(&self.call.service) == LinkState::Lost;
+                if is_lost {
+                    return Err(ResumeError::NoPeer);
+                }
+                Ok(None)
+            }
+        }
+    }
+
     /// Returns whether a response's head is that of a stream which may continue this one.
-    fn is_same_stream(&self, response: &UpstreamResponse) -> bool {
-        response.inner.status() == StatusCode::OK
-            && response.head.genuine
-            && response.inner.headers().get(CONTENT_TYPE) == self.content_type.as_ref()
+    fn is_same_stream(&self, response: &Response<Incoming>) -> bool {
+        let (status, headers) = (response.status(), response.headers());
+        let call_format = &self.call.node.platform.call_format;
+        status == StatusCode::OK
+            && call_format.read_answer(status, headers).genuine
+            && headers.get(CONTENT_TYPE) == self.content_type.as_ref()
     }
 
     /// Returns the time without an event after which an upstream counts as silent.
