Let controllers without links to engines hand over their domains

When links to engines were back after a cut, two thirds of the groups of a failure domain were ended by their controller, seen by all nodes: 16 to 10 and 6 to 4 groups, and streams of nodes that had never been cut off broke.

Cause: a controller took a probe without an answer for the engine's failure, also while it reached no engine at all. It declared all groups of its domain lost 0.5 s after its own links were cut, and its orders arrived when they were back. Meanwhile it kept its claim, so that no other node could act.

A failed probe now counts only if it is the engine's fault: another upstream of the service was reached after it. Orders and probes are recorded with the other connections of the node. A node that has lost its links to engines claims no domain, drops its controllers and ends its lease; the next node claims them.

--- a/crates/shallottide_fleet/src/domain_claims.rs
+++ b/crates/shallottide_fleet/src/domain_claims.rs
@@ -61,6 +61,8 @@
     pub validity: &'a LeaseValidity,
     /// Whether the whole deployment starts for the first time, so that no earlier claim exists.
     pub first_start: bool,
+    /// Whether the node reaches engines; one that does not can't tell which of them have failed.
+    pub reaches_engines: bool,
     /// The time.
     pub now: Instant,
     /// The time since the VM's boot.
@@ -77,7 +79,8 @@
     fn can_claim(&self) -> bool {
         let era = self.view.index.era();
         let lease = self.lease.filter(|lease| lease.era == era);
-        lease.is_some_and(|lease| may_claim_under(lease.ttl, self.options))
+        self.reaches_engines
+            && lease.is_some_and(|lease| may_claim_under(lease.ttl, self.options))
             && self.validity.may_act(era, self.boot_time)
             && !self.view.store_lost
     }
@@ -151,6 +154,10 @@
         for domain in input.options.domains.keys() {
             let claim = input.view.controllers.get(domain);
             let held = input.held.get(domain).copied();
+            if held.is_some() && !input.reaches_engines {
+                decisions.lost.push(domain.clone());
+                continue;
+            }
             if let Some(held) = held
                 && (held.era() < era || claim.is_some_and(|claim| claim.since > held))
             {
--- a/crates/shallottide_fleet/src/groups/controller.rs
+++ b/crates/shallottide_fleet/src/groups/controller.rs
@@ -205,6 +205,11 @@
         self.health.record_probe_result(to, report, now);
     }
 
+    /// Records that a probe ended without showing anything of its upstream: this node may not reach it.
+    pub fn record_probe_abandoned(&mut self, to: &UpstreamId) {
+        self.health.record_probe_abandoned(to);
+    }
+
     /// Records that requests to a head fail or stall, so that its members are probed.
     pub fn suspect(&mut self, head: &UpstreamId, now: Instant) {
         self.health.suspect(head, now);
--- a/crates/shallottide_fleet/src/groups/controller/health_tracker.rs
+++ b/crates/shallottide_fleet/src/groups/controller/health_tracker.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Records that a probe ended without showing anything of its upstream.
+    pub(super) fn record_probe_abandoned(&mut self, to: &UpstreamId) {
+        if let Some(health) = self.upstreams.get_mut(to) {
+            health.is_probe_pending = false;
+        }
+    }
+
     /// Returns the newest known state of an upstream with an entry or a report.
     pub(super) fn latest<'a>(
         &'a self,
--- a/crates/shallottide_fleet/src/serve/controller_task.rs
+++ b/crates/shallottide_fleet/src/serve/controller_task.rs
@@ -11,12 +11,15 @@
 use tokio::task::spawn_local;
 
 use super::connection::HttpError;
+use super::connection_pool::PooledConnection;
+use super::links::LinkWait;
 use super::node::Node;
 use crate::adapter::{EngineCall, OrderOutcome};
 use crate::domain_claims::{ClaimInput, ClaimPolicy, fencing_token};
 use crate::groups::{Action, Controller, ControllerOptions, Order};
 use crate::lease_validity::boot_time;
 use crate::upstream::Upstream;
+use crate::upstream_links::{ConnectionFailure, LinkState};
 use crate::view::{Change, ControllerClaim};
 
 /// Interval between two ticks while an order or report is pending.
@@ -71,6 +74,7 @@
             lease: state.held_lease,
             validity: &state.lease_watch,
             first_start: node.options.first_start && !state.had_traffic,
+            reaches_engines: !node.has_lost_engines(),
             now: node.now(),
             boot_time: boot_time(),
         });
@@ -209,23 +213,39 @@
         }
         Action::Probe(to) => {
             let report = probe(&node, &to).await;
-            node.metrics.count(
-                "probes",
-                if report.is_some() {
-                    "answered"
-                } else {
-                    "failed"
-                },
-            );
+            let (is_answered, is_judged) = match &report {
+                Ok(_) => (true, true),
+                Err(None) => (false, true),
+                // A failure of this node's own links shows nothing of the engine.
+                Err(Some(failure)) => (
+                    false,
+                    node.is_upstreams_fault(&to.service, &to.id, failure).await,
+                ),
+            };
+            let kind = match (is_answered, is_judged) {
+                (true, _) => "answered",
+                (false, true) => "failed",
+                (false, false) => "not_judged",
+            };
+            node.metrics.count("probes", kind);
             if let Some(controller) = controllers.borrow_mut().get_mut(&domain) {
-                controller.record_probe_result(&to.id, report, node.now());
+                if is_judged {
+                    controller.record_probe_result(&to.id, report.ok(), node.now());
+                } else {
+                    controller.record_probe_abandoned(&to.id);
+                }
             }
         }
     }
     node.changed.notify_waiters();
 }
 
-async fn send_order(node: &Node, to: &Upstream, order: &Order, claim: StoreIndex) -> OrderOutcome {
+async fn send_order(
+    node: &Rc<Node>,
+    to: &Upstream,
+    order: &Order,
+    claim: StoreIndex,
+) -> OrderOutcome {
     let format = &node.platform.engine_format;
     // Last check before sending: the lease may have expired while this process was suspended.
     let may_act = {
@@ -244,41 +264,64 @@
     .await
     {
         Ok(response) => format.outcome(response.status()),
-        Err(error) if error.was_not_sent() => OrderOutcome::Refused,
-        Err(error) => {
+        Err(ExchangeError { error, .. }) if error.was_not_sent() => OrderOutcome::Refused,
+        Err(ExchangeError { error, .. }) => {
             tracing::info!(upstream = %to.id, %error, "no response to order");
             OrderOutcome::Unknown
         }
     }
 }
 
-async fn probe(node: &Node, to: &Upstream) -> Option<Upstream> {
+/// Requests an engine's report; the error has the failure of the connection, if there was one.
+async fn probe(node: &Rc<Node>, to: &Upstream) -> Result<Upstream, Option<ConnectionFailure>> {
     let format = &node.platform.engine_format;
     let response = exchange(node, to, format.probe(&to.id), PROBE_TIMEOUT)
         .await
-        .ok()?;
-    response.status().is_success().then_some(())?;
-    format.report(to, response.body())
+        .map_err(|error| Some(error.failure))?;
+    let is_report = response.status().is_success();
+    let report = is_report.then(|| format.report(to, response.body()));
+    report.flatten().ok_or(None)
+}
+
+/// Why an engine did not answer.
+struct ExchangeError {
+    error: HttpError,
+    failure: ConnectionFailure,
 }
 
 async fn exchange(
-    node: &Node,
+    node: &Rc<Node>,
     to: &Upstream,
     call: EngineCall,
     timeout: Duration,
-) -> Result<http::Response<bytes::Bytes>, HttpError> {
+) -> Result<http::Response<bytes::Bytes>, ExchangeError> {
     let mut request = Request::new(Full::new(call.body));
     *request.method_mut() = call.method;
     *request.uri_mut() = http::Uri::from_static(call.path);
     *request.headers_mut() = call.headers;
     let mut pooled = match node.pool.take(&to.id, node.now()) {
         Some(pooled) => pooled,
-        None => node.pool.open(to, timeout).await?,
+        None => open(node, to, timeout).await?,
     };
+    let mut wait = LinkWait::start(node, to);
     let response = pooled
         .connection()
         .exchange(request, MAX_RESPONSE_BYTES, timeout)
-        .await?;
+        .await;
+    let response = response.map_err(|error| {
+        let failure = if error.is_disconnect() {
+            wait.record_reset()
+        } else {
+            let (since, at) = (wait.since, node.now());
+            ConnectionFailure {
+                since,
+                at,
+                is_unreachable: false,
+            }
+        };
+        ExchangeError { error, failure }
+    })?;
+    wait.record_received();
     let head = node
         .platform
         .call_format
@@ -287,3 +330,32 @@
         .release(&to.id, pooled, head.keep_alive, node.now());
     Ok(response)
 }
+
+async fn open(
+    node: &Rc<Node>,
+    to: &Upstream,
+    timeout: Duration,
+) -> Result<PooledConnection, ExchangeError> {
+    let wait = LinkWait::start(node, to);
+    match node.pool.open(to, timeout).await {
+        Ok(pooled) => {
+            wait.record_connected();
+            Ok(pooled)
+        }
+        Err(error) => {
+            let failure = wait.record_unreachable();
+            Err(ExchangeError { error, failure })
+        }
+    }
+}
+
+impl Node {
+    /// Returns whether this node has lost its links to the engines of any service.
+    pub(super) fn has_lost_engines(&self) -> bool {
+        let now = self.now();
+        let state = self.state.borrow();
+        let services = state.view.catalog.iter().flat_map(|c| c.services.values());
+        let mut engines = services.filter(|service| service.engine.is_some());
+        engines.any(|service| state.links.state(&service.id, now) == LinkState::Lost)
+    }
+}
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -165,6 +165,13 @@
         if lease.is_some_and(|held| !is_of_current_era(&node, held)) {
             tokio::time::sleep(rejoin_delay(&node)).await;
         }
+        if let Some(held) = lease
+            && gives_up_claims(&node)
+        {
+            tracing::info!("claims given up: this node reaches no engines");
+            release_lease(&node, held).await;
+            lease = None;
+        }
         let sent_at = boot_time();
         let ttl = lease_ttl(&node.state.borrow().view, &node.options);
         let is_kept = |held: &Lease| {
@@ -215,6 +222,11 @@
     node.state.borrow().view.is_controller(&node.options.node)
 }
 
+/// Returns whether this node must let another one take over its claims, as it reaches no engines.
+fn gives_up_claims(node: &Node) -> bool {
+    node.has_lost_engines() && has_claim(node)
+}
+
 /// Acquires a lease and writes this node's entry under it.
 async fn acquire_lease(node: &Node, ttl: Duration) -> Result<Lease, StoreError> {
     let store = &node.platform.store;
@@ -238,7 +250,7 @@
         let step = left.min(LEASE_CHECK_INTERVAL);
         tokio::time::sleep(step).await;
         left -= step;
-        if !is_of_current_era(node, lease) {
+        if !is_of_current_era(node, lease) || gives_up_claims(node) {
             return;
         }
         let needed = lease_ttl(&node.state.borrow().view, &node.options);
--- a/crates/shallottide_fleet/tests/domain_claims.rs
+++ b/crates/shallottide_fleet/tests/domain_claims.rs
@@ -48,6 +48,7 @@
     waited: Duration,
     /// Whether claims are open to all nodes.
     is_open: bool,
+    reaches_engines: bool,
 }
 
 const LOST: Known = Known {
@@ -56,6 +57,7 @@
     earlier_lease: Duration::from_secs(1),
     waited: Duration::ZERO,
     is_open: false,
+    reaches_engines: true,
 };
 
 /// Decides after a restore at revision 30 of era 2, in which the domain's claim has revision 20.
@@ -99,6 +101,7 @@
             }),
             validity: &validity,
             first_start: false,
+            reaches_engines: known.reaches_engines,
             now,
             boot_time,
         });
@@ -131,6 +134,29 @@
         Known { holder: Some("n-1"), held: None, is_open: true, ..LOST }, true, false;
 }
 
+/// Guards against a node that holds or claims a domain whose engines it does not reach.
+#[test]
+fn node_that_reaches_no_engines_claims_and_keeps_no_domain() {
+    let cut_off = Known {
+        reaches_engines: false,
+        is_open: true,
+        ..LOST
+    };
+    let held = Known {
+        holder: Some("n-1"),
+        held: Some(at(2, 20)),
+        ..cut_off
+    };
+    assert_eq!(decide(held).lost, [id("zone-a")]);
+    assert!(decide(held).due.is_empty());
+    let unclaimed = Known {
+        held: None,
+        waited: DUTY_TTL,
+        ..cut_off
+    };
+    assert!(decide(unclaimed).due.is_empty());
+}
+
 /// Guards against two nodes that give orders for a domain at a time, tokens that don't increase and
 /// domains that stay without a controller, on days with restores, cuts, and all nodes killed.
 fn claims_exclude_each_other(nodes: usize, seeds: Range<u64>, length: Duration) {
--- a/crates/shallottide_fleet/tests/support/claim_store.rs
+++ b/crates/shallottide_fleet/tests/support/claim_store.rs
@@ -286,6 +286,7 @@
             lease: node.lease,
             validity: &node.validity,
             first_start: is_first,
+            reaches_engines: true,
             now,
             boot_time: boot,
         });
