Keep the headers between nodes out of responses to callers

Streams that were relayed reached their callers with the headers by which the two nodes agree on a call: relay-outcome, relay-call, relay-attempts. Only complete responses were cleared of them. The node that relays now takes them off as soon as it has read them. The peer also added a date, which upstreams' responses need not have.

The check of headers in streams_at_cut_off_node_are_whole_* failed before: ["relay-outcome", "relay-call", "relay-attempts"].

--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -124,6 +124,8 @@
                 .timer(TokioTimer::new())
                 .keep_alive_interval(KEEP_ALIVE_INTERVAL)
                 .max_concurrent_streams(MAX_REQUESTS)
+                // Upstreams' responses to relayed calls have no header that they did not set.
+                .auto_date_header(false)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
                 tracing::debug!(%error, "peer connection failed");
--- a/crates/shallottide_fleet/src/serve/relay.rs
+++ b/crates/shallottide_fleet/src/serve/relay.rs
@@ -6,6 +6,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use compact_str::{CompactString, format_compact};
+use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -156,6 +157,8 @@
     pub(super) inner: Response<Incoming>,
     guard: RelayGuard,
     outcome: RelayOutcome,
+    /// Attempts that were made for the call, by both nodes.
+    attempts: Option<u32>,
 }
 
 impl PeerResponse {
@@ -217,7 +220,7 @@
                 Ok(response) => {
                     let targets = &mut self.node.state.borrow_mut().relay_targets;
                     targets.record_success(&peer, now);
-                    self.attempts = read_attempts(&response).unwrap_or(self.attempts);
+                    self.attempts = response.attempts.unwrap_or(self.attempts);
                     return Relayed::Taken(response);
                 }
                 Err(error) => error,
@@ -299,23 +302,29 @@
         let request = Request::post(uri.as_str()).body(Full::new(body));
         let request = request.map_err(|_| RelayError::NotSent)?;
         let sent = sender.try_send_request(request).await;
-        let inner = sent.map_err(|mut error| {
+        let mut inner = sent.map_err(|mut error| {
             if error.take_message().is_some() {
                 RelayError::NotSent
             } else {
                 RelayError::OutcomeUnknown
             }
         })?;
-        let header = |name: HeaderName| inner.headers().get(name).and_then(|v| v.to_str().ok());
-        if header(CALL) != Some(self.request.id.as_str()) {
-            tracing::warn!(call = %self.request.id, %peer, answered = header(CALL), "dropped peer's response to another call");
+        let mut take = |name: HeaderName| {
+            let value = inner.headers_mut().remove(name)?;
+            value.to_str().ok().map(CompactString::from)
+        };
+        let (answered, outcome) = (take(CALL), take(OUTCOME));
+        let attempts = take(ATTEMPTS).and_then(|attempts| attempts.parse().ok());
+        if answered.as_ref() != Some(&self.request.id) {
+            tracing::warn!(call = %self.request.id, %peer, answered = answered.as_deref(), "dropped peer's response to another call");
             return Err(RelayError::OutcomeUnknown);
         }
-        match header(OUTCOME).and_then(RelayOutcome::parse) {
+        match outcome.as_deref().and_then(RelayOutcome::parse) {
             Some(outcome @ (RelayOutcome::Answered | RelayOutcome::Refused)) => Ok(PeerResponse {
                 inner,
                 guard,
                 outcome,
+                attempts,
             }),
             Some(RelayOutcome::CutOff) => Err(RelayError::CutOff),
             Some(RelayOutcome::Busy) => Err(RelayError::Busy),
@@ -376,9 +385,7 @@
         } else {
             let PeerResponse { inner, guard, .. } = response;
             let (mut parts, mut body) = inner.into_parts();
-            for name in [&OUTCOME, &CALL, &ATTEMPTS] {
-                parts.headers.remove(name);
-            }
+            parts.headers.remove(CONTENT_LENGTH);
             let budget = &self.node.body_budget;
             let read = read_body(&mut body, MAX_RESPONSE_BYTES, budget, || {}).await;
             drop(guard);
@@ -417,8 +424,3 @@
     let message = format!("the upstream did not answer: {why}");
     Refusal::new(RefusalKind::UpstreamFailed, Ran::Unknown, message)
 }
-
-fn read_attempts(response: &PeerResponse) -> Option<u32> {
-    let attempts = response.inner.headers().get(&ATTEMPTS)?;
-    attempts.to_str().ok()?.parse().ok()
-}
