Send calls that no node takes over links that return

Links that are suspected because those to another service are lost are cleared by a new connection only: in a half cut, kept connections go on answering.

--- a/crates/shallottide_fleet/src/service_links.rs
+++ b/crates/shallottide_fleet/src/service_links.rs
@@ -21,7 +21,7 @@
 const LATER_ROUND_PAUSE: Duration = Duration::from_millis(600);
 /// Time between the first two rounds of probes.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
-/// Probes of all rounds but the first, which has one.
+/// Probes of a round; the first has one unless links are suspected already.
 const PROBES_PER_ROUND: usize = 3;
 /// Rounds after which an inquiry ends that has found no failure.
 const MAX_IDLE_ROUNDS: u32 = 3;
@@ -220,6 +220,7 @@
         self.check(now);
         if let Some(inquiry) = &mut self.inquiry {
             inquiry.is_suspected = true;
+            inquiry.needs_connection = true;
         }
     }
 
@@ -421,7 +422,8 @@
                     LATER_ROUND_PAUSE
                 };
                 inquiry.next_round = now + pause;
-                let count = if is_first { 1 } else { PROBES_PER_ROUND };
+                let is_lone = is_first && !inquiry.is_suspected;
+                let count = if is_lone { 1 } else { PROBES_PER_ROUND };
                 (count, inquiry.since)
             }
             Phase::Lost { next_probe, .. } | Phase::Returning { next_probe, .. } => {
--- a/crates/shallottide_fleet/src/upstream_links.rs
+++ b/crates/shallottide_fleet/src/upstream_links.rs
@@ -142,6 +142,9 @@
     /// Returns whether a call may be sent over this node's own links: an increasing share of all calls
     /// while the links return. `draw` is a uniform random number.
     ///
+    /// The others are relayed. If no node takes such a call, as when the upstreams themselves were away,
+    /// it may be sent over links that return.
+    ///
     /// A service without any outcome yet counts as lost while the links to all others are.
     #[must_use]
     pub fn allows_own(&self, service: &ServiceId, now: Instant, draw: u32) -> bool {
--- a/crates/shallottide_fleet/tests/relay_fleet.rs
+++ b/crates/shallottide_fleet/tests/relay_fleet.rs
@@ -166,3 +166,30 @@
     reset_links_that_return_for_two_seconds: LinkFailure::Reset, ms(2_000), ms(1_000);
     half_cut_links_that_return_for_a_second: LinkFailure::HalfCut, ms(1_000), ms(1_000);
 }
+
+/// Guards against nodes that offer their calls to each other when all upstreams were away for all of
+/// them, and are back.
+fn calls_are_served_when_all_upstreams_are_back(nodes: usize, kind: LinkFailure) {
+    for seed in seeds(nodes) {
+        let services = vec![large_service(), small_service()];
+        let scenario = CutScenario::new(nodes, services, CUT_END + RETURN_TIME + ms(4_000));
+        let outcome = play_cut(&scenario.cut(kind, 0..nodes, CUT_AT, CUT_END), seed);
+        for second in 1..5 {
+            let from = CUT_END + Duration::from_secs(second);
+            let (tries, served) = outcome.served(|_| true, &(from..from + ms(1_000)));
+            assert!(
+                tries - served <= 10 + tries / 50,
+                "seed {seed}, {second} s after the end: {served} of {tries}"
+            );
+        }
+    }
+}
+
+cases! {
+    calls_are_served_when_all_upstreams_are_back;
+    at_one_node_after_a_hang: 1, LinkFailure::Hang;
+    at_seven_nodes_after_a_hang: 7, LinkFailure::Hang;
+    at_seven_nodes_after_a_restart: 7, LinkFailure::Reset;
+    at_thirty_nodes_after_a_restart: 30, LinkFailure::Reset;
+    at_ninety_five_nodes_after_a_hang: 95, LinkFailure::Hang;
+}
--- a/crates/shallottide_fleet/tests/relay_targets.rs
+++ b/crates/shallottide_fleet/tests/relay_targets.rs
@@ -128,7 +128,10 @@
     let view = view_of_nodes(&[("zone-a", 250), ("zone-b", 250)]);
     let mut relay = Relay::new(1);
     let (n0, n1): (NodeId, NodeId) = (id("n0"), id("n1"));
-    assert_eq!(relay.choose(&view, &[n0.clone()]), Some(n1.clone()));
+    assert_eq!(
+        relay.choose(&view, std::slice::from_ref(&n0)),
+        Some(n1.clone())
+    );
     assert_eq!(relay.choose(&view, &[n0.clone(), n1.clone()]), None);
     assert_eq!(relay.choose(&ClusterView::default(), &[]), None);
     relay.own = n0;
--- a/crates/shallottide_fleet/tests/support/cut_simulation.rs
+++ b/crates/shallottide_fleet/tests/support/cut_simulation.rs
@@ -516,7 +516,7 @@
         let draw = self.rng.random();
         let chosen = node.targets.choose(&need, &self.view, self.now, draw);
         let Some((target, _)) = chosen.filter(|_| is_allowed) else {
-            return self.end_call(call, false);
+            return self.send_without_peer(call);
         };
         self.nodes[home].targets.started(&target);
         let peer = target.as_str()[5..].parse().expect("a number");
@@ -524,6 +524,24 @@
         self.after(HOP, Event::Offer(call, peer));
     }
 
+    /// Sends a call that no other node takes over links that return, if it was not sent before.
+    fn send_without_peer(&mut self, call: usize) {
+        let Call {
+            home,
+            service,
+            written,
+            connects,
+            ..
+        } = self.calls[call];
+        let links = &self.nodes[home].links;
+        let is_returning = links.state(&self.services[service], self.now) == LinkState::Returning;
+        if is_returning && written < MAX_ATTEMPTS && connects < MAX_CONNECTS {
+            self.send(call);
+        } else {
+            self.end_call(call, false);
+        }
+    }
+
     fn offer(&mut self, call: usize, peer: usize) {
         if self.calls[call].is_served.is_some() {
             return;
--- a/crates/shallottide_fleet/tests/upstream_links.rs
+++ b/crates/shallottide_fleet/tests/upstream_links.rs
@@ -80,6 +80,36 @@
     reset_links_of_one_upstream_beside_others: LinkFailure::Reset, &[one_upstream(), large_service()], STABILITY_WINDOW;
 }
 
+/// Guards against a loss of the links to one service that is held against the others, or not found.
+fn links_of_one_service_are_lost_alone(kind: LinkFailure, upstreams: usize, bound: Duration) {
+    for seed in SEEDS {
+        let from = cut_at(seed);
+        let service = SimService {
+            upstreams,
+            ..large_service()
+        };
+        let services = vec![service, large_service(), small_service()];
+        let scenario = CutScenario::new(1, services, from + CUT_LENGTH);
+        let scenario = scenario.fail_upstreams(kind, 0, 0..upstreams, from, from + CUT_LENGTH);
+        let outcome = play_cut(&scenario, seed);
+        let lost = |service| {
+            let times = outcome.links.get(&(0, service));
+            times.and_then(|times| times.lost.first().copied())
+        };
+        let is_in_time = lost(0).is_some_and(|at| at <= from + bound);
+        assert!(is_in_time, "seed {seed}, {from:?}: {:?}", lost(0));
+        assert_eq!((lost(1), lost(2)), (None, None), "seed {seed}, {from:?}");
+        assert!(outcome.faults().is_empty(), "seed {seed}");
+    }
+}
+
+cases! {
+    links_of_one_service_are_lost_alone;
+    hanging_links_of_one_of_three_services: LinkFailure::Hang, 30, STABILITY_WINDOW;
+    reset_links_of_one_of_three_services: LinkFailure::Reset, 30, STABILITY_WINDOW;
+    hanging_links_of_two_upstreams_only: LinkFailure::Hang, 2, STABILITY_WINDOW;
+}
+
 /// Guards against calls that are relayed although upstreams can be reached, since some of them failed.
 fn links_to_upstreams_that_fail_are_not_lost(
     kind: LinkFailure,
