Ask nodes that were cut off if there are no others

If all other nodes are avoided because they were cut off, each call is now offered to one of them. An interrupted return now sends three probes and relapses when three upstreams, or all, are unreachable.

Two different nodes are drawn for a choice, so that one that does not answer gets few more calls than others. Relapses are forgotten after 6 s instead of 10 s.

--- a/crates/shallottide_fleet/src/relay_targets.rs
+++ b/crates/shallottide_fleet/src/relay_targets.rs
@@ -45,6 +45,8 @@
     /// Calls of this node at the target.
     in_flight: u32,
     avoided_until: Option<Instant>,
+    /// Whether it is avoided only because it was cut off when last asked.
+    is_cut_off: bool,
     unreachable_in_row: u32,
     /// When it last accepted a call.
     succeeded: Option<Instant>,
@@ -62,7 +64,8 @@
 
 impl RelayTargets {
     /// Chooses the node to which a call is relayed: of two nodes drawn at random by capacity, the one
-    /// with fewer calls of this node in flight for its capacity. `draw` is a uniform random number.
+    /// with fewer calls of this node in flight for its capacity. If there is none, one that was cut off
+    /// when last asked, for calls without an offer yet. `draw` is a uniform random number.
     ///
     /// Returns `None` when the call is to be refused at once.
     #[must_use]
@@ -74,14 +77,18 @@
         draw: u64,
     ) -> Option<(NodeId, SocketAddr)> {
         let mut rng = StdRng::seed_from_u64(draw);
-        let candidates = self.candidates(need, view, now);
-        let first = pick(&candidates, &mut rng)?;
-        let second = pick(&candidates, &mut rng)?;
-        let chosen = if second.load < first.load {
-            second
-        } else {
-            first
-        };
+        let mut candidates = self.candidates(need, view, now);
+        if candidates.iter().any(|candidate| !candidate.is_cut_off) {
+            candidates.retain(|candidate| !candidate.is_cut_off);
+        } else if !need.tried.is_empty() {
+            return None;
+        }
+        let first = draw_index(&candidates, &mut rng)?;
+        let first = candidates.swap_remove(first);
+        let second = draw_index(&candidates, &mut rng).map(|index| &candidates[index]);
+        let chosen = second
+            .filter(|second| second.load < first.load)
+            .unwrap_or(&first);
         Some((chosen.node.clone(), chosen.entry.peers))
     }
 
@@ -102,7 +109,9 @@
         self.cut_off_domains
             .insert(domain.clone(), now + CUT_OFF_AVOIDANCE);
         self.refusal_rate += OUTCOME_WEIGHT * (1.0 - self.refusal_rate);
-        self.avoid(node, CUT_OFF_AVOIDANCE, now).succeeded = None;
+        let target = self.avoid(node, CUT_OFF_AVOIDANCE, now);
+        target.succeeded = None;
+        target.is_cut_off = true;
     }
 
     /// Records that a node refused a call because it is at its limit.
@@ -139,6 +148,7 @@
     fn avoid(&mut self, node: &NodeId, time: Duration, now: Instant) -> &mut RelayTarget {
         let target = self.targets.entry(node.clone()).or_default();
         target.avoided_until = target.avoided_until.max(Some(now + time));
+        target.is_cut_off = false;
         target
     }
 
@@ -166,7 +176,12 @@
             let is_allowed = need
                 .domains
                 .is_none_or(|domains| domains.contains(&entry.domain));
-            if is_avoided || !is_allowed || node == need.own.0 || need.tried.contains(node) {
+            let is_cut_off = is_avoided && target.is_some_and(|target| target.is_cut_off);
+            if (is_avoided && !is_cut_off)
+                || !is_allowed
+                || node == need.own.0
+                || need.tried.contains(node)
+            {
                 continue;
             }
             let capacity = f64::from(entry.capacity.max(1));
@@ -182,6 +197,7 @@
                 node,
                 entry,
                 weight,
+                is_cut_off,
                 load: f64::from(in_flight) / capacity,
             });
         }
@@ -195,6 +211,7 @@
     entry: &'a NodeEntry,
     /// Relative probability of being drawn.
     weight: f64,
+    is_cut_off: bool,
     /// Calls of this node there, for its capacity.
     load: f64,
 }
@@ -207,12 +224,12 @@
 }
 
 /// Draws a node by weight.
-fn pick<'a, 'b>(candidates: &'b [Candidate<'a>], rng: &mut StdRng) -> Option<&'b Candidate<'a>> {
+fn draw_index(candidates: &[Candidate<'_>], rng: &mut StdRng) -> Option<usize> {
     let total: f64 = candidates.iter().map(|candidate| candidate.weight).sum();
     let mut left = rng.random::<f64>() * total;
-    let drawn = candidates.iter().find(|candidate| {
+    let drawn = candidates.iter().position(|candidate| {
         left -= candidate.weight;
         left < 0.0
     });
-    drawn.or(candidates.last())
+    drawn.or(candidates.len().checked_sub(1))
 }
--- a/crates/shallottide_fleet/src/service_links.rs
+++ b/crates/shallottide_fleet/src/service_links.rs
@@ -44,7 +44,7 @@
 /// Time for which connections must succeed after each relapse before any call is sent over the links.
 const HOLD: Duration = Duration::from_secs(2);
 /// Time without a loss after which relapses are forgotten.
-const CALM_TIME: Duration = Duration::from_secs(10);
+const CALM_TIME: Duration = Duration::from_secs(6);
 
 /// Outcomes of the connections to one upstream.
 #[derive(Debug, Clone, Default)]
@@ -381,15 +381,19 @@
         if now.saturating_duration_since(inquiry.since) < MIN_INQUIRY {
             return false;
         }
-        let known = self.upstreams.len();
         let unreachable = self.unreachable_since(inquiry.since);
         let probed = self.unreachable_since(inquiry.started);
         let heard = self.heard_since(inquiry.since);
-        unreachable.len() >= MIN_UNREACHABLE.min(known)
-            && probed.len() >= MIN_PROBED.min(known)
+        self.are_enough(&unreachable)
+            && probed.len() >= MIN_PROBED.min(self.upstreams.len())
             && heard.intersection(&unreachable).count() >= MIN_HALF_LOST.min(heard.len())
     }
 
+    /// Returns whether so many upstreams are unreachable that it is not their own failure.
+    fn are_enough(&self, unreachable: &BTreeSet<UpstreamId>) -> bool {
+        unreachable.len() >= MIN_UNREACHABLE.min(self.upstreams.len())
+    }
+
     /// Records that the links are lost.
     pub(crate) fn lose(&mut self, now: Instant) {
         let is_calm = self
@@ -432,7 +436,14 @@
                 }
                 let jitter = 0.8 + 0.4 * f64::from(draw) / f64::from(u32::MAX);
                 *next_probe = now + PROBE_PAUSE.mul_f64(jitter);
-                (1, now)
+                let is_interrupted = matches!(
+                    self.phase,
+                    Phase::Lost {
+                        interrupted: Some(_),
+                        ..
+                    }
+                );
+                (if is_interrupted { PROBES_PER_ROUND } else { 1 }, now)
             }
         };
         let avoid = self.filter(|link| {
@@ -488,10 +499,15 @@
             }
             Phase::Lost {
                 since: lost,
-                interrupted,
+                interrupted: Some(_),
                 ..
-            } if since >= *lost && is_evidence => {
-                if interrupted.take().is_some() {
+            } if is_evidence => {
+                let lost = *lost;
+                let is_relapse = self.are_enough(&self.unreachable_since(lost));
+                if let Phase::Lost { interrupted, .. } = &mut self.phase
+                    && is_relapse
+                {
+                    *interrupted = None;
                     self.relapses += 1;
                 }
             }
--- a/crates/shallottide_fleet/tests/relay_fleet.rs
+++ b/crates/shallottide_fleet/tests/relay_fleet.rs
@@ -6,6 +6,8 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use shallottide_types::cases;
 use support::{CutOutcome, CutScenario, LinkFailure, large_service, ms, play_cut, small_service};
 
@@ -15,6 +17,8 @@
 const STABILITY_WINDOW: Duration = ms(3_000);
 /// Time after the end of a cut by which calls are sent over own links again.
 const RETURN_TIME: Duration = ms(5_000);
+/// The same when links were lost several times.
+const LONGEST_RETURN: Duration = ms(16_000);
 const CAPACITIES: [usize; 4] = [250, 120, 250, 500];
 
 fn seeds(nodes: usize) -> Range<u64> {
@@ -113,7 +117,11 @@
     six_of_seven_are_reset: 7, &first(6), LinkFailure::Reset;
     six_of_seven_are_half_cut: 7, &first(6), LinkFailure::HalfCut;
     domain_of_seven_hangs: 7, &one_domain(7), LinkFailure::Hang;
+    domain_of_seven_is_reset: 7, &one_domain(7), LinkFailure::Reset;
+    domain_of_seven_is_half_cut: 7, &one_domain(7), LinkFailure::HalfCut;
     eight_of_thirty_hang: 30, &first(8), LinkFailure::Hang;
+    eight_of_thirty_are_reset: 30, &first(8), LinkFailure::Reset;
+    eight_of_thirty_are_half_cut: 30, &first(8), LinkFailure::HalfCut;
     domain_of_thirty_hangs: 30, &one_domain(30), LinkFailure::Hang;
     domain_of_thirty_is_reset: 30, &one_domain(30), LinkFailure::Reset;
     domain_of_thirty_is_half_cut: 30, &one_domain(30), LinkFailure::HalfCut;
@@ -121,11 +129,14 @@
     most_of_thirty_are_reset: 30, &first(24), LinkFailure::Reset;
     most_of_thirty_are_half_cut: 30, &first(24), LinkFailure::HalfCut;
     domain_of_ninety_five_hangs: 95, &one_domain(95), LinkFailure::Hang;
+    domain_of_ninety_five_is_reset: 95, &one_domain(95), LinkFailure::Reset;
     domain_of_ninety_five_is_half_cut: 95, &one_domain(95), LinkFailure::HalfCut;
     most_of_ninety_five_hang: 95, &first(70), LinkFailure::Hang;
     most_of_ninety_five_are_reset: 95, &first(70), LinkFailure::Reset;
     most_of_ninety_five_are_half_cut: 95, &first(70), LinkFailure::HalfCut;
     domain_of_four_hundred_hangs: 400, &one_domain(400), LinkFailure::Hang;
+    domain_of_four_hundred_is_reset: 400, &one_domain(400), LinkFailure::Reset;
+    domain_of_four_hundred_is_half_cut: 400, &one_domain(400), LinkFailure::HalfCut;
     most_of_four_hundred_hang: 400, &first(300), LinkFailure::Hang;
     most_of_four_hundred_are_reset: 400, &first(300), LinkFailure::Reset;
     most_of_four_hundred_are_half_cut: 400, &first(300), LinkFailure::HalfCut;
@@ -193,3 +204,78 @@
     at_thirty_nodes_after_a_restart: 30, LinkFailure::Reset;
     at_ninety_five_nodes_after_a_hang: 95, LinkFailure::Hang;
 }
+
+/// Guards against faults that only show when several disturbances meet: cuts of some nodes of any kind,
+/// racks of upstreams that die, pauses of processes.
+fn callers_are_served_on_random_days(nodes: usize, seeds: Range<u64>) {
+    const LENGTH: Duration = Duration::from_secs(40);
+    for seed in seeds {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut scenario = CutScenario::new(nodes, vec![large_service(), small_service()], LENGTH);
+        let mut cuts = Vec::new();
+        for begin in [3_000, 20_000] {
+            let kinds = [LinkFailure::Hang, LinkFailure::Reset, LinkFailure::HalfCut];
+            let kind = kinds[rng.random_range(0..3)];
+            let from = ms(begin + rng.random_range(0..1_000));
+            let until = from + ms(rng.random_range(4_000..13_000));
+            let share = rng.random_range(0.1..0.8);
+            let mut cut: Vec<_> = (0..nodes).filter(|_| rng.random_bool(share)).collect();
+            cut.truncate(nodes - 1);
+            scenario = scenario.cut(kind, cut.iter().copied(), from, until);
+            cuts.push((cut, from..until));
+            let first = rng.random_range(0..20);
+            let kind = kinds[rng.random_range(0..3)];
+            let from = from + ms(rng.random_range(0..8_000));
+            let rack = first..first + rng.random_range(1..10);
+            scenario = scenario.fail_upstreams(kind, 0, rack, from, from + ms(5_000));
+            let paused = rng.random_range(0..nodes);
+            let from = ms(begin + rng.random_range(0..15_000));
+            let until = from + ms(rng.random_range(100..2_000));
+            scenario.pauses.push((paused, from, until));
+        }
+        let paused: Vec<_> = scenario.pauses.iter().map(|(node, ..)| *node).collect();
+        let outcome = play_cut(&scenario, seed);
+        for (cut, time) in &cuts {
+            let time = time.start + STABILITY_WINDOW..time.end;
+            let is_calm = |node: usize| !paused.contains(&node);
+            let (tries, served) = outcome.served(|n| cut.contains(&n) && is_calm(n), &time);
+            let (other_tries, other_served) =
+                outcome.served(|n| !cut.contains(&n) && is_calm(n), &time);
+            let what = format!(
+                "seed {seed}, {time:?}: {served} of {tries}, {other_served} of {other_tries} at others"
+            );
+            // Without a calm node that has links there is nobody to serve the calls; and the upstreams
+            // that die fail calls of all nodes.
+            if other_tries > 0 {
+                let other_failed = other_tries - other_served;
+                let at_most = 10 + tries / 50 + tries * other_failed / other_tries;
+                assert!(
+                    served * other_tries * 3 >= other_served * tries * 2,
+                    "{what}"
+                );
+                assert!(tries - served <= at_most, "{what}");
+            }
+        }
+        for ((node, service), times) in &outcome.links {
+            let was_cut = |at: &Duration| {
+                let mut cuts = cuts.iter();
+                // A dead upstream may interrupt the return.
+                cuts.any(|(cut, time)| {
+                    cut.contains(node) && (time.start..time.end + LONGEST_RETURN).contains(at)
+                })
+            };
+            let is_right = times.lost.iter().all(was_cut);
+            assert!(
+                is_right,
+                "seed {seed}, node {node}, service {service}: {times:?}, {cuts:?}"
+            );
+        }
+    }
+}
+
+cases! {
+    callers_are_served_on_random_days;
+    at_three_nodes: 3, 0..40;
+    at_seven_nodes: 7, 0..40;
+    at_thirty_nodes: 30, 0..6;
+}
--- a/crates/shallottide_fleet/tests/relay_targets.rs
+++ b/crates/shallottide_fleet/tests/relay_targets.rs
@@ -141,6 +141,26 @@
     assert_eq!(relay.choose(&view, &[]), Some(n1));
 }
 
+/// Guards against calls that are refused for two seconds because the only other node was cut off for a
+/// moment.
+#[test]
+fn cut_off_nodes_are_asked_if_there_are_no_others() {
+    let view = view_of_nodes(&[("zone-a", 250), ("zone-b", 250)]);
+    let mut relay = Relay::new(1);
+    let (n0, n1): (NodeId, NodeId) = (id("n0"), id("n1"));
+    let now = relay.now;
+    relay.targets.record_unreachable(&n0, now);
+    relay.targets.record_cut_off(&n1, &id("zone-b"), now);
+    assert_eq!(relay.choose(&view, &[]), Some(n1.clone()));
+    let refused = [n1.clone()];
+    assert_eq!(relay.choose(&view, &refused), None, "offered once");
+    assert_eq!(
+        relay.choose(&view, &[id("other")]),
+        None,
+        "refused by another"
+    );
+}
+
 /// Guards against bodies that leave the regions in which a route may run.
 #[test]
 fn only_nodes_of_allowed_domains_get_calls() {
