Find lost links where no probe can be sent

Requests without an answer may hold all connections that a node may open to the upstreams of a service; then no probe is sent, and nothing ended the search. Links whose upstreams owe bytes now count as lost after 1.5 s without any byte and without an outcome of a probe, or twice the usual silence of the service.

--- a/crates/shallottide_fleet/src/service_links.rs
+++ b/crates/shallottide_fleet/src/service_links.rs
@@ -11,7 +11,10 @@
 const SILENCE: Duration = Duration::from_millis(300);
 /// Time without bytes, while one upstream owes some, after which others are probed.
 const LONE_SILENCE: Duration = Duration::from_millis(400);
-/// Longest such time while probes succeed, so that slow answers cause few probes.
+/// Time without bytes of upstreams that owe some, and without an outcome of any probe, after which links
+/// count as lost: requests without an answer may hold all connections that this node may open.
+const SILENT_LOSS: Duration = Duration::from_millis(1_500);
+/// Longest silence before a probe while probes succeed, so that slow answers cause few probes.
 const MAX_SILENCE: Duration = Duration::from_secs(1);
 /// Shortest time between the first evidence and the verdict, in which other upstreams may be heard.
 const MIN_INQUIRY: Duration = Duration::from_millis(200);
@@ -27,7 +30,7 @@
 const MAX_IDLE_ROUNDS: u32 = 3;
 /// Upstreams that must be unreachable for the links to count as lost; all, if fewer are known.
 const MIN_UNREACHABLE: usize = 3;
-/// How many of them must be unreachable by attempts that began after the first evidence.
+/// How many of them must be unreachable by attempts that began after the first evidence, or silent.
 const MIN_PROBED: usize = 2;
 /// Upstreams with answering kept connections that must refuse new ones; all, if there are fewer.
 const MIN_HALF_LOST: usize = 2;
@@ -340,12 +343,7 @@
 
     /// Returns whether several upstreams are silent for unusually long, or `None` if none are.
     fn find_silence(&self, now: Instant) -> Option<bool> {
-        let owing = self.upstreams.values().filter_map(|link| link.silent_since);
-        // Requests that were written before a cut may hang on after it.
-        let owing = owing.filter(|at| self.returned.is_none_or(|returned| *at >= returned));
-        let count = owing.clone().count();
-        let since = Some(owing.min()?).max(self.last_heard())?;
-        let silence = now.saturating_duration_since(since);
+        let (count, silence) = self.silence(now)?;
         let limit = |least: Duration| {
             let limit = least.max(self.usual_silence * 3 / 2) * 2_u32.pow(self.silences.min(2));
             limit.min(MAX_SILENCE)
@@ -356,6 +354,16 @@
         (silence >= limit(LONE_SILENCE)).then_some(false)
     }
 
+    /// Returns how many upstreams owe bytes, and for how long none has been heard.
+    fn silence(&self, now: Instant) -> Option<(usize, Duration)> {
+        let owing = self.upstreams.values().filter_map(|link| link.silent_since);
+        // Requests that were written before a cut may hang on after it.
+        let owing = owing.filter(|at| self.returned.is_none_or(|returned| *at >= returned));
+        let count = owing.clone().count();
+        let since = Some(owing.min()?).max(self.last_heard())?;
+        Some((count, now.saturating_duration_since(since)))
+    }
+
     /// Ends an inquiry that was not caused by a failure and has found none.
     pub(crate) fn end_idle_inquiry(&mut self) {
         let is_idle = self.inquiry.as_ref().is_some_and(|inquiry| {
@@ -373,11 +381,14 @@
         }
     }
 
-    /// Returns whether all evidence is that no upstream accepts connections from here.
-    pub(crate) fn are_probes_failing(&self, now: Instant) -> bool {
+    /// Returns whether all evidence is that no upstream can be reached from here.
+    pub(crate) fn are_all_failing(&self, now: Instant) -> bool {
         let Some(inquiry) = &self.inquiry else {
             return false;
         };
+        if self.are_silent_for_long(now) {
+            return true;
+        }
         if now.saturating_duration_since(inquiry.since) < MIN_INQUIRY {
             return false;
         }
@@ -389,6 +400,13 @@
             && heard.intersection(&unreachable).count() >= MIN_HALF_LOST.min(heard.len())
     }
 
+    fn are_silent_for_long(&self, now: Instant) -> bool {
+        self.silence(now).is_some_and(|(count, silence)| {
+            count >= MIN_PROBED.min(self.upstreams.len())
+                && silence >= SILENT_LOSS.max(self.usual_silence * 2)
+        })
+    }
+
     /// Returns whether so many upstreams are unreachable that it is not their own failure.
     fn are_enough(&self, unreachable: &BTreeSet<UpstreamId>) -> bool {
         unreachable.len() >= MIN_UNREACHABLE.min(self.upstreams.len())
@@ -544,7 +562,7 @@
             .filter_map(|link| link.waiting_since);
         if let Some(since) = owing.min().max(self.received) {
             let silence = now.saturating_duration_since(since);
-            self.usual_silence = silence.max(self.usual_silence * 9 / 10).min(MAX_SILENCE);
+            self.usual_silence = silence.max(self.usual_silence * 9 / 10);
         }
     }
 
--- a/crates/shallottide_fleet/src/upstream_links.rs
+++ b/crates/shallottide_fleet/src/upstream_links.rs
@@ -236,7 +236,7 @@
         }
         let services = self.services.iter();
         let unreachable: Vec<_> = services
-            .filter(|(_, links)| links.are_probes_failing(now))
+            .filter(|(_, links)| links.are_all_failing(now))
             .map(|(service, _)| service.clone())
             .collect();
         for service in unreachable {
@@ -260,6 +260,6 @@
     /// only upstream of a service may be its own.
     fn are_others_unreachable(&self, service: &ServiceId, now: Instant) -> bool {
         self.others(service)
-            .all(|other| other.state(now) == LinkState::Lost || other.are_probes_failing(now))
+            .all(|other| other.state(now) == LinkState::Lost || other.are_all_failing(now))
     }
 }
--- a/crates/shallottide_fleet/tests/support/cut_scenario.rs
+++ b/crates/shallottide_fleet/tests/support/cut_scenario.rs
@@ -29,6 +29,8 @@
     pub(crate) first_byte: Range<u64>,
     /// Parts of a response.
     pub(crate) chunks: u32,
+    /// Most open connections of a node to an upstream.
+    pub(crate) max_connections: usize,
 }
 
 /// A time in which some nodes can't reach some upstreams.
@@ -108,6 +110,7 @@
         interval: ms(40),
         first_byte: 40..300,
         chunks: 4,
+        max_connections: 100,
     }
 }
 
@@ -118,6 +121,7 @@
         interval: ms(400),
         first_byte: 20..200,
         chunks: 1,
+        max_connections: 100,
     }
 }
 
--- a/crates/shallottide_fleet/tests/support/cut_simulation.rs
+++ b/crates/shallottide_fleet/tests/support/cut_simulation.rs
@@ -51,6 +51,8 @@
     own_in_flight: u32,
     /// Ends of the idle times of kept connections.
     kept: BTreeMap<Upstream, Vec<Instant>>,
+    /// Open connections in use, and attempts to open one.
+    in_use: BTreeMap<Upstream, usize>,
     /// Failures in a row, and the end of the back-off.
     backoffs: BTreeMap<Upstream, (u32, Instant)>,
     states: Vec<LinkState>,
@@ -149,6 +151,7 @@
                 limit: RelayLimit::default(),
                 own_in_flight: 0,
                 kept: BTreeMap::new(),
+                in_use: BTreeMap::new(),
                 backoffs: BTreeMap::new(),
                 states: vec![LinkState::Up; scenario.services.len()],
             })
@@ -335,7 +338,10 @@
             backoff.is_none_or(|(_, until)| now >= *until)
         };
         let numbers = 0..self.upstreams[service].len();
-        let numbers = numbers.filter(|n| !self.calls[call].tried.contains(n) && is_free(n));
+        let numbers = numbers.filter(|n| {
+            let is_tried = self.calls[call].tried.contains(n);
+            !is_tried && is_free(n) && self.has_room(runner, (service, *n))
+        });
         let numbers: Vec<_> = numbers.collect();
         let Some(&number) = numbers.choose(&mut self.rng) else {
             return self.not_sent(call, false);
@@ -394,6 +400,7 @@
             began: self.now,
         };
         self.attempts.insert(number, attempt);
+        *self.nodes[node].in_use.entry(upstream).or_default() += 1;
         if let Some(call) = call {
             self.calls[call].attempt = Some(number);
         }
@@ -403,13 +410,30 @@
         number
     }
 
+    fn end_attempt(&mut self, number: u64) -> Option<Attempt> {
+        let attempt = self.attempts.remove(&number)?;
+        let in_use = &mut self.nodes[attempt.node].in_use;
+        *in_use.get_mut(&attempt.upstream).expect("it was counted") -= 1;
+        Some(attempt)
+    }
+
+    /// Returns whether a node has a kept connection to an upstream, or may open one.
+    fn has_room(&self, node: usize, upstream: Upstream) -> bool {
+        let node = &self.nodes[node];
+        let in_use = node.in_use.get(&upstream).copied().unwrap_or(0);
+        let kept = node.kept.get(&upstream).into_iter().flatten();
+        let kept = kept.filter(|until| self.now < **until).count();
+        let max = self.scenario.services[upstream.0].max_connections;
+        kept > 0 || in_use < max
+    }
+
     fn ids(&self, (service, number): Upstream) -> (ServiceId, UpstreamId) {
         let upstream = self.upstreams[service][number].clone();
         (self.services[service].clone(), upstream)
     }
 
     fn connected(&mut self, number: u64) {
-        let Some(attempt) = self.attempts.remove(&number) else {
+        let Some(attempt) = self.end_attempt(number) else {
             return;
         };
         let (service, id) = self.ids(attempt.upstream);
@@ -427,7 +451,7 @@
     }
 
     fn connect_failed(&mut self, number: u64) {
-        let Some(attempt) = self.attempts.remove(&number) else {
+        let Some(attempt) = self.end_attempt(number) else {
             return;
         };
         let (service, id) = self.ids(attempt.upstream);
@@ -604,7 +628,7 @@
         if left > 1 {
             return self.after(CHUNK_PAUSE, Event::Chunk(number, left - 1));
         }
-        self.attempts.remove(&number);
+        self.end_attempt(number);
         self.calls[call].attempt = None;
         let node = &mut self.nodes[node];
         node.links.record_wait_ended(&service, &id, now);
@@ -614,7 +638,7 @@
     }
 
     fn reset(&mut self, number: u64) {
-        let Some(attempt) = self.attempts.remove(&number) else {
+        let Some(attempt) = self.end_attempt(number) else {
             return;
         };
         let (service, id) = self.ids(attempt.upstream);
@@ -636,7 +660,7 @@
     fn time_out(&mut self, call: usize) {
         if self.calls[call].is_served.is_none() {
             if let Some(attempt) = self.calls[call].attempt.take()
-                && let Some(attempt) = self.attempts.remove(&attempt)
+                && let Some(attempt) = self.end_attempt(attempt)
             {
                 let (service, id) = self.ids(attempt.upstream);
                 let links = &mut self.nodes[attempt.node].links;
@@ -705,8 +729,10 @@
             .collect();
         order.sort_unstable();
         for (.., number) in order.into_iter().take(probe.count) {
-            *self.outcome.probes.entry(node).or_default() += 1;
-            self.connect(node, (service, number), None);
+            if self.has_room(node, (service, number)) {
+                *self.outcome.probes.entry(node).or_default() += 1;
+                self.connect(node, (service, number), None);
+            }
         }
     }
 
@@ -759,7 +785,7 @@
         });
         let waiting: Vec<_> = waiting.map(|(number, _)| *number).collect();
         for number in waiting {
-            let attempt = self.attempts.remove(&number).expect("a waiting request");
+            let attempt = self.end_attempt(number).expect("a waiting request");
             let (service, id) = self.ids(attempt.upstream);
             let links = &mut self.nodes[node].links;
             links.record_wait_ended(&service, &id, self.now);
--- a/crates/shallottide_fleet/tests/upstream_links.rs
+++ b/crates/shallottide_fleet/tests/upstream_links.rs
@@ -20,6 +20,9 @@
 const CUT_LENGTH: Duration = Duration::from_secs(12);
 /// Time after the begin of a cut from which callers of the node are to be served as usual.
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
+/// Time in which a small service gets its first two calls after a cut: without a call nothing is known,
+/// and no caller waits.
+const FIRST_CALLS: Duration = ms(1_000);
 
 fn cut_at(seed: u64) -> Duration {
     CUT_AT + ms(seed * 37 % 1_000)
@@ -32,6 +35,14 @@
     }
 }
 
+/// A service to each of whose upstreams a node may open one connection.
+fn one_connection_each() -> SimService {
+    SimService {
+        max_connections: 1,
+        ..small_service()
+    }
+}
+
 /// A service whose answers take seconds.
 fn slow_service() -> SimService {
     SimService {
@@ -72,6 +83,8 @@
     hanging_links_of_a_small_service: LinkFailure::Hang, &[small_service()], STABILITY_WINDOW;
     reset_links_of_a_small_service: LinkFailure::Reset, &[small_service()], STABILITY_WINDOW;
     hanging_links_of_a_slow_service: LinkFailure::Hang, &[slow_service()], STABILITY_WINDOW;
+    hanging_links_with_one_connection_each: LinkFailure::Hang, &[one_connection_each()], STABILITY_WINDOW + FIRST_CALLS;
+    hanging_links_with_one_connection_each_beside_others: LinkFailure::Hang, &[one_connection_each(), large_service()], STABILITY_WINDOW;
     hanging_links_of_both: LinkFailure::Hang, &[large_service(), small_service()], ms(2_000);
     reset_links_of_both: LinkFailure::Reset, &[large_service(), small_service()], ms(2_000);
     half_cut_links_of_both: LinkFailure::HalfCut, &[large_service(), small_service()], STABILITY_WINDOW;
