--- a/crates/shallottide_fleet/tests/relay_fleet.rs
+++ b/crates/shallottide_fleet/tests/relay_fleet.rs
@@ -9,7 +9,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use shallottide_types::cases;
-use support::{CutOutcome, CutScenario, LinkFailure, large_service, ms, play_cut, small_service};
+use support::{
+    CutOutcome, CutScenario, LinkFailure, SimService, large_service, ms, play_cut, small_service,
+};
 
 const CUT_AT: Duration = ms(3_000);
 const CUT_END: Duration = ms(15_000);
@@ -41,9 +43,19 @@
 /// Guards against callers of cut-off nodes that are refused or wait in vain, helpers that get most of
 /// the calls, and nodes that do not use their links again.
 fn callers_of_cut_off_nodes_are_served(nodes: usize, cut: &[usize], kind: LinkFailure) {
+    let services = [large_service(), small_service()];
+    callers_of_services_are_served(&services, nodes, cut, kind);
+}
+
+fn callers_of_services_are_served(
+    services: &[SimService],
+    nodes: usize,
+    cut: &[usize],
+    kind: LinkFailure,
+) {
     for seed in seeds(nodes) {
-        let services = vec![large_service(), small_service()];
-        let scenario = CutScenario::new(nodes, services, CUT_END + RETURN_TIME + ms(2_000));
+        let scenario =
+            CutScenario::new(nodes, services.to_vec(), CUT_END + RETURN_TIME + ms(2_000));
         let scenario = scenario.cut(kind, cut.iter().copied(), CUT_AT, CUT_END);
         let outcome = play_cut(&scenario, seed);
         check_served(&outcome, cut, seed);
@@ -142,6 +154,26 @@
     most_of_four_hundred_are_half_cut: 400, &first(300), LinkFailure::HalfCut;
 }
 
+/// A service to each of whose upstreams a node may open one connection.
+fn few_connections() -> SimService {
+    SimService {
+        upstreams: 10,
+        max_connections: 1,
+        ..small_service()
+    }
+}
+
+cases! {
+    callers_of_services_are_served;
+    few_connections_hang_at_two_of_seven: &[large_service(), few_connections()], 7, &first(2), LinkFailure::Hang;
+    few_connections_are_reset_at_two_of_seven: &[large_service(), few_connections()], 7, &first(2), LinkFailure::Reset;
+    few_connections_are_half_cut_at_two_of_seven: &[large_service(), few_connections()], 7, &first(2), LinkFailure::HalfCut;
+    only_few_connections_hang: &[few_connections()], 7, &first(2), LinkFailure::Hang;
+    only_few_calls_and_half_cut: &[small_service()], 7, &first(2), LinkFailure::HalfCut;
+    only_few_calls_and_hang: &[small_service()], 7, &first(2), LinkFailure::Hang;
+    only_few_calls_and_reset: &[small_service()], 7, &first(2), LinkFailure::Reset;
+}
+
 /// Guards against nodes that send calls over links which fail again and again: their callers are served
 /// no worse than those of nodes whose links stay lost.
 fn links_that_flap_do_no_more_harm_than_lost_ones(kind: LinkFailure, up: Duration, down: Duration) {
