--- a/crates/shallottide_fleet/src/upstream_links.rs
+++ b/crates/shallottide_fleet/src/upstream_links.rs
@@ -142,6 +142,9 @@
     /// Returns whether a call may be sent over this node's own links: an increasing share of all calls
     /// while the links return. `draw` is a uniform random number.
     ///
+    /// The others are relayed. If no node takes such a call, as when the upstreams themselves were away,
+    /// it may be sent over links that return.
+    ///
     /// A service without any outcome yet counts as lost while the links to all others are.
     #[must_use]
     pub fn allows_own(&self, service: &ServiceId, now: Instant, draw: u32) -> bool {
@@ -233,7 +236,7 @@
         }
         let services = self.services.iter();
         let unreachable: Vec<_> = services
-            .filter(|(_, links)| links.are_probes_failing(now))
+            .filter(|(_, links)| links.are_all_failing(now))
             .map(|(service, _)| service.clone())
             .collect();
         for service in unreachable {
@@ -257,6 +260,6 @@
     /// only upstream of a service may be its own.
     fn are_others_unreachable(&self, service: &ServiceId, now: Instant) -> bool {
         self.others(service)
-            .all(|other| other.state(now) == LinkState::Lost || other.are_probes_failing(now))
+            .all(|other| other.state(now) == LinkState::Lost || other.are_all_failing(now))
     }
 }
