Probe more upstreams that answer before links count as half lost

Six upstreams that answer on kept connections must refuse new ones, or all if there are fewer; the third round of probes comes 0.2 s after the second.

--- a/crates/shallottide_fleet/src/service_links.rs
+++ b/crates/shallottide_fleet/src/service_links.rs
@@ -20,20 +20,20 @@
 const MIN_INQUIRY: Duration = Duration::from_millis(200);
 /// Time after a failure in which what arrived before it may still be read.
 const READ_DELAY: Duration = Duration::from_millis(25);
+/// Times between the first rounds of probes.
+const ROUND_PAUSES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(200)];
 /// Time between later rounds; longer than the time limit on opening a connection.
 const LATER_ROUND_PAUSE: Duration = Duration::from_millis(600);
-/// Time between the first two rounds of probes.
-const ROUND_PAUSE: Duration = Duration::from_millis(100);
 /// Probes of a round; the first has one unless links are suspected already.
 const PROBES_PER_ROUND: usize = 3;
 /// Rounds after which an inquiry ends that has found no failure.
-const MAX_IDLE_ROUNDS: u32 = 3;
+const MAX_IDLE_ROUNDS: usize = 4;
 /// Upstreams that must be unreachable for the links to count as lost; all, if fewer are known.
 const MIN_UNREACHABLE: usize = 3;
 /// How many of them must be unreachable by attempts that began after the first evidence, or silent.
 const MIN_PROBED: usize = 2;
 /// Upstreams with answering kept connections that must refuse new ones; all, if there are fewer.
-const MIN_HALF_LOST: usize = 2;
+const MIN_HALF_LOST: usize = 6;
 /// Mean time between two probes of links that are lost or return.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which an unreachable upstream is not probed again, if others are known.
@@ -96,7 +96,7 @@
     needs_connection: bool,
     last_failure: Option<Instant>,
     /// Rounds of probes sent.
-    rounds: u32,
+    rounds: usize,
     next_round: Instant,
 }
 
@@ -437,14 +437,9 @@
             Phase::Up => {
                 let inquiry = self.inquiry.as_mut().filter(|i| now >= i.next_round)?;
                 inquiry.rounds += 1;
-                let is_first = inquiry.rounds == 1;
-                let pause = if is_first {
-                    ROUND_PAUSE
-                } else {
-                    LATER_ROUND_PAUSE
-                };
-                inquiry.next_round = now + pause;
-                let is_lone = is_first && !inquiry.is_suspected;
+                let pause = ROUND_PAUSES.get(inquiry.rounds - 1);
+                inquiry.next_round = now + *pause.unwrap_or(&LATER_ROUND_PAUSE);
+                let is_lone = inquiry.rounds == 1 && !inquiry.is_suspected;
                 let count = if is_lone { 1 } else { PROBES_PER_ROUND };
                 (count, inquiry.since)
             }
--- a/crates/shallottide_fleet/tests/support/cut_simulation.rs
+++ b/crates/shallottide_fleet/tests/support/cut_simulation.rs
@@ -84,6 +84,15 @@
     began: Instant,
 }
 
+/// Why a node refused the call of another one.
+#[derive(Debug, Clone, Copy)]
+enum Refusal {
+    CutOff,
+    AtLimit,
+    /// The upstreams that it chose refused connections, or have no place.
+    NoUpstream,
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Event {
     Arrival(usize, usize),
@@ -93,8 +102,8 @@
     Chunk(u64, u32),
     Reset(u64),
     Offer(usize, usize),
-    /// The call was refused; `true`: because the node is cut off, `false`: at its limit.
-    Refused(usize, usize, bool),
+    /// A node refused a call.
+    Refused(usize, usize, Refusal),
     Timeout(usize),
     /// Whose fault a failure is; with its number.
     AskFault(usize, usize, ConnectionFailure),
@@ -227,7 +236,7 @@
             Event::Chunk(attempt, left) => self.chunk(attempt, left),
             Event::Reset(attempt) => self.reset(attempt),
             Event::Offer(call, peer) => self.offer(call, peer),
-            Event::Refused(call, peer, is_cut_off) => self.refused(call, peer, is_cut_off),
+            Event::Refused(call, peer, refusal) => self.refused(call, peer, refusal),
             Event::Timeout(call) => self.time_out(call),
             Event::AskFault(_, number, failure) => self.ask_fault(number, failure),
             Event::FailureStarts(number) => self.failure_starts(number),
@@ -509,22 +518,28 @@
             if runner == home {
                 self.relay(call);
             } else {
-                self.refuse(call, runner, state == LinkState::Lost);
+                let is_lost = state == LinkState::Lost;
+                let refusal = if is_lost {
+                    Refusal::CutOff
+                } else {
+                    Refusal::NoUpstream
+                };
+                self.refuse(call, runner, refusal);
             }
         } else if has_place && connects < MAX_CONNECTS && written < MAX_ATTEMPTS {
             self.send(call);
         } else if runner == home {
             self.end_call(call, false);
         } else {
-            self.refuse(call, runner, false);
+            self.refuse(call, runner, Refusal::NoUpstream);
         }
     }
 
     /// Ends the work of a helper on a call that was not sent, and tells the call's node.
-    fn refuse(&mut self, call: usize, helper: usize, is_cut_off: bool) {
+    fn refuse(&mut self, call: usize, helper: usize, refusal: Refusal) {
         self.nodes[helper].limit.end();
         self.calls[call].helpers.pop();
-        self.after(HOP, Event::Refused(call, helper, is_cut_off));
+        self.after(HOP, Event::Refused(call, helper, refusal));
     }
 
     fn relay(&mut self, call: usize) {
@@ -577,19 +592,20 @@
             .links
             .allows_own(&self.services[service], self.now, draw)
         {
-            self.after(HOP, Event::Refused(call, peer, true));
+            self.after(HOP, Event::Refused(call, peer, Refusal::CutOff));
         } else if node.limit.try_begin(node.own_in_flight, node.capacity) {
             let call_state = &mut self.calls[call];
             call_state.runner = peer;
             call_state.connects = 0;
+            call_state.tried.clear();
             call_state.helpers.push(peer);
             self.send(call);
         } else {
-            self.after(HOP, Event::Refused(call, peer, false));
+            self.after(HOP, Event::Refused(call, peer, Refusal::AtLimit));
         }
     }
 
-    fn refused(&mut self, call: usize, peer: usize, is_cut_off: bool) {
+    fn refused(&mut self, call: usize, peer: usize, refusal: Refusal) {
         let home = self.calls[call].home;
         let (name, domain) = (
             self.nodes[peer].name.clone(),
@@ -600,10 +616,10 @@
             return;
         }
         targets.ended(&name);
-        if is_cut_off {
-            targets.record_cut_off(&name, &domain, self.now);
-        } else {
-            targets.record_busy(&name, self.now);
+        match refusal {
+            Refusal::CutOff => targets.record_cut_off(&name, &domain, self.now),
+            Refusal::AtLimit => targets.record_busy(&name, self.now),
+            Refusal::NoUpstream => {}
         }
         self.calls[call].runner = home;
         self.relay(call);
