--- a/crates/shallottide_fleet/src/relay_targets.rs
+++ b/crates/shallottide_fleet/src/relay_targets.rs
@@ -14,7 +14,7 @@
 /// Time for which a node that is cut off from upstreams as well gets no calls.
 const CUT_OFF_AVOIDANCE: Duration = Duration::from_secs(2);
 /// Time for which a node at its limit gets no calls.
-const BUSY_AVOIDANCE: Duration = Duration::from_millis(150);
+const BUSY_AVOIDANCE: Duration = Duration::from_millis(50);
 /// First time for which an unreachable node gets no calls; doubles with each failure in a row.
 const MIN_UNREACHABLE_AVOIDANCE: Duration = Duration::from_millis(400);
 /// Most doublings of [`MIN_UNREACHABLE_AVOIDANCE`].
