Hold an upstream's slot while it asks for no requests

`shallottided` ignored the `Retry-After` of an upstream's 503 as the entry process did: the slot kept its limit, so the dispatcher sent to it again at once, up to that limit.

The upstream adapter now reports the time as an event of the attempt, before the answer or the failure, whether or not the upstream says that it did not run the call. The calls service passes it to the admission, which gives no permits of the slot until the latest end, five minutes at most, and reports a limit of 0, so that the other nodes look elsewhere. Answers to earlier calls, and a placement that is away for a moment, end nothing; a restart of the engine does. A slot has one dispatcher, so no other node needs to know.

With the adapter not reporting, the calls service not passing on and the admission not holding, the new tests failed:

wait_of_a_refusal_before_running_is_reported: None, not 1.5 s wait_of_an_unavailable_upstream_is_reported: None, not 3 s upstream_that_asks_for_no_requests_is_held: held [], not [a, 3 s] slot_is_held_until_the_end_or_a_restart: a permit was given overlong_hold_is_cut: 2 permits, not 0

--- a/crates/shallottide/examples/domain_move_compare/no_ramp.rs
+++ b/crates/shallottide/examples/domain_move_compare/no_ramp.rs
@@ -1,6 +1,7 @@
 //! A baseline admission policy without a ramp for cold engines.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use shallottide::admission::{Admission, RequestOutcome};
 use shallottide::kernel::Context;
@@ -32,6 +33,8 @@
         *self.0.entry(slot.clone()).or_default() -= 1;
     }
 
+    fn hold(&mut self, _: &Slot, _: Duration, _: &Context) {}
+
     fn tick(&mut self, _: &Context) {}
 
     fn loads(&self, _: &Context) -> Vec<LoadSummary> {
--- a/crates/shallottide/src/admission.rs
+++ b/crates/shallottide/src/admission.rs
@@ -30,6 +30,10 @@
     /// Releases the permit and adapts the limit to the outcome of the request.
     fn release(&mut self, slot: &Slot, team: &TeamId, outcome: &RequestOutcome, cx: &Context);
 
+    /// Gives no permits of a slot for a time, as its upstream asked this node; of several times, the
+    /// latest end holds.
+    fn hold(&mut self, slot: &Slot, wait: Duration, cx: &Context);
+
     /// Updates limits from the placement, the records and the engine reports; called on every tick.
     fn tick(&mut self, cx: &Context);
 
--- a/crates/shallottide/src/admission/slot_admission.rs
+++ b/crates/shallottide/src/admission/slot_admission.rs
@@ -58,7 +58,9 @@
                 self.update_slot(slot.0, &status, cx);
             }
         }
-        self.slots.retain(|_, p| p.present || p.in_flight > 0);
+        let is_held = |permits: &SlotPermits| permits.held_for(now).is_some();
+        self.slots
+            .retain(|_, p| p.present || p.in_flight > 0 || is_held(p));
         for permits in self.slots.values_mut().filter(|permits| !permits.present) {
             permits.mark_absent();
         }
@@ -117,6 +119,10 @@
             ));
         };
         permits.teams.record_request(team, priority, now);
+        if let Some(left) = permits.held_for(now) {
+            let message = "the upstream asked for no requests: retry later or elsewhere";
+            return Err(Refusal::new(RefusalKind::Overloaded, Ran::No, message).retry_after(left));
+        }
         if let Some(record) = record {
             self.teams.check(record, now)?;
         }
@@ -162,6 +168,16 @@
         }
     }
 
+    fn hold(&mut self, slot: &Slot, wait: Duration, cx: &Context) {
+        let now = cx.now();
+        if let Some(permits) = self.slots.get_mut(slot) {
+            if permits.held_for(now).is_none() {
+                tracing::info!(?slot, ?wait, "upstream asked for no requests for a time");
+            }
+            permits.hold(wait, now);
+        }
+    }
+
     fn tick(&mut self, cx: &Context) {
         self.update(cx);
     }
@@ -170,7 +186,8 @@
         let present = self.slots.iter().filter(|(_, permits)| permits.present);
         let summary = |(slot, permits): (&Slot, &SlotPermits)| {
             let status = slot_status::read(slot, cx)?;
-            let ready = slot_status::check_ready(slot, cx).is_ok();
+            let is_held = permits.held_for(cx.now()).is_some();
+            let ready = slot_status::check_ready(slot, cx).is_ok() && !is_held;
             let limit = limit_of(permits, &status, cx);
             Some(LoadSummary {
                 slot: slot.clone(),
--- a/crates/shallottide/src/admission/slot_permits.rs
+++ b/crates/shallottide/src/admission/slot_permits.rs
@@ -1,6 +1,6 @@
 //! The permits of one slot and their holders.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::AdmissionOptions;
 use super::inherited_load::InheritedLoad;
@@ -8,6 +8,9 @@
 use super::slot_status::{SlotIncarnation, SlotStatus};
 use super::team_share::TeamShare;
 
+/// Longest time for which a slot is held, so that a damaged value does not exclude it for good.
+const MAX_HOLD: Duration = Duration::from_mins(5);
+
 /// One slot that this node dispatches to, or still has requests on.
 #[derive(Debug, Clone)]
 pub(super) struct SlotPermits {
@@ -24,6 +27,8 @@
     reported_at: Option<Instant>,
     /// Answers to requests dispatched before this time do not ramp the limit.
     pub(super) cold_since: Instant,
+    /// Until when the upstream asked this node for no requests.
+    held_until: Option<Instant>,
 }
 
 impl SlotPermits {
@@ -38,9 +43,22 @@
             was_absent: false,
             reported_at: None,
             cold_since: now,
+            held_until: None,
         }
     }
 
+    /// Gives no permits for a time.
+    pub(super) fn hold(&mut self, wait: Duration, now: Instant) {
+        let until = now + wait.min(MAX_HOLD);
+        self.held_until = self.held_until.max(Some(until));
+    }
+
+    /// Returns for how long no permits are given.
+    pub(super) fn held_for(&self, now: Instant) -> Option<Duration> {
+        let left = self.held_until?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Marks the slot as removed or dispatched by another node; requests in flight here continue.
     pub(super) fn mark_absent(&mut self) {
         self.was_absent = true;
@@ -73,7 +91,11 @@
 
     /// Applies the current status of the slot.
     pub(super) fn update(&mut self, status: &SlotStatus, options: &AdmissionOptions, now: Instant) {
-        if status.incarnation.has_restarted_since(&self.incarnation) || status.reports_cold {
+        let has_restarted = status.incarnation.has_restarted_since(&self.incarnation);
+        if has_restarted {
+            self.held_until = None;
+        }
+        if has_restarted || status.reports_cold {
             self.reset_to_cold(status, now);
         }
         let all_known = status
--- a/crates/shallottide/src/calls/attempt_events.rs
+++ b/crates/shallottide/src/calls/attempt_events.rs
@@ -1,5 +1,7 @@
 //! Handling of progress, end and failure of attempts.
 
+use std::time::Duration;
+
 use shallottide_types::call::{ReplyEvent, Target};
 use shallottide_types::id::AttemptId;
 use shallottide_types::refusal::{Refusal, RefusalKind};
@@ -14,6 +16,7 @@
 use super::refusals;
 use crate::kernel::{Context, Outbox};
 use crate::message::{AttemptEvent, AttemptFailure};
+use crate::routing::Route;
 
 /// Lowest HTTP status of a server error.
 const FIRST_SERVER_ERROR: u16 = 500;
@@ -34,6 +37,11 @@
             self.on_failure(number, call, failure, true, cx, out);
             return;
         }
+        if let AttemptEvent::RetryAfter(wait) = event {
+            self.hold_slot(&call, wait, cx);
+            self.calls.put(number, call);
+            return;
+        }
         if is_engine_error(&call, &event) {
             record_server_error(&mut call);
             if self.retry_engine_error(&mut call, cx, out) {
@@ -60,6 +68,13 @@
         }
     }
 
+    fn hold_slot(&mut self, call: &Call, wait: Duration, cx: &Context) {
+        let route = call.attempt.as_ref().map(|attempt| &attempt.route);
+        if let Some(Route::Local { slot, .. }) = route {
+            self.admission.hold(slot, wait, cx);
+        }
+    }
+
     /// Fails an attempt that exceeded its idle timeout.
     pub(super) fn on_idle_timeout(
         &mut self,
@@ -181,7 +196,7 @@
         AttemptEvent::Head(head) => call.answer.on_head(head),
         AttemptEvent::Data(data) => call.answer.on_data(data),
         AttemptEvent::End => call.answer.on_end(),
-        AttemptEvent::Failed(_) => Ok(Vec::new()),
+        AttemptEvent::RetryAfter(_) | AttemptEvent::Failed(_) => Ok(Vec::new()),
     }
 }
 
--- a/crates/shallottide/src/message/call_messages.rs
+++ b/crates/shallottide/src/message/call_messages.rs
@@ -97,6 +97,8 @@
 pub enum AttemptEvent {
     /// Status and headers; the upstream has echoed the id of this call.
     Head(ReplyHead),
+    /// The upstream asks for no requests of this node for a time; its answer or a failure follows.
+    RetryAfter(Duration),
     /// Part of the body; in a stream, one complete server-sent event with its blank line.
     Data(Bytes),
     /// The answer is complete by its own framing (length, last chunk, end-of-stream event).
--- a/crates/shallottide/src/upstreams/upstream_adapter.rs
+++ b/crates/shallottide/src/upstreams/upstream_adapter.rs
@@ -5,7 +5,8 @@
 
 use shallottide_types::call::ReplyHead;
 use shallottide_types::id::AttemptId;
-use ureq::http::{Request, Response};
+use shallottide_types::retry_after::RetryAfter;
+use ureq::http::{Request, Response, StatusCode};
 use ureq::{Agent, Body};
 
 use super::answer_reader::{AnswerError, read_events, read_plain};
@@ -117,7 +118,11 @@
                 }
                 None => AttemptFailure::Lost(format!("no answer from the upstream: {e}")),
             })?;
-        validate_head(dispatch, &response)?;
+        validate_id(dispatch, &response)?;
+        if let Some(wait) = asked_wait(dispatch, &response) {
+            self.report(dispatch.attempt, AttemptEvent::RetryAfter(wait.0));
+        }
+        validate_run(&response)?;
         let head = ReplyHead {
             status: response.status().as_u16(),
             content_type: header_text(&response, "content-type")
@@ -198,13 +203,30 @@
         .map_err(|e| AttemptFailure::NotSent(format!("the request can't be built: {e}")))
 }
 
-fn validate_head(dispatch: &Dispatch, response: &Response<Body>) -> Result<(), AttemptFailure> {
+fn validate_id(dispatch: &Dispatch, response: &Response<Body>) -> Result<(), AttemptFailure> {
     let id = header_text(response, REQUEST_ID_HEADER);
     if id.is_some_and(|id| id != dispatch.head.id.as_str()) {
         return Err(AttemptFailure::Lost(
             "the upstream answered another call".into(),
         ));
     }
+    Ok(())
+}
+
+/// Returns the time for which the upstream asks for no requests, if it turned the call away.
+fn asked_wait(dispatch: &Dispatch, response: &Response<Body>) -> Option<RetryAfter> {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let wait = header_text(response, "retry-after")?.parse::<RetryAfter>();
+    let upstream = dispatch.address;
+    wait.inspect_err(|error| {
+        tracing::warn!(%upstream, %error, "could not read the retry-after of an upstream");
+    })
+    .ok()
+}
+
+fn validate_run(response: &Response<Body>) -> Result<(), AttemptFailure> {
     if header_text(response, NOT_RUN_HEADER).is_some() {
         let status = response.status();
         return Err(AttemptFailure::NotRun(format!(
--- a/crates/shallottide/tests/admission_limits.rs
+++ b/crates/shallottide/tests/admission_limits.rs
@@ -361,3 +361,48 @@
     harness.publish();
     assert_eq!(of(&harness, &group("g1")), None);
 }
+
+/// Guards against requests to an upstream that asked this node for none, also after it has answered an
+/// earlier request or the placement was away for a moment, and against a new incarnation that is held.
+#[test]
+fn slot_is_held_until_the_end_or_a_restart() {
+    let mut harness = DispatcherHarness::new();
+    let slot = group("g0");
+    harness.warm_up(&slot);
+    harness.acquire(&slot, "depot").expect("free");
+    for wait in [secs(3), secs(1)] {
+        harness.admission.hold(&slot, wait, &harness.cx);
+    }
+    harness.release(&slot, "depot", true, 20);
+    let refusal = harness.acquire(&slot, "depot").expect_err("held");
+    assert_eq!(
+        (refusal.kind, refusal.ran, refusal.retry_after),
+        (RefusalKind::Overloaded, Ran::No, Some(secs(3)))
+    );
+    let loads = harness.admission.loads(&harness.cx);
+    let load = loads.iter().find(|load| load.slot == slot);
+    assert_eq!(load.map(|load| load.limit), Some(0), "peers look elsewhere");
+    assert!(harness.fill(&group("g1")) > 0);
+
+    removed_and_returned(&mut harness, &slot);
+    harness.wait(secs(2));
+    assert_eq!(harness.fill(&slot), 0);
+    harness.wait(secs(1));
+    assert!(harness.fill(&slot) > 0);
+
+    harness.admission.hold(&slot, Duration::MAX, &harness.cx);
+    restart(&mut harness, &slot);
+    harness.release(&slot, "depot", true, 20);
+    assert!(harness.fill(&slot) > 0);
+}
+
+/// Guards against a damaged value that excludes an upstream for good.
+#[test]
+fn overlong_hold_is_cut() {
+    let mut harness = DispatcherHarness::new();
+    let slot = group("g0");
+    harness.admission.hold(&slot, Duration::MAX, &harness.cx);
+    assert_eq!(harness.fill(&slot), 0);
+    harness.wait(Duration::from_mins(5));
+    assert!(harness.fill(&slot) > 0);
+}
--- a/crates/shallottide/tests/call_support/mod.rs
+++ b/crates/shallottide/tests/call_support/mod.rs
@@ -37,6 +37,8 @@
     pub(crate) permits: i64,
     /// Routes started and not finished.
     pub(crate) open_routes: i64,
+    /// Slots that were held, and for how long.
+    pub(crate) held: Vec<(Slot, Duration)>,
 }
 
 #[derive(Clone, Default)]
@@ -81,6 +83,10 @@
         self.0.borrow_mut().permits -= 1;
     }
 
+    fn hold(&mut self, slot: &Slot, wait: Duration, _: &Context) {
+        self.0.borrow_mut().held.push((slot.clone(), wait));
+    }
+
     fn tick(&mut self, _: &Context) {}
 
     fn loads(&self, _: &Context) -> Vec<LoadSummary> {
--- a/crates/shallottide/tests/calls_rules.rs
+++ b/crates/shallottide/tests/calls_rules.rs
@@ -285,6 +285,22 @@
     );
 }
 
+/// Guards against requests to an upstream that turned a call away and asked for none, and against a
+/// call that counts as run as the upstream asked.
+#[test]
+fn upstream_that_asks_for_no_requests_is_held() {
+    let (mut node, fakes) = node(["a", "b"].map(local).to_vec(), CallOptions::default());
+    node.send(arriving_call(Kind::Count, FRONT));
+    let wait = Duration::from_secs(3);
+    let asked = Message::Attempt(AttemptId(1), AttemptEvent::RetryAfter(wait));
+    assert!(node.send(asked).is_empty());
+    assert_eq!(fakes.0.borrow().held, [(slot("a"), wait)]);
+    let sent = node.send(failed(1, AttemptFailure::NotRun("full".into())));
+    assert_eq!(dispatches(&sent).len(), 1);
+    let sent = node.send(failed(2, AttemptFailure::NotRun("full".into())));
+    assert_eq!(kind_and_ran(&sent).map(|(_, ran)| ran), Some(Ran::No));
+}
+
 /// Guards against a call that ends upstream after upstream by its own retries.
 #[test]
 fn call_that_was_lost_at_two_upstreams_is_not_sent_again() {
--- a/crates/shallottide/tests/peers/main.rs
+++ b/crates/shallottide/tests/peers/main.rs
@@ -37,7 +37,7 @@
     let mut parts = Vec::new();
     loop {
         match next_event(&node.attempts) {
-            AttemptEvent::Head(_) => {}
+            AttemptEvent::Head(_) | AttemptEvent::RetryAfter(_) => {}
             AttemptEvent::Data(part) => parts.push(part),
             AttemptEvent::End => return Outcome::Complete(parts),
             AttemptEvent::Failed(AttemptFailure::NotSent(_)) => return Outcome::NotSent,
--- a/crates/shallottide/tests/upstreams/main.rs
+++ b/crates/shallottide/tests/upstreams/main.rs
@@ -30,6 +30,7 @@
         };
         match event {
             AttemptEvent::Head(head) => status = head.status,
+            AttemptEvent::RetryAfter(_) => {}
             AttemptEvent::Data(part) => parts.push(part),
             AttemptEvent::End => return Outcome::Complete(status, parts),
             AttemptEvent::Failed(AttemptFailure::NotSent(_)) => return Outcome::NotSent,
@@ -87,6 +88,29 @@
     stream_without_done_event_is_lost: Script::Answer("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n"), &Outcome::Lost;
 }
 
+/// Guards against an upstream's wish for no requests that is overlooked, or read from another answer.
+fn wait_is_reported(answer: &'static str, expected: Option<Duration>) {
+    let kernel = KernelThread::start();
+    let (address, _recorded) = Script::Answer(answer).serve();
+    let dispatch = dispatch(address, Duration::from_secs(30));
+    kernel.adapter.send(dispatch.into());
+    let first = kernel.events.recv().expect("an event");
+    let wait = match first {
+        Message::Attempt(_, AttemptEvent::RetryAfter(wait)) => Some(wait),
+        _ => None,
+    };
+    assert_eq!(wait, expected);
+}
+
+cases! {
+    wait_is_reported;
+    wait_of_a_refusal_before_running_is_reported: "HTTP/1.1 503 Full\r\ncontent-length: 0\r\nx-not-run: 1\r\nretry-after: 1.5\r\n\r\n", Some(Duration::from_millis(1_500));
+    wait_of_an_unavailable_upstream_is_reported: "HTTP/1.1 503 No\r\ncontent-length: 2\r\nretry-after: 3\r\n\r\nno", Some(Duration::from_secs(3));
+    wait_until_a_date_is_left_out: "HTTP/1.1 503 No\r\ncontent-length: 0\r\nretry-after: Wed, 21 Oct 2026 07:28:00 GMT\r\n\r\n", None;
+    wait_of_another_status_is_left_out: "HTTP/1.1 500 No\r\ncontent-length: 0\r\nretry-after: 3\r\n\r\n", None;
+    wait_in_the_answer_to_another_call_is_left_out: "HTTP/1.1 503 No\r\ncontent-length: 0\r\nx-request-id: call-2\r\nretry-after: 3\r\n\r\n", None;
+}
+
 #[test]
 fn refused_connection_is_not_sent() {
     let kernel = KernelThread::start();
--- a/crates/shallottide_types/src/lib.rs
+++ b/crates/shallottide_types/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`id`] and [`quantity`]: validated newtypes.
 //! - [`record`]: configuration records that operators write, with their schema versions.
 //! - [`call`] and [`refusal`]: a caller's request, its response and its errors.
+//! - [`retry_after`]: how long an upstream asks for no requests.
 //! - [`placement`]: which VMs form which group, and which node dispatches to it.
 //! - [`peer`]: messages between entry VMs (nodes).
 //! - [`synthetic`]: reproducible responses of stand-in engines, for tests and load runs.
@@ -24,6 +25,7 @@
 pub mod record;
 pub mod refusal;
 pub mod rendezvous;
+pub mod retry_after;
 pub mod secret;
 mod store_index;
 pub mod synthetic;
