Count no end of an upstream that announced it as a crash

An upstream that is leaving ends by itself, perhaps while it still runs requests. The evidence of requests that end upstreams left that out only when the entry said that the upstream was draining. When only its answers had said so, a request that was running as one upstream after another left was quarantined, and its callers were refused.

An announced departure of that lifetime now counts as the entry does.

On the old code the process test printed at the fourth send, after three servers had left during the first three: `left: 503, right: 502`, a refusal. It passes now, and so do the tests of requests and prompt parts that do end servers.

--- a/crates/shallottide_fleet/src/serve/quarantine.rs
+++ b/crates/shallottide_fleet/src/serve/quarantine.rs
@@ -67,7 +67,8 @@
         let Some(known) = state.view.upstreams.get(id) else {
             return;
         };
-        let (service, is_draining) = (known.upstream.service.clone(), known.upstream.draining);
+        let service = known.upstream.service.clone();
+        let is_leaving = known.upstream.draining || state.departures.is_leaving(lifetime);
         self.metrics.count("disconnects", service.as_str());
         let written = first_event_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let parts: Vec<_> = call.shared_parts.iter().map(ToString::to_string).collect();
@@ -76,8 +77,8 @@
             written_ms = u64::try_from(written.as_millis()).unwrap_or(u64::MAX), parts = parts.join(","),
             "upstream disconnected"
         );
-        // An upstream that drains ends by itself.
-        if !is_draining {
+        // An upstream that is leaving ends by itself.
+        if !is_leaving {
             let request = call.ended(&service, lifetime);
             state.crashes.record_interruption(request, written, now);
             // Before the call is sent to another upstream.
