Compare the content type of resumed answers in shallottided

When a stream broke off and the next engine answered the request to resume with status 200 and an error as JSON, its caller got that JSON in the middle of the stream, and then its complete end.

Cause: the head of a resumed answer was compared with the one that the caller has by its status alone. An answer that is no stream needs no last event, so that its end passed as the stream's.

The whole head is compared now. An answer of another type fails the attempt, and the stream is resumed at another engine or interrupted.

Evidence: on the old code, stream_interrupted_then_json got {"error":"failed"} where "data: 2" was due, and stream_interrupted_after_head_then_json where "data: 0" was. Errors with a status of their own were refused before.

--- a/crates/shallottide/src/calls/answer_buffer.rs
+++ b/crates/shallottide/src/calls/answer_buffer.rs
@@ -13,9 +13,9 @@
     /// A second head arrived in one attempt.
     #[error("the answer has two heads")]
     SecondHead,
-    /// The resumed answer has another status than the part already sent.
-    #[error("the resumed answer has another status")]
-    OtherStatus,
+    /// The resumed answer has another status or content type than the part already sent.
+    #[error("the resumed answer has another status or content type")]
+    Differs,
 }
 
 /// Collects the events of a call's attempts and decides when they are sent to the receiver.
@@ -25,8 +25,8 @@
 pub(super) struct AnswerBuffer {
     /// Status and headers of the current attempt.
     head: Option<ReplyHead>,
-    /// Status sent to the receiver; `None` before the head was sent.
-    sent_status: Option<u16>,
+    /// Status and headers sent to the receiver; `None` before they were sent.
+    sent_head: Option<ReplyHead>,
     /// Number of body parts sent to the receiver.
     sent_parts: u64,
     /// Remaining buffer space in bytes; `None` when parts are sent immediately.
@@ -44,7 +44,7 @@
     pub(super) fn new(buffer: Option<usize>) -> Self {
         Self {
             head: None,
-            sent_status: None,
+            sent_head: None,
             sent_parts: 0,
             buffer_left: buffer,
             unsent: Vec::new(),
@@ -77,8 +77,8 @@
         if self.head.is_some() {
             return Err(AnswerError::SecondHead);
         }
-        if self.sent_status.is_some_and(|sent| sent != head.status) {
-            return Err(AnswerError::OtherStatus);
+        if self.sent_head.as_ref().is_some_and(|sent| *sent != head) {
+            return Err(AnswerError::Differs);
         }
         self.head = Some(head);
         Ok(self.send_head_if_unbuffered())
@@ -125,11 +125,11 @@
     }
 
     fn send_head_if_unbuffered(&mut self) -> Vec<ReplyEvent> {
-        if self.buffer_left.is_some() || self.sent_status.is_some() {
+        if self.buffer_left.is_some() || self.sent_head.is_some() {
             return Vec::new();
         }
+        self.sent_head.clone_from(&self.head);
         let head = self.head.clone();
-        self.sent_status = head.as_ref().map(|head| head.status);
         head.map(ReplyEvent::Head).into_iter().collect()
     }
 
--- a/crates/shallottide/tests/calls_faults.rs
+++ b/crates/shallottide/tests/calls_faults.rs
@@ -53,6 +53,8 @@
     CallerDisconnected,
     /// An additional end event arrives.
     ExtraEnd,
+    /// The upstream answers with status 200 and an error that is no stream.
+    JsonAnswer,
     /// Events of an attempt that does not exist.
     UnknownAttempt,
     /// Data arrives before the head.
@@ -61,8 +63,8 @@
     Stop,
 }
 use Fault::{
-    CallerDisconnected, DataBeforeHead, ExtraEnd, Lost, NotRun, NotSent, PastDeadline, PeerNotRun,
-    PeerUnknown, Stalled, Stop, UnknownAttempt,
+    CallerDisconnected, DataBeforeHead, ExtraEnd, JsonAnswer, Lost, NotRun, NotSent, PastDeadline,
+    PeerNotRun, PeerUnknown, Stalled, Stop, UnknownAttempt,
 };
 
 #[derive(Debug, PartialEq, Eq)]
@@ -199,7 +201,7 @@
             NotSent => return self.fail(attempt, AttemptFailure::NotSent("fake".into())),
             NotRun => return self.fail(attempt, AttemptFailure::NotRun("fake".into())),
             PeerNotRun => return self.fail(attempt, AttemptFailure::Refused(refused(Ran::No))),
-            Lost | PeerUnknown | Stalled | PastDeadline | DataBeforeHead => {
+            Lost | PeerUnknown | Stalled | PastDeadline | DataBeforeHead | JsonAnswer => {
                 self.runs += u32::from(step == Dispatched);
             }
             CallerDisconnected => self.send(Message::ReceiverDisconnected(FRONT)),
@@ -216,6 +218,17 @@
                 self.event(attempt, event);
                 true
             }
+            JsonAnswer => {
+                let head = ReplyHead {
+                    status: 200,
+                    content_type: "application/json".into(),
+                };
+                let error = Bytes::from_static(b"{\"error\":\"failed\"}");
+                self.event(attempt, AttemptEvent::Head(head));
+                self.event(attempt, AttemptEvent::Data(error));
+                self.event(attempt, AttemptEvent::End);
+                true
+            }
             ExtraEnd => {
                 self.event(attempt, AttemptEvent::End);
                 false
@@ -393,6 +406,8 @@
     count_interrupted_then_peer_not_run: Kind::Count, &[(Lost, Halfway), (PeerNotRun, Dispatched)],
         &Refused(RefusalKind::Overloaded, Ran::Unknown);
     stream_interrupted_twice: Kind::Stream, &[(Lost, HeadSent), (Stalled, Halfway)], &INTERRUPTED;
+    stream_interrupted_then_json: Kind::Stream, &[(Lost, Halfway), (JsonAnswer, Dispatched)], &INTERRUPTED;
+    stream_interrupted_after_head_then_json: Kind::Stream, &[(Lost, HeadSent), (JsonAnswer, Dispatched)], &INTERRUPTED;
     stream_interrupted_then_stop: Kind::Stream, &[(Lost, Halfway), (Stop, Answered)], &Complete;
     stream_interrupted_then_past_deadline: Kind::Stream, &[(Lost, HeadSent), (PastDeadline, Halfway)], &INTERRUPTED_BY_DEADLINE;
     stream_interrupted_then_caller_disconnected: Kind::Stream, &[(Lost, HeadSent), (CallerDisconnected, Halfway)], &Abandoned;
