Pass on only events when a stream is resumed in shallottided

When the next engine answered a request to resume a stream with an event stream that holds an error, or the head and body of a second response, its caller got these as parts of its stream.

A resumed answer now ends with a failure at the first block that does not consist of fields, or is an error: an event of that type, or a JSON object with a field of that name. Nothing of that block is passed on. First answers are passed on as before. An answer without its last event was no complete end before either.

Events of engines carry no ids, so that repeated or missing events of an engine that does not heed the number of events to skip go unnoticed.

--- a/crates/shallottide/src/upstreams/answer_reader.rs
+++ b/crates/shallottide/src/upstreams/answer_reader.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 
 use bytes::{Bytes, BytesMut};
+use serde_json::{Map, Value};
 
 /// Size of the read buffer in bytes.
 const READ_BUFFER_BYTES: usize = 16 << 10;
@@ -30,6 +31,9 @@
     /// The stream ended without the `[DONE]` event.
     #[error("the upstream's stream ended without its last event")]
     MissingDone,
+    /// The answer to a request to resume a stream holds something other than its events.
+    #[error("the upstream sent an error, or no event, in place of the stream's next one")]
+    NotContinued,
     /// An event is longer than `MAX_EVENT_BYTES`.
     #[error("the upstream sent an event of more than {MAX_EVENT_BYTES} bytes")]
     EventTooLong,
@@ -64,9 +68,10 @@
 }
 
 /// Passes a stream to `on_event` event by event, including `[DONE]`, and checks that `[DONE]`
-/// arrived.
+/// arrived. If the stream `is_resumed`, its caller has a part of it, so that an error does not pass.
 pub(super) fn read_events(
     mut body: impl Read,
+    is_resumed: bool,
     mut on_event: impl FnMut(Bytes),
 ) -> Result<(), AnswerError> {
     let mut buf = vec![0; READ_BUFFER_BYTES];
@@ -80,6 +85,9 @@
         while let Some(end) = event_end(&pending) {
             let event = pending.split_to(end).freeze();
             let done = event.starts_with(DONE_EVENT);
+            if is_resumed && !continues_stream(&event) {
+                return Err(AnswerError::NotContinued);
+            }
             on_event(event);
             if done {
                 return Ok(());
@@ -106,3 +114,28 @@
         (lf, crlf) => lf.or(crlf),
     }
 }
+
+/// Returns whether a block consists of fields and comments, and is no error.
+fn continues_stream(event: &[u8]) -> bool {
+    let mut data = Vec::new();
+    for line in event.split(|&b| b == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.is_empty() || line.starts_with(b":") {
+            continue;
+        }
+        let colon = line.iter().position(|&b| b == b':').unwrap_or(line.len());
+        let value = line.get(colon + 1..).unwrap_or_default();
+        match &line[..colon] {
+            b"event" if value.trim_ascii() == b"error" => return false,
+            b"data" => data.extend_from_slice(value),
+            b"event" | b"id" | b"retry" => {}
+            _ => return false,
+        }
+    }
+    !is_error_object(&data)
+}
+
+fn is_error_object(data: &[u8]) -> bool {
+    let object = serde_json::from_slice::<Map<String, Value>>(data).unwrap_or_default();
+    object.get("error").is_some_and(|error| !error.is_null())
+}
--- a/crates/shallottide/src/upstreams/upstream_adapter.rs
+++ b/crates/shallottide/src/upstreams/upstream_adapter.rs
@@ -135,7 +135,7 @@
         let report_data = |part| self.report(dispatch.attempt, AttemptEvent::Data(part));
         let body = response.into_body().into_reader();
         let read = match framing {
-            _ if is_stream => read_events(body, report_data),
+            _ if is_stream => read_events(body, dispatch.resume_from > 0, report_data),
             Framing::Length(length) => read_plain(body, Some(length), report_data),
             Framing::Chunked => read_plain(body, None, report_data),
             Framing::Unknown => Err(AnswerError::UnknownLength),
--- a/crates/shallottide/tests/upstreams/main.rs
+++ b/crates/shallottide/tests/upstreams/main.rs
@@ -112,6 +112,45 @@
     wait_in_the_answer_to_another_call_is_left_out: "HTTP/1.1 503 No\r\ncontent-length: 0\r\nx-request-id: call-2\r\nretry-after: 3\r\n\r\n", None;
 }
 
+const STREAM: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-request-id: call-1\r\n\r\n";
+
+/// Guards against an error, or the head of another response, that gets into the middle of a stream
+/// when an upstream answers so to a request to resume it, and against a stream that ends with it.
+fn resumed_stream_holds_events_only(body: &str, expected: &[&'static str], is_complete: bool) {
+    let kernel = KernelThread::start();
+    let answer: &str = format!("{STREAM}{body}").leak();
+    let (address, _recorded) = Script::Answer(answer).serve();
+    let mut dispatch = dispatch(address, Duration::from_secs(30));
+    dispatch.resume_from = 3;
+    kernel.adapter.send(dispatch.into());
+    let mut received = Vec::new();
+    let ended = loop {
+        match kernel.events.recv_timeout(Duration::from_mins(1)) {
+            Ok(Message::Attempt(_, AttemptEvent::Head(_))) => {}
+            Ok(Message::Attempt(_, AttemptEvent::Data(part))) => received.push(part),
+            Ok(Message::Attempt(_, AttemptEvent::End)) => break true,
+            Ok(Message::Attempt(_, AttemptEvent::Failed(_))) => break false,
+            other => panic!("the attempt did not end: {other:?}"),
+        }
+    };
+    assert_eq!(received, parts(expected));
+    assert_eq!(ended, is_complete);
+}
+
+cases! {
+    resumed_stream_holds_events_only;
+    resumed_events: "data: {\"a\":1}\n\n: still here\n\nevent: piece\nid: 4\ndata: b\n\ndata: [DONE]\n\n", &["data: {\"a\":1}\n\n", ": still here\n\n", "event: piece\nid: 4\ndata: b\n\n", "data: [DONE]\n\n"], true;
+    resumed_events_with_carriage_returns: "data: a\r\n\r\ndata: [DONE]\r\n\r\n", &["data: a\r\n\r\n", "data: [DONE]\r\n\r\n"], true;
+    resumed_stream_without_events: "", &[], false;
+    resumed_stream_with_an_error_event: "data: a\n\nevent: error\ndata: failed\n\ndata: [DONE]\n\n", &["data: a\n\n"], false;
+    resumed_stream_with_an_error_object: "data: {\"error\":{\"code\":500}}\n\ndata: [DONE]\n\n", &[], false;
+    resumed_stream_with_a_second_head: "HTTP/1.1 500 Failed\r\ncontent-length: 8\r\n\r\nfailed\n\ndata: [DONE]\n\n", &[], false;
+    resumed_stream_with_a_second_head_after_an_event: "data: a\n\nHTTP/1.1 200 OK\r\n\r\ndata: b\n\ndata: [DONE]\n\n", &["data: a\n\n"], false;
+    resumed_stream_with_text: "failed\n\ndata: [DONE]\n\n", &[], false;
+    resumed_stream_with_json: "{\"error\":\"failed\"}\n\ndata: [DONE]\n\n", &[], false;
+}
+
 #[test]
 fn refused_connection_is_not_sent() {
     let kernel = KernelThread::start();
