Bound the keep-alive time that an upstream may announce

Callers' connections closed without an answer when an upstream's complete answer announced a keep-alive timeout of 2^63 seconds or more.

Cause: the time until which the connection may be kept was the current time plus the announced one. Adding to an `Instant` panics beyond the clock's range, and the panic ended the task that holds the answer.

The pool now keeps an idle connection for an hour at most.

Evidence: keep_alive_time_beyond_the_clock and longest_keep_alive_time failed on the old code with "a response" (none had arrived); they pass now. Times that are out of range or negative were ignored before.

--- a/crates/shallottide_fleet/src/serve/connection_pool.rs
+++ b/crates/shallottide_fleet/src/serve/connection_pool.rs
@@ -15,6 +15,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 /// Idle time of a connection whose upstream does not announce a keep-alive timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(700);
+/// Longest idle time of a connection, whatever timeout its upstream announces.
+const MAX_IDLE_TIME: Duration = Duration::from_hours(1);
 /// Time by which an idle connection is closed before the upstream's announced timeout.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -124,7 +126,7 @@
             return;
         };
         let idle_time = keep_alive.map_or(DEFAULT_IDLE_TIME, |timeout| {
-            timeout.saturating_sub(IDLE_MARGIN)
+            timeout.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIME)
         });
         if connection.is_closed() || idle_time.is_zero() {
             return;
