Count the trials of a quarantined request without overflow

A record of a quarantined request or part that states trials made the next trial the first one again, or ended the call that came for it in builds that check for overflow.

The count stays at its highest value now. On the old code, trials_after_the_highest_number_stay_rare failed with "attempt to add with overflow".

--- a/crates/shallottide_fleet/src/quarantine.rs
+++ b/crates/shallottide_fleet/src/quarantine.rs
@@ -432,7 +432,7 @@
 /// A request is tried early once at most: a second early trial would only tell that it ends upstreams.
 #[must_use]
 pub fn trials_after(trigger: CrashTrigger, earlier: u32) -> u32 {
-    let trials = earlier + 1;
+    let trials = earlier.saturating_add(1);
     if trigger.is_request() {
         trials.max(FIRST_TRIALS)
     } else {
--- a/crates/shallottide_fleet/tests/quarantine.rs
+++ b/crates/shallottide_fleet/tests/quarantine.rs
@@ -10,7 +10,7 @@
 };
 use shallottide_fleet::crash_trigger::{CrashTrigger, TriggerKey};
 use shallottide_fleet::prompt_part::PromptPart;
-use shallottide_fleet::quarantine::Quarantine;
+use shallottide_fleet::quarantine::{Quarantine, trial_delay, trials_after};
 use shallottide_fleet::request_digest::RequestDigest;
 use shallottide_types::cases;
 use shallottide_types::id::{ServiceId, StoreIndex};
@@ -239,3 +239,11 @@
         let _ = crashes.reports(now);
     });
 }
+
+/// Guards against a record with the highest number of trials, after which the next trial would come at
+/// once, or end the call.
+#[test]
+fn trials_after_the_highest_number_stay_rare() {
+    let trials = trials_after(CrashTrigger::Part(PromptPart(7)), u32::MAX);
+    assert!(trial_delay(trials) >= trial_delay(u32::MAX));
+}
