Bound the numbers of the configuration

Some numbers in a configuration ended the calls or connections that they should bound, and their callers got no answer: a target latency of 1e22 ms, as four times that is no duration any more; a limit on request heads of 2^64 - 1 bytes, as the buffer of a connection is larger than it; and, in builds that check for overflow, weights whose sum is beyond a u32.

The platform states that its store accepts only valid configurations, so no report is known of this.

--- a/crates/shallottide_fleet/src/catalog.rs
+++ b/crates/shallottide_fleet/src/catalog.rs
@@ -8,6 +8,9 @@
 use shallottide_types::data;
 use shallottide_types::id::{ModelId, RegionId, ServiceId, TeamId};
 
+/// Longest time for which one request is taken to occupy a group.
+const MAX_BUSY_TIME: Duration = Duration::from_hours(24);
+
 /// Whether requests of a route may run again at another upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
@@ -179,6 +182,7 @@
         let step = self.step + self.step_per_request * slots;
         let write = step.as_secs_f64() * f64::from(output) / f64::from(slots);
         let pace = f64::from(model.pace_permille) / 1000.0;
-        Duration::from_secs_f64((read + write) * pace)
+        let time = (read + write) * pace;
+        Duration::from_secs_f64(time.min(MAX_BUSY_TIME.as_secs_f64()))
     }
 }
--- a/crates/shallottide_fleet/src/routes.rs
+++ b/crates/shallottide_fleet/src/routes.rs
@@ -71,13 +71,15 @@
 /// Chooses a route's service by weight; `draw` is a uniform random number.
 #[must_use]
 pub fn choose_service(route: &Route, draw: u32) -> &ServiceId {
-    let total: u32 = route.services.iter().map(|split| split.weight).sum();
-    let mut left = if total == 0 { 0 } else { draw % total };
+    let weights = route.services.iter().map(|split| u64::from(split.weight));
+    let total: u64 = weights.sum();
+    let mut left = u64::from(draw).checked_rem(total).unwrap_or(0);
     for split in &route.services {
-        if left < split.weight {
+        let weight = u64::from(split.weight);
+        if left < weight {
             return &split.service;
         }
-        left -= split.weight;
+        left -= weight;
     }
     &route.services[0].service
 }
