Reject streams without the upstream's signature

A faulty server's stream without a signature was passed on to the caller as its answer, with status 200.

Cause: the signature of a success was checked once its body had been read, which streams skip. Both kinds of answer now share one check; a stream fails it before its first event is read, and the request is sent on if its route allows that.

--- a/crates/shallottide_fleet/src/serve/attempt.rs
+++ b/crates/shallottide_fleet/src/serve/attempt.rs
@@ -108,6 +108,9 @@
         } = self;
         let response = send(&node, &request, &choice, in_flight, resume_from).await?;
         if route.streaming && response.inner.status() == StatusCode::OK {
+            if !response.head.genuine {
+                return Err(reject_unsigned(&node, &request, &response.in_flight).into());
+            }
             heard_at.set(node.now());
             return Ok(wait_for_first_events(&node, &request, response).await?);
         }
@@ -193,11 +196,10 @@
             state.crashes.record_completion(ended, sent_at, now);
         }
     } else {
-        node.state.borrow_mut().loads.record_error_answer(upstream);
         if parts.status.is_success() {
-            tracing::warn!(call = %request.id, %upstream, "response without the upstream's signature");
-            return Err(SendError::OutcomeUnknown("the answer was not the upstream's").into());
+            return Err(reject_unsigned(node, request, &in_flight).into());
         }
+        node.state.borrow_mut().loads.record_error_answer(upstream);
     }
     drop(in_flight);
     let mut response = Response::new(ResponseBody::Complete(Some(body)));
@@ -209,6 +211,15 @@
     Ok(CallResult::Complete(response))
 }
 
+/// Records a success without the upstream's signature, which no caller gets.
+fn reject_unsigned(node: &Node, request: &OutgoingRequest, in_flight: &InFlightGuard) -> SendError {
+    let upstream = &in_flight.upstream;
+    let loads = &mut node.state.borrow_mut().loads;
+    loads.record_error_answer(upstream);
+    tracing::warn!(call = %request.id, %upstream, "response without the upstream's signature");
+    SendError::OutcomeUnknown("the answer was not the upstream's")
+}
+
 async fn record_truncated(
     node: &Rc<Node>,
     request: &OutgoingRequest,
