Resume only event streams in shallottided

When an engine answered a streaming call with a body that is no event stream, and broke off after a part of it was sent, the next engine's whole answer followed that part, and the caller got both as one complete answer.

Cause: an attempt went on after the number of parts that were sent, which is the number of events only in an event stream; the parts of other bodies are as large as each read happens to be. Such a call is now interrupted once a part was sent.

Evidence: partly_sent_answer_that_is_no_stream_is_not_resumed got the two bodies and a complete end on the old code.

--- a/crates/shallottide/src/calls/answer_buffer.rs
+++ b/crates/shallottide/src/calls/answer_buffer.rs
@@ -4,6 +4,9 @@
 use shallottide_types::call::{ReplyEvent, ReplyHead};
 use shallottide_types::peer::ClaimEnd;
 
+/// Content type of event streams, which parameters may follow.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Error of an event that does not fit the answer so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(super) enum AnswerError {
@@ -64,6 +67,14 @@
         self.sent_parts
     }
 
+    /// Returns whether another attempt may go on after the parts sent: an event stream has as many
+    /// parts as events, other bodies have parts of any size.
+    pub(super) fn can_resume(&self) -> bool {
+        let head = self.sent_head.as_ref();
+        let is_stream = head.is_some_and(|head| head.content_type.starts_with(EVENT_STREAM));
+        self.sent_parts == 0 || is_stream
+    }
+
     /// Discards the parts of the current attempt that were not sent to the receiver.
     pub(super) fn restart(&mut self) {
         self.head = None;
--- a/crates/shallottide/src/calls/call.rs
+++ b/crates/shallottide/src/calls/call.rs
@@ -87,7 +87,7 @@
         match self.repeat {
             Repeat::Never => false,
             Repeat::BeforeBody => self.answer.sent_parts() == 0,
-            Repeat::Resume => true,
+            Repeat::Resume => self.answer.can_resume(),
         }
     }
 
--- a/crates/shallottide/tests/calls_faults.rs
+++ b/crates/shallottide/tests/calls_faults.rs
@@ -55,6 +55,8 @@
     ExtraEnd,
     /// The upstream answers with status 200 and an error that is no stream.
     JsonAnswer,
+    /// The upstream answers so, and the connection breaks off after the first part.
+    JsonCut,
     /// Events of an attempt that does not exist.
     UnknownAttempt,
     /// Data arrives before the head.
@@ -63,8 +65,8 @@
     Stop,
 }
 use Fault::{
-    CallerDisconnected, DataBeforeHead, ExtraEnd, JsonAnswer, Lost, NotRun, NotSent, PastDeadline,
-    PeerNotRun, PeerUnknown, Stalled, Stop, UnknownAttempt,
+    CallerDisconnected, DataBeforeHead, ExtraEnd, JsonAnswer, JsonCut, Lost, NotRun, NotSent,
+    PastDeadline, PeerNotRun, PeerUnknown, Stalled, Stop, UnknownAttempt,
 };
 
 #[derive(Debug, PartialEq, Eq)]
@@ -201,7 +203,7 @@
             NotSent => return self.fail(attempt, AttemptFailure::NotSent("fake".into())),
             NotRun => return self.fail(attempt, AttemptFailure::NotRun("fake".into())),
             PeerNotRun => return self.fail(attempt, AttemptFailure::Refused(refused(Ran::No))),
-            Lost | PeerUnknown | Stalled | PastDeadline | DataBeforeHead | JsonAnswer => {
+            Lost | PeerUnknown | Stalled | PastDeadline | DataBeforeHead | JsonAnswer | JsonCut => {
                 self.runs += u32::from(step == Dispatched);
             }
             CallerDisconnected => self.send(Message::ReceiverDisconnected(FRONT)),
@@ -218,7 +220,7 @@
                 self.event(attempt, event);
                 true
             }
-            JsonAnswer => {
+            JsonAnswer | JsonCut => {
                 let head = ReplyHead {
                     status: 200,
                     content_type: "application/json".into(),
@@ -226,6 +228,9 @@
                 let error = Bytes::from_static(b"{\"error\":\"failed\"}");
                 self.event(attempt, AttemptEvent::Head(head));
                 self.event(attempt, AttemptEvent::Data(error));
+                if fault == JsonCut {
+                    return self.fail(attempt, AttemptFailure::Lost("fake".into()));
+                }
                 self.event(attempt, AttemptEvent::End);
                 true
             }
@@ -438,3 +443,15 @@
         harness.claim_ends
     );
 }
+
+/// Guards against an answer that is no stream, breaks off after a part of it was sent, and is followed
+/// by another upstream's whole answer.
+#[test]
+fn partly_sent_answer_that_is_no_stream_is_not_resumed() {
+    let faults = [(JsonCut, Dispatched), (JsonAnswer, Dispatched)];
+    let mut harness = Harness::new(Kind::Stream, &faults, vec![local("a"), local("b")]);
+    harness.run();
+    assert_eq!(harness.outcome(), INTERRUPTED, "{:?}", harness.replies);
+    let is_data = |event: &&ReplyEvent| matches!(event, ReplyEvent::Data(_));
+    assert_eq!(harness.replies.iter().filter(is_data).count(), 1);
+}
