--- a/crates/shallottide_fleet/tests/view.rs
+++ b/crates/shallottide_fleet/tests/view.rs
@@ -196,3 +196,26 @@
     let view = view_of([member("h", 7, 0, GroupState::Closing, "small")], now);
     assert!(view.serving(&id("engines"), Some(&id("small"))).is_empty());
 }
+
+/// Guards against followers that keep an upstream's earlier lifetime for good after it started again
+/// with its clock set back: the node that reads the store accepts the new one.
+#[test]
+fn follower_takes_a_lifetime_that_began_with_an_earlier_clock() {
+    let start = Instant::now();
+    let entry = |born| {
+        let mut upstream = plain_upstream("a", "booking", "zone-a");
+        upstream.born = born;
+        Change::Upstream(id("a"), Some(Box::new(upstream)))
+    };
+    let (mut view, mut follower) = (ClusterView::default(), ClusterView::default());
+    view.advance(StoreIndex(1), vec![entry(200)], start);
+    assert!(follower.adopt(view.snapshot(Duration::ZERO, start), start));
+    // The upstream writes nothing for four seconds, then with its new clock.
+    let later = start + Duration::from_secs(4);
+    follower.confirm(later);
+    view.advance(StoreIndex(2), vec![entry(100)], later);
+    assert_eq!(view.upstreams[&id("a")].upstream.born, 100);
+    let changes = view.changes_since(StoreIndex(1)).expect("the changes");
+    follower.advance(StoreIndex(2), changes, later);
+    assert_eq!(follower.upstreams[&id("a")].upstream.born, 100);
+}
