Judge peers by service when calls are relayed

Callers of nodes that had lost their links to the engines got 503 although five other nodes reached the engines: no relay was tried for 303 of their calls.

Cause: a peer that refused a relayed call, as it was cut off from that call's service, was avoided for all services for two seconds, while links are judged by service. Calls of another service, which six of seven nodes did not reach, put all peers out of use.

The outcomes of relayed calls are now kept by service. The new case of relay_targets.rs asks for a node that can't be reached for one service on behalf of another.

--- a/crates/shallottide_fleet/src/relay_targets.rs
+++ b/crates/shallottide_fleet/src/relay_targets.rs
@@ -6,7 +6,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use shallottide_types::id::{DomainId, NodeId};
+use shallottide_types::id::{DomainId, NodeId, ServiceId};
 
 use crate::node_entry::NodeEntry;
 use crate::view::ClusterView;
@@ -52,6 +52,25 @@
     succeeded: Option<Instant>,
 }
 
+/// Outcomes of relayed calls of each service: a node may be cut off from the upstreams of one service
+/// and reach those of another.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceRelayTargets(BTreeMap<ServiceId, RelayTargets>);
+
+impl ServiceRelayTargets {
+    /// Returns the outcomes of a service's calls.
+    pub fn of(&mut self, service: &ServiceId) -> &mut RelayTargets {
+        self.0.entry(service.clone()).or_default()
+    }
+
+    /// Drops nodes that are no longer known.
+    pub fn retain(&mut self, known: impl Fn(&NodeId) -> bool) {
+        for targets in self.0.values_mut() {
+            targets.retain(&known);
+        }
+    }
+}
+
 /// Outcomes of relayed calls, by which the next nodes are chosen.
 #[derive(Debug, Clone, Default)]
 pub struct RelayTargets {
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -32,7 +32,7 @@
 use crate::named_limits::NamedLimits;
 use crate::options::NodeOptions;
 use crate::relay_limit::RelayLimit;
-use crate::relay_targets::RelayTargets;
+use crate::relay_targets::ServiceRelayTargets;
 use crate::retry_budget::RetryBudget;
 use crate::routes::RouteTable;
 use crate::upstream_links::UpstreamLinks;
@@ -88,7 +88,7 @@
     /// This node's own links to upstreams.
     pub(super) links: UpstreamLinks,
     /// Nodes to which calls are relayed while links are lost.
-    pub(super) relay_targets: RelayTargets,
+    pub(super) relay_targets: ServiceRelayTargets,
     /// Limit on the calls that other nodes relay to this one.
     pub(super) relay_limit: RelayLimit,
     pub(super) cold: ColdGate,
--- a/crates/shallottide_fleet/src/serve/relay.rs
+++ b/crates/shallottide_fleet/src/serve/relay.rs
@@ -142,13 +142,14 @@
 /// Counts a call as relayed to a peer until dropped.
 struct RelayGuard {
     node: Rc<Node>,
+    service: ServiceId,
     peer: NodeId,
 }
 
 impl Drop for RelayGuard {
     fn drop(&mut self) {
         let mut state = self.node.state.borrow_mut();
-        state.relay_targets.ended(&self.peer);
+        state.relay_targets.of(&self.service).ended(&self.peer);
     }
 }
 
@@ -183,7 +184,7 @@
 /// Result of relaying a call.
 pub(super) enum Relayed {
     /// A peer answered the call, or refused it for good.
-    Taken(PeerResponse),
+    Taken(Box<PeerResponse>),
     /// No peer took the call, and it has not run.
     NoPeer,
     /// A peer may have run the call, and it may not be sent again.
@@ -219,9 +220,9 @@
             let error = match result {
                 Ok(response) => {
                     let targets = &mut self.node.state.borrow_mut().relay_targets;
-                    targets.record_success(&peer, now);
+                    targets.of(&self.service).record_success(&peer, now);
                     self.attempts = response.attempts.unwrap_or(self.attempts);
-                    return Relayed::Taken(response);
+                    return Relayed::Taken(Box::new(response));
                 }
                 Err(error) => error,
             };
@@ -257,14 +258,14 @@
             domains: domains.as_ref(),
             tried: &self.tried_peers,
         };
-        let state = node.state.borrow();
-        let targets = &state.relay_targets;
+        let state = &mut *node.state.borrow_mut();
+        let targets = state.relay_targets.of(&self.service);
         targets.choose(&need, &state.view, node.now(), rand::random())
     }
 
     fn record_relay_error(&self, peer: &NodeId, error: RelayError, now: Instant) {
         let state = &mut *self.node.state.borrow_mut();
-        let targets = &mut state.relay_targets;
+        let targets = state.relay_targets.of(&self.service);
         match error {
             RelayError::NotSent | RelayError::OutcomeUnknown => {
                 targets.record_unreachable(peer, now);
@@ -287,9 +288,13 @@
         let node = &self.node;
         let guard = RelayGuard {
             node: node.clone(),
+            service: self.service.clone(),
             peer: peer.clone(),
         };
-        node.state.borrow_mut().relay_targets.started(peer);
+        {
+            let targets = &mut node.state.borrow_mut().relay_targets;
+            targets.of(&self.service).started(peer);
+        }
         node.metrics.count("relayed", "sent");
         tracing::info!(call = %self.request.id, %peer, "call relayed");
         let sender = node.relay_connections.get(address, || node.now()).await;
@@ -364,7 +369,7 @@
     /// The refusal if the response ended early and the call may not be sent again, else `None`.
     pub(super) async fn read_peer_response(
         &mut self,
-        response: PeerResponse,
+        response: Box<PeerResponse>,
     ) -> Result<CallResult, Option<Refusal>> {
         let peer = response.peer().clone();
         let is_refused = response.outcome == RelayOutcome::Refused;
@@ -383,7 +388,7 @@
                 return Ok(CallResult::Stream(source, splitter, first));
             }
         } else {
-            let PeerResponse { inner, guard, .. } = response;
+            let PeerResponse { inner, guard, .. } = *response;
             let (mut parts, mut body) = inner.into_parts();
             parts.headers.remove(CONTENT_LENGTH);
             let budget = &self.node.body_budget;
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -108,7 +108,7 @@
 pub(super) enum StreamSource {
     Upstream(Box<UpstreamResponse>),
     /// A peer, to which the call was relayed.
-    Peer(PeerResponse),
+    Peer(Box<PeerResponse>),
 }
 
 impl StreamSource {
--- a/crates/shallottide_fleet/tests/relay_targets.rs
+++ b/crates/shallottide_fleet/tests/relay_targets.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use shallottide_fleet::NodeEntry;
 use shallottide_fleet::relay_limit::RelayLimit;
-use shallottide_fleet::relay_targets::{RelayNeed, RelayTargets};
+use shallottide_fleet::relay_targets::{RelayNeed, RelayTargets, ServiceRelayTargets};
 use shallottide_fleet::view::{Change, ClusterView};
 use shallottide_types::cases;
 use shallottide_types::id::{DomainId, NodeId};
@@ -122,6 +122,27 @@
     assert!(chosen.contains(&Some(n0)), "tried again");
 }
 
+/// Guards against calls that are refused because a node is cut off from the upstreams of another service.
+#[test]
+fn node_cut_off_from_one_service_gets_calls_of_others() {
+    let view = view_of_nodes(&[("zone-a", 250)]);
+    let (own, domain, n0) = (id("own"), id("zone-a"), id("n0"));
+    let need = RelayNeed {
+        own: (&own, &domain),
+        domains: None,
+        tried: &[],
+    };
+    let now = Instant::now();
+    let mut targets = ServiceRelayTargets::default();
+    targets.of(&id("booking")).record_unreachable(&n0, now);
+    let chosen = |targets: &mut ServiceRelayTargets, service| {
+        let chosen = targets.of(&id(service)).choose(&need, &view, now, 0);
+        chosen.map(|(node, _)| node)
+    };
+    assert_eq!(chosen(&mut targets, "booking"), None);
+    assert_eq!(chosen(&mut targets, "engines"), Some(n0.clone()));
+}
+
 /// Guards against a refusal of calls that a node could take, and a call that is offered twice to one.
 #[test]
 fn calls_without_an_eligible_node_are_refused() {
