--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -536,7 +536,7 @@
         }
     }
 
-    /// Sends the call to another upstream, to go on after the last event that was sent to the caller.
+    /// Sends the call to another upstream, to continue after the last event that was sent to the caller.
     async fn resume(&mut self) -> Result<StreamSource, ResumeError> {
         let mut has_retry = false;
         while self.call.can_resume() {
--- a/crates/shallottide_fleet/tests/relay_fleet.rs
+++ b/crates/shallottide_fleet/tests/relay_fleet.rs
@@ -276,7 +276,7 @@
             let what = format!(
                 "seed {seed}, {time:?}: {served} of {tries}, {other_served} of {other_tries} at others"
             );
-            // Without a calm node that has links there is nobody to serve the calls; and the upstreams
+            // Without a calm node that has links no node can serve the calls; and the upstreams
             // that die fail calls of all nodes.
             if other_tries > 0 {
                 let other_failed = other_tries - other_served;
--- a/crates/shallottide_fleet/tests/support/cut_scenario.rs
+++ b/crates/shallottide_fleet/tests/support/cut_scenario.rs
@@ -52,7 +52,7 @@
     pub(crate) domains: usize,
     pub(crate) services: Vec<SimService>,
     pub(crate) failures: Vec<SimFailure>,
-    /// Times in which a node's process stands still.
+    /// Times in which a node's process is suspended.
     pub(crate) pauses: Vec<(usize, Duration, Duration)>,
     pub(crate) length: Duration,
 }
--- a/crates/shallottide_fleet/tests/support/cut_simulation.rs
+++ b/crates/shallottide_fleet/tests/support/cut_simulation.rs
@@ -253,7 +253,7 @@
         self.next_id
     }
 
-    /// Returns when the process that handles an event continues, if it stands still.
+    /// Returns when the process that handles an event continues, if it is suspended.
     fn pause_end(&self, event: &Event) -> Option<Instant> {
         let node = match event {
             Event::Arrival(node, _) | Event::Tick(node) | Event::AskFault(node, ..) => *node,
