Ask for a key when the configuration has tenants, however few keys

Cause: the decoded configuration kept only a map of teams by key, and "no tenants" and "tenants without a key" were both an empty map, for which RouteTable::find asked for no key. An empty list of tenants did the same. Followers and nodes that start later get the same map.

Fix: Access says whether callers need a key, apart from the keys. The presence of `tenants` decides, not a count.

--- a/crates/shallottide_fleet/src/catalog.rs
+++ b/crates/shallottide_fleet/src/catalog.rs
@@ -8,6 +8,8 @@
 use shallottide_types::data;
 use shallottide_types::id::{ModelId, RegionId, ServiceId, TeamId};
 
+use crate::access::Access;
+
 /// Longest time for which one request is taken to occupy a group.
 const MAX_BUSY_TIME: Duration = Duration::from_hours(24);
 
@@ -141,8 +143,8 @@
         pub routes: Vec<Route>,
         /// Services by id.
         pub services: BTreeMap<ServiceId, Service>,
-        /// Teams by their keys; empty when calls need no key.
-        pub teams_by_key: BTreeMap<CompactString, Team>,
+        /// Who may call routes that are not public.
+        pub access: Access,
         /// Limits on requests.
         pub limits: CallerLimits,
     }
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`view`], [`catalog`], [`upstream`]: what a node knows of the store's contents, and how
 //!   changes apply to it.
+//! - [`access`]: which callers may use the routes that are not public.
 //! - [`restored`]: what a restored store may lack until it is written again.
 //! - [`change_log`]: recent changes, from which followers of a node update their views.
 //! - [`feed_tree`]: which node of a failure domain each node gets changes from.
@@ -27,6 +28,7 @@
 //! - [`lease_validity`]: how long this node may act as a controller.
 //! - [`adapter`]: traits that a platform adapter implements.
 
+pub mod access;
 pub mod adapter;
 pub mod balance;
 pub mod byte_budget;
--- a/crates/shallottide_fleet/src/routes.rs
+++ b/crates/shallottide_fleet/src/routes.rs
@@ -60,8 +60,8 @@
             .map(|&index| &catalog.routes[index])
             .find(|route| path.starts_with(route.prefix.as_str()))
             .ok_or(RouteError::NoRoute)?;
-        let team = key.and_then(|key| catalog.teams_by_key.get(key));
-        if team.is_none() && !route.public && !catalog.teams_by_key.is_empty() {
+        let team = key.and_then(|key| catalog.access.team(key));
+        if team.is_none() && !route.public && catalog.access.needs_key() {
             return Err(RouteError::UnknownKey);
         }
         Ok((route, team))
--- a/crates/shallottide_fleet/src/serve/delta_feed.rs
+++ b/crates/shallottide_fleet/src/serve/delta_feed.rs
@@ -123,6 +123,8 @@
     Timeout,
     #[error("peer's last store contact was {0:?} ago")]
     Stale(Duration),
+    #[error("peer's configuration needs no keys, which only the store can confirm")]
+    OpensRoutes,
 }
 
 /// The following side of the feed: its connection, and which nodes it avoids.
@@ -195,6 +197,9 @@
         if delta.store_age > max_age {
             return Err(FollowError::Stale(delta.store_age));
         }
+        if node.state.borrow().view.opens_routes(&delta.changes) {
+            return Err(FollowError::OpensRoutes);
+        }
         Ok(delta)
     }
 }
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -528,9 +528,26 @@
         }
     }
 
-    /// Replaces the view by a peer's snapshot if that is newer; returns whether it was.
+    /// Returns whether a peer's changes would let callers without a key use routes that need one now.
+    ///
+    /// Only the store can lift that: peers of earlier versions send the same for a configuration
+    /// whose last key was revoked.
+    #[must_use]
+    pub fn opens_routes(&self, changes: &[Change]) -> bool {
+        let current = self.catalog.as_ref();
+        current.is_some_and(|current| {
+            current.access.needs_key()
+                && changes.iter().any(|change| {
+                    matches!(change, Change::Catalog(catalog)
+                        if catalog.version > current.version && !catalog.access.needs_key())
+                })
+        })
+    }
+
+    /// Replaces the view by a peer's snapshot if that is newer and does not lift the need for keys;
+    /// returns whether it did.
     pub fn adopt(&mut self, snapshot: Snapshot, now: Instant) -> bool {
-        if snapshot.index <= self.index {
+        if snapshot.index <= self.index || self.opens_routes(&snapshot.changes) {
             return false;
         }
         // The snapshot lacks both lapsed and removed entries, so both get the grace period here.
--- a/crates/shallottide_fleet/tests/routes.rs
+++ b/crates/shallottide_fleet/tests/routes.rs
@@ -2,6 +2,10 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
+use shallottide_fleet::access::Access;
+use shallottide_fleet::catalog::Catalog;
 use shallottide_fleet::routes::{RouteError, RouteTable, choose_service};
 use shallottide_types::cases;
 use support::{catalog, id};
@@ -25,6 +29,26 @@
     unknown_host: "other.example", "/book/1", Some("key-a"), Err(RouteError::NoRoute);
 }
 
+/// Guards against routes that open to all callers once no key is left.
+fn route_that_needs_a_key(access: Access, key: Option<&str>, expected: Result<&str, RouteError>) {
+    let catalog = Catalog {
+        access,
+        ..catalog(2)
+    };
+    let table = RouteTable::new(&catalog);
+    let found = table.find(&catalog, "api.example", "/book/1", key);
+    assert_eq!(found.map(|(route, _)| route.name.as_str()), expected);
+}
+
+cases! {
+    route_that_needs_a_key;
+    no_key_is_left_and_none_is_sent: Access::Keys(BTreeMap::new()), None, Err(RouteError::UnknownKey);
+    no_key_is_left_and_the_revoked_one_is_sent: Access::Keys(BTreeMap::new()), Some("key-a"), Err(RouteError::UnknownKey);
+    no_key_is_left_and_the_one_between_nodes_is_sent: Access::Keys(BTreeMap::new()), Some("\0"), Err(RouteError::UnknownKey);
+    no_key_is_needed: Access::Open, None, Ok("book");
+    no_key_is_needed_and_one_is_sent: Access::Open, Some("key-a"), Ok("book");
+}
+
 #[test]
 fn services_are_chosen_by_weight() {
     let mut route = catalog(1).routes[0].clone();
--- a/crates/shallottide_fleet/tests/support/sample.rs
+++ b/crates/shallottide_fleet/tests/support/sample.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
+use shallottide_fleet::access::Access;
 use shallottide_fleet::catalog::{
     CallerLimits, Catalog, EngineFacts, ModelFacts, Repeat, Route, Service, Split, Team,
 };
@@ -84,7 +85,7 @@
             route("chat", "/chat/", "engines", Repeat::Resume, false),
         ],
         services: services.into_iter().map(|s| (s.id.clone(), s)).collect(),
-        teams_by_key: BTreeMap::from([("key-a".into(), team)]),
+        access: Access::Keys(BTreeMap::from([("key-a".into(), team)])),
         limits: CallerLimits::default(),
     }
 }
--- a/crates/shallottide_fleet/tests/view.rs
+++ b/crates/shallottide_fleet/tests/view.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use shallottide_fleet::ClusterView;
+use shallottide_fleet::access::Access;
+use shallottide_fleet::catalog::Catalog;
 use shallottide_fleet::upstream::GroupState;
-use shallottide_fleet::view::{Change, LAPSE_GRACE};
+use shallottide_fleet::view::{Change, LAPSE_GRACE, Snapshot};
 use shallottide_types::cases;
 use shallottide_types::id::StoreIndex;
 use support::{catalog, id, member, plain_upstream, view_of};
@@ -44,7 +47,7 @@
     assert!(!view.adopt(snapshot.clone(), now));
     assert!(view.upstreams.is_empty());
     // A newer snapshot with an older configuration does not bring that configuration back.
-    let newer = shallottide_fleet::view::Snapshot {
+    let newer = Snapshot {
         index: StoreIndex(10),
         ..snapshot
     };
@@ -53,6 +56,45 @@
     assert!(view.upstreams.contains_key(&id("a")));
 }
 
+fn with_access(version: u64, access: Access) -> Change {
+    Change::Catalog(Box::new(Catalog {
+        access,
+        ..catalog(version)
+    }))
+}
+
+/// Guards against peers of earlier versions, whose configuration without any key left looks like one
+/// that needs no keys.
+#[test]
+fn peers_do_not_lift_the_need_for_keys() {
+    let now = Instant::now();
+    let mut view = view_of([], now);
+    view.advance(StoreIndex(5), vec![with_access(5, Access::default())], now);
+    assert!(
+        !view.opens_routes(&[with_access(6, Access::Open)]),
+        "open already"
+    );
+    let keys = Access::Keys(BTreeMap::new());
+    view.advance(StoreIndex(7), vec![with_access(7, keys.clone())], now);
+    assert!(
+        !view.opens_routes(&[with_access(6, Access::Open)]),
+        "an older one"
+    );
+    assert!(!view.opens_routes(&[with_access(8, keys)]));
+    let opening = with_access(8, Access::Open);
+    assert!(view.opens_routes(std::slice::from_ref(&opening)));
+    let snapshot = Snapshot {
+        index: StoreIndex(9),
+        age: Duration::ZERO,
+        changes: vec![opening.clone()],
+    };
+    assert!(!view.adopt(snapshot, now));
+    assert_eq!(config_version(&view), 7);
+    // The store itself does.
+    view.advance(StoreIndex(9), vec![opening], now);
+    assert_eq!(config_version(&view), 8);
+}
+
 #[test]
 fn entry_removed_while_the_store_works_is_dropped_at_once() {
     let now = Instant::now();
