Hold back entries that look older than the known lifetime

The server had crashed and started again with its clock set back.

Cause: an entry with an earlier start time was ignored while the known lifetime had been seen within 3 s. Followers' entries are confirmed by each delta, so they ignored the new lifetime for good, its draining too. A node that reads the store did the same if the entry came within 3 s and the store passes on changed entries only. Logs for followers left out what had made no difference to the sender, though a follower that came by another way may judge it otherwise.

Fix: such an entry is held back, and counts once no entry of the known lifetime has come for 3 s; meanwhile the upstream gets no requests if either lifetime drains. Only a node at the same position confirms a follower's entries.

--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`view`], [`catalog`], [`upstream`]: what a node knows of the store's contents, and how
 //!   changes apply to it.
 //! - [`access`]: which callers may use the routes that are not public.
+//! - [`held_back_entries`]: entries of upstreams that look older than the known ones.
 //! - [`restored`]: what a restored store may lack until it is written again.
 //! - [`change_log`]: recent changes, from which followers of a node update their views.
 //! - [`feed_tree`]: which node of a failure domain each node gets changes from.
@@ -44,6 +45,7 @@
 pub mod event_stream;
 pub mod feed_tree;
 pub mod groups;
+pub mod held_back_entries;
 pub mod lease_term;
 pub mod lease_validity;
 pub mod named_limits;
--- a/crates/shallottide_fleet/src/restored.rs
+++ b/crates/shallottide_fleet/src/restored.rs
@@ -112,6 +112,12 @@
         self.last_entries.insert(upstream.id.clone(), last);
     }
 
+    /// Returns the start time of the last lifetime of an upstream that has left.
+    #[must_use]
+    pub fn last_born(&self, id: &UpstreamId) -> Option<u64> {
+        self.last_entries.get(id).map(|last| last.born)
+    }
+
     /// Forgets upstreams that no copy brings back any more.
     pub fn expire(&mut self, now: Instant) {
         self.last_entries
--- a/crates/shallottide_fleet/src/serve/delta_feed.rs
+++ b/crates/shallottide_fleet/src/serve/delta_feed.rs
@@ -217,6 +217,7 @@
             tracing::info!(index = %delta.index, "store reachable again through a peer");
         }
         let is_changed = !delta.changes.is_empty();
+        let index = delta.index;
         if delta.is_full {
             let snapshot = Snapshot {
                 index: delta.index,
@@ -227,7 +228,10 @@
         } else {
             state.view.advance(delta.index, delta.changes, now);
         }
-        state.view.confirm(store_contact);
+        // A node that is behind has not seen the entries that this one knows.
+        if state.view.index == index {
+            state.view.confirm(store_contact);
+        }
         state.view.expire(now);
         is_changed
     };
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -12,6 +12,7 @@
 use crate::crash_trigger::TriggerKey;
 use crate::domain_claims::OpenClaims;
 use crate::groups::has_all_members;
+use crate::held_back_entries::{HeldBackEntries, LATE_ENTRY_TIME};
 use crate::node_entry::NodeEntry;
 use crate::quarantine::{Quarantine, QuarantineRecord};
 use crate::restored::{RemovedUpstreams, Unconfirmed};
@@ -21,9 +22,6 @@
 /// about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
 
-/// Time for which a late entry of an earlier lifetime of an upstream may still arrive.
-const LATE_ENTRY_TIME: Duration = Duration::from_secs(3);
-
 /// Change of the announced end of a cold phase above which followers are notified.
 const COLD_TOLERANCE: Duration = Duration::from_millis(500);
 
@@ -70,6 +68,9 @@
     pub cold_until: Option<Instant>,
     /// When its entry was removed while the store was failing; `None` while it has an entry.
     pub lapsed_at: Option<Instant>,
+    /// Start time of the lifetime that this one replaced, if that is later than its own: its clock was
+    /// set back in between.
+    pub replaced_born: Option<u64>,
 }
 
 impl KnownUpstream {
@@ -134,6 +135,8 @@
     /// What does not count yet of a store that was restored.
     unconfirmed: Unconfirmed,
     removed: RemovedUpstreams,
+    /// Entries of upstreams that the store holds, where they don't count.
+    held_back: HeldBackEntries,
 }
 
 impl ClusterView {
@@ -143,6 +146,9 @@
         let mut updates = Vec::new();
         for change in changes {
             if self.alters_view(&change, now) {
+                if let Some(id) = self.replaces_later_lifetime(&change, now) {
+                    updates.push(Change::UpstreamRemoved(id));
+                }
                 updates.push(change.clone());
             }
             self.apply(change, now);
@@ -186,11 +192,14 @@
                 let current = self.catalog.as_ref().map(|c| c.version);
                 current.is_none_or(|version| catalog.version > version)
             }
-            Change::Upstream(id, Some(upstream)) => self.upstreams.get(id).is_none_or(|old| {
-                !is_older(upstream, old, now)
-                    && (old.lapsed_at.is_some()
-                        || !is_same_but_heartbeat(&old.upstream, upstream)
-                        || is_cold_phase_moved(upstream, old, now))
+            Change::Upstream(id, Some(upstream)) => self.upstreams.get(id).is_none_or(|known| {
+                // Compared with what the store held, whether that counts here or not: a follower may
+                // judge it otherwise.
+                let last = self.held_back.get(id).unwrap_or(&known.upstream);
+                let is_same = is_same_but_heartbeat(last, upstream)
+                    && (last.born != known.upstream.born
+                        || !is_cold_phase_moved(upstream, known, now));
+                known.lapsed_at.is_some() || !is_same
             }),
             Change::Upstream(id, None) | Change::UpstreamRemoved(id) => {
                 self.upstreams.contains_key(id)
@@ -211,12 +220,29 @@
         }
     }
 
+    /// Returns the id of an upstream whose entry is of a lifetime that replaces one which began later
+    /// by its clock.
+    ///
+    /// Followers can't compare the two, as they get no heartbeats; a removal before the entry makes
+    /// them take it.
+    fn replaces_later_lifetime(&self, change: &Change, now: Instant) -> Option<UpstreamId> {
+        let Change::Upstream(id, Some(upstream)) = change else {
+            return None;
+        };
+        let known = self.upstreams.get(id)?;
+        let is_current = compare(upstream, known, now) == EntryAge::Current;
+        let has_earlier_clock =
+            upstream.born < known.upstream.born || known.replaced_born.is_some();
+        (is_current && has_earlier_clock).then(|| id.clone())
+    }
+
     /// Applies one change.
     pub fn apply(&mut self, change: Change, now: Instant) {
         match change {
             Change::Catalog(catalog) => self.apply_catalog(*catalog),
             Change::Upstream(id, Some(upstream)) => self.apply_upstream(id, *upstream, now),
             Change::Upstream(id, None) => {
+                self.held_back.remove(&id);
                 if self.forget_upstream(&id, now) {
                     tracing::warn!(upstream = %id, "unusable upstream entry: upstream removed");
                     self.generation += 1;
@@ -281,10 +307,29 @@
         let cold_time = cold_time(&upstream);
         let cold_until = (!cold_time.is_zero()).then(|| now + cold_time);
         let old = self.upstreams.get(&id);
-        if old.is_some_and(|old| is_older(&upstream, old, now)) {
-            tracing::info!(upstream = %id, beat = upstream.heartbeat_seq, "ignored an upstream entry older than the known one");
-            return;
+        match old.map(|old| compare(&upstream, old, now)) {
+            Some(EntryAge::Outdated) => {
+                tracing::info!(upstream = %id, beat = upstream.heartbeat_seq, "ignored an upstream entry older than the known one");
+                self.generation += 1;
+                if old.is_some_and(|old| is_same_but_heartbeat(&old.upstream, &upstream)) {
+                    self.held_back.remove(&id);
+                } else {
+                    self.held_back.keep_outdated(upstream, now);
+                }
+                return;
+            }
+            Some(EntryAge::Unclear) => return self.defer(upstream, now),
+            Some(EntryAge::Current) | None => {}
+        }
+        if self.held_back.remove(&id) {
+            self.generation += 1;
         }
+        let replaced_born = match old {
+            Some(old) if upstream.born == old.upstream.born => old.replaced_born,
+            Some(old) => Some(old.upstream.born),
+            None => self.removed.last_born(&id),
+        };
+        let replaced_born = replaced_born.filter(|born| *born > upstream.born);
         if old.is_none_or(|old| !is_same_but_heartbeat(&old.upstream, &upstream)) {
             self.generation += 1;
             tracing::debug!(upstream = %id, draining = upstream.draining, "upstream changed");
@@ -298,11 +343,24 @@
             seen: now,
             cold_until,
             lapsed_at: None,
+            replaced_born,
         };
         self.upstreams.insert(id, known);
     }
 
+    /// Keeps an entry that does not count yet.
+    fn defer(&mut self, entry: Upstream, now: Instant) {
+        if self.held_back.deferred(&entry.id).is_none() {
+            tracing::info!(upstream = %entry.id, born = entry.born, "deferred an upstream entry that began before the known one");
+        }
+        self.generation += 1;
+        self.held_back.defer(entry, now);
+    }
+
     fn remove_upstream(&mut self, id: &UpstreamId, now: Instant) {
+        if self.held_back.remove(id) {
+            self.generation += 1;
+        }
         let may_return = self.is_grace_period(now);
         let Some(known) = self.upstreams.get_mut(id) else {
             return;
@@ -343,6 +401,10 @@
     pub fn expire(&mut self, now: Instant) {
         self.remove_unnamed_formations();
         self.removed.expire(now);
+        for entry in self.held_back.take_due(now) {
+            tracing::info!(upstream = %entry.id, born = entry.born, "deferred entry counts: its clock was set back");
+            self.take_lifetime(entry, now);
+        }
         let (returned, missing_nodes) = self.unconfirmed.take_due(now);
         for domain in returned {
             self.apply(Change::Evacuated(domain, false), now);
@@ -365,6 +427,13 @@
         }
     }
 
+    /// Replaces an upstream's lifetime by another one, whatever their start times.
+    fn take_lifetime(&mut self, entry: Upstream, now: Instant) {
+        let id = entry.id.clone();
+        self.forget_upstream(&id, now);
+        self.apply_upstream(id, entry, now);
+    }
+
     /// Returns whether removed entries may still return.
     fn is_grace_period(&self, now: Instant) -> bool {
         self.last_store_failure
@@ -432,6 +501,11 @@
         for change in changes {
             if !self.is_brought_back(&change, now) {
                 self.apply(change, now);
+            } else if let Change::Upstream(id, Some(entry)) = change
+                && let Some(known) = self.upstreams.get(&id)
+                && known.upstream.born != entry.born
+            {
+                self.defer(*entry, now);
             }
         }
     }
@@ -463,7 +537,11 @@
         let mut serving: BTreeMap<_, Vec<_>> = BTreeMap::new();
         for (id, known) in &self.upstreams {
             let upstream = &known.upstream;
-            if upstream.draining || self.evacuated.contains(&upstream.domain) {
+            let may_drain = self
+                .held_back
+                .deferred(id)
+                .is_some_and(|entry| entry.draining);
+            if upstream.draining || may_drain || self.evacuated.contains(&upstream.domain) {
                 continue;
             }
             let model = if upstream.fabric.is_some() {
@@ -487,7 +565,8 @@
         self.serving.get(&key).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the whole view for a peer, without lapsed upstreams.
+    /// Returns the whole view for a peer, without lapsed upstreams, and with the entries of the others
+    /// that the store holds: the peer decides for itself which of them count.
     #[must_use]
     pub fn snapshot(&self, age: Duration, now: Instant) -> Snapshot {
         let mut changes = Vec::with_capacity(self.upstreams.len() + 8);
@@ -496,10 +575,18 @@
             if known.lapsed_at.is_some() {
                 continue;
             }
-            let mut upstream = known.upstream.clone();
-            upstream.cold_left = known
-                .cold_until
-                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+            if known.replaced_born.is_some() {
+                changes.push(Change::UpstreamRemoved(id.clone()));
+            }
+            let upstream = match self.held_back.get(id) {
+                Some(entry) => entry.clone(),
+                None => Upstream {
+                    cold_left: known
+                        .cold_until
+                        .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+                    ..known.upstream.clone()
+                },
+            };
             changes.push(Change::Upstream(id.clone(), Some(Box::new(upstream))));
         }
         // A peer decides for itself what counts of a restored store.
@@ -593,15 +680,38 @@
     }
 }
 
-/// Returns whether an entry was written before the known one.
-fn is_older(entry: &Upstream, known: &KnownUpstream, now: Instant) -> bool {
+/// How an entry compares with the known one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntryAge {
+    /// It replaces the known one.
+    Current,
+    /// It was written before the known one.
+    Outdated,
+    /// It is a late one of an earlier lifetime, or of a new lifetime whose clock was set back.
+    Unclear,
+}
+
+fn compare(entry: &Upstream, known: &KnownUpstream, now: Instant) -> EntryAge {
     let last = &known.upstream;
     if entry.born == last.born {
-        return entry.heartbeat_seq < last.heartbeat_seq;
+        return if entry.heartbeat_seq < last.heartbeat_seq {
+            EntryAge::Outdated
+        } else {
+            EntryAge::Current
+        };
+    }
+    if known.replaced_born == Some(entry.born) {
+        return EntryAge::Outdated;
+    }
+    // An entry that returns after its removal is what the store holds, whoever wrote it.
+    let is_unclear = entry.born < last.born
+        && known.lapsed_at.is_none()
+        && now.saturating_duration_since(known.seen) < LATE_ENTRY_TIME;
+    if is_unclear {
+        EntryAge::Unclear
+    } else {
+        EntryAge::Current
     }
-    // If its clock was set back, a new lifetime looks older; it is accepted once no late entry of
-    // the earlier one can arrive.
-    entry.born < last.born && now.saturating_duration_since(known.seen) < LATE_ENTRY_TIME
 }
 
 /// Returns whether two entries are equal but for what changes with each heartbeat.
--- a/crates/shallottide_fleet/tests/quarantine.rs
+++ b/crates/shallottide_fleet/tests/quarantine.rs
@@ -14,7 +14,7 @@
 use shallottide_fleet::request_digest::RequestDigest;
 use shallottide_types::cases;
 use shallottide_types::id::{ServiceId, StoreIndex};
-use support::{Disturbance, Scenario, Simulation, id};
+use support::{Disturbance, Scenario, Simulation, id, sim_seeds};
 
 /// Requests with the part that may reach upstreams later than the stable time after the fifth crash.
 const MAX_LATE: usize = 3;
@@ -22,14 +22,9 @@
 const MIN_SOUND_SHARE: f64 = 0.5;
 const SEEDS: u64 = 4;
 
-/// Returns the seeds to play: those of `SIM_SEEDS` (`FIRST..LAST`), or a few.
+/// Returns the seeds to play: those of `SIM_SEEDS`, or a few.
 fn seeds(nodes: usize) -> Range<u64> {
-    let Ok(text) = std::env::var("SIM_SEEDS") else {
-        return 0..if nodes > 100 { 1 } else { SEEDS };
-    };
-    let (first, last) = text.split_once("..").expect("SIM_SEEDS is FIRST..LAST");
-    let number = |text: &str| text.parse().expect("SIM_SEEDS holds numbers");
-    number(first)..number(last)
+    sim_seeds(0..if nodes > 100 { 1 } else { SEEDS })
 }
 
 /// Guards against a part that crashes upstream after upstream, and against blaming a sound part for
--- a/crates/shallottide_fleet/tests/support/mod.rs
+++ b/crates/shallottide_fleet/tests/support/mod.rs
@@ -10,6 +10,7 @@
 mod limited_upstreams;
 mod restored_store;
 mod sample;
+mod sim_seeds;
 
 pub(crate) use claim_store::{ClaimDay, claim_nodes};
 pub(crate) use crashing_parts::{Disturbance, Scenario, Simulation};
@@ -24,3 +25,4 @@
 pub(crate) use sample::{
     catalog, engine_upstream, id, member, node_options, plain_upstream, view_of,
 };
+pub(crate) use sim_seeds::sim_seeds;
