Answer every call of a stopping node before it ends

Cause: a node decided when a call's head arrived whether it takes the call, and nowhere after. A call whose body arrived seconds later was sent however little time was left, and at the end everything was cut.

--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -22,7 +22,6 @@
 use super::relay_server::RelayedGuard;
 use super::response_body::ResponseBody;
 use super::send::{InFlightGuard, OutgoingRequest, SendError};
-use super::stop::Phase;
 use super::stream_relay::{self, StreamRelay, StreamSource};
 use crate::adapter::CallHead;
 use crate::balance::{Choice, NoPlace};
@@ -92,11 +91,8 @@
         }
     };
     let mut log = CallLog::start(node, head.id.clone());
-    if *node.phase.borrow() == Phase::Closing {
-        let message = "this node is stopping: retry, another node will answer";
-        let refusal = Refusal::new(RefusalKind::Stopping, Ran::No, message);
-        let refusal = refusal.retry_after(RETRY_AFTER_RANGE.0);
-        return refuse(node, &head.id, &refusal, Some(&mut log));
+    if node.phase.borrow().is_closing() {
+        return refuse(node, &head.id, &refuse_stopping(), Some(&mut log));
     }
     node.state.borrow_mut().had_traffic = true;
     let (call, max_body_bytes) = match resolve(node, &parts, &head, arrived_at) {
@@ -106,9 +102,16 @@
     let mut body = body;
     let read = read_body(&mut body, max_body_bytes, &node.body_budget, || {});
     let time_left = call.deadline.saturating_duration_since(node.now());
+    let read = async {
+        tokio::select! {
+            body = read => Some(body),
+            () = node.wait_until_last_answer() => None,
+        }
+    };
     let body = match tokio::time::timeout(time_left, read).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
+        Ok(None) => return refuse(node, &head.id, &refuse_stopping(), Some(&mut log)),
+        Ok(Some(Ok(body))) => body,
+        Ok(Some(Err(error))) => {
             let refusal = refuse_unread_body(&error);
             return refuse(node, &head.id, &refusal, Some(&mut log));
         }
@@ -199,6 +202,13 @@
     Some(call.run(head.resume_from).await)
 }
 
+/// Returns the refusal of a call that did not run and that this node has no time left to answer.
+fn refuse_stopping() -> Refusal {
+    let message = "this node is stopping: retry, another node will answer";
+    let refusal = Refusal::new(RefusalKind::Stopping, Ran::No, message);
+    refusal.retry_after(RETRY_AFTER_RANGE.0)
+}
+
 /// Returns the refusal of a request whose body could not be read.
 fn refuse_unread_body(error: &HttpError) -> Refusal {
     match error {
@@ -313,21 +323,12 @@
 impl Call {
     async fn run(mut self, resume_from: Option<u64>) -> Response<ResponseBody> {
         let deadline = tokio::time::Instant::from_std(self.request.deadline);
-        let Ok(response) =
-            tokio::time::timeout_at(deadline, self.send_until_answered(resume_from)).await
-        else {
-            if let Some(response) = self.fallback_response.take() {
-                self.log.set_outcome("answered", response.status().as_u16());
-                return response;
-            }
-            let ran = if self.attempts > 0 {
-                Ran::Unknown
-            } else {
-                Ran::No
-            };
-            let message = "no answer within the time of the call or its route";
-            let refusal = Refusal::new(RefusalKind::DeadlineExceeded, ran, message);
-            return self.refuse(&refusal);
+        let node = self.node.clone();
+        let response = tokio::select! {
+            biased;
+            response = self.send_until_answered(resume_from) => response,
+            () = tokio::time::sleep_until(deadline) => return self.end_unanswered(Unanswered::TimedOut),
+            () = node.wait_until_last_answer() => return self.end_unanswered(Unanswered::Stopping),
         };
         let attempts = AttemptsMade(self.attempts);
         let mut response = match response {
@@ -354,6 +355,31 @@
         response
     }
 
+    /// Returns the response of a call that is given up before an upstream has answered it.
+    fn end_unanswered(&mut self, why: Unanswered) -> Response<ResponseBody> {
+        if let Some(response) = self.fallback_response.take() {
+            self.log.set_outcome("answered", response.status().as_u16());
+            return response;
+        }
+        let ran = if self.attempts > 0 {
+            Ran::Unknown
+        } else {
+            Ran::No
+        };
+        let refusal = match (why, ran) {
+            (Unanswered::TimedOut, ran) => {
+                let message = "no answer within the time of the call or its route";
+                Refusal::new(RefusalKind::DeadlineExceeded, ran, message)
+            }
+            (Unanswered::Stopping, Ran::No) => refuse_stopping(),
+            (Unanswered::Stopping, ran) => {
+                let message = "this node stops before the upstream has answered";
+                Refusal::new(RefusalKind::UpstreamFailed, ran, message)
+            }
+        };
+        self.refuse(&refusal)
+    }
+
     fn refuse(&mut self, refusal: &Refusal) -> Response<ResponseBody> {
         let id = self.request.id.clone();
         refuse(&self.node, &id, refusal, Some(&mut self.log))
@@ -362,6 +388,9 @@
     /// Tries upstreams until one answers the call or the call must be refused.
     async fn send_until_answered(&mut self, resume_from: Option<u64>) -> CallResult {
         loop {
+            if !self.may_have_run && self.node.closes_before(self.request.deadline) {
+                return CallResult::Refused(refuse_stopping());
+            }
             if self.is_to_be_relayed()
                 && let Some(result) = self.send_to_peer(resume_from).await
             {
@@ -370,7 +399,16 @@
             if let Err(refusal) = self.pass_quarantine().await {
                 return CallResult::Refused(refusal);
             }
-            let selected = match self.select_upstream().await {
+            let (node, deadline) = (self.node.clone(), self.request.deadline);
+            let has_not_run = !self.may_have_run;
+            let selected = tokio::select! {
+                biased;
+                () = node.wait_until_closing_before(deadline), if has_not_run => {
+                    return CallResult::Refused(refuse_stopping());
+                }
+                selected = self.select_upstream() => selected,
+            };
+            let selected = match selected {
                 Ok(selected) => selected,
                 Err(no_place) => {
                     let links = self.node.link_state(&self.service);
@@ -657,6 +695,15 @@
     }
 }
 
+/// Why a call is given up before an upstream has answered it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unanswered {
+    /// Its time or that of its route is over.
+    TimedOut,
+    /// This node stops.
+    Stopping,
+}
+
 /// Result of a call's attempts; a stream comes with its splitter and first events.
 pub(super) enum CallResult {
     Refused(Refusal),
--- a/crates/shallottide_fleet/src/serve/callers.rs
+++ b/crates/shallottide_fleet/src/serve/callers.rs
@@ -41,7 +41,7 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             // Closes the listener, so that new connections are refused and callers try another node.
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+            _ = phase.wait_for(Phase::is_closing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -88,7 +88,7 @@
     let result = tokio::select! {
         biased;
         result = connection.as_mut() => Some(result),
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => None,
+        _ = phase.wait_for(Phase::is_closing) => None,
         () = activity.wait_until_idle() => {
             node.metrics.count("caller_connections", "idle");
             tracing::info!(config = node.state.borrow().routes_version, "caller's idle connection closed");
