--- a/crates/shallottide/tests/upstreams/main.rs
+++ b/crates/shallottide/tests/upstreams/main.rs
@@ -80,6 +80,10 @@
     answer_without_framing_is_lost: Script::Answer("HTTP/1.1 200 OK\r\n\r\nok"), &Outcome::Lost;
     answer_with_the_id_of_another_call_is_lost: Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-request-id: call-2\r\n\r\nok"), &Outcome::Lost;
     truncated_head_is_lost: Script::Answer("HTTP/1.1 200 OK\r\ncontent-le"), &Outcome::Lost;
+    head_that_ends_after_its_status_line_is_lost: Script::Answer("HTTP/1.1 200 OK\r\n"), &Outcome::Lost;
+    head_that_ends_after_its_length_is_lost: Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n"), &Outcome::Lost;
+    head_that_ends_in_its_last_line_is_lost: Script::Answer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r"), &Outcome::Lost;
+    head_of_a_redirect_that_ends_in_the_middle_is_lost: Script::Answer("HTTP/1.1 302 Found\r\nlocation: /\r\ncontent-length: 0\r\n"), &Outcome::Lost;
     connection_closed_without_answer_is_lost: Script::Answer(""), &Outcome::Lost;
     upstream_that_never_answers_is_lost: Script::NeverAnswer, &Outcome::Lost;
     answer_that_stalls_midway_is_lost: Script::StallMidway, &Outcome::Lost;
