Tell a configuration without teams from none in shallottided

Callers saw: once operators had removed the last team, calls got 503 "no records yet: retry" for ever instead of 401, and a node that restarted never became ready.

Calls without a valid key never ran.

Fix: the records count as loaded once a listing of the platform, or a peer's whole copy, has been applied; the index of the view shows it.

--- a/crates/shallottide/src/auth/auth_service.rs
+++ b/crates/shallottide/src/auth/auth_service.rs
@@ -64,7 +64,7 @@
     let config = cx.config();
     let team = key.as_ref().and_then(|key| config.team_keys.get(key));
     if team.is_none() {
-        let event = ReplyEvent::Fail(refusal(key.is_some(), config.teams.is_empty(), ran));
+        let event = ReplyEvent::Fail(refusal(key.is_some(), !config.is_loaded(), ran));
         out.send(names::FRONT, Reply { reply_to, event });
     }
     team.cloned()
--- a/crates/shallottide/src/node/wiring.rs
+++ b/crates/shallottide/src/node/wiring.rs
@@ -160,7 +160,7 @@
             let _ = tx.send(Ok(started));
             let ready = shared.ready.clone();
             kernel.run(move |cx| {
-                if !cx.config().teams.is_empty() {
+                if cx.config().is_loaded() {
                     ready.mark_records_loaded();
                 }
                 shared.exit_requested.load(Ordering::Acquire)
--- a/crates/shallottide/src/view/config_view.rs
+++ b/crates/shallottide/src/view/config_view.rs
@@ -49,6 +49,12 @@
         self.teams.insert(record.id.clone(), record);
     }
 
+    /// Returns whether the records were loaded, however few there are.
+    #[must_use]
+    pub fn is_loaded(&self) -> bool {
+        self.index != StoreIndex::default()
+    }
+
     /// Returns whether operators have taken a failure domain out of service.
     #[must_use]
     pub fn is_out(&self, domain: &DomainId) -> bool {
--- a/crates/shallottide/tests/auth.rs
+++ b/crates/shallottide/tests/auth.rs
@@ -13,7 +13,7 @@
 use shallottide_types::call::{CallHead, ReplyEvent, Target, TraceContext};
 use shallottide_types::cases;
 use shallottide_types::clock::ManualClock;
-use shallottide_types::id::Incarnation;
+use shallottide_types::id::{Incarnation, StoreIndex};
 use shallottide_types::peer::NodeInfo;
 use shallottide_types::record::{Document, KeyHash, Record};
 use shallottide_types::refusal::{Ran, RefusalKind};
@@ -27,11 +27,19 @@
          rate = \"1/s\"\nmax_in_flight = 1"
     );
     let document = Document::from_toml(&toml).unwrap();
-    let mut config = ConfigView::default();
+    let mut config = config_without_teams();
     config.insert(Record::from_document(&document).unwrap());
     config
 }
 
+/// Loaded records, none of which is a team's any more.
+fn config_without_teams() -> ConfigView {
+    ConfigView {
+        index: StoreIndex(7),
+        ..ConfigView::default()
+    }
+}
+
 fn context(config: ConfigView) -> Context {
     let me = NodeInfo {
         node: "node-1".parse().unwrap(),
@@ -127,6 +135,9 @@
     check_both_refused;
     no_key: config(), None, RefusalKind::Unauthorized;
     unknown_key: config(), Some("other"), RefusalKind::Unauthorized;
+    // Guards against callers that are told to retry for ever once the last team was removed.
+    key_after_the_last_team_was_removed: config_without_teams(), Some(KEY), RefusalKind::Unauthorized;
+    no_key_after_the_last_team_was_removed: config_without_teams(), None, RefusalKind::Unauthorized;
     key_before_any_record_is_known: ConfigView::default(), Some(KEY), RefusalKind::NoUpstream;
 }
 
