--- a/crates/shallottide_fleet/tests/lifetimes.rs
+++ b/crates/shallottide_fleet/tests/lifetimes.rs
@@ -228,7 +228,7 @@
 
 impl Store {
     /// Holds an entry; only more than a new heartbeat is an event.
-    fn write(&mut self, upstream: Upstream) {
+    fn write(&mut self, upstream: &Upstream) {
         let last = self.held.insert(upstream.id.clone(), upstream.clone());
         let is_same = last.is_some_and(|last| {
             let heartbeat_seq = last.heartbeat_seq;
@@ -239,7 +239,7 @@
         });
         if !is_same {
             self.index += 1;
-            self.events.push((self.index, entry(&upstream)));
+            self.events.push((self.index, entry(upstream)));
         }
     }
 
@@ -249,7 +249,7 @@
             if server.is_up {
                 server.upstream.heartbeat_seq += 1;
                 let upstream = server.upstream.clone();
-                self.write(upstream);
+                self.write(&upstream);
             }
         }
     }
@@ -274,12 +274,12 @@
                     server.upstream.heartbeat_seq = 0;
                     server.upstream.draining = false;
                     let upstream = server.upstream.clone();
-                    self.write(upstream);
+                    self.write(&upstream);
                 }
                 8 if server.is_up => {
                     server.upstream.draining = true;
                     let upstream = server.upstream.clone();
-                    self.write(upstream);
+                    self.write(&upstream);
                 }
                 9 if !server.is_up => {
                     let id = server.upstream.id.clone();
@@ -314,7 +314,7 @@
             .partition(|(at, _)| *at <= now);
         self.late = later;
         for (_, upstream) in due {
-            self.write(upstream);
+            self.write(&upstream);
         }
     }
 
--- a/crates/shallottide_types/src/macros.rs
+++ b/crates/shallottide_types/src/macros.rs
@@ -14,9 +14,10 @@
 /// Expands to one `#[test]` per named case; each calls the check function with its arguments.
 #[macro_export]
 macro_rules! cases {
-    ($check:path; $($name:ident: $($arg:expr),+;)+) => {
+    ($check:path; $($(#[$meta:meta])* $name:ident: $($arg:expr),+;)+) => {
         $(
             #[test]
+            $(#[$meta])*
             fn $name() {
                 $check($($arg),+);
             }
