--- a/crates/shallottide_fleet/src/access.rs
+++ b/crates/shallottide_fleet/src/access.rs
@@ -23,7 +23,7 @@
     /// All callers, without a key.
     #[default]
     Open,
-    /// Callers with one of these keys, each held by a team; nobody when there are none.
+    /// Callers with one of these keys, each held by a team; none at all when there are no keys.
     Keys(BTreeMap<CompactString, Team>),
 }
 
@@ -59,11 +59,11 @@
         match access {
             Access::Open => Self::new(),
             Access::Keys(teams) if teams.is_empty() => {
-                let nobody = Team {
-                    id: "nobody".parse().expect("a valid id"),
+                let placeholder = Team {
+                    id: "none".parse().expect("a valid id"),
                     priority: None,
                 };
-                Self::from([(NO_KEY.into(), nobody)])
+                Self::from([(NO_KEY.into(), placeholder)])
             }
             Access::Keys(teams) => teams,
         }
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -631,8 +631,9 @@
         })
     }
 
-    /// Replaces the view by a peer's snapshot if that is newer and does not lift the need for keys;
-    /// returns whether it did.
+    /// Replaces the view by a peer's snapshot if that is newer and does not lift the need for keys.
+    ///
+    /// Returns whether the view was replaced.
     pub fn adopt(&mut self, snapshot: Snapshot, now: Instant) -> bool {
         if snapshot.index <= self.index || self.opens_routes(&snapshot.changes) {
             return false;
@@ -703,7 +704,7 @@
     if known.replaced_born == Some(entry.born) {
         return EntryAge::Outdated;
     }
-    // An entry that returns after its removal is what the store holds, whoever wrote it.
+    // A removed entry that returns is current: the known one is no longer in the store.
     let is_unclear = entry.born < last.born
         && known.lapsed_at.is_none()
         && now.saturating_duration_since(known.seen) < LATE_ENTRY_TIME;
