Count deferred entries from the same moment at all nodes

Cause: an entry by an earlier clock was deferred, and counted 3 s after it by its own wait, but 3 s after the known lifetime's last entry if it was seen again, as by a node that takes the whole view again. So a follower counted it up to 3 s sooner than its source.

Fix: an entry of a deferred lifetime stays deferred until its wait is over, and both a delta and a whole view begin with what is due, so the source passes it on.

--- a/crates/shallottide_fleet/src/held_back_entries.rs
+++ b/crates/shallottide_fleet/src/held_back_entries.rs
@@ -22,8 +22,8 @@
 /// Entries that the store holds and that don't count, at least not yet.
 ///
 /// A deferred entry is either a late one of an earlier lifetime, or the first one of a new lifetime
-/// whose clock was set back. It counts once no entry of the known lifetime has come for
-/// [`LATE_ENTRY_TIME`]. An outdated entry never counts.
+/// whose clock was set back. It counts [`LATE_ENTRY_TIME`] after the first entry of its lifetime, unless one
+/// of the known lifetime has come by then. An outdated entry never counts.
 #[derive(Debug, Clone, Default)]
 pub struct HeldBackEntries {
     by_id: BTreeMap<UpstreamId, HeldBack>,
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -144,6 +144,10 @@
     pub fn advance(&mut self, index: StoreIndex, changes: Vec<Change>, now: Instant) {
         let index = index.max(self.index);
         let mut updates = Vec::new();
+        for entry in self.take_due_lifetimes(now) {
+            updates.push(Change::UpstreamRemoved(entry.id.clone()));
+            updates.push(Change::Upstream(entry.id.clone(), Some(Box::new(entry))));
+        }
         for change in changes {
             if self.alters_view(&change, now) {
                 if let Some(id) = self.replaces_later_lifetime(&change, now) {
@@ -230,12 +234,38 @@
             return None;
         };
         let known = self.upstreams.get(id)?;
-        let is_current = compare(upstream, known, now) == EntryAge::Current;
+        let is_current = self.compare(upstream, known, now) == EntryAge::Current;
         let has_earlier_clock =
             upstream.born < known.upstream.born || known.replaced_born.is_some();
         (is_current && has_earlier_clock).then(|| id.clone())
     }
 
+    /// Compares an entry with the known one.
+    fn compare(&self, entry: &Upstream, known: &KnownUpstream, now: Instant) -> EntryAge {
+        let last = &known.upstream;
+        if entry.born == last.born {
+            return if entry.heartbeat_seq < last.heartbeat_seq {
+                EntryAge::Outdated
+            } else {
+                EntryAge::Current
+            };
+        }
+        if known.replaced_born == Some(entry.born) {
+            return EntryAge::Outdated;
+        }
+        // A removed entry that returns is current: the known one is no longer in the store.
+        if entry.born > last.born || known.lapsed_at.is_some() {
+            return EntryAge::Current;
+        }
+        let deferred = self.held_back.deferred(&entry.id);
+        let is_deferred = deferred.is_some_and(|deferred| deferred.born == entry.born);
+        if is_deferred || now.saturating_duration_since(known.seen) < LATE_ENTRY_TIME {
+            EntryAge::Unclear
+        } else {
+            EntryAge::Current
+        }
+    }
+
     /// Applies one change.
     pub fn apply(&mut self, change: Change, now: Instant) {
         match change {
@@ -307,7 +337,7 @@
         let cold_time = cold_time(&upstream);
         let cold_until = (!cold_time.is_zero()).then(|| now + cold_time);
         let old = self.upstreams.get(&id);
-        match old.map(|old| compare(&upstream, old, now)) {
+        match old.map(|old| self.compare(&upstream, old, now)) {
             Some(EntryAge::Outdated) => {
                 tracing::info!(upstream = %id, beat = upstream.heartbeat_seq, "ignored an upstream entry older than the known one");
                 self.generation += 1;
@@ -401,10 +431,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.remove_unnamed_formations();
         self.removed.expire(now);
-        for entry in self.held_back.take_due(now) {
-            tracing::info!(upstream = %entry.id, born = entry.born, "deferred entry counts: its clock was set back");
-            self.take_lifetime(entry, now);
-        }
+        self.take_due_lifetimes(now);
         let (returned, missing_nodes) = self.unconfirmed.take_due(now);
         for domain in returned {
             self.apply(Change::Evacuated(domain, false), now);
@@ -427,11 +454,16 @@
         }
     }
 
-    /// Replaces an upstream's lifetime by another one, whatever their start times.
-    fn take_lifetime(&mut self, entry: Upstream, now: Instant) {
-        let id = entry.id.clone();
-        self.forget_upstream(&id, now);
-        self.apply_upstream(id, entry, now);
+    /// Replaces lifetimes by those of deferred entries that count from now on; returns these.
+    fn take_due_lifetimes(&mut self, now: Instant) -> Vec<Upstream> {
+        let due = self.held_back.take_due(now);
+        for entry in &due {
+            let id = &entry.id;
+            tracing::info!(upstream = %id, born = entry.born, "deferred entry counts: its clock was set back");
+            self.forget_upstream(id, now);
+            self.apply_upstream(id.clone(), entry.clone(), now);
+        }
+        due
     }
 
     /// Returns whether removed entries may still return.
@@ -457,6 +489,7 @@
             // Entries that the copy lacks return as they do after an outage.
             self.store_failed(now);
         }
+        self.take_due_lifetimes(now);
         self.index = index;
         self.log.reset(index);
         let mut listed = Listed::default();
@@ -692,29 +725,6 @@
     Unclear,
 }
 
-fn compare(entry: &Upstream, known: &KnownUpstream, now: Instant) -> EntryAge {
-    let last = &known.upstream;
-    if entry.born == last.born {
-        return if entry.heartbeat_seq < last.heartbeat_seq {
-            EntryAge::Outdated
-        } else {
-            EntryAge::Current
-        };
-    }
-    if known.replaced_born == Some(entry.born) {
-        return EntryAge::Outdated;
-    }
-    // A removed entry that returns is current: the known one is no longer in the store.
-    let is_unclear = entry.born < last.born
-        && known.lapsed_at.is_none()
-        && now.saturating_duration_since(known.seen) < LATE_ENTRY_TIME;
-    if is_unclear {
-        EntryAge::Unclear
-    } else {
-        EntryAge::Current
-    }
-}
-
 /// Returns whether two entries are equal but for what changes with each heartbeat.
 fn is_same_but_heartbeat(a: &Upstream, b: &Upstream) -> bool {
     let Upstream {
--- a/crates/shallottide_fleet/tests/lifetimes.rs
+++ b/crates/shallottide_fleet/tests/lifetimes.rs
@@ -100,6 +100,29 @@
     assert_eq!(pair.both(born), [Some(100); 2]);
 }
 
+/// Guards against a node that takes the whole view again and counts a deferred entry sooner than its
+/// source does.
+#[test]
+fn deferred_entry_counts_at_the_same_time_everywhere() {
+    let mut pair = Pair::start();
+    let half = SECOND / 2;
+    pair.reader.advance(
+        StoreIndex(2),
+        vec![entry(&lifetime(100, 1))],
+        pair.start + half,
+    );
+    for step in 1..12 {
+        let now = pair.start + half * step;
+        pair.index += 10;
+        pair.reader.advance(StoreIndex(pair.index), Vec::new(), now);
+        let snapshot = pair.reader.snapshot(Duration::ZERO, now);
+        assert!(pair.follower.adopt(snapshot, now));
+        let is_over = half * step >= half + LATE_ENTRY_TIME;
+        let expected = Some(if is_over { 100 } else { 200 });
+        assert_eq!(pair.both(born), [expected; 2], "step {step}");
+    }
+}
+
 /// Guards against requests to an upstream that leaves, while it isn't certain which lifetime is
 /// over.
 #[test]
