--- /dev/null
+++ b/crates/shallottide_fleet/src/capacity/pace.rs
@@ -0,0 +1,91 @@
+//! How slow one lifetime of an engine is, compared with the others of its kind.
+
+use std::time::{Duration, Instant};
+
+use super::gain;
+
+/// Time constant with which samples move a pace.
+const FOLLOW_TIME: Duration = Duration::from_secs(1);
+/// Bounds on the share that one sample gets.
+const MIN_GAIN: f64 = 0.05;
+const MAX_GAIN: f64 = 0.5;
+/// Largest deviation, in log time, that a single sample counts with; about three times the usual
+/// spread.
+const MAX_STEP: f64 = 0.3;
+/// Samples in a row beyond [`MAX_STEP`] to the same side from which deviations count in full: the
+/// engine has changed. One such sample is in the tail that healthy engines have.
+const CHANGE_RUN: i8 = 2;
+/// Share that a sample of a changed engine gets.
+const CHANGE_GAIN: f64 = 0.6;
+/// Time without evidence for which a pace holds; longer than the time between two samples of an
+/// engine, or the pace would be underestimated between them.
+const HOLD_TIME: Duration = Duration::from_secs(2);
+/// Time constant of the decay after it; 8% is left 5 s after the last sample.
+const DECAY_TIME: Duration = Duration::from_millis(1_200);
+
+/// How slow an engine is, and how old the evidence is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Slowness {
+    /// Time to the first event, divided by what is typical of the kind. 1 without evidence.
+    pub factor: f64,
+    /// Time since the last sample; `None` if there was none.
+    pub age: Option<Duration>,
+}
+
+/// The pace of one lifetime.
+#[derive(Debug, Clone)]
+pub(super) struct Pace {
+    /// Logarithm of the factor at the last sample.
+    log_factor: f64,
+    /// When the last sample came.
+    at: Instant,
+    /// Samples in a row beyond [`MAX_STEP`]; negative for those that were faster than expected.
+    run: i8,
+    /// Slots that the engine last stated to this node.
+    pub(super) slots: Option<u32>,
+}
+
+impl Pace {
+    /// Creates the pace of an engine that is typical of its kind.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            log_factor: 0.0,
+            at: now.checked_sub(FOLLOW_TIME).unwrap_or(now),
+            run: 0,
+            slots: None,
+        }
+    }
+
+    /// Returns the time since the last sample.
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.at)
+    }
+
+    /// Returns the logarithm of the factor.
+    pub(super) fn log_factor(&self, now: Instant) -> f64 {
+        let decay = self.age(now).saturating_sub(HOLD_TIME);
+        self.log_factor * (1.0 - gain(decay, DECAY_TIME))
+    }
+
+    /// Learns from a sample that deviates from the kind's curve and level by `deviation` in log time.
+    pub(super) fn record(&mut self, deviation: f64, now: Instant) {
+        let current = self.log_factor(now);
+        let error = deviation - current;
+        let side = i8::from(error > MAX_STEP) - i8::from(error < -MAX_STEP);
+        self.run = if side == 0 {
+            0
+        } else if side == self.run.signum() {
+            self.run.saturating_add(side)
+        } else {
+            side
+        };
+        let step = if self.run.abs() >= CHANGE_RUN {
+            CHANGE_GAIN * error
+        } else {
+            gain(self.age(now), FOLLOW_TIME).clamp(MIN_GAIN, MAX_GAIN)
+                * error.clamp(-MAX_STEP, MAX_STEP)
+        };
+        self.log_factor = current + step;
+        self.at = self.at.max(now);
+    }
+}
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -18,6 +18,7 @@
 //!   how many.
 //! - [`crash_trigger`], [`crash_evidence`], [`quarantine`]: requests and prompt parts that end
 //!   upstreams, and their refusal.
+//! - [`capacity`]: how long engines take to their first event, and up to which load calls are on time.
 //! - [`named_limits`], [`send_window`]: limits that upstreams name, and their division between nodes.
 //! - [`cooldowns`]: upstreams that asked for no requests for a time.
 //! - [`departures`]: upstreams that announced that they are leaving.
@@ -33,6 +34,7 @@
 pub mod adapter;
 pub mod balance;
 pub mod byte_budget;
+pub mod capacity;
 pub mod catalog;
 pub mod change_log;
 pub mod cold_gate;
