--- a/crates/shallottide_fleet/src/capacity/curve.rs
+++ b/crates/shallottide_fleet/src/capacity/curve.rs
@@ -2,8 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use super::gain;
-
 /// Share of the slots above which the time rises faster.
 const KNEE: f64 = 0.8;
 /// Distance above the knee, in shares of the slots, from which the rise is linear again: all waiting
@@ -19,8 +17,12 @@
 const START_ERROR: [f64; 4] = [0.3, 0.3, 3.0, 0.08];
 /// Error of the delay to another failure domain at the start, in seconds.
 const DELAY_ERROR: f64 = 0.01;
-/// Time constant with which old samples are forgotten.
-const FORGET_TIME: Duration = Duration::from_mins(1);
+/// How far each coefficient may move within [`DRIFT_TIME`], in the same shares. Level and pace follow
+/// what is faster.
+const DRIFT: [f64; 4] = [0.05, 0.1, 1.0, 0.03];
+/// The same for the delay to another failure domain, in seconds.
+const DELAY_DRIFT: f64 = 0.003;
+const DRIFT_TIME: Duration = Duration::from_mins(1);
 /// Deviations beyond this many standard deviations count as this many.
 const MAX_DEVIATIONS: f64 = 2.0;
 /// Least time, in seconds.
@@ -59,8 +61,7 @@
     f64::from(prompt_tokens) / 1_000.0 - CENTER_PROMPT
 }
 
-/// A Kalman filter over the coefficients. Its uncertainty grows back to that of the start and never
-/// beyond, so that samples that all have the same load leave the slopes as they are.
+/// A Kalman filter over the coefficients. Its uncertainty grows with time up to that of the start, so that samples that all have the same load leave the slopes as they are.
 #[derive(Debug, Clone)]
 pub(super) struct Curve {
     /// Base, slope by load, rise above the knee and slope by prompt, then the delay to another
@@ -83,24 +84,30 @@
         for (coefficient, start) in coefficients.iter_mut().zip(START) {
             *coefficient = base * start;
         }
-        let mut curve = Self {
+        let mut covariance = [[0.0; N]; N];
+        for (i, row) in covariance.iter_mut().enumerate() {
+            let error = START_ERROR.get(i).map_or(DELAY_ERROR, |error| error * base);
+            row[i] = error * error;
+        }
+        Self {
             coefficients,
-            covariance: [[0.0; N]; N],
+            covariance,
             changed_at: now,
-        };
-        curve.forget(1.0);
-        curve
+        }
     }
 
-    /// Moves the uncertainty towards that of the start by a share.
-    fn forget(&mut self, share: f64) {
+    /// Adds the uncertainty of what may have changed in a time, up to that of the start.
+    fn drift(&mut self, elapsed: Duration) {
         let base = self.coefficients[0];
-        for (i, row) in self.covariance.iter_mut().enumerate() {
-            for (j, value) in row.iter_mut().enumerate() {
-                let error = START_ERROR.get(i).map_or(DELAY_ERROR, |error| error * base);
-                let start = if i == j { error * error } else { 0.0 };
-                *value += share * (start - *value);
-            }
+        let share = elapsed.div_duration_f64(DRIFT_TIME);
+        for i in 0..N {
+            let (start, drift) = if i < START.len() {
+                (START_ERROR[i] * base, DRIFT[i] * base)
+            } else {
+                (DELAY_ERROR, DELAY_DRIFT)
+            };
+            let most = (start * start - self.covariance[i][i]).max(0.0);
+            self.covariance[i][i] += (share * drift * drift).min(most);
         }
     }
 
@@ -137,7 +144,7 @@
     ) {
         let elapsed = now.saturating_duration_since(self.changed_at);
         self.changed_at = self.changed_at.max(now);
-        self.forget(gain(elapsed, FORGET_TIME));
+        self.drift(elapsed);
 
         // Deviations are taken relative to the expected time, as they grow with it.
         let expected = self.seconds(input) * factor + self.delay(input.is_other_domain);
--- a/crates/shallottide_fleet/src/capacity/kind_model.rs
+++ b/crates/shallottide_fleet/src/capacity/kind_model.rs
@@ -24,16 +24,16 @@
 /// Largest deviation that counts in the spread, as a multiple of it.
 const MAX_SPREADS: f64 = 3.0;
 /// Step of the prompt's quantile, in log tokens.
-const PROMPT_STEP: f64 = 0.7;
+const PROMPT_STEP: f64 = 0.3;
 /// Quantile of prompts that is called typical.
 const TYPICAL_PROMPT: f64 = 0.6;
 /// Time constant with which the curve takes over level and own bias, so that the curves of nodes
 /// that started at different times become the same.
 const ABSORB_TIME: Duration = Duration::from_secs(30);
 /// Time constant of the own bias; longer than the level's, which explains what all nodes see.
-const BIAS_TIME: Duration = Duration::from_secs(3);
+const BIAS_TIME: Duration = Duration::from_secs(4);
 /// Most that one sample moves the own bias, in log time.
-const MAX_BIAS_STEP: f64 = 0.2;
+const MAX_BIAS_STEP: f64 = 0.3;
 /// Time after a peer's ratio for which the own bias is learned. Without peers, a slow link and slow
 /// engines look alike.
 const PEER_TIME: Duration = Duration::from_secs(2);
@@ -92,9 +92,9 @@
         (DEVIATION_RATIO * self.deviation).max(MIN_SPREAD)
     }
 
-    /// Returns the logarithm of the level.
-    pub(super) fn level(&self) -> f64 {
-        self.level.value()
+    /// Returns the level.
+    pub(super) fn level(&self) -> &Level {
+        &self.level
     }
 
     /// Returns the typical prompt in tokens.
@@ -211,7 +211,7 @@
         let elapsed = now.saturating_duration_since(self.bias_at);
         self.bias_at = self.bias_at.max(now);
         let hears_peers = |at| now.saturating_duration_since(at) < PEER_TIME;
-        if self.peer_at.is_some_and(hears_peers) {
+        if self.peer_at.is_some_and(hears_peers) && !self.level.is_changing() {
             let step = unexplained.clamp(-MAX_BIAS_STEP, MAX_BIAS_STEP);
             self.own_bias += gain(elapsed, BIAS_TIME) * step;
         }
@@ -225,7 +225,9 @@
         } else {
             0.0
         };
+        // While the level changes, its lag would be learned as part of the curve.
         if log_factor.abs() <= HEALTHY_PACE
+            && !self.level.is_changing()
             && let Some(curve) = &mut self.curve
         {
             curve.record(input, common.exp(), seconds, spread, now);
--- a/crates/shallottide_fleet/src/capacity/level.rs
+++ b/crates/shallottide_fleet/src/capacity/level.rs
@@ -9,16 +9,17 @@
 /// Time for which an engine's vote counts.
 const VOTE_TIME: Duration = Duration::from_millis(1_500);
 /// Time constant of an engine's vote; a vote that comes after a longer time is the sample itself.
-const VOTE_FOLLOW_TIME: Duration = Duration::from_millis(500);
+const VOTE_FOLLOW_TIME: Duration = Duration::from_millis(300);
 /// Least share that a sample gets in its engine's vote.
 const MIN_VOTE_GAIN: f64 = 0.2;
 /// Votes from which the level follows at full speed.
 const FULL_VOTES: f64 = 4.0;
 /// Time constants with which the level follows a change, and noise.
-const CHANGE_TIME: Duration = Duration::from_millis(300);
+const CHANGE_TIME: Duration = Duration::from_millis(100);
 const NOISE_TIME: Duration = Duration::from_millis(2_500);
-/// A median further than this many of its standard errors from the level is a change.
-const CHANGE_ERRORS: f64 = 2.5;
+/// A median further than this many of its standard errors from the level is a change. With 2.5, noise
+/// was taken for a change so often that paces were followed late.
+const CHANGE_ERRORS: f64 = 4.0;
 /// Standard error of a median of n values with a standard deviation of 1, times the root of n.
 const MEDIAN_ERROR: f64 = 1.25;
 /// Most engines with a vote.
@@ -32,6 +33,7 @@
     value: f64,
     votes: BTreeMap<Lifetime, Dated>,
     changed_at: Instant,
+    is_changing: bool,
     /// Recent votes, kept to save allocations.
     recent: Vec<f64>,
 }
@@ -42,6 +44,7 @@
             value: 0.0,
             votes: BTreeMap::new(),
             changed_at: now,
+            is_changing: false,
             recent: Vec::new(),
         }
     }
@@ -51,6 +54,11 @@
         self.value
     }
 
+    /// Returns whether the votes deviate from the level by more than noise.
+    pub(super) fn is_changing(&self) -> bool {
+        self.is_changing
+    }
+
     /// Moves the level by `shift`, and the votes with it, as the curve has moved the other way.
     pub(super) fn shift(&mut self, shift: f64) {
         self.value += shift;
@@ -94,7 +102,8 @@
         let difference = *median - self.value;
         let count = u32::try_from(self.recent.len()).map_or(f64::MAX, f64::from);
         let error = MEDIAN_ERROR * spread / count.sqrt();
-        let time = if difference.abs() > CHANGE_ERRORS * error {
+        self.is_changing = difference.abs() > CHANGE_ERRORS * error;
+        let time = if self.is_changing {
             CHANGE_TIME
         } else {
             NOISE_TIME
--- a/crates/shallottide_fleet/src/capacity/model.rs
+++ b/crates/shallottide_fleet/src/capacity/model.rs
@@ -53,9 +53,10 @@
         let log_ratio = model.record(lifetime, sample, input, log_factor, now)?;
         let is_well_known = model.is_well_known();
         let log_ratio = log_ratio.clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO);
-        let deviation = log_ratio - model.level();
+        let deviation = log_ratio - model.level().value();
+        let is_changing = model.level().is_changing();
         if let Some(pace) = self.pace_mut(lifetime, now) {
-            pace.record(deviation, now);
+            pace.record(deviation, is_changing, now);
             pace.slots = Some(sample.slots.max(1));
         }
         is_well_known.then(|| log_ratio.exp())
@@ -72,9 +73,10 @@
             return;
         };
         model.record_peer(lifetime, log_ratio, now);
-        let deviation = log_ratio - model.level();
+        let deviation = log_ratio - model.level().value();
+        let is_changing = model.level().is_changing();
         if let Some(pace) = self.pace_mut(lifetime, now) {
-            pace.record(deviation, now);
+            pace.record(deviation, is_changing, now);
         }
     }
 
--- a/crates/shallottide_fleet/src/capacity/pace.rs
+++ b/crates/shallottide_fleet/src/capacity/pace.rs
@@ -5,16 +5,19 @@
 use super::gain;
 
 /// Time constant with which samples move a pace.
-const FOLLOW_TIME: Duration = Duration::from_secs(1);
+const FOLLOW_TIME: Duration = Duration::from_secs(3);
 /// Bounds on the share that one sample gets.
-const MIN_GAIN: f64 = 0.05;
-const MAX_GAIN: f64 = 0.5;
+const MIN_GAIN: f64 = 0.02;
+const MAX_GAIN: f64 = 0.3;
 /// Largest deviation, in log time, that a single sample counts with; about three times the usual
 /// spread.
 const MAX_STEP: f64 = 0.3;
 /// Samples in a row beyond [`MAX_STEP`] to the same side from which deviations count in full: the
 /// engine has changed. One such sample is in the tail that healthy engines have.
 const CHANGE_RUN: i8 = 2;
+/// Deviation down to which a change is still being followed; a larger one would be left to the much
+/// slower averaging.
+const SETTLED: f64 = 0.1;
 /// Share that a sample of a changed engine gets.
 const CHANGE_GAIN: f64 = 0.6;
 /// Time without evidence for which a pace holds; longer than the time between two samples of an
@@ -68,18 +71,24 @@
     }
 
     /// Learns from a sample that deviates from the kind's curve and level by `deviation` in log time.
-    pub(super) fn record(&mut self, deviation: f64, now: Instant) {
+    /// While the level changes, a deviation is more likely the level's than this engine's own.
+    pub(super) fn record(&mut self, deviation: f64, is_level_changing: bool, now: Instant) {
         let current = self.log_factor(now);
         let error = deviation - current;
-        let side = i8::from(error > MAX_STEP) - i8::from(error < -MAX_STEP);
+        let threshold = if self.run.abs() >= CHANGE_RUN {
+            SETTLED
+        } else {
+            MAX_STEP
+        };
+        let side = i8::from(error > threshold) - i8::from(error < -threshold);
         self.run = if side == 0 {
             0
         } else if side == self.run.signum() {
-            self.run.saturating_add(side)
+            (self.run + side).clamp(-CHANGE_RUN, CHANGE_RUN)
         } else {
             side
         };
-        let step = if self.run.abs() >= CHANGE_RUN {
+        let step = if self.run.abs() >= CHANGE_RUN && !is_level_changing {
             CHANGE_GAIN * error
         } else {
             gain(self.age(now), FOLLOW_TIME).clamp(MIN_GAIN, MAX_GAIN)
--- a/crates/shallottide_fleet/src/capacity/quantile.rs
+++ b/crates/shallottide_fleet/src/capacity/quantile.rs
@@ -1,7 +1,7 @@
 //! Estimate of one quantile of a stream of values, without keeping the values.
 
 /// Values after which the step has its least size.
-const WARM_UP: f64 = 30.0;
+const WARM_UP: f64 = 100.0;
 
 /// A quantile, found by steps up and down in proportion to its probability. A value's distance from
 /// the estimate does not matter, so a heavy tail does not move it.
--- a/crates/shallottide_fleet/tests/support/mod.rs
+++ b/crates/shallottide_fleet/tests/support/mod.rs
@@ -7,6 +7,7 @@
 mod cut_scenario;
 mod cut_simulation;
 mod engines;
+mod first_events;
 mod limited_upstreams;
 mod restored_store;
 mod sample;
@@ -20,6 +21,7 @@
 };
 pub(crate) use cut_simulation::play_cut;
 pub(crate) use engines::{Engines, Faults};
+pub(crate) use first_events::{Fleet, SLOTS, kind, median};
 pub(crate) use limited_upstreams::{LimitScenario, NodeFault, play_limits};
 pub(crate) use restored_store::RestoredDay;
 pub(crate) use sample::{
