--- a/crates/shallottide_fleet/src/capacity.rs
+++ b/crates/shallottide_fleet/src/capacity.rs
@@ -12,6 +12,7 @@
 mod level;
 mod model;
 mod pace;
+mod prompt_window;
 mod quantile;
 
 use std::time::{Duration, Instant};
--- a/crates/shallottide_fleet/src/capacity/level.rs
+++ b/crates/shallottide_fleet/src/capacity/level.rs
@@ -20,6 +20,8 @@
 /// A median further than this many of its standard errors from the level is a change. With 2.5, noise
 /// was taken for a change so often that paces were followed late.
 const CHANGE_ERRORS: f64 = 4.0;
+/// A change has been followed once the median is within this many standard errors.
+const SETTLED_ERRORS: f64 = 1.0;
 /// Standard error of a median of n values with a standard deviation of 1, times the root of n.
 const MEDIAN_ERROR: f64 = 1.25;
 /// Most engines with a vote.
@@ -102,7 +104,12 @@
         let difference = *median - self.value;
         let count = u32::try_from(self.recent.len()).map_or(f64::MAX, f64::from);
         let error = MEDIAN_ERROR * spread / count.sqrt();
-        self.is_changing = difference.abs() > CHANGE_ERRORS * error;
+        let errors = if self.is_changing {
+            SETTLED_ERRORS
+        } else {
+            CHANGE_ERRORS
+        };
+        self.is_changing = difference.abs() > errors * error;
         let time = if self.is_changing {
             CHANGE_TIME
         } else {
--- a/crates/shallottide_fleet/src/capacity/pace.rs
+++ b/crates/shallottide_fleet/src/capacity/pace.rs
@@ -18,8 +18,9 @@
 /// Deviation down to which a change is still being followed; a larger one would be left to the much
 /// slower averaging.
 const SETTLED: f64 = 0.1;
-/// Share that a sample of a changed engine gets.
-const CHANGE_GAIN: f64 = 0.6;
+/// Share that the smaller one of the last two deviations gets then. Of two samples that are both in
+/// the tail, one is mostly not far in it.
+const CHANGE_GAIN: f64 = 0.85;
 /// Time without evidence for which a pace holds; longer than the time between two samples of an
 /// engine, or the pace would be underestimated between them.
 const HOLD_TIME: Duration = Duration::from_secs(2);
@@ -44,6 +45,8 @@
     at: Instant,
     /// Samples in a row beyond [`MAX_STEP`]; negative for those that were faster than expected.
     run: i8,
+    /// Absolute deviation of the last sample.
+    last_error: f64,
     /// Slots that the engine last stated to this node.
     pub(super) slots: Option<u32>,
 }
@@ -55,6 +58,7 @@
             log_factor: 0.0,
             at: now.checked_sub(FOLLOW_TIME).unwrap_or(now),
             run: 0,
+            last_error: 0.0,
             slots: None,
         }
     }
@@ -89,11 +93,12 @@
             side
         };
         let step = if self.run.abs() >= CHANGE_RUN && !is_level_changing {
-            CHANGE_GAIN * error
+            CHANGE_GAIN * error.signum() * error.abs().min(self.last_error)
         } else {
             gain(self.age(now), FOLLOW_TIME).clamp(MIN_GAIN, MAX_GAIN)
                 * error.clamp(-MAX_STEP, MAX_STEP)
         };
+        self.last_error = error.abs();
         self.log_factor = current + step;
         self.at = self.at.max(now);
     }
