--- a/crates/shallottide_fleet/src/capacity/pace.rs
+++ b/crates/shallottide_fleet/src/capacity/pace.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::gain;
+use super::level::Level;
 
 /// Time constant with which samples move a pace.
 const FOLLOW_TIME: Duration = Duration::from_secs(3);
@@ -47,6 +48,8 @@
     run: i8,
     /// Absolute deviation of the last sample.
     last_error: f64,
+    /// Logarithm of the kind's level at the last sample.
+    level: f64,
     /// Slots that the engine last stated to this node.
     pub(super) slots: Option<u32>,
 }
@@ -59,6 +62,7 @@
             at: now.checked_sub(FOLLOW_TIME).unwrap_or(now),
             run: 0,
             last_error: 0.0,
+            level: 0.0,
             slots: None,
         }
     }
@@ -68,17 +72,25 @@
         now.saturating_duration_since(self.at)
     }
 
-    /// Returns the logarithm of the factor.
+    /// Returns the logarithm of the factor as the last sample showed it.
     pub(super) fn log_factor(&self, now: Instant) -> f64 {
         let decay = self.age(now).saturating_sub(HOLD_TIME);
         self.log_factor * (1.0 - gain(decay, DECAY_TIME))
     }
 
-    /// Learns from a sample that deviates from the kind's curve and level by `deviation` in log time.
-    /// While the level changes, a deviation is more likely the level's than this engine's own.
-    pub(super) fn record(&mut self, deviation: f64, is_level_changing: bool, now: Instant) {
-        let current = self.log_factor(now);
-        let error = deviation - current;
+    /// Returns the logarithm of the factor by which the engine is slower than its kind at a level. What
+    /// the level has since moved to the same side is no longer the engine's own.
+    pub(super) fn log_factor_at(&self, level: f64, now: Instant) -> f64 {
+        let factor = self.log_factor(now);
+        let moved = (level - self.level) * factor.signum();
+        factor.signum() * (factor.abs() - moved.max(0.0)).max(0.0)
+    }
+
+    /// Learns from a sample that deviates from the kind's curve by `log_ratio` in log time. While the
+    /// level changes, a deviation is more likely the level's than this engine's own.
+    pub(super) fn record(&mut self, log_ratio: f64, level: &Level, now: Instant) {
+        let current = self.log_factor_at(level.value(), now);
+        let error = log_ratio - level.value() - current;
         let threshold = if self.run.abs() >= CHANGE_RUN {
             SETTLED
         } else {
@@ -92,13 +104,14 @@
         } else {
             side
         };
-        let step = if self.run.abs() >= CHANGE_RUN && !is_level_changing {
+        let step = if self.run.abs() >= CHANGE_RUN && !level.is_changing() {
             CHANGE_GAIN * error.signum() * error.abs().min(self.last_error)
         } else {
             gain(self.age(now), FOLLOW_TIME).clamp(MIN_GAIN, MAX_GAIN)
                 * error.clamp(-MAX_STEP, MAX_STEP)
         };
         self.last_error = error.abs();
+        self.level = level.value();
         self.log_factor = current + step;
         self.at = self.at.max(now);
     }
