--- a/crates/shallottide_fleet/src/capacity.rs
+++ b/crates/shallottide_fleet/src/capacity.rs
@@ -15,7 +15,7 @@
 mod prompt_window;
 mod quantile;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use shallottide_types::id::{ModelId, ServiceId};
 
@@ -44,10 +44,3 @@
 fn gain(elapsed: Duration, time_constant: Duration) -> f64 {
     -(-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp_m1()
 }
-
-/// A value and when it was last moved by evidence.
-#[derive(Debug, Clone, Copy)]
-struct Dated {
-    value: f64,
-    at: Instant,
-}
--- a/crates/shallottide_fleet/src/capacity/kind_model.rs
+++ b/crates/shallottide_fleet/src/capacity/kind_model.rs
@@ -137,8 +137,8 @@
         self.own_bias -= bias;
     }
 
-    /// Learns from a peer's ratio, and from own samples that were made into one.
-    pub(super) fn record_ratio(&mut self, lifetime: Lifetime, log_ratio: f64, now: Instant) {
+    /// Learns the level from a ratio, a peer's or this node's own.
+    fn record_ratio(&mut self, lifetime: Lifetime, log_ratio: f64, now: Instant) {
         let spread = self.spread();
         self.level.record(lifetime, log_ratio, spread, now);
         self.used_at = now;
--- a/crates/shallottide_fleet/src/capacity/level.rs
+++ b/crates/shallottide_fleet/src/capacity/level.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::{Dated, gain};
+use super::gain;
 use crate::crash_evidence::Lifetime;
 
 /// Time for which an engine's vote counts.
@@ -27,13 +27,22 @@
 /// Most engines with a vote.
 const MAX_VOTES: usize = 512;
 
+/// What one engine's samples say of the level.
+#[derive(Debug, Clone, Copy)]
+struct Vote {
+    /// Logarithm of the time divided by what the curve explains.
+    value: f64,
+    /// When its last sample came.
+    at: Instant,
+}
+
 /// The level follows the median of the engines' votes. An engine has one vote however many samples it
 /// gives, so that one slow engine, or the one healthy engine that gets most calls, does not move it.
 #[derive(Debug, Clone)]
 pub(super) struct Level {
     /// Logarithm of the level.
     value: f64,
-    votes: BTreeMap<Lifetime, Dated>,
+    votes: BTreeMap<Lifetime, Vote>,
     changed_at: Instant,
     is_changing: bool,
     /// Recent votes, kept to save allocations.
@@ -82,7 +91,7 @@
             vote.value += share * (deviation - vote.value);
             vote.at = vote.at.max(now);
         } else if self.votes.len() < MAX_VOTES {
-            let vote = Dated {
+            let vote = Vote {
                 value: deviation,
                 at: now,
             };
@@ -93,7 +102,7 @@
 
     fn follow(&mut self, spread: f64, now: Instant) {
         self.recent.clear();
-        let is_recent = |vote: &&Dated| now.saturating_duration_since(vote.at) < VOTE_TIME;
+        let is_recent = |vote: &&Vote| now.saturating_duration_since(vote.at) < VOTE_TIME;
         let recent = self.votes.values().filter(is_recent);
         self.recent.extend(recent.map(|vote| vote.value));
         let Some(last) = self.recent.len().checked_sub(1) else {
--- a/crates/shallottide_fleet/src/capacity/model.rs
+++ b/crates/shallottide_fleet/src/capacity/model.rs
@@ -153,7 +153,7 @@
         }
     }
 
-    /// Forgets lifetimes and kinds without recent samples.
+    /// Forgets lifetimes and kinds without recent samples; to be called about once a second.
     pub fn expire(&mut self, now: Instant) {
         self.paces.retain(|_, pace| pace.age(now) < LIFETIME_TIME);
         self.kinds
