Count bodies and responses for as long as they are held

Reservations live as long as the bytes, so that running calls and callers that do not read cannot exceed a node's memory. Slow callers' events are buffered in bytes; a caller that reads nothing at the bound is cut off.

--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -21,7 +21,7 @@
 //! - [`named_limits`], [`send_window`]: limits that upstreams name, and their division between nodes.
 //! - [`cooldowns`]: upstreams that asked for no requests for a time.
 //! - [`departures`]: upstreams that announced that they are leaving.
-//! - [`byte_budget`]: limit on the bytes of bodies in transfer.
+//! - [`byte_budget`], [`stream_buffer`]: limits on the bytes held for callers and upstreams.
 //! - [`groups`]: formation of groups of engines.
 //! - [`watch_pause`]: pause between two calls to the store for changes.
 //! - [`domain_claims`]: which failure domains a node claims as their controller.
@@ -64,6 +64,7 @@
 pub mod send_window;
 pub mod serve;
 mod service_links;
+pub mod stream_buffer;
 
 pub mod upstream;
 pub mod upstream_links;
--- a/crates/shallottide_fleet/src/serve/attempt.rs
+++ b/crates/shallottide_fleet/src/serve/attempt.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -11,13 +12,14 @@
 use shallottide_types::id::{ServiceId, UpstreamId};
 
 use super::call::{Call, CallResult};
-use super::connection::{HttpError, read_body};
+use super::connection::{BodyLimits, HttpError, read_body};
 use super::links::LinkWait;
 use super::node::Node;
 use super::response_body::ResponseBody;
 use super::send::{InFlightGuard, OutgoingRequest, SendError, UpstreamResponse, send};
 use super::stream_relay::{self, NextEvents, StreamSource};
 use crate::balance::Choice;
+use crate::byte_budget::ByteBudget;
 use crate::catalog::Route;
 use crate::event_stream::EventSplitter;
 
@@ -29,7 +31,23 @@
 /// Consecutive checks that must find the upstream stalled before it counts as silent.
 const STALLED_POLLS: u32 = 3;
 /// Largest response body that is not a stream, in bytes.
-pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Longest wait of a response for memory, which callers free as they read; shorter than the seconds after
+/// which an upstream cuts off a response that stays unread.
+const RESPONSE_MEMORY_WAIT: Duration = Duration::from_secs(1);
+/// Length in bytes up to which a response is held even if callers that do not read hold all the memory for
+/// responses: 1,000 calls at once hold at most 16 MB beyond the budget.
+const SHORT_RESPONSE_BYTES: usize = 16 << 10;
+
+/// Returns the limits on a response that is not a stream.
+pub(super) fn response_limits(budget: &Arc<ByteBudget>) -> BodyLimits<'_> {
+    BodyLimits {
+        max_bytes: MAX_RESPONSE_BYTES,
+        budget,
+        memory_wait: RESPONSE_MEMORY_WAIT,
+        always_held: SHORT_RESPONSE_BYTES,
+    }
+}
 
 /// Why an attempt gave no response that can be returned to the caller.
 pub(super) enum AttemptError {
@@ -172,7 +190,8 @@
     } = response;
     let (parts, mut body) = inner.into_parts();
     let connection = pooled.connection();
-    let reading = read_body(&mut body, MAX_RESPONSE_BYTES, &node.body_budget, || {
+    let limits = response_limits(&node.response_budget);
+    let reading = read_body(&mut body, &limits, || {
         connection.record_progress();
         wait.record_received();
     });
@@ -228,6 +247,9 @@
     error: &HttpError,
 ) {
     let upstream = &in_flight.upstream;
+    if matches!(error, HttpError::OutOfBudget) {
+        node.record_out_of_memory("response", &request.id, &node.response_budget, None);
+    }
     tracing::info!(call = %request.id, %upstream, %error, "response truncated");
     if error.is_disconnect() && wait.end_by_reset().await {
         node.record_disconnect(upstream, in_flight.lifetime, request, None);
@@ -235,6 +257,7 @@
     let mut state = node.state.borrow_mut();
     match error {
         HttpError::TooLarge => state.loads.record_failure(upstream, node.now()),
+        HttpError::OutOfBudget => {}
         _ => state.loads.record_error_answer(upstream),
     }
 }
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -9,13 +9,15 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::{Request, Response, StatusCode, request};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use shallottide_types::id::{DomainId, ModelId, NodeId, ServiceId, UpstreamId};
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
+use tokio::task::spawn_local;
 
 use super::attempt::{Attempt, AttemptError, Silence};
 use super::call_log::CallLog;
-use super::connection::{HttpError, read_body};
+use super::connection::{BodyLimits, HttpError, read_body};
 use super::node::Node;
 use super::quarantine::Trial;
 use super::relay::{RelayHead, Relayed, refuse_lost};
@@ -39,6 +41,10 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
 
+/// Time for which the rest of a refused body is read: closing the connection at once would reset it, and the
+/// caller might lose the refusal. A body of 4 MB needs 1.7 s on a link of 20 Mbit/s.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A caller's request with its route, and the state of its attempts.
 pub(super) struct Call {
     pub(super) node: Rc<Node>,
@@ -100,7 +106,8 @@
         Err(refusal) => return refuse(node, &head.id, &refusal, Some(&mut log)),
     };
     let mut body = body;
-    let read = read_body(&mut body, max_body_bytes, &node.body_budget, || {});
+    let limits = BodyLimits::new(max_body_bytes, &node.body_budget);
+    let read = read_body(&mut body, &limits, || {});
     let time_left = call.deadline.saturating_duration_since(node.now());
     let read = async {
         tokio::select! {
@@ -112,6 +119,11 @@
         Ok(None) => return refuse(node, &head.id, &refuse_stopping(), Some(&mut log)),
         Ok(Some(Ok(body))) => body,
         Ok(Some(Err(error))) => {
+            if matches!(error, HttpError::OutOfBudget) {
+                let length = body.size_hint().exact().and_then(|n| n.try_into().ok());
+                node.record_out_of_memory("request", &head.id, &node.body_budget, length);
+                spawn_local(discard(body, max_body_bytes));
+            }
             let refusal = refuse_unread_body(&error);
             return refuse(node, &head.id, &refusal, Some(&mut log));
         }
@@ -209,6 +221,21 @@
     refusal.retry_after(RETRY_AFTER_RANGE.0)
 }
 
+/// Reads and drops the rest of a refused body, of at most `max_bytes`.
+async fn discard(mut body: Incoming, max_bytes: usize) {
+    let read = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > max_bytes {
+                return;
+            }
+        }
+    };
+    // After the timeout, hyper closes the connection.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+}
+
 /// Returns the refusal of a request whose body could not be read.
 fn refuse_unread_body(error: &HttpError) -> Refusal {
     match error {
--- a/crates/shallottide_fleet/src/serve/caller_activity.rs
+++ b/crates/shallottide_fleet/src/serve/caller_activity.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::Notify;
 
 use super::node::Node;
 use super::response_body::{ResponseBody, StreamCut};
@@ -34,6 +35,8 @@
     idle_since: Cell<Instant>,
     /// Whether a request has arrived over it.
     was_used: Cell<bool>,
+    /// Notified when its caller does not read the stream that it carries.
+    abandoned: Rc<Notify>,
 }
 
 impl Drop for Activity {
@@ -52,6 +55,7 @@
             exchanges: Cell::new(0),
             idle_since: Cell::new(node.now()),
             was_used: Cell::new(false),
+            abandoned: Rc::default(),
         }
     }
 
@@ -81,6 +85,11 @@
         }
     }
 
+    /// Waits until the stream that the connection carries is given up, as its caller does not read.
+    pub(super) async fn wait_until_abandoned(&self) {
+        self.abandoned.notified().await;
+    }
+
     fn time_until_idle(&self, begin: Instant) -> Duration {
         let limits = caller_limits(&self.node);
         let limit = limits.idle_timeout.max(limits.head_timeout) + IDLE_TIMEOUT_MARGIN;
@@ -97,6 +106,9 @@
 
 impl Exchange {
     pub(super) fn with_body(self, body: ResponseBody) -> ExchangeBody {
+        if let ResponseBody::Events(events) = &body {
+            events.link.set(&self.0.abandoned);
+        }
         ExchangeBody {
             body,
             _exchange: self,
--- a/crates/shallottide_fleet/src/serve/callers.rs
+++ b/crates/shallottide_fleet/src/serve/callers.rs
@@ -89,6 +89,8 @@
         biased;
         result = connection.as_mut() => Some(result),
         _ = phase.wait_for(Phase::is_closing) => None,
+        // Dropping the connection closes it without the last chunk of the stream.
+        () = activity.wait_until_abandoned() => return,
         () = activity.wait_until_idle() => {
             node.metrics.count("caller_connections", "idle");
             tracing::info!(config = node.state.borrow().routes_version, "caller's idle connection closed");
@@ -101,6 +103,7 @@
         connection.as_mut().graceful_shutdown();
         tokio::select! {
             result = connection => result,
+            () = activity.wait_until_abandoned() => return,
             // A head that began to arrive may still be completed.
             () = activity.wait_until_idle() => return,
         }
--- a/crates/shallottide_fleet/src/serve/connection.rs
+++ b/crates/shallottide_fleet/src/serve/connection.rs
@@ -2,13 +2,13 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -16,7 +16,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use super::limited_stream::{LimitedStream, ReadAllowance};
-use crate::byte_budget::ByteBudget;
+use crate::byte_budget::{ByteBudget, Reservation, attach};
 
 /// Time for which sent bytes may stay unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -45,8 +45,8 @@
     /// The response body is larger than the caller of the exchange allows.
     #[error("response body is larger than allowed")]
     TooLarge,
-    /// Bodies in transfer hold all the memory that the node reserves for them.
-    #[error("no memory left for bodies in transfer")]
+    /// The body does not fit into the memory that the node reserves for bodies.
+    #[error("no memory left for bodies")]
     OutOfBudget,
 }
 
@@ -197,9 +197,10 @@
         &self,
         mut body: Incoming,
         max_bytes: usize,
-        budget: &Rc<ByteBudget>,
+        budget: &Arc<ByteBudget>,
     ) -> Result<Bytes, HttpError> {
-        read_body(&mut body, max_bytes, budget, || self.record_progress()).await
+        let limits = BodyLimits::new(max_bytes, budget);
+        read_body(&mut body, &limits, || self.record_progress()).await
     }
 
     /// Sends a request and reads its complete response, with a body of at most `max_bytes`.
@@ -225,28 +226,96 @@
     }
 }
 
-/// Reads a complete body of at most `max_bytes`, as long as the node's budget allows; `read` is called
-/// after each part.
+/// Limits on a body that is read.
+pub(super) struct BodyLimits<'a> {
+    /// In bytes.
+    pub(super) max_bytes: usize,
+    /// Where memory for the body is taken from.
+    pub(super) budget: &'a Arc<ByteBudget>,
+    /// Longest time to wait for memory.
+    pub(super) memory_wait: Duration,
+    /// Length in bytes up to which a body is held even if the budget has no memory for it.
+    pub(super) always_held: usize,
+}
+
+impl<'a> BodyLimits<'a> {
+    /// Creates limits for a body that does not wait for memory.
+    pub(super) fn new(max_bytes: usize, budget: &'a Arc<ByteBudget>) -> Self {
+        Self {
+            max_bytes,
+            budget,
+            memory_wait: Duration::ZERO,
+            always_held: 0,
+        }
+    }
+}
+
+/// Reads a complete body within limits; `read` is called after each part. The memory that it takes is
+/// given back when the last clone or slice of the body is dropped.
+///
+/// A body that announces its length has all of its memory from the start, so that it is refused before
+/// any of it is read, and never takes more than that.
 pub(super) async fn read_body(
     body: &mut Incoming,
-    max_bytes: usize,
-    budget: &Rc<ByteBudget>,
+    limits: &BodyLimits<'_>,
     read: impl Fn(),
 ) -> Result<Bytes, HttpError> {
-    let mut reservation = budget.reserve();
-    let mut bytes = BytesMut::new();
+    let mut buffer = BodyBuffer {
+        bytes: Vec::new(),
+        reservation: limits.budget.reserve(),
+    };
+    if let Some(length) = body.size_hint().exact() {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        buffer.reserve(length, limits).await?;
+    }
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(HttpError::Incomplete)?.into_data() else {
             continue;
         };
-        if bytes.len() + data.len() > max_bytes {
+        buffer.reserve(data.len(), limits).await?;
+        buffer.bytes.extend_from_slice(&data);
+        read();
+    }
+    let BodyBuffer { bytes, reservation } = buffer;
+    Ok(if bytes.is_empty() {
+        Bytes::new()
+    } else {
+        attach(bytes, reservation)
+    })
+}
+
+/// A body that is being read.
+struct BodyBuffer {
+    bytes: Vec<u8>,
+    /// For the capacity of `bytes`.
+    reservation: Reservation,
+}
+
+impl BodyBuffer {
+    /// Makes room for further bytes.
+    async fn reserve(&mut self, bytes: usize, limits: &BodyLimits<'_>) -> Result<(), HttpError> {
+        let length = self.bytes.len().saturating_add(bytes);
+        if length > limits.max_bytes {
             return Err(HttpError::TooLarge);
         }
-        if !reservation.grow(data.len()) {
-            return Err(HttpError::OutOfBudget);
+        let old = self.bytes.capacity();
+        if length <= old {
+            return Ok(());
         }
-        bytes.extend_from_slice(&data);
-        read();
+        let capacity = length.max(old.saturating_mul(2)).min(limits.max_bytes);
+        // While the bytes move, both the old and the new memory are in use.
+        if capacity <= limits.always_held {
+            self.reservation.grow_beyond(capacity);
+        } else {
+            let is_reserved = self.reservation.grow_within(capacity, limits.memory_wait);
+            if !is_reserved.await {
+                return Err(HttpError::OutOfBudget);
+            }
+        }
+        let mut moved = Vec::with_capacity(capacity);
+        moved.extend_from_slice(&self.bytes);
+        self.bytes = moved;
+        self.reservation.shrink(old);
+        Ok(())
     }
-    Ok(bytes.freeze())
 }
--- a/crates/shallottide_fleet/src/serve/metrics.rs
+++ b/crates/shallottide_fleet/src/serve/metrics.rs
@@ -14,6 +14,7 @@
 
 use super::logs;
 use super::node::Node;
+use crate::byte_budget::ByteBudget;
 use crate::upstream_links::LinkState;
 
 /// Quantiles reported for each histogram.
@@ -61,6 +62,28 @@
     }
 }
 
+impl Node {
+    /// Records that a body does not fit into a budget; `kind` is whose body, `needed` its length in bytes
+    /// if it is known.
+    pub(super) fn record_out_of_memory(
+        &self,
+        kind: &str,
+        call: &str,
+        budget: &ByteBudget,
+        needed: Option<usize>,
+    ) {
+        self.metrics.count("out_of_memory", kind);
+        tracing::info!(
+            call,
+            kind,
+            needed_bytes = needed,
+            used_bytes = budget.used(),
+            limit_bytes = budget.limit(),
+            "no memory for body"
+        );
+    }
+}
+
 /// Logs a summary of the node's load and of the age of its view.
 pub(super) fn log_summary(node: &Node) {
     let state = node.state.borrow();
@@ -72,7 +95,9 @@
         calls_in_flight = state.in_flight, upstreams = state.view.upstreams.len(),
         nodes = state.view.nodes.len(), index = %state.view.index, store_age_ms = store_age,
         event_pass_p99_us = events.map(|(p99, _)| p99), events = events.map(|(_, events)| events),
-        lines_dropped = logs::dropped(), "figures"
+        body_bytes = node.body_budget.used(), body_bytes_limit = node.body_budget.limit(),
+        response_bytes = node.response_budget.used(),
+        response_bytes_limit = node.response_budget.limit(), lines_dropped = logs::dropped(), "figures"
     );
 }
 
@@ -110,6 +135,14 @@
     let is_lost = |id: &&ServiceId| state.links.state(id, now) == LinkState::Lost;
     let lost = services.filter(is_lost).count();
     line("links_lost", "", lost.to_string());
+    let budgets = [
+        ("body_bytes", &node.body_budget),
+        ("response_bytes", &node.response_budget),
+    ];
+    for (name, budget) in budgets {
+        line(name, "", budget.used().to_string());
+        line(&format!("{name}_limit"), "", budget.limit().to_string());
+    }
     line("calls_in_flight", "", state.in_flight.to_string());
     line("upstreams", "", state.view.upstreams.len().to_string());
     line("nodes", "", state.view.nodes.len().to_string());
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -39,8 +39,10 @@
 use crate::view::{ClusterView, KnownUpstream};
 use crate::wait_queue::{Ticket, WaitQueue};
 
-/// Part of the VM's memory that bodies in transfer may use, as a divisor.
-const BODY_MEMORY_DIVISOR: usize = 8;
+/// Part of the VM's memory that bodies of calls may use, as a divisor.
+const BODY_MEMORY_DIVISOR: usize = 2;
+/// Part of the VM's memory that responses may use until their callers have read them, as a divisor.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
 /// Housekeeping rounds between two log lines of figures.
 const SUMMARY_ROUNDS: u32 = 10;
 /// Interval at which state about removed upstreams, nodes and connections is dropped.
@@ -151,8 +153,11 @@
     pub(super) relay_connections: RelayConnections,
     /// Services of which no upstream answers this node any more, over new or kept connections.
     pub(super) lost_links: watch::Sender<BTreeSet<ServiceId>>,
-    /// Bytes of bodies that are being read, from callers and upstreams.
-    pub(super) body_budget: Rc<ByteBudget>,
+    /// Bytes of callers' bodies, from their arrival until their calls have ended.
+    pub(super) body_budget: Arc<ByteBudget>,
+    /// Bytes of responses, from their arrival until they are written to their callers' sockets. Apart
+    /// from `body_budget`, so that new calls can't take the memory that running ones need to end.
+    pub(super) response_budget: Arc<ByteBudget>,
     /// The last delta that was sent to a follower.
     pub(super) last_delta: RefCell<Option<EncodedDelta>>,
     pub(super) metrics: Metrics,
@@ -208,6 +213,7 @@
         .build()?;
     let local = LocalSet::new();
     let body_budget = ByteBudget::new(options.memory / BODY_MEMORY_DIVISOR);
+    let response_budget = ByteBudget::new(options.memory / RESPONSE_MEMORY_DIVISOR);
     let state = State {
         departures: Departures::new(options.drain),
         ..State::default()
@@ -221,6 +227,7 @@
         relay_connections: RelayConnections::default(),
         lost_links: watch::Sender::default(),
         body_budget,
+        response_budget,
         last_delta: RefCell::default(),
         metrics: Metrics::default(),
         changed: Notify::new(),
--- a/crates/shallottide_fleet/src/serve/relay.rs
+++ b/crates/shallottide_fleet/src/serve/relay.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes};
 use compact_str::{CompactString, format_compact};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
@@ -14,13 +15,14 @@
 use shallottide_types::id::{ModelId, NodeId, ServiceId};
 use shallottide_types::refusal::{Ran, Refusal, RefusalKind};
 
-use super::attempt::{MAX_RESPONSE_BYTES, SILENCE_FACTOR};
+use super::attempt::{SILENCE_FACTOR, response_limits};
 use super::call::{Call, CallResult};
-use super::connection::read_body;
+use super::connection::{HttpError, read_body};
 use super::node::Node;
 use super::peers::encode;
 use super::response_body::ResponseBody;
 use super::stream_relay::{NextEvents, StreamSource, next_events};
+use crate::byte_budget::{ByteBudget, attach};
 use crate::catalog::Route;
 use crate::event_stream::EventSplitter;
 use crate::prompt_part::PromptPart;
@@ -37,7 +39,7 @@
 const HOP_TIME: Duration = Duration::from_millis(10);
 /// Header of a peer's response that states what it did with the call.
 pub(super) const OUTCOME: HeaderName = HeaderName::from_static("relay-outcome");
-/// Header with the id of the call that a peer's response belongs to.
+/// Header with the id of the relayed call, on the request and on the peer's response to it.
 pub(super) const CALL: HeaderName = HeaderName::from_static("relay-call");
 /// Header with the attempts that were made for the call, by both nodes.
 pub(super) const ATTEMPTS: HeaderName = HeaderName::from_static("relay-attempts");
@@ -100,15 +102,21 @@
 }
 
 impl RelayHead {
-    /// Encodes the version, the length of the head, the head and the call's body.
-    fn encode(&self, body: &Bytes) -> Bytes {
+    /// Encodes the version, the length of the head, the head and the call's body; `None` if the budget
+    /// has no memory for this copy of the body.
+    fn encode(&self, body: &Bytes, budget: &Arc<ByteBudget>) -> Option<Bytes> {
         let head = encode(self);
-        let mut bytes = BytesMut::with_capacity(5 + head.len() + body.len());
+        let length = 5 + head.len() + body.len();
+        let mut reservation = budget.reserve();
+        if !reservation.grow(length) {
+            return None;
+        }
+        let mut bytes = Vec::with_capacity(length);
         bytes.put_u8(RELAY_VERSION);
         bytes.put_u32(u32::try_from(head.len()).unwrap_or(u32::MAX));
         bytes.put_slice(&head);
         bytes.put_slice(body);
-        bytes.freeze()
+        Some(attach(bytes, reservation))
     }
 
     /// Decodes a call and its body; `None` if this version can't read it.
@@ -177,6 +185,8 @@
     CutOff,
     #[error("the peer takes no relayed calls now")]
     Busy,
+    #[error("this node has no memory left to relay the call")]
+    OutOfMemory,
     #[error("the connection to the peer ended")]
     OutcomeUnknown,
 }
@@ -229,9 +239,14 @@
             self.node.metrics.count("relayed", "not_taken");
             tracing::info!(call = %self.request.id, %peer, why = %error, "relayed call refused by peer");
             self.record_relay_error(&peer, error, now);
-            self.tried_peers.push(peer);
             if error != RelayError::OutcomeUnknown {
                 self.attempts -= 1;
+            }
+            if error == RelayError::OutOfMemory {
+                return Relayed::NoPeer;
+            }
+            self.tried_peers.push(peer);
+            if error != RelayError::OutcomeUnknown {
                 continue;
             }
             self.may_have_run = true;
@@ -276,6 +291,7 @@
                 }
             }
             RelayError::Busy => targets.record_busy(peer, now),
+            RelayError::OutOfMemory => {}
         }
     }
 
@@ -295,6 +311,12 @@
             let targets = &mut node.state.borrow_mut().relay_targets;
             targets.of(&self.service).started(peer);
         }
+        let head = self.relay_head(resume_from);
+        let Some(body) = head.encode(&self.request.body, &node.body_budget) else {
+            let needed = self.request.body.len();
+            node.record_out_of_memory("relay", &self.request.id, &node.body_budget, Some(needed));
+            return Err(RelayError::OutOfMemory);
+        };
         node.metrics.count("relayed", "sent");
         tracing::info!(call = %self.request.id, %peer, "call relayed");
         let sender = node.relay_connections.get(address, || node.now()).await;
@@ -302,9 +324,10 @@
         if sender.ready().await.is_err() {
             return Err(RelayError::NotSent);
         }
-        let body = self.relay_head(resume_from).encode(&self.request.body);
         let uri = format_compact!("http://{address}{RELAY_PATH}");
-        let request = Request::post(uri.as_str()).body(Full::new(body));
+        let request = Request::post(uri.as_str())
+            .header(CALL, self.request.id.as_str())
+            .body(Full::new(body));
         let request = request.map_err(|_| RelayError::NotSent)?;
         let sent = sender.try_send_request(request).await;
         let mut inner = sent.map_err(|mut error| {
@@ -391,9 +414,13 @@
             let PeerResponse { inner, guard, .. } = *response;
             let (mut parts, mut body) = inner.into_parts();
             parts.headers.remove(CONTENT_LENGTH);
-            let budget = &self.node.body_budget;
-            let read = read_body(&mut body, MAX_RESPONSE_BYTES, budget, || {}).await;
+            let limits = response_limits(&self.node.response_budget);
+            let read = read_body(&mut body, &limits, || {}).await;
             drop(guard);
+            if matches!(read, Err(HttpError::OutOfBudget)) {
+                let (id, budget) = (&self.request.id, &self.node.response_budget);
+                self.node.record_out_of_memory("response", id, budget, None);
+            }
             if let Ok(body) = read {
                 let mut response = Response::new(ResponseBody::Complete(Some(body)));
                 *response.status_mut() = parts.status;
--- a/crates/shallottide_fleet/src/serve/relay_server.rs
+++ b/crates/shallottide_fleet/src/serve/relay_server.rs
@@ -5,11 +5,11 @@
 
 use compact_str::{CompactString, format_compact};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use shallottide_types::refusal::Ran;
 
 use super::call::{self, AttemptsMade, Refused};
-use super::connection::read_body;
+use super::connection::{BodyLimits, HttpError, read_body};
 use super::node::Node;
 use super::relay::{ATTEMPTS, CALL, OUTCOME, RelayHead, RelayOutcome};
 use super::response_body::ResponseBody;
@@ -51,9 +51,18 @@
         catalog.map_or_else(CallerLimits::default, |catalog| catalog.limits.clone())
     };
     let max_bytes = limits.body_bytes + limits.head_bytes + MAX_HEAD_BYTES;
-    let mut body = request.into_body();
-    let read = read_body(&mut body, max_bytes, &node.body_budget, || {});
+    let (parts, mut body) = request.into_parts();
+    let body_limits = BodyLimits::new(max_bytes, &node.body_budget);
+    let read = read_body(&mut body, &body_limits, || {});
     let read = tokio::time::timeout(READ_TIMEOUT, read).await;
+    // Nodes that don't state the id take the call as one that may have run.
+    let id = parts.headers.get(CALL).and_then(|id| id.to_str().ok());
+    if let (Some(id), Ok(Err(HttpError::OutOfBudget))) = (id, &read) {
+        let length = body.size_hint().exact().and_then(|n| n.try_into().ok());
+        node.record_out_of_memory("relayed", id, &node.body_budget, length);
+        node.metrics.count("relayed", RelayOutcome::Busy.as_str());
+        return mark(empty(), RelayOutcome::Busy, id, 0);
+    }
     let call = read.ok().and_then(Result::ok).and_then(RelayHead::decode);
     let Some((head, body)) = call else {
         tracing::warn!("could not read relayed call");
--- a/crates/shallottide_fleet/src/serve/response_body.rs
+++ b/crates/shallottide_fleet/src/serve/response_body.rs
@@ -1,5 +1,6 @@
 //! Body of a response to a caller.
 
+use std::cell::OnceCell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -7,7 +8,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use super::metrics::EVENT_TRANSIT;
 use super::node::Node;
@@ -24,12 +25,43 @@
     pub(super) received_at: Instant,
 }
 
+/// The caller's connection that carries a stream.
+#[derive(Debug, Default)]
+pub(super) struct CallerLink {
+    /// Notified when the connection must be closed; not set for a peer's connection.
+    abandoned: OnceCell<Rc<Notify>>,
+}
+
+impl CallerLink {
+    /// Sets what closes the connection when it is notified.
+    pub(super) fn set(&self, abandoned: &Rc<Notify>) {
+        // A stream is carried by one connection.
+        let _ = self.abandoned.set(abandoned.clone());
+    }
+
+    /// Closes the connection, with whatever is buffered for it.
+    pub(super) fn abandon(&self) {
+        if let Some(abandoned) = self.abandoned.get() {
+            abandoned.notify_one();
+        }
+    }
+}
+
 /// A complete body, or a stream of events.
 pub(super) enum ResponseBody {
     /// The complete body; `None` once it was taken.
     Complete(Option<Bytes>),
-    /// Events as they arrive, and the node in whose metrics their transit time is recorded.
-    Events(mpsc::Receiver<Result<EventChunk, StreamCut>>, Rc<Node>),
+    /// Events as they arrive.
+    Events(EventBody),
+}
+
+/// Events that were not yet passed on to the caller's connection.
+pub(super) struct EventBody {
+    /// Bounded by the stream's buffer.
+    pub(super) events: mpsc::UnboundedReceiver<Result<EventChunk, StreamCut>>,
+    /// The node in whose metrics their transit time is recorded.
+    pub(super) node: Rc<Node>,
+    pub(super) link: Rc<CallerLink>,
 }
 
 impl Body for ResponseBody {
@@ -42,9 +74,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
         match self.get_mut() {
             Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Events(rx, node) => rx.poll_recv(cx).map(|chunk| {
+            Self::Events(body) => body.events.poll_recv(cx).map(|chunk| {
                 chunk.map(|chunk| {
                     let EventChunk { bytes, received_at } = chunk?;
+                    let node = &body.node;
                     let transit = node.now().saturating_duration_since(received_at);
                     node.metrics.record_duration(EVENT_TRANSIT, transit);
                     Ok(Frame::data(bytes))
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -14,15 +14,18 @@
 use super::call::Call;
 use super::connection::is_disconnect;
 use super::relay::{PeerResponse, Relayed};
-use super::response_body::{EventChunk, ResponseBody, StreamCut};
+use super::response_body::{CallerLink, EventBody, EventChunk, ResponseBody, StreamCut};
 use super::send::{SendError, UpstreamResponse, send};
 use crate::balance::NoPlace;
 use crate::event_numbering::EventNumbering;
 use crate::event_stream::{EventSplitter, WholeEvents};
+use crate::stream_buffer::{CallerStalled, StreamBuffer};
 use crate::upstream_links::LinkState;
 
-/// Chunks buffered for a slow caller before backpressure reaches the upstream.
-const MAX_BUFFERED_CHUNKS: usize = 32;
+/// Time for which a caller may read nothing while its stream's buffer is full and nothing is read from the
+/// upstream. Upstreams cut off responses that stay unread for some seconds; a stream that was cut off so
+/// would count as interrupted and be resumed elsewhere, where it stalls again.
+const CALLER_READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// Stall timeout, as a multiple of the longest gap between events that the route accepts as on time.
 const STALL_TIMEOUT_GAPS: u32 = 3;
 /// Lower bound of the stall timeout.
@@ -173,6 +176,10 @@
     headers: HeaderMap,
     /// Content type of the first upstream's response.
     content_type: Option<HeaderValue>,
+    /// What the caller has not read yet.
+    buffer: StreamBuffer,
+    /// The caller's connection.
+    link: Rc<CallerLink>,
 }
 
 impl StreamRelay {
@@ -187,7 +194,10 @@
             .platform
             .call_format
             .caller_headers(source.headers());
+        let buffer = StreamBuffer::new(call.node.response_budget.clone());
         Self {
+            buffer,
+            link: Rc::default(),
             content_type: source.headers().get(CONTENT_TYPE).cloned(),
             call,
             source: Some(source),
@@ -205,15 +215,20 @@
 
 /// Starts the relay in a task of its own; returns the response that carries the stream.
 pub(super) fn start(mut relay: StreamRelay) -> Response<ResponseBody> {
-    let (tx, rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let mut response = Response::new(ResponseBody::Events(rx, relay.call.node.clone()));
+    // Bounded by the stream's buffer.
+    let (tx, rx) = mpsc::unbounded_channel();
+    let mut response = Response::new(ResponseBody::Events(EventBody {
+        events: rx,
+        node: relay.call.node.clone(),
+        link: relay.link.clone(),
+    }));
     *response.status_mut() = StatusCode::OK;
     *response.headers_mut() = std::mem::take(&mut relay.headers);
     spawn_local(async move { relay.run(tx).await });
     response
 }
 
-type Sender = mpsc::Sender<Result<EventChunk, StreamCut>>;
+type Sender = mpsc::UnboundedSender<Result<EventChunk, StreamCut>>;
 
 impl StreamRelay {
     async fn run(mut self, tx: Sender) {
@@ -234,7 +249,7 @@
                     return;
                 }
                 NextEvents::TimedOut if self.time_left().is_zero() => {
-                    self.cut(ResumeError::DeadlineExceeded, &tx).await;
+                    self.cut(ResumeError::DeadlineExceeded, &tx);
                     return;
                 }
                 NextEvents::TimedOut => {
@@ -255,7 +270,7 @@
                             self.resumed_after = self.last_id;
                         }
                         Err(error) => {
-                            self.cut(error, &tx).await;
+                            self.cut(error, &tx);
                             return;
                         }
                     }
@@ -265,7 +280,7 @@
     }
 
     /// Ends the caller's response before its last event.
-    async fn cut(&mut self, error: ResumeError, tx: &Sender) {
+    fn cut(&mut self, error: ResumeError, tx: &Sender) {
         // Ends the upstream's work while the caller may be slow to read.
         self.source = None;
         let (call, last) = (&self.call.request.id, self.last_id);
@@ -273,7 +288,26 @@
         self.call.node.metrics.count("streams", "cut");
         self.call.log.set_outcome("cut", 200);
         // Sending fails only when the caller has disconnected.
-        let _ = tx.send(Err(StreamCut)).await;
+        let _ = tx.send(Err(StreamCut));
+    }
+
+    /// Ends the response of a caller that does not read, and the upstream's work for it. What the caller
+    /// has not read is dropped with its connection, so the response does not look complete.
+    fn abandon(&mut self, error: CallerStalled, tx: &Sender) {
+        self.source = None;
+        let (call, last, node) = (&self.call.request.id, self.last_id, &self.call.node);
+        let budget = &node.response_budget;
+        tracing::info!(
+            %call, last, why = %error, held_bytes = self.buffer.held(), used_bytes = budget.used(),
+            limit_bytes = budget.limit(),
+            waited_ms = u64::try_from(CALLER_READ_TIMEOUT.as_millis()).unwrap_or(u64::MAX),
+            "stream cut"
+        );
+        node.metrics.count("streams", "caller_stalled");
+        self.call.log.set_outcome("caller_stalled", 200);
+        // Fails only when the caller has disconnected.
+        let _ = tx.send(Err(StreamCut));
+        self.link.abandon();
     }
 
     /// Waits for the next events; the ones that [`Self::replace_silent`] received come first.
@@ -347,7 +381,7 @@
             let call = &self.call.request.id;
             tracing::warn!(%call, last, first, "upstream repeated events: stream cut");
             self.call.log.set_outcome("cut", 200);
-            let _ = tx.send(Err(StreamCut)).await;
+            let _ = tx.send(Err(StreamCut));
             return false;
         }
         self.was_silent = false;
@@ -359,11 +393,22 @@
             response.in_flight.record_stream_progress();
             response.first_event_at.get_or_insert(now);
         }
+        let held = tokio::select! {
+            held = self.buffer.hold(&events.bytes, CALLER_READ_TIMEOUT) => held,
+            () = tx.closed() => return false,
+        };
+        let bytes = match held {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                self.abandon(error, tx);
+                return false;
+            }
+        };
         let chunk = EventChunk {
-            bytes: events.bytes,
+            bytes,
             received_at: now,
         };
-        tx.send(Ok(chunk)).await.is_ok()
+        tx.send(Ok(chunk)).is_ok()
     }
 
     fn finish(&mut self) {
