--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -13,6 +13,9 @@
 //! - [`routes`]: lookup of a request's route and team.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`wait_queue`]: choice of a request's upstream,
 //!   limits on requests, and the queue of waiting requests.
+//! - [`team_shares`], [`team_weights`], [`water_level`]: division of scarce capacity among teams.
+//! - [`return_schedule`], [`return_calendar`], [`return_rate`]: when refused callers should return.
+//! - [`load_keys`], [`decaying_rate`]: keys of counts by kind and team, and rates of recent calls.
 //! - [`upstream_links`]: whether this node itself has lost its links to upstreams.
 //! - [`relay_targets`], [`relay_limit`]: which nodes get the calls of a node without such links, and
 //!   how many.
@@ -39,6 +42,7 @@
 pub mod cooldowns;
 pub mod crash_evidence;
 pub mod crash_trigger;
+pub mod decaying_rate;
 pub mod departures;
 pub mod domain_claims;
 pub mod event_numbering;
@@ -48,6 +52,7 @@
 pub mod held_back_entries;
 pub mod lease_term;
 pub mod lease_validity;
+pub mod load_keys;
 pub mod named_limits;
 pub mod node_entry;
 pub mod options;
@@ -60,16 +65,22 @@
 pub mod request_rate;
 pub mod restored;
 pub mod retry_budget;
+pub mod return_calendar;
+pub mod return_rate;
+pub mod return_schedule;
 pub mod routes;
 pub mod send_window;
 pub mod serve;
 mod service_links;
 
+pub mod team_shares;
+pub mod team_weights;
 pub mod upstream;
 pub mod upstream_links;
 pub mod view;
 pub mod wait_queue;
 pub mod watch_pause;
+pub mod water_level;
 
 pub use node_entry::NodeEntry;
 pub use options::NodeOptions;
