--- a/crates/shallottide_fleet/src/team_shares.rs
+++ b/crates/shallottide_fleet/src/team_shares.rs
@@ -31,8 +31,11 @@
 /// Capacity that is divided, as a multiple of what was admitted. Above 1, as teams that are cut would
 /// otherwise leave capacity unused that nobody notices.
 const HEADROOM: f64 = 1.1;
-/// Increase of this multiple per second without a refusal for want of capacity.
-const HEADROOM_GROWTH: f64 = 2.0;
+/// Time without a refusal for want of capacity from which the multiple grows; at 80 nodes, news of a
+/// refusal takes up to this long.
+const HEADROOM_GROWTH_AFTER: Duration = Duration::from_millis(300);
+/// Increase of the multiple per second after that.
+const HEADROOM_GROWTH: f64 = 3.0;
 /// Least capacity, as a fraction of the demand, so that returning capacity is noticed.
 const MIN_CAPACITY_FRACTION: f64 = 0.05;
 /// Largest credit or debt of a team, in calls; bounds the burst after a pause.
@@ -99,6 +102,18 @@
     last_work: f64,
 }
 
+impl TeamUsage {
+    /// Uses up the credit for the latest call if there is enough, or if the call is allowed anyway.
+    fn take_credit(&mut self, is_free: bool) -> bool {
+        let is_allowed = is_free || self.credit >= self.last_work / 2.0;
+        if is_allowed {
+            let limit = -MAX_CREDIT_CALLS * self.last_work;
+            self.credit = (self.credit - self.last_work).max(limit.min(self.credit));
+        }
+        is_allowed
+    }
+}
+
 /// A team's part of a division, in work per second at the nodes heard.
 #[derive(Debug, Clone, Copy, Default)]
 struct TeamPart {
@@ -200,8 +215,6 @@
     pub fn record_admitted(&mut self, kind: &Kind, team: Option<&str>, work: f64, now: Instant) {
         let usage = self.usage(KindKey::of(kind), TeamKey::of(team), work);
         usage.admitted.add(work, now);
-        let limit = -MAX_CREDIT_CALLS * work;
-        usage.credit = (usage.credit - work).max(limit.min(usage.credit));
     }
 
     /// Records a call that was refused as no upstream had room, rather than by a decision on shares.
@@ -209,20 +222,22 @@
         self.kinds.entry(KindKey::of(kind)).or_default().refused_at = Some(now);
     }
 
-    /// Returns whether the team's latest call may take capacity.
+    /// Decides whether the team's latest call may take capacity.
     ///
-    /// A call that waits may ask repeatedly.
+    /// It is asked once for each call, right after the arrival: a call that is allowed uses up credit,
+    /// whether or not an upstream then has room. Otherwise, teams would gather credit from refusals for
+    /// want of capacity, and no cut would hold.
     pub fn decide(&mut self, kind: &Kind, team: Option<&str>, now: Instant) -> ShareDecision {
         let (kind, team) = (KindKey::of(kind), TeamKey::of(team));
         let is_scarce = self.is_scarce(kind, now);
-        let usage = self.kinds.get(&kind).and_then(|kind| kind.teams.get(&team));
-        let has_credit = usage.is_none_or(|usage| usage.credit >= usage.last_work / 2.0);
+        let usage = (self.kinds.get_mut(&kind)).and_then(|kind| kind.teams.get_mut(&team));
+        let is_allowed = usage.is_none_or(|usage| usage.take_credit(!is_scarce));
         let node_count = self.node_count;
         let division = self.division(kind, now);
         let part = division.parts.get(&team).copied().unwrap_or_default();
         let scale = scale(node_count, division.nodes_heard);
         ShareDecision {
-            is_allowed: !is_scarce || has_credit,
+            is_allowed,
             is_scarce,
             share: part.demand * part.fraction * scale,
             usage: part.usage * scale,
@@ -364,7 +379,10 @@
         let demand: f64 = parts.values().map(|part| part.demand).sum();
         let admitted: f64 = parts.values().map(|part| part.usage).sum();
         let since = state.and_then(|state| state.scarce_since(now));
-        let headroom = HEADROOM + HEADROOM_GROWTH * since.unwrap_or_default().as_secs_f64();
+        let growth_time = since
+            .unwrap_or_default()
+            .saturating_sub(HEADROOM_GROWTH_AFTER);
+        let headroom = HEADROOM + HEADROOM_GROWTH * growth_time.as_secs_f64();
         let capacity = (admitted * headroom).max(demand * MIN_CAPACITY_FRACTION);
         let demands = parts.iter().map(|(team, part)| TeamDemand {
             demand: part.demand,
