--- a/crates/shallottide_fleet/src/return_rate.rs
+++ b/crates/shallottide_fleet/src/return_rate.rs
@@ -24,6 +24,13 @@
 const MIN_FRACTION: f64 = 0.02;
 /// Fraction by which the highest admitted rate falls per second.
 const PEAK_DECAY: f64 = 0.02;
+/// Window of the capacity that was seen during shortages; spans some waves of the load.
+const CAPACITY: Duration = Duration::from_secs(20);
+/// Weight of the highest admitted rate in the capacity, as seconds of shortage. Alone, it would be too
+/// high by half at 5 calls per second.
+const PEAK_SECONDS: f64 = 0.2;
+/// Shortest mean length of shortages that is assumed.
+const MIN_SHORTAGE: Duration = Duration::from_millis(300);
 
 /// What a node knows of the capacity for returning callers of one kind, in calls per second.
 #[derive(Debug, Clone)]
@@ -39,6 +46,12 @@
     /// Highest recent admitted rate, and when it was updated.
     peak: f64,
     peak_at: Option<Instant>,
+    /// Calls admitted during shortages, and the seconds that these lasted. What is admitted while others
+    /// are refused is the whole capacity.
+    short_admitted: DecayingRate,
+    short_time: DecayingRate,
+    /// Calls admitted since the latest refusal.
+    admitted_since: f64,
     /// The latest two refusals, as the latest is that of the caller who gets a booking.
     refused_at: [Option<Instant>; 2],
     /// Start of the present shortage, or of the latest one.
@@ -57,6 +70,9 @@
             since: None,
             peak: 0.0,
             peak_at: None,
+            short_admitted: DecayingRate::new(CAPACITY),
+            short_time: DecayingRate::new(CAPACITY),
+            admitted_since: 0.0,
             refused_at: [None; 2],
             shortage_start: None,
             shortage_length: INITIAL_SHORTAGE,
@@ -78,6 +94,7 @@
         self.admitted.add(1.0, now);
         self.peak = self.peak_rate(now).max(self.admitted.per_second(now));
         self.peak_at = Some(now);
+        self.admitted_since += 1.0;
     }
 
     /// Records a caller that came back.
@@ -101,7 +118,11 @@
                 self.shortage_length = mean + length.min(USUAL).mul_f64(SHORTAGE_WEIGHT);
             }
             self.shortage_start = Some(now);
+        } else if let Some(gap) = gap {
+            self.short_admitted.add(self.admitted_since, now);
+            self.short_time.add(gap.as_secs_f64(), now);
         }
+        self.admitted_since = 0.0;
         self.refused_at = [Some(now), latest];
     }
 
@@ -131,12 +152,12 @@
     /// Returns the rate at which returning callers can be admitted after a delay.
     ///
     /// The shortage is expected to have ended by then with a probability that grows with the delay.
-    /// After it, the highest recent rate is available, less the usual new callers.
+    /// After it, the capacity seen in shortages is available, less the usual new callers.
     #[must_use]
     pub fn expected(&self, delay: Duration, now: Instant) -> f64 {
         let present = self.present(now);
-        let later = (self.peak_rate(now) - self.usual_arrivals(now)).max(present);
-        let length = self.shortage_length.max(RECENT);
+        let later = (self.capacity(now) - self.usual_arrivals(now)).max(present);
+        let length = self.shortage_length.max(MIN_SHORTAGE);
         let lasts = (-delay.div_duration_f64(length)).exp();
         present * lasts + later * (1.0 - lasts)
     }
@@ -148,6 +169,11 @@
         sums.iter().all(|rate| rate.sum(now) < MIN_FRACTION)
     }
 
+    fn capacity(&self, now: Instant) -> f64 {
+        let admitted = self.short_admitted.sum(now) + self.peak_rate(now) * PEAK_SECONDS;
+        admitted / (self.short_time.sum(now) + PEAK_SECONDS)
+    }
+
     fn peak_rate(&self, now: Instant) -> f64 {
         let age = self.peak_at.map(|at| now.saturating_duration_since(at));
         let age = age.unwrap_or_default().as_secs_f64();
--- a/crates/shallottide_fleet/src/return_schedule.rs
+++ b/crates/shallottide_fleet/src/return_schedule.rs
@@ -20,9 +20,9 @@
 const WAIT_DIVISOR: u32 = 3;
 /// Least range over which returns are spread while capacity is plentiful.
 const PLENTIFUL_SPREAD: Duration = Duration::from_millis(100);
-/// Buckets whose expected rate is below this fraction of the highest one in range are not used during a
-/// shortage.
-const MIN_RELATIVE_RATE: f64 = 0.8;
+/// Least rates of the buckets that are used during a shortage, as fractions of the highest one in range;
+/// a later fraction is used if nothing fits with the earlier ones.
+const MIN_RELATIVE_RATES: [f64; 2] = [0.7, 0.3];
 /// Part of the range, at its end, over which callers are spread that are not expected to fit.
 const OVERFLOW_RANGE: f64 = 0.5;
 
@@ -190,13 +190,15 @@
     draw: f64,
 ) -> Option<Candidate> {
     let highest = candidates.iter().map(|c| c.rate).fold(0.0, f64::max);
-    let is_used = |candidate: &Candidate| candidate.rate >= MIN_RELATIVE_RATE * highest;
-    let fitting: Vec<_> = (0..candidates.len())
-        .filter(|&index| is_used(&candidates[index]) && fits(candidates, calendar, index, draw))
-        .collect();
     let rank = usize::try_from(urgency_rank.min(8)).unwrap_or(8);
-    let index = fitting.len() * rank / (rank + 2);
-    fitting.get(index).map(|&index| candidates[index])
+    MIN_RELATIVE_RATES.iter().find_map(|relative| {
+        let fitting: Vec<_> = (0..candidates.len())
+            .filter(|&index| candidates[index].rate >= relative * highest)
+            .filter(|&index| fits(candidates, calendar, index, draw))
+            .collect();
+        let index = fitting.len() * rank / (rank + 2);
+        fitting.get(index).map(|&index| candidates[index])
+    })
 }
 
 /// Returns whether the buckets around one have room for another booking.
--- a/crates/shallottide_fleet/src/team_shares.rs
+++ b/crates/shallottide_fleet/src/team_shares.rs
@@ -26,16 +26,14 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Time for which a division is used before it is computed again.
 const DIVISION_LIFETIME: Duration = Duration::from_millis(50);
-/// Entries in one report: at most 16 * 26 bytes.
+/// Entries in one report; each has at most 30 bytes.
 pub const MAX_REPORTED: usize = 16;
 /// Capacity that is divided, as a multiple of what was admitted. Above 1, as teams that are cut would
 /// otherwise leave capacity unused that nobody notices.
 const HEADROOM: f64 = 1.1;
-/// Time without a refusal for want of capacity from which the multiple grows; at 80 nodes, news of a
-/// refusal takes up to this long.
-const HEADROOM_GROWTH_AFTER: Duration = Duration::from_millis(300);
-/// Increase of the multiple per second after that.
-const HEADROOM_GROWTH: f64 = 3.0;
+/// Increase of this multiple for each unit by which the fraction refused for want of capacity is below
+/// the one that the headroom causes while capacity is used up.
+const HEADROOM_GAIN: f64 = 10.0;
 /// Least capacity, as a fraction of the demand, so that returning capacity is noticed.
 const MIN_CAPACITY_FRACTION: f64 = 0.05;
 /// Largest credit or debt of a team, in calls; bounds the burst after a pause.
@@ -56,6 +54,8 @@
     pub arrived: f32,
     /// Work that was admitted, per second.
     pub admitted: f32,
+    /// Work of this kind, of all teams, that the node refused for want of capacity, per second.
+    pub refused: f32,
     /// How many milliseconds ago the node last refused a call of this kind for want of capacity;
     /// `None` if not within the last second.
     pub refused_ms_ago: Option<u16>,
@@ -63,7 +63,7 @@
 
 impl TeamUsageReport {
     fn is_valid(&self) -> bool {
-        [self.arrived, self.admitted]
+        [self.arrived, self.admitted, self.refused]
             .iter()
             .all(|rate| rate.is_finite() && *rate >= 0.0)
     }
@@ -132,16 +132,33 @@
     nodes_heard: usize,
 }
 
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct KindState {
     teams: BTreeMap<TeamKey, TeamUsage>,
+    /// Work of calls that this node refused for want of capacity, by the work of the latest arrival.
+    refused: DecayingRate,
     /// When this node last refused a call for want of capacity.
     refused_at: Option<Instant>,
+    /// Work of the latest arrival of any team.
+    last_work: f64,
     /// When a peer last did, by its report.
     peer_refused_at: Option<Instant>,
     division: Option<Division>,
 }
 
+impl Default for KindState {
+    fn default() -> Self {
+        Self {
+            teams: BTreeMap::new(),
+            refused: DecayingRate::new(RATE_WINDOW),
+            refused_at: None,
+            last_work: 0.0,
+            peer_refused_at: None,
+            division: None,
+        }
+    }
+}
+
 impl KindState {
     /// Returns the time since the last refusal that was heard of, while the kind is scarce.
     fn scarce_since(&self, now: Instant) -> Option<Duration> {
@@ -209,6 +226,7 @@
         usage.last_work = work;
         let limit = MAX_CREDIT_CALLS * work;
         usage.credit = (usage.credit + fraction * work).min(limit.max(usage.credit));
+        self.kinds.entry(kind).or_default().last_work = work;
     }
 
     /// Records a call that took capacity.
@@ -219,7 +237,9 @@
 
     /// Records a call that was refused as no upstream had room, rather than by a decision on shares.
     pub fn record_refused_for_room(&mut self, kind: &Kind, now: Instant) {
-        self.kinds.entry(KindKey::of(kind)).or_default().refused_at = Some(now);
+        let state = self.kinds.entry(KindKey::of(kind)).or_default();
+        state.refused_at = Some(now);
+        state.refused.add(state.last_work, now);
     }
 
     /// Decides whether the team's latest call may take capacity.
@@ -268,6 +288,7 @@
                 team,
                 arrived: to_f32(arrived),
                 admitted: to_f32(admitted),
+                refused: to_f32(state.refused.per_second(now)),
                 refused_ms_ago: refused,
             };
             entries.extend(state.teams.iter().filter_map(|(team, usage)| {
@@ -378,11 +399,15 @@
         }
         let demand: f64 = parts.values().map(|part| part.demand).sum();
         let admitted: f64 = parts.values().map(|part| part.usage).sum();
-        let since = state.and_then(|state| state.scarce_since(now));
-        let growth_time = since
-            .unwrap_or_default()
-            .saturating_sub(HEADROOM_GROWTH_AFTER);
-        let headroom = HEADROOM + HEADROOM_GROWTH * growth_time.as_secs_f64();
+        let peers_refused = peers.iter().filter_map(|peer| {
+            let entry = peer.entries.iter().find(|entry| entry.kind == kind);
+            entry.map(|entry| f64::from(entry.refused))
+        });
+        let own_refused = state.map_or(0.0, |state| state.refused.per_second(now));
+        let refused = own_refused + peers_refused.sum::<f64>();
+        let refused_fraction = refused / (admitted + refused).max(NEGLIGIBLE_RATE);
+        let unused = (1.0 - 1.0 / HEADROOM - refused_fraction).max(0.0);
+        let headroom = HEADROOM + HEADROOM_GAIN * unused;
         let capacity = (admitted * headroom).max(demand * MIN_CAPACITY_FRACTION);
         let demands = parts.iter().map(|(team, part)| TeamDemand {
             demand: part.demand,
