--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -13,7 +13,8 @@
 //! - [`routes`]: lookup of a request's route and team.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`wait_queue`]: choice of a request's upstream,
 //!   limits on requests, and the queue of waiting requests.
-//! - [`team_shares`], [`team_weights`], [`water_level`]: division of scarce capacity among teams.
+//! - [`team_shares`], [`team_division`], [`team_usage_report`], [`team_weights`], [`water_level`]:
+//!   division of scarce capacity among teams.
 //! - [`return_schedule`], [`return_calendar`], [`return_rate`]: when refused callers should return.
 //! - [`load_keys`], [`decaying_rate`]: keys of counts by kind and team, and rates of recent calls.
 //! - [`upstream_links`]: whether this node itself has lost its links to upstreams.
@@ -72,8 +73,9 @@
 pub mod send_window;
 pub mod serve;
 mod service_links;
-
+pub mod team_division;
 pub mod team_shares;
+pub mod team_usage_report;
 pub mod team_weights;
 pub mod upstream;
 pub mod upstream_links;
--- a/crates/shallottide_fleet/src/return_schedule.rs
+++ b/crates/shallottide_fleet/src/return_schedule.rs
@@ -111,7 +111,11 @@
     ) -> Booking {
         let KindSchedule { rate, calendar } = self.kind(kind);
         calendar.advance(now);
-        let draw = draw.clamp(0.0, 1.0);
+        let draw = if draw.is_nan() {
+            0.5
+        } else {
+            draw.clamp(0.0, 1.0)
+        };
         let latest = (time_left / WAIT_DIVISOR).min(MAX_RETRY_AFTER);
         if latest < MIN_RETRY_AFTER {
             return Booking {
--- /dev/null
+++ b/crates/shallottide_fleet/src/team_division.rs
@@ -0,0 +1,105 @@
+//! Division of the capacity for a kind of call among the teams that nodes reported.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::load_keys::TeamKey;
+use crate::team_weights::TeamWeights;
+use crate::water_level::{TeamDemand, served_fractions};
+
+/// Capacity that is divided, as a multiple of what was admitted. Above 1, as teams that are cut would
+/// otherwise leave capacity unused that nobody notices.
+const HEADROOM: f64 = 1.1;
+/// Increase of this multiple for each unit by which the fraction refused for want of capacity is below
+/// the one that the headroom causes while capacity is used up.
+const HEADROOM_GAIN: f64 = 10.0;
+/// Least capacity, as a fraction of the demand, so that returning capacity is noticed.
+const MIN_CAPACITY_FRACTION: f64 = 0.05;
+/// Rate, in work per second, that counts as none.
+const NEGLIGIBLE_RATE: f64 = 1e-3;
+
+/// A team's part of a division, in work per second at the nodes heard.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TeamPart {
+    /// What arrived.
+    pub demand: f64,
+    /// What was admitted.
+    pub usage: f64,
+    /// Fraction of the demand that the team is granted, from 0 to 1.
+    pub fraction: f64,
+}
+
+/// Sums of what nodes counted of one kind of call, in work per second.
+#[derive(Debug, Clone, Default)]
+pub struct UsageTotals {
+    teams: BTreeMap<TeamKey, TeamPart>,
+    refused: f64,
+    peers: usize,
+}
+
+impl UsageTotals {
+    /// Adds what a node counted of a team.
+    pub fn add(&mut self, team: TeamKey, arrived: f64, admitted: f64) {
+        let part = self.teams.entry(team).or_default();
+        part.demand += arrived;
+        part.usage += admitted;
+    }
+
+    /// Adds what a node refused for want of capacity, of all teams.
+    pub fn add_refused(&mut self, refused: f64) {
+        self.refused += refused;
+    }
+
+    /// Counts a peer as heard.
+    pub fn add_peer(&mut self) {
+        self.peers += 1;
+    }
+
+    /// Divides the capacity, as estimated from what was admitted and refused, among the teams.
+    #[must_use]
+    pub fn divide(self, weights: &TeamWeights, now: Instant) -> TeamDivision {
+        let mut parts = self.teams;
+        let demand: f64 = parts.values().map(|part| part.demand).sum();
+        let admitted: f64 = parts.values().map(|part| part.usage).sum();
+        let refused_fraction = self.refused / (admitted + self.refused).max(NEGLIGIBLE_RATE);
+        let unused = (1.0 - 1.0 / HEADROOM - refused_fraction).max(0.0);
+        let headroom = HEADROOM + HEADROOM_GAIN * unused;
+        let capacity = (admitted * headroom).max(demand * MIN_CAPACITY_FRACTION);
+        let demands = parts.iter().map(|(team, part)| TeamDemand {
+            demand: part.demand,
+            weight: weights.weight(*team),
+        });
+        let fractions = served_fractions(&demands.collect::<Vec<_>>(), capacity);
+        for (part, fraction) in parts.values_mut().zip(fractions) {
+            part.fraction = fraction;
+        }
+        TeamDivision {
+            at: now,
+            parts,
+            capacity,
+            nodes_heard: self.peers + 1,
+        }
+    }
+}
+
+/// Division of a kind's capacity among the known teams.
+#[derive(Debug, Clone)]
+pub struct TeamDivision {
+    /// When it was computed.
+    pub at: Instant,
+    /// The teams' parts; a team that is not in it is new and granted all of its demand.
+    pub parts: BTreeMap<TeamKey, TeamPart>,
+    /// Capacity that was divided, in work per second at the nodes heard.
+    pub capacity: f64,
+    /// Nodes whose counts were used, with this one.
+    pub nodes_heard: usize,
+}
+
+impl TeamDivision {
+    /// Returns the factor from the nodes heard to all nodes.
+    #[must_use]
+    pub fn scale(&self, nodes: usize) -> f64 {
+        let number = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        number(nodes.max(self.nodes_heard)) / number(self.nodes_heard.max(1))
+    }
+}
--- a/crates/shallottide_fleet/src/team_shares.rs
+++ b/crates/shallottide_fleet/src/team_shares.rs
@@ -9,14 +9,14 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
 use shallottide_types::id::NodeId;
 use shallottide_types::rendezvous::weight;
 
 use crate::decaying_rate::DecayingRate;
 use crate::load_keys::{Kind, KindKey, TeamKey};
+use crate::team_division::{TeamDivision, UsageTotals};
+use crate::team_usage_report::{MAX_REPORTED, TeamUsageReport};
 use crate::team_weights::TeamWeights;
-use crate::water_level::{TeamDemand, served_fractions};
 
 /// Window of the rates; unused shares are lent and reclaimed within about this time.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -26,49 +26,11 @@
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Time for which a division is used before it is computed again.
 const DIVISION_LIFETIME: Duration = Duration::from_millis(50);
-/// Entries in one report; each has at most 30 bytes.
-pub const MAX_REPORTED: usize = 16;
-/// Capacity that is divided, as a multiple of what was admitted. Above 1, as teams that are cut would
-/// otherwise leave capacity unused that nobody notices.
-const HEADROOM: f64 = 1.1;
-/// Increase of this multiple for each unit by which the fraction refused for want of capacity is below
-/// the one that the headroom causes while capacity is used up.
-const HEADROOM_GAIN: f64 = 10.0;
-/// Least capacity, as a fraction of the demand, so that returning capacity is noticed.
-const MIN_CAPACITY_FRACTION: f64 = 0.05;
 /// Largest credit or debt of a team, in calls; bounds the burst after a pause.
 const MAX_CREDIT_CALLS: f64 = 2.0;
 /// Rate, in work per second, below which counts are dropped.
 const NEGLIGIBLE_RATE: f64 = 1e-3;
 
-/// One team's usage of a kind at a node.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct TeamUsageReport {
-    /// Number of the report; the same in all its entries, and higher in later reports of a node.
-    pub number: u32,
-    /// The kind of the calls.
-    pub kind: KindKey,
-    /// The team.
-    pub team: TeamKey,
-    /// Work that arrived, per second.
-    pub arrived: f32,
-    /// Work that was admitted, per second.
-    pub admitted: f32,
-    /// Work of this kind, of all teams, that the node refused for want of capacity, per second.
-    pub refused: f32,
-    /// How many milliseconds ago the node last refused a call of this kind for want of capacity;
-    /// `None` if not within the last second.
-    pub refused_ms_ago: Option<u16>,
-}
-
-impl TeamUsageReport {
-    fn is_valid(&self) -> bool {
-        [self.arrived, self.admitted, self.refused]
-            .iter()
-            .all(|rate| rate.is_finite() && *rate >= 0.0)
-    }
-}
-
 /// Whether a call may take capacity, and why.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShareDecision {
@@ -114,24 +76,6 @@
     }
 }
 
-/// A team's part of a division, in work per second at the nodes heard.
-#[derive(Debug, Clone, Copy, Default)]
-struct TeamPart {
-    demand: f64,
-    usage: f64,
-    fraction: f64,
-}
-
-/// Division of a kind's capacity among the known teams.
-#[derive(Debug, Clone)]
-struct Division {
-    at: Instant,
-    parts: BTreeMap<TeamKey, TeamPart>,
-    /// In work per second at the nodes heard.
-    capacity: f64,
-    nodes_heard: usize,
-}
-
 #[derive(Debug, Clone)]
 struct KindState {
     teams: BTreeMap<TeamKey, TeamUsage>,
@@ -139,11 +83,11 @@
     refused: DecayingRate,
     /// When this node last refused a call for want of capacity.
     refused_at: Option<Instant>,
-    /// Work of the latest arrival of any team.
-    last_work: f64,
     /// When a peer last did, by its report.
     peer_refused_at: Option<Instant>,
-    division: Option<Division>,
+    /// Work of the latest arrival of any team.
+    last_work: f64,
+    division: Option<TeamDivision>,
 }
 
 impl Default for KindState {
@@ -255,7 +199,7 @@
         let node_count = self.node_count;
         let division = self.division(kind, now);
         let part = division.parts.get(&team).copied().unwrap_or_default();
-        let scale = scale(node_count, division.nodes_heard);
+        let scale = division.scale(node_count);
         ShareDecision {
             is_allowed,
             is_scarce,
@@ -286,9 +230,9 @@
                 number,
                 kind: *kind,
                 team,
-                arrived: to_f32(arrived),
-                admitted: to_f32(admitted),
-                refused: to_f32(state.refused.per_second(now)),
+                arrived: encode_rate(arrived),
+                admitted: encode_rate(admitted),
+                refused: encode_rate(state.refused.per_second(now)),
                 refused_ms_ago: refused,
             };
             entries.extend(state.teams.iter().filter_map(|(team, usage)| {
@@ -369,73 +313,46 @@
     }
 
     /// Returns the division of a kind, computed again if it is too old.
-    fn division(&mut self, kind: KindKey, now: Instant) -> &Division {
+    fn division(&mut self, kind: KindKey, now: Instant) -> &TeamDivision {
         let known = self.kinds.get_mut(&kind).and_then(|s| s.division.take());
-        let is_recent =
-            |division: &Division| now.saturating_duration_since(division.at) < DIVISION_LIFETIME;
+        let is_recent = |division: &TeamDivision| {
+            now.saturating_duration_since(division.at) < DIVISION_LIFETIME
+        };
         let division = known.filter(is_recent);
         let division = division.unwrap_or_else(|| self.compute(kind, now));
         let state = self.kinds.entry(kind).or_default();
         state.division.insert(division)
     }
 
-    fn compute(&self, kind: KindKey, now: Instant) -> Division {
-        let mut parts: BTreeMap<TeamKey, TeamPart> = BTreeMap::new();
-        let mut add = |team: TeamKey, arrived: f64, admitted: f64| {
-            let part = parts.entry(team).or_default();
-            part.demand += arrived;
-            part.usage += admitted;
-        };
-        let state = self.kinds.get(&kind);
-        for (team, usage) in state.iter().flat_map(|state| &state.teams) {
-            let (arrived, admitted) = (&usage.arrived, &usage.admitted);
-            add(*team, arrived.per_second(now), admitted.per_second(now));
-        }
+    fn compute(&self, kind: KindKey, now: Instant) -> TeamDivision {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < REPORT_LIFETIME;
-        let peers: Vec<_> = (self.peers.values().filter(|peer| is_recent(peer.at))).collect();
-        let entries = peers.iter().flat_map(|peer| &peer.entries);
-        for entry in entries.filter(|entry| entry.kind == kind) {
-            add(entry.team, entry.arrived.into(), entry.admitted.into());
-        }
-        let demand: f64 = parts.values().map(|part| part.demand).sum();
-        let admitted: f64 = parts.values().map(|part| part.usage).sum();
-        let peers_refused = peers.iter().filter_map(|peer| {
-            let entry = peer.entries.iter().find(|entry| entry.kind == kind);
-            entry.map(|entry| f64::from(entry.refused))
-        });
-        let own_refused = state.map_or(0.0, |state| state.refused.per_second(now));
-        let refused = own_refused + peers_refused.sum::<f64>();
-        let refused_fraction = refused / (admitted + refused).max(NEGLIGIBLE_RATE);
-        let unused = (1.0 - 1.0 / HEADROOM - refused_fraction).max(0.0);
-        let headroom = HEADROOM + HEADROOM_GAIN * unused;
-        let capacity = (admitted * headroom).max(demand * MIN_CAPACITY_FRACTION);
-        let demands = parts.iter().map(|(team, part)| TeamDemand {
-            demand: part.demand,
-            weight: self.weights.weight(*team),
-        });
-        let fractions = served_fractions(&demands.collect::<Vec<_>>(), capacity);
-        for (part, fraction) in parts.values_mut().zip(fractions) {
-            part.fraction = fraction;
+        let mut totals = UsageTotals::default();
+        if let Some(state) = self.kinds.get(&kind) {
+            totals.add_refused(state.refused.per_second(now));
+            for (team, usage) in &state.teams {
+                let (arrived, admitted) = (&usage.arrived, &usage.admitted);
+                totals.add(*team, arrived.per_second(now), admitted.per_second(now));
+            }
         }
-        Division {
-            at: now,
-            parts,
-            capacity,
-            nodes_heard: peers.len() + 1,
+        for peer in self.peers.values().filter(|peer| is_recent(peer.at)) {
+            totals.add_peer();
+            let entries = peer.entries.iter().filter(|entry| entry.kind == kind);
+            // Each entry of a kind names the refusals of the whole kind.
+            if let Some(first) = entries.clone().next() {
+                totals.add_refused(first.refused.into());
+            }
+            for entry in entries {
+                totals.add(entry.team, entry.arrived.into(), entry.admitted.into());
+            }
         }
+        totals.divide(&self.weights, now)
     }
 }
 
-/// Returns the factor from the nodes heard to all nodes.
-fn scale(nodes: usize, heard: usize) -> f64 {
-    let number = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-    number(nodes.max(heard)) / number(heard.max(1))
-}
-
 #[allow(
     clippy::cast_possible_truncation,
     reason = "reports need no more than the precision of f32"
 )]
-fn to_f32(rate: f64) -> f32 {
+fn encode_rate(rate: f64) -> f32 {
     rate as f32
 }
