--- a/crates/shallottide_fleet/src/return_schedule.rs
+++ b/crates/shallottide_fleet/src/return_schedule.rs
@@ -126,7 +126,7 @@
             };
         }
         let (retry_after, is_expected_to_fit) = if rate.is_plentiful(now) {
-            let spread = PLENTIFUL_SPREAD.min(latest - MIN_RETRY_AFTER);
+            let spread = PLENTIFUL_SPREAD.min(latest.saturating_sub(MIN_RETRY_AFTER));
             (MIN_RETRY_AFTER + spread.mul_f64(draw), true)
         } else {
             let candidates = candidates(rate, calendar, latest, now);
--- a/crates/shallottide_fleet/src/team_division.rs
+++ b/crates/shallottide_fleet/src/team_division.rs
@@ -12,9 +12,10 @@
 const HEADROOM: f64 = 1.1;
 /// Increase of this multiple for each unit by which the fraction refused for want of capacity is below
 /// the one that the headroom causes while capacity is used up.
-const HEADROOM_GAIN: f64 = 10.0;
-/// Least capacity, as a fraction of the demand, so that returning capacity is noticed.
-const MIN_CAPACITY_FRACTION: f64 = 0.05;
+const HEADROOM_GAIN: f64 = 20.0;
+/// Part of the demand that is added to the capacity. Returning capacity is noticed by it, and nodes
+/// that do not hear of each other and serve different fractions move towards the same one.
+const PROBED_FRACTION: f64 = 0.03;
 /// Rate, in work per second, that counts as none.
 const NEGLIGIBLE_RATE: f64 = 1e-3;
 
@@ -64,7 +65,7 @@
         let refused_fraction = self.refused / (admitted + self.refused).max(NEGLIGIBLE_RATE);
         let unused = (1.0 - 1.0 / HEADROOM - refused_fraction).max(0.0);
         let headroom = HEADROOM + HEADROOM_GAIN * unused;
-        let capacity = (admitted * headroom).max(demand * MIN_CAPACITY_FRACTION);
+        let capacity = admitted * headroom + demand * PROBED_FRACTION;
         let demands = parts.iter().map(|(team, part)| TeamDemand {
             demand: part.demand,
             weight: weights.weight(*team),
--- a/crates/shallottide_fleet/src/team_shares.rs
+++ b/crates/shallottide_fleet/src/team_shares.rs
@@ -20,12 +20,15 @@
 
 /// Window of the rates; unused shares are lent and reclaimed within about this time.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Window of the rate of refusals for want of capacity; shorter, as capacity that is unused shows in it
+/// first.
+const REFUSAL_WINDOW: Duration = Duration::from_millis(500);
 /// Time after a refusal for want of capacity for which a kind is scarce.
 const SCARCE_TIME: Duration = Duration::from_secs(1);
 /// Time for which a peer's report counts.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Time for which a division is used before it is computed again.
-const DIVISION_LIFETIME: Duration = Duration::from_millis(50);
+const DIVISION_LIFETIME: Duration = Duration::from_millis(100);
 /// Largest credit or debt of a team, in calls; bounds the burst after a pause.
 const MAX_CREDIT_CALLS: f64 = 2.0;
 /// Rate, in work per second, below which counts are dropped.
@@ -94,7 +97,7 @@
     fn default() -> Self {
         Self {
             teams: BTreeMap::new(),
-            refused: DecayingRate::new(RATE_WINDOW),
+            refused: DecayingRate::new(REFUSAL_WINDOW),
             refused_at: None,
             last_work: 0.0,
             peer_refused_at: None,
--- a/crates/shallottide_fleet/tests/return_schedule.rs
+++ b/crates/shallottide_fleet/tests/return_schedule.rs
@@ -1,5 +1,7 @@
 //! Times at which refused callers return, and how many of them are refused again.
 
+mod support;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::{Duration, Instant};
@@ -9,16 +11,10 @@
 use shallottide_fleet::load_keys::Kind;
 use shallottide_fleet::return_schedule::{Booking, MIN_RETRY_AFTER, ReturnSchedule};
 use shallottide_types::cases;
+use support::{id, ms};
 
 fn kind() -> Kind {
-    (
-        "answers".parse().expect("an id"),
-        "small".parse().expect("an id"),
-    )
-}
-
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
+    (id("answers"), id("small"))
 }
 
 /// A closed loop of callers that return once, and upstreams that admit `capacity` calls per second.
@@ -46,7 +42,7 @@
 /// remaining time.
 fn earlier_policy(time_left: Duration, draw: f64) -> Duration {
     let max = ms(1_200).min(time_left / 4).max(MIN_RETRY_AFTER);
-    MIN_RETRY_AFTER + (max - MIN_RETRY_AFTER).mul_f64(draw)
+    MIN_RETRY_AFTER + max.saturating_sub(MIN_RETRY_AFTER).mul_f64(draw)
 }
 
 const TICK: Duration = Duration::from_millis(10);
@@ -71,10 +67,8 @@
         let is_burst = in_cycle >= ms(2_000) && in_cycle < ms(2_000) + load.burst_length;
         let rate = if is_burst { load.burst } else { load.usual };
         let mean = rate * TICK.as_secs_f64() / 8.0;
-        let mut callers: Vec<_> = (0..8)
-            .filter(|_| rng.random_bool(mean))
-            .map(|_| None)
-            .collect();
+        let new = (0..8).filter(|_| rng.random_bool(mean)).count();
+        let mut callers = vec![None; new];
         while returns.peek().is_some_and(|Reverse((due, _))| *due <= at) {
             let Reverse((_, latest)) = returns.pop().expect("one is due");
             let position = rng.random_range(0..=callers.len());
@@ -103,11 +97,12 @@
                 continue;
             }
             let draw = rng.random();
+            let booking = schedule.book(&kind(), 0, load.time_left, draw, now);
+            let earlier = earlier_policy(load.time_left, draw);
             let wait = if is_scheduled {
-                let booking = schedule.book(&kind(), 0, load.time_left, draw, now);
                 booking.retry_after
             } else {
-                earlier_policy(load.time_left, draw)
+                earlier
             };
             assert!(wait >= MIN_RETRY_AFTER && wait <= load.time_left / 3);
             returns.push(Reverse((at + wait, at + load.time_left / 3)));
@@ -120,9 +115,8 @@
     // Gives each lost caller the earliest unused room between its return and its latest time.
     lost.sort_by_key(|(_, latest)| *latest);
     for (at, latest) in lost {
-        let later = idle.range_mut(at..=latest.max(at));
         let mut needed = 1.0;
-        for (_, left) in later {
+        for (_, left) in idle.range_mut(at..=latest.max(at)) {
             let used = left.min(needed);
             *left -= used;
             needed -= used;
@@ -139,15 +133,10 @@
         let scheduled = play(load, true, seed);
         let earlier = play(load, false, seed);
         eprintln!("seed {seed}: scheduled {scheduled:?}, earlier policy {earlier:?}");
-        assert!(
-            scheduled.avoidable * 10 <= scheduled.returns,
-            "{scheduled:?}"
-        );
+        let is_avoided = scheduled.avoidable * 10 <= scheduled.returns;
         let bound = earlier.refused_twice * percent_of_earlier / 100;
-        assert!(
-            scheduled.refused_twice <= bound,
-            "{scheduled:?}, {earlier:?}"
-        );
+        let is_better = scheduled.refused_twice <= bound;
+        assert!(is_avoided && is_better, "{scheduled:?}, {earlier:?}");
     }
 }
 
@@ -156,7 +145,7 @@
     capacity: 400.0,
     usual: 280.0,
     burst: 700.0,
-    burst_length: Duration::from_millis(1_000),
+    burst_length: Duration::from_secs(1),
     time_left: Duration::from_secs(6),
 };
 
@@ -172,113 +161,94 @@
     with_longer_deadlines: &Load { time_left: ms(8_000), ..BURST }, 30;
 }
 
-/// Records calls at a rate per second over a time, of which each `nth` is refused.
-fn record(
-    schedule: &mut ReturnSchedule,
-    start: Instant,
-    time: Duration,
-    rate: u32,
-    nth: u32,
-) -> Instant {
-    let step = Duration::from_secs(1) / rate;
-    let mut now = start;
-    for call in 1.. {
-        if now >= start + time {
-            break;
-        }
-        schedule.record_arrival(&kind(), now);
-        if call % nth == 0 {
-            schedule.record_refused(&kind(), now);
-        } else {
-            schedule.record_admitted(&kind(), now);
-        }
-        now += step;
-    }
-    now
-}
-
-/// Returns the bookings of many callers at one time.
-fn book(
-    schedule: &mut ReturnSchedule,
-    count: u32,
-    rank: u32,
-    left: Duration,
+/// A node's schedule and its time.
+struct Node {
+    schedule: ReturnSchedule,
     now: Instant,
-) -> Vec<Booking> {
-    let mut rng = StdRng::seed_from_u64(3);
-    let bookings = (0..count).map(|_| schedule.book(&kind(), rank, left, rng.random(), now));
-    bookings.collect()
 }
 
-fn mean(bookings: &[Booking]) -> Duration {
-    let sum: Duration = bookings.iter().map(|booking| booking.retry_after).sum();
-    sum / u32::try_from(bookings.len()).expect("few")
+impl Node {
+    fn new() -> Self {
+        let (schedule, now) = (ReturnSchedule::default(), Instant::now());
+        Self { schedule, now }
+    }
+
+    /// Records calls at a rate per second over a time, of which each `nth` is refused.
+    fn record(&mut self, time: Duration, rate: u32, nth: u32) {
+        let end = self.now + time;
+        for call in (1..).take_while(|call| Duration::from_secs(1) / rate * *call <= time) {
+            self.schedule.record_arrival(&kind(), self.now);
+            if call % nth == 0 {
+                self.schedule.record_refused(&kind(), self.now);
+            } else {
+                self.schedule.record_admitted(&kind(), self.now);
+            }
+            self.now += Duration::from_secs(1) / rate;
+        }
+        self.now = end;
+    }
+
+    /// Returns the bookings of many callers at one time.
+    fn book(&mut self, count: u32, rank: u32, left: Duration) -> Vec<Booking> {
+        let mut rng = StdRng::seed_from_u64(3);
+        let mut book = |draw| self.schedule.book(&kind(), rank, left, draw, self.now);
+        (0..count).map(|_| book(rng.random())).collect()
+    }
 }
 
 /// Guards against times outside of what callers wait, for the edges of the remaining time and the draw.
 #[test]
 fn times_stay_within_the_range() {
-    let start = Instant::now();
-    let mut schedule = ReturnSchedule::default();
-    let now = record(&mut schedule, start, ms(3_000), 50, 2);
+    let mut node = Node::new();
+    node.record(ms(3_000), 50, 2);
+    let mut book = |left, draw| node.schedule.book(&kind(), 1, left, draw, node.now);
     for left in [450, 451, 600, 2_000, 6_000, 60_000].map(ms) {
         for draw in [0.0, 0.5, 1.0, f64::NAN] {
-            let booking = schedule.book(&kind(), 1, left, draw, now);
-            let range = MIN_RETRY_AFTER..=left / 3;
+            let wait = book(left, draw).retry_after;
             assert!(
-                range.contains(&booking.retry_after),
-                "{left:?}, {draw}: {booking:?}"
+                wait >= MIN_RETRY_AFTER && wait <= left / 3,
+                "{left:?}, {draw}: {wait:?}"
             );
         }
     }
-    let late = schedule.book(&kind(), 0, ms(400), 0.5, now);
-    assert!(
-        !late.is_expected_to_fit,
-        "the caller does not wait for the shortest time"
-    );
+    // The caller does not wait for the shortest time.
+    assert!(!book(ms(400), 0.5).is_expected_to_fit);
 }
 
 /// Guards against bookings above the rate at which capacity appears, and a promise where none fits.
 #[test]
 fn a_full_calendar_says_so_and_spreads_the_rest() {
-    let start = Instant::now();
-    let mut schedule = ReturnSchedule::default();
+    let mut node = Node::new();
     // 50 calls per second are admitted of 100, so little appears for returning callers.
-    let now = record(&mut schedule, start, ms(3_000), 100, 2);
-    let bookings = book(&mut schedule, 200, 0, ms(6_000), now);
-    let fitting = bookings
-        .iter()
-        .filter(|booking| booking.is_expected_to_fit)
-        .count();
-    assert!(fitting <= 20, "{fitting} of 200 fit");
+    node.record(ms(3_000), 100, 2);
+    let bookings = node.book(200, 0, ms(6_000));
     let last = bookings.last().expect("booked");
     assert!(!last.is_expected_to_fit && last.backlog == 200, "{last:?}");
     let rest = bookings
         .iter()
         .filter(|booking| !booking.is_expected_to_fit);
-    assert!(
-        rest.clone().all(|booking| booking.retry_after >= ms(900)),
-        "near the end"
-    );
-    let most = (9..20).map(|bucket| {
-        let times = ms(bucket * 100)..ms(bucket * 100 + 100);
-        rest.clone()
-            .filter(|booking| times.contains(&booking.retry_after))
-            .count()
-    });
-    assert!(most.max() <= Some(40), "returns come together");
+    let rest: Vec<_> = rest
+        .map(|booking| booking.retry_after.as_millis())
+        .collect();
+    assert!(rest.len() >= 180, "{} of 200 do not fit", rest.len());
+    assert!(rest.iter().all(|wait| *wait >= 900), "near the end");
+    let counts = (9..20).map(|bucket| rest.iter().filter(|wait| **wait / 100 == bucket).count());
+    assert!(counts.max() <= Some(40), "returns come together");
 }
 
 /// Guards against urgent callers that return after others.
 #[test]
 fn more_urgent_callers_return_earlier() {
-    let start = Instant::now();
     let times = [0, 1, 2].map(|rank| {
-        let mut schedule = ReturnSchedule::default();
-        let now = record(&mut schedule, start, ms(8_000), 100, 101);
-        let now = record(&mut schedule, now, ms(1_000), 150, 3);
-        let now = record(&mut schedule, now, ms(200), 50, 4);
-        mean(&book(&mut schedule, 5, rank, ms(8_000), now))
+        let mut node = Node::new();
+        for (time, rate, nth) in [(8_000, 100, 101), (1_000, 150, 3), (200, 50, 4)] {
+            node.record(ms(time), rate, nth);
+        }
+        let bookings = node.book(5, rank, ms(8_000));
+        bookings
+            .iter()
+            .map(|booking| booking.retry_after)
+            .sum::<Duration>()
     });
     assert!(times.is_sorted() && times[0] < times[2], "{times:?}");
 }
@@ -286,25 +256,20 @@
 /// Guards against late returns while there is room, and after a pause of the node with a full calendar.
 #[test]
 fn plentiful_capacity_is_used_early() {
-    let start = Instant::now();
-    let mut schedule = ReturnSchedule::default();
-    let now = record(&mut schedule, start, ms(2_000), 100, 2);
-    book(&mut schedule, 200, 0, ms(6_000), now);
-    let frozen = now + Duration::from_secs(30);
-    let after = record(&mut schedule, frozen, ms(500), 100, 1_000);
-    schedule.record_refused(&kind(), after);
-    let bookings = book(&mut schedule, 50, 2, ms(6_000), after);
+    let mut node = Node::new();
+    let start = node.now;
+    node.record(ms(2_000), 100, 2);
+    node.book(200, 0, ms(6_000));
+    node.now += Duration::from_secs(30);
+    node.record(ms(500), 100, 1_000);
+    node.schedule.record_refused(&kind(), node.now);
+    let bookings = node.book(50, 2, ms(6_000));
     let times = bookings.iter().map(|booking| booking.retry_after);
     let (first, last) = (times.clone().min(), times.max());
-    assert!(last <= Some(ms(250)) && last.zip(first).is_some_and(|(l, f)| l - f > ms(80)));
-    assert_eq!(
-        bookings.last().map(|booking| booking.backlog),
-        Some(50),
-        "old bookings are dropped"
-    );
+    assert!(last <= Some(ms(250)) && first.map(|first| first + ms(80)) < last);
+    assert_eq!(bookings[49].backlog, 50, "old bookings are dropped");
     // The clock of another task may be read earlier.
-    schedule.book(&kind(), 0, ms(6_000), 0.5, start);
-    schedule.expire(after + Duration::from_mins(10));
+    node.schedule.book(&kind(), 0, ms(6_000), 0.5, start);
 }
 
 /// Guards against callers of all nodes that return together while no node knows anything.
@@ -312,20 +277,16 @@
 fn nodes_without_knowledge_spread_returns() {
     let now = Instant::now();
     let mut rng = StdRng::seed_from_u64(5);
-    let mut buckets = BTreeMap::<u128, u32>::new();
+    let mut counts = [0; 20];
     for _ in 0..80 {
         let mut schedule = ReturnSchedule::default();
         for _ in 0..10 {
             schedule.record_arrival(&kind(), now);
             schedule.record_refused(&kind(), now);
             let booking = schedule.book(&kind(), 0, ms(6_000), rng.random(), now);
-            *buckets
-                .entry(booking.retry_after.as_millis() / 100)
-                .or_default() += 1;
+            let index = usize::try_from(booking.retry_after.as_millis() / 100);
+            counts[index.expect("small").min(19)] += 1;
         }
     }
-    assert!(
-        buckets.values().all(|count| *count <= 800 / 5),
-        "{buckets:?}"
-    );
+    assert!(counts.iter().all(|count| *count <= 800 / 5), "{counts:?}");
 }
--- a/crates/shallottide_fleet/tests/team_shares.rs
+++ b/crates/shallottide_fleet/tests/team_shares.rs
@@ -1,5 +1,7 @@
 //! Shares of teams in scarce capacity, at nodes that hear of each other by reports that may be lost.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -13,28 +15,26 @@
 use shallottide_fleet::water_level::{TeamDemand, served_fractions};
 use shallottide_types::cases;
 use shallottide_types::id::NodeId;
+use support::id;
 
+const SMALL: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two reports of a node.
 const REPORT_TICKS: u32 = 20;
 
 fn kind() -> Kind {
-    (
-        "answers".parse().expect("an id"),
-        "small".parse().expect("an id"),
-    )
+    (id("answers"), id("small"))
 }
 
 fn name(node: usize) -> NodeId {
-    format!("node-{node}").parse().expect("an id")
+    id(&format!("node-{node}"))
 }
 
 /// Calls per second of each team.
 type Demands = BTreeMap<&'static str, f64>;
 
 fn demands(large: f64) -> Demands {
-    let small = ["a", "b", "c", "d", "e", "f", "g", "h"];
-    let small = small.into_iter().map(|team| (team, 10.0));
+    let small = SMALL.into_iter().map(|team| (team, 10.0));
     small.chain([("large", large)]).collect()
 }
 
@@ -136,19 +136,8 @@
     fn served(&self, team: &str, at_first: bool) -> f64 {
         let counts = self.counts.iter();
         let counts = counts.filter(|((is_first, t), _)| *t == team && (*is_first || !at_first));
-        let sum = counts.fold((0.0, 0.0), |sum, (_, count)| {
-            (sum.0 + count.0, sum.1 + count.1)
-        });
-        sum.1 / sum.0
-    }
-
-    fn served_by_small(&self) -> f64 {
-        let teams = ["a", "b", "c", "d", "e", "f", "g", "h"];
-        teams
-            .iter()
-            .map(|team| self.served(team, false))
-            .sum::<f64>()
-            / 8.0
+        let (arrived, admitted): (Vec<_>, Vec<_>) = counts.map(|(_, count)| *count).unzip();
+        admitted.iter().sum::<f64>() / arrived.iter().sum::<f64>()
     }
 }
 
@@ -159,15 +148,15 @@
     fleet.run(Duration::from_secs(4), &demands(30.0));
     fleet.run(Duration::from_secs(3), &demands(200.0));
     fleet.run(Duration::from_secs(8), &demands(200.0));
-    let (small, large) = (fleet.served_by_small(), fleet.served("large", false));
+    let small = SMALL.iter().map(|team| fleet.served(team, false));
+    let (small, large) = (small.sum::<f64>() / 8.0, fleet.served("large", false));
     eprintln!("{nodes} nodes, loss {loss}: small {small:.2}, large {large:.2}");
-    // Without shares, all would be served 0.43; max-min fair division gives 0.66 and 0.33.
+    // Without shares, all would be served 0.43; the division is 0.69 and 0.32, of which some is
+    // lost to chance.
     assert!(small > least_for_small, "small teams: {small}");
     assert!((0.2..0.43).contains(&large), "large team: {large}");
-    assert!(
-        large > 0.4 * (small * 8.0 + large) / 9.0,
-        "starved: {large}, {small}"
-    );
+    let mean = (small * 8.0 + large) / 9.0;
+    assert!(large > 0.48 * mean, "starved: {large}, {small}");
 }
 
 cases! {
@@ -192,6 +181,7 @@
     fleet.run(Duration::from_secs(1), &lent);
     fleet.run(Duration::from_secs(2), &lent);
     let lent = fleet.served("a", false);
+    eprintln!("lent {lent:.3}");
     assert!(lent > 0.9, "not lent: {lent}");
     fleet.run(Duration::from_secs(1), &all);
     fleet.run(Duration::from_secs(1), &all);
@@ -202,12 +192,21 @@
 /// Guards against a new team that is treated as over its share because nothing is known of it.
 #[test]
 fn a_team_that_appears_is_served_at_once() {
-    let mut fleet = Fleet::new(20, 100.0, 0.0);
-    let mut teams: Demands = [("a", 100.0), ("b", 100.0)].into();
-    fleet.run(Duration::from_secs(5), &teams);
-    teams.insert("new", 15.0);
-    fleet.run(Duration::from_secs(1), &teams);
-    let (new, known) = (fleet.served("new", false), fleet.served("a", false));
+    // A second has 15 calls of the team, too few for one run.
+    let runs = (0..8).map(|seed| {
+        let mut fleet = Fleet::new(20, 100.0, 0.0);
+        fleet.rng = StdRng::seed_from_u64(seed);
+        let mut teams: Demands = [("a", 100.0), ("b", 100.0)].into();
+        fleet.run(Duration::from_secs(5), &teams);
+        teams.insert("new", 15.0);
+        fleet.run(Duration::from_secs(1), &teams);
+        (
+            fleet.served("new", false) / 8.0,
+            fleet.served("a", false) / 8.0,
+        )
+    });
+    let (new, known): (Vec<_>, Vec<_>) = runs.unzip();
+    let (new, known) = (new.iter().sum::<f64>(), known.iter().sum::<f64>());
     eprintln!("new {new:.2}, known {known:.2}");
     assert!(new > 0.7 && new > known + 0.2, "new {new}, known {known}");
 }
@@ -224,7 +223,8 @@
     assert_eq!(decision.nodes_heard, 1);
     // A ninth of the calls arrives here; the total is scaled to all nodes.
     assert!((450.0..1_800.0).contains(&decision.demand), "{decision:?}");
-    let (small, large) = (fleet.served("a", true), fleet.served("large", true));
+    let small = SMALL.iter().map(|team| fleet.served(team, true));
+    let (small, large) = (small.sum::<f64>() / 8.0, fleet.served("large", true));
     eprintln!("cut off: small {small:.2}, large {large:.2}");
     assert!(small > large && large > 0.2, "small {small}, large {large}");
 }
@@ -242,11 +242,8 @@
     assert!(node.report(later).is_empty());
     // The clock of another task may be read earlier.
     node.record_arrival(&kind(), Some("large"), 1.0, fleet.now);
-    assert!(
-        node.decide(&kind(), Some("large"), fleet.now)
-            .share
-            .is_finite()
-    );
+    let decision = node.decide(&kind(), Some("large"), fleet.now);
+    assert!(decision.share.is_finite(), "{decision:?}");
 }
 
 /// Guards against refusals by shares before anything is known of loads.
@@ -286,7 +283,7 @@
     };
     let mut demand = |reports: &[TeamUsageReport], now| {
         own.merge(&name(1), reports, now);
-        let later = now + Duration::from_millis(60);
+        let later = now + Duration::from_millis(110);
         (own.decide(&kind(), Some("a"), later).demand - 3.0).abs() < 1e-3
     };
     assert!(demand(&second, now), "the latest counts");
@@ -324,11 +321,8 @@
 
 /// Guards against a division that wastes capacity or exceeds it, for given demands and weights.
 fn a_division_uses_the_capacity(teams: &[(f64, f64)], capacity: f64, expected: &[f64]) {
-    let demands = teams
-        .iter()
-        .map(|&(demand, weight)| TeamDemand { demand, weight });
-    let demands: Vec<_> = demands.collect();
-    let fractions = served_fractions(&demands, capacity);
+    let team = |&(demand, weight): &(f64, f64)| TeamDemand { demand, weight };
+    let fractions = served_fractions(&teams.iter().map(team).collect::<Vec<_>>(), capacity);
     for (fraction, expected) in fractions.iter().zip(expected) {
         assert!((fraction - expected).abs() < 0.002, "{fractions:?}");
     }
