--- a/crates/shallottide_fleet/src/return_rate.rs
+++ b/crates/shallottide_fleet/src/return_rate.rs
@@ -12,6 +12,9 @@
 const RETURNS: Duration = Duration::from_secs(3);
 /// Time without a refusal after which capacity is plentiful.
 const PLENTIFUL_AFTER: Duration = Duration::from_secs(1);
+/// Admitted calls, as a fraction of new callers, from which calls are admitted as fast as they arrive;
+/// below 1, as some wait.
+const PLENTIFUL_FRACTION: f64 = 0.95;
 /// Mean length of a shortage, until one has ended.
 const INITIAL_SHORTAGE: Duration = Duration::from_millis(1_500);
 /// Weight of the latest shortage in the mean length of shortages.
@@ -134,7 +137,7 @@
         let is_recent = |at: Instant| now.saturating_duration_since(at) < PLENTIFUL_AFTER;
         // The present caller is one of those that arrived.
         let arrived = (self.arrived.sum(now) - 1.0).max(0.0);
-        !earlier.is_some_and(is_recent) && self.admitted.sum(now) >= arrived
+        !earlier.is_some_and(is_recent) && self.admitted.sum(now) >= PLENTIFUL_FRACTION * arrived
     }
 
     /// Returns the rate at which returning callers can be admitted now.
--- a/crates/shallottide_fleet/src/wait_queue.rs
+++ b/crates/shallottide_fleet/src/wait_queue.rs
@@ -43,7 +43,7 @@
     positions: BTreeMap<Ticket, (CompactString, TeamKey, Position)>,
     next: Ticket,
     weights: TeamWeights,
-    /// Admitted work by resource and team.
+    /// Admitted work by resource and team; both are named by the configuration, which bounds them.
     admitted: BTreeMap<CompactString, BTreeMap<TeamKey, DecayingRate>>,
     /// Latest time at which work was admitted. All rates decay alike, so that any time at or after
     /// this one gives the same order.
--- a/crates/shallottide_fleet/src/water_level.rs
+++ b/crates/shallottide_fleet/src/water_level.rs
@@ -1,7 +1,8 @@
 //! Max-min fair division of a capacity.
 
-/// Fraction of the mean served fraction below which no team is cut, whatever its size.
-const MIN_FRACTION_OF_MEAN: f64 = 0.5;
+/// Fraction of the mean served fraction below which no team is cut, whatever its size. The requirement is
+/// half; the margin covers calls that are then refused by chance.
+const MIN_FRACTION_OF_MEAN: f64 = 0.55;
 /// Steps of each bisection; the error is below 2^-24 of the largest value.
 const STEPS: u32 = 24;
 
@@ -17,8 +18,8 @@
 /// Returns the fraction of each team's demand to serve, from 0 to 1.
 ///
 /// Teams whose demand is below the water level, times their weight, are served fully, and the others
-/// up to the level. A team whose fraction would fall below half of the mean over all teams gets that
-/// half at the expense of the level.
+/// up to the level. A team whose fraction would fall below 0.55 of the mean over all teams gets that much
+/// at the expense of the level.
 #[must_use]
 pub fn served_fractions(demands: &[TeamDemand], capacity: f64) -> Vec<f64> {
     let total: f64 = demands.iter().map(|team| team.demand).sum();
--- a/crates/shallottide_fleet/tests/return_schedule.rs
+++ b/crates/shallottide_fleet/tests/return_schedule.rs
@@ -196,6 +196,10 @@
     }
 }
 
+fn times(bookings: &[Booking]) -> Vec<Duration> {
+    bookings.iter().map(|booking| booking.retry_after).collect()
+}
+
 /// Guards against times outside of what callers wait, for the edges of the remaining time and the draw.
 #[test]
 fn times_stay_within_the_range() {
@@ -205,10 +209,8 @@
     for left in [450, 451, 600, 2_000, 6_000, 60_000].map(ms) {
         for draw in [0.0, 0.5, 1.0, f64::NAN] {
             let wait = book(left, draw).retry_after;
-            assert!(
-                wait >= MIN_RETRY_AFTER && wait <= left / 3,
-                "{left:?}, {draw}: {wait:?}"
-            );
+            let is_within = wait >= MIN_RETRY_AFTER && wait <= left / 3;
+            assert!(is_within, "{left:?}, {draw}: {wait:?}");
         }
     }
     // The caller does not wait for the shortest time.
@@ -221,19 +223,18 @@
     let mut node = Node::new();
     // 50 calls per second are admitted of 100, so little appears for returning callers.
     node.record(ms(3_000), 100, 2);
-    let bookings = node.book(200, 0, ms(6_000));
-    let last = bookings.last().expect("booked");
+    let mut rest = node.book(200, 0, ms(6_000));
+    let last = rest[199];
     assert!(!last.is_expected_to_fit && last.backlog == 200, "{last:?}");
-    let rest = bookings
-        .iter()
-        .filter(|booking| !booking.is_expected_to_fit);
-    let rest: Vec<_> = rest
-        .map(|booking| booking.retry_after.as_millis())
-        .collect();
+    rest.retain(|booking| !booking.is_expected_to_fit);
     assert!(rest.len() >= 180, "{} of 200 do not fit", rest.len());
-    assert!(rest.iter().all(|wait| *wait >= 900), "near the end");
-    let counts = (9..20).map(|bucket| rest.iter().filter(|wait| **wait / 100 == bucket).count());
-    assert!(counts.max() <= Some(40), "returns come together");
+    let mut times = times(&rest);
+    times.sort();
+    assert!(times[0] >= ms(900), "near the end");
+    let is_spread = times
+        .windows(41)
+        .all(|times| times[40] > times[0] + ms(100));
+    assert!(is_spread, "more than 40 returns in a bucket: {times:?}");
 }
 
 /// Guards against urgent callers that return after others.
@@ -244,10 +245,8 @@
         for (time, rate, nth) in [(8_000, 100, 101), (1_000, 150, 3), (200, 50, 4)] {
             node.record(ms(time), rate, nth);
         }
-        let bookings = node.book(5, rank, ms(8_000));
-        bookings
+        times(&node.book(5, rank, ms(8_000)))
             .iter()
-            .map(|booking| booking.retry_after)
             .sum::<Duration>()
     });
     assert!(times.is_sorted() && times[0] < times[2], "{times:?}");
@@ -264,9 +263,12 @@
     node.record(ms(500), 100, 1_000);
     node.schedule.record_refused(&kind(), node.now);
     let bookings = node.book(50, 2, ms(6_000));
-    let times = bookings.iter().map(|booking| booking.retry_after);
-    let (first, last) = (times.clone().min(), times.max());
-    assert!(last <= Some(ms(250)) && first.map(|first| first + ms(80)) < last);
+    let mut times = times(&bookings);
+    times.sort();
+    assert!(
+        times[49] <= ms(250) && times[49] > times[0] + ms(80),
+        "{times:?}"
+    );
     assert_eq!(bookings[49].backlog, 50, "old bookings are dropped");
     // The clock of another task may be read earlier.
     node.schedule.book(&kind(), 0, ms(6_000), 0.5, start);
--- a/crates/shallottide_fleet/tests/team_shares.rs
+++ b/crates/shallottide_fleet/tests/team_shares.rs
@@ -20,7 +20,7 @@
 const SMALL: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 const TICK: Duration = Duration::from_millis(10);
 /// Ticks between two reports of a node.
-const REPORT_TICKS: u32 = 20;
+const REPORT_TICKS: usize = 20;
 
 fn kind() -> Kind {
     (id("answers"), id("small"))
@@ -48,7 +48,7 @@
     /// Nodes that neither send nor get reports.
     cut_off: usize,
     now: Instant,
-    ticks: u32,
+    ticks: usize,
     rng: StdRng,
     /// Calls that arrived and that were admitted, by team; the first node's apart.
     counts: BTreeMap<(bool, &'static str), (f64, f64)>,
@@ -84,8 +84,7 @@
             self.room = (self.room + self.capacity * seconds).min(self.capacity * 0.05 + 1.0);
             let mut calls = Vec::new();
             for (team, rate) in demands {
-                let mean = rate * seconds;
-                let count = (0..8).filter(|_| self.rng.random_bool((mean / 8.0).min(1.0)));
+                let count = (0..16).filter(|_| self.rng.random_bool(rate * seconds / 16.0));
                 calls.extend(count.map(|_| *team));
             }
             calls.shuffle(&mut self.rng);
@@ -117,8 +116,7 @@
 
     fn report(&mut self) {
         for from in 0..self.nodes.len() {
-            let phase = u32::try_from(from).expect("few") % REPORT_TICKS;
-            if self.ticks % REPORT_TICKS != phase {
+            if (self.ticks + from) % REPORT_TICKS != 0 {
                 continue;
             }
             let report = self.nodes[from].report(self.now);
@@ -142,21 +140,21 @@
 }
 
 /// Guards against a burst of one team that takes the capacity of small teams, and against starving it
-/// for its size: its fraction stays near half of the mean.
+/// for its size: its fraction stays above half of the mean.
 fn a_large_team_bursts_beside_small_ones(nodes: usize, loss: f64, least_for_small: f64) {
     let mut fleet = Fleet::new(nodes, 120.0, loss);
     fleet.run(Duration::from_secs(4), &demands(30.0));
     fleet.run(Duration::from_secs(3), &demands(200.0));
-    fleet.run(Duration::from_secs(8), &demands(200.0));
+    fleet.run(Duration::from_secs(24), &demands(200.0));
     let small = SMALL.iter().map(|team| fleet.served(team, false));
     let (small, large) = (small.sum::<f64>() / 8.0, fleet.served("large", false));
     eprintln!("{nodes} nodes, loss {loss}: small {small:.2}, large {large:.2}");
-    // Without shares, all would be served 0.43; the division is 0.69 and 0.32, of which some is
+    // Without shares, all would be served 0.43; the division is 0.66 and 0.34, of which some is
     // lost to chance.
     assert!(small > least_for_small, "small teams: {small}");
     assert!((0.2..0.43).contains(&large), "large team: {large}");
     let mean = (small * 8.0 + large) / 9.0;
-    assert!(large > 0.48 * mean, "starved: {large}, {small}");
+    assert!(large > 0.5 * mean, "starved: {large}, {small}");
 }
 
 cases! {
@@ -164,49 +162,54 @@
     a_burst_at_three_nodes: 3, 0.0, 0.6;
     a_burst_at_eighty_nodes: 80, 0.0, 0.6;
     a_burst_at_eighty_nodes_with_lost_reports: 80, 0.5, 0.6;
+    // About 6 reports per second of each node arrive, which costs 2.7 KB/s.
+    a_burst_at_eighty_nodes_with_few_reports: 80, 0.85, 0.55;
     // With 3.5 calls per second and no reports, a node's own counts are little to divide by.
     a_burst_at_eighty_nodes_without_reports: 80, 1.0, 0.46;
 }
 
+/// Returns the mean over 8 seeds, as a second has too few calls of a team for one run.
+fn mean_of_runs<const N: usize>(play: impl Fn(&mut Fleet) -> [f64; N]) -> [f64; N] {
+    let mut sums = [0.0; N];
+    for seed in 0..8 {
+        // Capacity is a little above the demand of team a, as random bursts are refused otherwise.
+        let mut fleet = Fleet::new(20, 110.0, 0.0);
+        fleet.rng = StdRng::seed_from_u64(seed);
+        fleet.run(Duration::from_secs(5), &[("a", 100.0), ("b", 100.0)].into());
+        let values = play(&mut fleet);
+        sums.iter_mut()
+            .zip(values)
+            .for_each(|(sum, value)| *sum += value / 8.0);
+    }
+    sums
+}
+
 /// Guards against a share that stays unused while its team is idle, or that is not given back.
 #[test]
 fn unused_share_is_lent_and_taken_back_within_a_second() {
-    // Capacity is a little above the lent demand, as random bursts are refused otherwise.
-    let mut fleet = Fleet::new(8, 110.0, 0.0);
-    let all: Demands = [("a", 100.0), ("b", 100.0)].into();
-    let lent: Demands = [("a", 100.0)].into();
-    fleet.run(Duration::from_secs(5), &all);
-    let divided = fleet.served("a", false);
+    let [divided, lent, back] = mean_of_runs(|fleet| {
+        let divided = fleet.served("a", false);
+        fleet.run(Duration::from_secs(1), &[("a", 100.0)].into());
+        fleet.run(Duration::from_secs(1), &[("a", 100.0)].into());
+        let lent = fleet.served("a", false);
+        fleet.run(Duration::from_secs(1), &[("a", 100.0), ("b", 100.0)].into());
+        fleet.run(Duration::from_secs(1), &[("a", 100.0), ("b", 100.0)].into());
+        [divided, lent, fleet.served("b", false)]
+    });
+    eprintln!("divided {divided:.2}, lent {lent:.2}, back {back:.2}");
     assert!((0.45..0.65).contains(&divided), "{divided}");
-    fleet.run(Duration::from_secs(1), &lent);
-    fleet.run(Duration::from_secs(2), &lent);
-    let lent = fleet.served("a", false);
-    eprintln!("lent {lent:.3}");
     assert!(lent > 0.9, "not lent: {lent}");
-    fleet.run(Duration::from_secs(1), &all);
-    fleet.run(Duration::from_secs(1), &all);
-    let back = fleet.served("b", false);
-    assert!(back > 0.4, "not taken back: {back}");
+    assert!(back > 0.45, "not taken back: {back}");
 }
 
 /// Guards against a new team that is treated as over its share because nothing is known of it.
 #[test]
 fn a_team_that_appears_is_served_at_once() {
-    // A second has 15 calls of the team, too few for one run.
-    let runs = (0..8).map(|seed| {
-        let mut fleet = Fleet::new(20, 100.0, 0.0);
-        fleet.rng = StdRng::seed_from_u64(seed);
-        let mut teams: Demands = [("a", 100.0), ("b", 100.0)].into();
-        fleet.run(Duration::from_secs(5), &teams);
-        teams.insert("new", 15.0);
-        fleet.run(Duration::from_secs(1), &teams);
-        (
-            fleet.served("new", false) / 8.0,
-            fleet.served("a", false) / 8.0,
-        )
+    let [new, known] = mean_of_runs(|fleet| {
+        let teams = [("a", 100.0), ("b", 100.0), ("new", 15.0)];
+        fleet.run(Duration::from_secs(1), &teams.into());
+        [fleet.served("new", false), fleet.served("a", false)]
     });
-    let (new, known): (Vec<_>, Vec<_>) = runs.unzip();
-    let (new, known) = (new.iter().sum::<f64>(), known.iter().sum::<f64>());
     eprintln!("new {new:.2}, known {known:.2}");
     assert!(new > 0.7 && new > known + 0.2, "new {new}, known {known}");
 }
@@ -333,6 +336,6 @@
     enough_for_all: &[(10.0, 1.0), (20.0, 1.0)], 30.0, &[1.0, 1.0];
     equal_weights: &[(10.0, 1.0), (20.0, 1.0), (30.0, 1.0)], 45.0, &[1.0, 0.875, 0.583];
     unequal_weights: &[(30.0, 2.0), (30.0, 1.0)], 30.0, &[0.667, 0.333];
-    half_of_the_mean: &[(10.0, 1.0), (10.0, 1.0), (200.0, 1.0)], 60.0, &[0.6, 0.6, 0.24];
+    half_of_the_mean: &[(10.0, 1.0), (10.0, 1.0), (200.0, 1.0)], 60.0, &[0.546, 0.546, 0.245];
     no_capacity: &[(10.0, 1.0), (20.0, 1.0)], 0.0, &[0.0, 0.0];
 }
