--- a/crates/shallottide_fleet/src/team_division.rs
+++ b/crates/shallottide_fleet/src/team_division.rs
@@ -19,7 +19,7 @@
 /// Rate, in work per second, that counts as none.
 const NEGLIGIBLE_RATE: f64 = 1e-3;
 
-/// A team's part of a division, in work per second at the nodes heard.
+/// A team's part of a division, in work per second at the nodes heard, by weight.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TeamPart {
     /// What arrived.
@@ -36,6 +36,7 @@
     teams: BTreeMap<TeamKey, TeamPart>,
     refused: f64,
     peers: usize,
+    peer_weight: f64,
 }
 
 impl UsageTotals {
@@ -51,9 +52,10 @@
         self.refused += refused;
     }
 
-    /// Counts a peer as heard.
-    pub fn add_peer(&mut self) {
+    /// Counts a peer as heard, with the weight that its counts have.
+    pub fn add_peer(&mut self, weight: f64) {
         self.peers += 1;
+        self.peer_weight += weight;
     }
 
     /// Divides the capacity, as estimated from what was admitted and refused, among the teams.
@@ -79,6 +81,7 @@
             parts,
             capacity,
             nodes_heard: self.peers + 1,
+            weight: 1.0 + self.peer_weight,
         }
     }
 }
@@ -90,17 +93,19 @@
     pub at: Instant,
     /// The teams' parts; a team that is not in it is new and granted all of its demand.
     pub parts: BTreeMap<TeamKey, TeamPart>,
-    /// Capacity that was divided, in work per second at the nodes heard.
+    /// Capacity that was divided, in work per second at the nodes heard, by weight.
     pub capacity: f64,
     /// Nodes whose counts were used, with this one.
     pub nodes_heard: usize,
+    /// Sum of the weights of these nodes' counts; 1 for a count that is new.
+    pub weight: f64,
 }
 
 impl TeamDivision {
-    /// Returns the factor from the nodes heard to all nodes.
+    /// Returns the factor from the weighted counts of the nodes heard to all nodes.
     #[must_use]
     pub fn scale(&self, nodes: usize) -> f64 {
-        let number = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-        number(nodes.max(self.nodes_heard)) / number(self.nodes_heard.max(1))
+        let nodes = nodes.max(self.nodes_heard);
+        f64::from(u32::try_from(nodes).unwrap_or(u32::MAX)) / self.weight
     }
 }
--- a/crates/shallottide_fleet/src/team_shares.rs
+++ b/crates/shallottide_fleet/src/team_shares.rs
@@ -27,6 +27,9 @@
 const SCARCE_TIME: Duration = Duration::from_secs(1);
 /// Time for which a peer's report counts.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Time in which the weight of a peer's report falls by a factor of e, so that changes of the load are not
+/// covered up by older reports.
+const REPORT_WEIGHT_TIME: Duration = Duration::from_millis(500);
 /// Time for which a division is used before it is computed again.
 const DIVISION_LIFETIME: Duration = Duration::from_millis(100);
 /// Largest credit or debt of a team, in calls; bounds the burst after a pause.
@@ -338,14 +341,17 @@
             }
         }
         for peer in self.peers.values().filter(|peer| is_recent(peer.at)) {
-            totals.add_peer();
+            let age = now.saturating_duration_since(peer.at);
+            let weight = (-age.div_duration_f64(REPORT_WEIGHT_TIME)).exp();
+            totals.add_peer(weight);
             let entries = peer.entries.iter().filter(|entry| entry.kind == kind);
             // Each entry of a kind names the refusals of the whole kind.
             if let Some(first) = entries.clone().next() {
-                totals.add_refused(first.refused.into());
+                totals.add_refused(weight * f64::from(first.refused));
             }
             for entry in entries {
-                totals.add(entry.team, entry.arrived.into(), entry.admitted.into());
+                let (arrived, admitted) = (f64::from(entry.arrived), f64::from(entry.admitted));
+                totals.add(entry.team, weight * arrived, weight * admitted);
             }
         }
         totals.divide(&self.weights, now)
