--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -6,11 +6,14 @@
 use shallottide_types::id::{DomainId, ModelId, NodeId, ServiceId, UpstreamId};
 
 use crate::adapter::ReportedLoad;
+use crate::admission::CallClass;
 use crate::cold_gate::ColdGate;
 use crate::cooldowns::Cooldowns;
 use crate::crash_evidence::Lifetime;
 use crate::departures::Departures;
+use crate::load_board::{LoadBoard, LoadEstimate};
 use crate::named_limits::NamedLimits;
+use crate::spread::{self, Target, Traffic};
 use crate::view::{ClusterView, KnownUpstream};
 
 /// Age up to which a peer's report of its requests counts.
@@ -31,6 +34,13 @@
 /// Time without an event on any of an upstream's streams after which it gets no new requests; all
 /// streams of a batch progress together, at least a few times a second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(280);
+/// Time without an answer of a busy engine, at any node, after which it gets no new requests; a busy
+/// engine answers many times in it.
+const UNRESPONSIVE_AGE: Duration = Duration::from_millis(800);
+/// Load from which an engine counts as busy.
+const MIN_BUSY_LOAD: f64 = 4.0;
+/// Time until nodes hear of the first requests at an idle engine.
+const NEW_ENGINE_AGE: Duration = Duration::from_millis(400);
 /// First back-off from a failing upstream; doubles with each failure in a row.
 const MIN_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest back-off from a failing upstream.
@@ -85,6 +95,8 @@
     pub lifetime: Lifetime,
     /// Estimated requests at the upstream, from all nodes.
     pub load: f64,
+    /// Age of the upstream's own statement that `load` was taken from, if it was.
+    pub load_age: Option<Duration>,
     /// Number of upstreams that could have served.
     pub candidates: usize,
     /// Age of the chosen upstream's entry.
@@ -93,6 +105,62 @@
     pub cold: bool,
 }
 
+/// What a choice by samples goes by.
+pub struct SampleInput<'a> {
+    /// The newest samples of loads.
+    pub board: &'a LoadBoard,
+    /// The call.
+    pub class: CallClass,
+    /// Calls of the model from all nodes.
+    pub traffic: Traffic,
+    /// Returns the load at which an engine still answers typical calls on time.
+    pub on_time_load: &'a dyn Fn(&KnownUpstream) -> f64,
+}
+
+/// An upstream that may get a request.
+#[derive(Debug, Clone, Copy)]
+struct Candidate<'a> {
+    known: &'a KnownUpstream,
+    is_leaving: bool,
+    /// Estimated requests at the upstream, from all nodes.
+    load: f64,
+    load_age: Option<Duration>,
+}
+
+impl Candidate<'_> {
+    fn choice(&self, candidates: usize, now: Instant) -> Choice {
+        Choice {
+            upstream: self.known.upstream.id.clone(),
+            lifetime: self.known.lifetime(),
+            load: self.load,
+            load_age: self.load_age,
+            candidates,
+            entry_age: now.saturating_duration_since(self.known.seen),
+            cold: self.known.is_cold(now),
+        }
+    }
+}
+
+/// What was found about the upstreams that serve a request, for a refusal.
+#[derive(Debug, Clone, Copy, Default)]
+struct Survey {
+    is_served: bool,
+    /// Earliest end of a time for which an upstream asked for no requests.
+    cooldown_end: Option<Instant>,
+    /// Whether an upstream that was not tried before did not ask for that.
+    has_untried: bool,
+}
+
+impl Survey {
+    fn no_place(self) -> NoPlace {
+        match self.cooldown_end {
+            Some(end) if !self.has_untried => NoPlace::CoolingDown(end),
+            _ if self.is_served => NoPlace::Full,
+            _ => NoPlace::None,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct UpstreamLoad {
     in_flight: u32,
@@ -313,46 +381,18 @@
         now: Instant,
         draw: u32,
     ) -> Result<Choice, NoPlace> {
-        let mut is_served = false;
-        let mut eligible: Vec<(f64, &KnownUpstream, f64)> = Vec::new();
         let mean = self.mean_first_byte(need, view);
-        let mut leaving: Vec<(f64, &KnownUpstream, f64)> = Vec::new();
-        let has_named_limits = !limits.named.is_empty();
-        let has_cooldowns = !limits.cooldowns.is_empty();
-        let (mut cooldown_end, mut is_only_cooling) = (None::<Instant>, true);
-        let has_departures = !limits.departures.is_empty();
-        for known in serving(need, view) {
-            let upstream = &known.upstream;
-            let is_leaving = has_departures && limits.departures.is_leaving(known.lifetime());
-            if is_leaving && !limits.departures.allows_last_use(known.lifetime(), now) {
-                continue;
-            }
-            let load = self.loads.get(&upstream.id);
-            is_served = true;
-            if has_cooldowns && let Some(end) = limits.cooldowns.end(known.lifetime(), now) {
-                cooldown_end = Some(cooldown_end.map_or(end, |earliest| end.min(earliest)));
-                continue;
-            }
-            is_only_cooling &= need.tried.contains(&upstream.id);
-            if need.tried.contains(&upstream.id)
-                || load.is_some_and(|load| {
-                    load.backoff_until.is_some_and(|until| now < until) || load.is_stalled(now)
-                })
-            {
-                continue;
-            }
-            if known.is_cold(now) && !cold_allows(known, view, limits.cold, own.0, now) {
-                continue;
-            }
-            if has_named_limits && !limits.named.allows(known.lifetime(), now) {
-                continue;
-            }
+        let mut eligible: Vec<(f64, Candidate<'_>)> = Vec::new();
+        let mut leaving = Vec::new();
+        let mut survey = Survey::default();
+        for candidate in self.candidates(need, view, limits, own.0, now, &mut survey) {
+            let upstream = &candidate.known.upstream;
             let count = self.estimate(&upstream.id, now);
             if count >= f64::from(upstream.slots) + f64::from(need.queue) {
                 continue;
             }
             let mut score = (count + 1.0) / f64::from(upstream.slots.max(1));
-            if let Some(load) = load {
+            if let Some(load) = self.loads.get(&upstream.id) {
                 score += FAILURE_WEIGHT * load.failure_rate;
                 if let (Some(mean), Some(first)) = (mean, load.first_byte) {
                     let ratio = first / mean.max(0.001);
@@ -364,39 +404,172 @@
             if upstream.domain != *own.1 {
                 score += OTHER_DOMAIN_COST;
             }
-            if known.lapsed_at.is_some() {
+            if candidate.known.lapsed_at.is_some() {
                 score += 1.0;
             }
-            if is_leaving {
-                leaving.push((score, known, count));
+            let list = if candidate.is_leaving {
+                &mut leaving
             } else {
-                eligible.push((score, known, count));
-            }
+                &mut eligible
+            };
+            list.push((
+                score,
+                Candidate {
+                    load: count,
+                    ..candidate
+                },
+            ));
         }
         if eligible.is_empty() {
             eligible = leaving;
         }
         let best = eligible
             .iter()
-            .map(|(score, ..)| *score)
+            .map(|(score, _)| *score)
             .fold(f64::INFINITY, f64::min);
         let candidates = eligible.len();
-        eligible.retain(|(score, ..)| *score <= best + SCORE_TOLERANCE);
+        eligible.retain(|(score, _)| *score <= best + SCORE_TOLERANCE);
         if eligible.is_empty() {
-            return Err(match cooldown_end {
-                Some(end) if is_only_cooling => NoPlace::CoolingDown(end),
-                _ if is_served => NoPlace::Full,
-                _ => NoPlace::None,
-            });
+            return Err(survey.no_place());
         }
-        let (_, known, load) = eligible.swap_remove(draw as usize % eligible.len());
-        Ok(Choice {
-            upstream: known.upstream.id.clone(),
-            lifetime: known.lifetime(),
-            load,
-            candidates,
-            entry_age: now.saturating_duration_since(known.seen),
-            cold: known.is_cold(now),
+        let (_, chosen) = eligible.swap_remove(draw as usize % eligible.len());
+        Ok(chosen.choice(candidates, now))
+    }
+
+    /// Chooses the engine of a request by the loads that engines stated in their answers.
+    ///
+    /// Where an engine has no sample, the requests that nodes counted are taken as its load. `own` and `draw`
+    /// are as for [`Self::choose`].
+    ///
+    /// # Errors
+    /// [`NoPlace`] when there is none.
+    pub fn choose_by_samples(
+        &self,
+        need: &Need<'_>,
+        view: &ClusterView,
+        limits: SendLimits<'_>,
+        own: (&NodeId, &DomainId),
+        samples: &SampleInput<'_>,
+        now: Instant,
+        draw: f64,
+    ) -> Result<Choice, NoPlace> {
+        let mut survey = Survey::default();
+        let (mut usable, mut leaving) = (Vec::new(), Vec::new());
+        for candidate in self.candidates(need, view, limits, own.0, now, &mut survey) {
+            let known = candidate.known;
+            let Some((load, age)) = self.sampled_load(known, samples.board, now) else {
+                continue;
+            };
+            let on_time = (samples.on_time_load)(known);
+            let target = Target {
+                load,
+                limit: samples.class.limit(on_time, known.upstream.slots),
+                age: age.as_secs_f64(),
+                penalty: self.penalty(known, own.1),
+            };
+            let list = if candidate.is_leaving {
+                &mut leaving
+            } else {
+                &mut usable
+            };
+            let load_age = Some(age);
+            list.push((
+                Candidate {
+                    load,
+                    load_age,
+                    ..candidate
+                },
+                target,
+            ));
+        }
+        for list in [usable, leaving] {
+            let targets: Vec<_> = list.iter().map(|(_, target)| *target).collect();
+            if let Some(index) = spread::choose(&targets, samples.traffic, draw) {
+                return Ok(list[index].0.choice(list.len(), now));
+            }
+        }
+        Err(survey.no_place())
+    }
+
+    /// Returns an engine's load and the age of what it was taken from, or `None` if it does not answer.
+    fn sampled_load(
+        &self,
+        known: &KnownUpstream,
+        board: &LoadBoard,
+        now: Instant,
+    ) -> Option<(f64, Duration)> {
+        let Some(LoadEstimate { load, age }) = board.estimate(known.lifetime(), now) else {
+            // Requests that no answer tells of wait at an engine that is new or has lost a member.
+            let is_idle = self.estimate(&known.upstream.id, now) < 1.0;
+            return is_idle.then_some((0.0, NEW_ENGINE_AGE));
+        };
+        let is_answering = age < UNRESPONSIVE_AGE || load < MIN_BUSY_LOAD;
+        is_answering.then_some((load, age))
+    }
+
+    /// Returns what speaks against an engine besides its load, as a fraction of its limit.
+    fn penalty(&self, known: &KnownUpstream, own: &DomainId) -> f64 {
+        let failure_rate = self
+            .loads
+            .get(&known.upstream.id)
+            .map_or(0.0, |load| load.failure_rate);
+        let mut penalty = FAILURE_WEIGHT * failure_rate;
+        if known.upstream.domain != *own {
+            penalty += OTHER_DOMAIN_COST;
+        }
+        if known.lapsed_at.is_some() {
+            penalty += 1.0;
+        }
+        penalty
+    }
+
+    /// Returns the upstreams that may get a request, whatever their load.
+    fn candidates<'a>(
+        &'a self,
+        need: &'a Need<'_>,
+        view: &'a ClusterView,
+        limits: SendLimits<'a>,
+        own: &'a NodeId,
+        now: Instant,
+        survey: &'a mut Survey,
+    ) -> impl Iterator<Item = Candidate<'a>> {
+        let has_named_limits = !limits.named.is_empty();
+        let has_cooldowns = !limits.cooldowns.is_empty();
+        let has_departures = !limits.departures.is_empty();
+        serving(need, view).filter_map(move |known| {
+            let upstream = &known.upstream;
+            let is_leaving = has_departures && limits.departures.is_leaving(known.lifetime());
+            if is_leaving && !limits.departures.allows_last_use(known.lifetime(), now) {
+                return None;
+            }
+            survey.is_served = true;
+            if has_cooldowns && let Some(end) = limits.cooldowns.end(known.lifetime(), now) {
+                let earliest = survey
+                    .cooldown_end
+                    .map_or(end, |earliest| end.min(earliest));
+                survey.cooldown_end = Some(earliest);
+                return None;
+            }
+            let is_tried = need.tried.contains(&upstream.id);
+            survey.has_untried |= !is_tried;
+            let is_avoided = self.loads.get(&upstream.id).is_some_and(|load| {
+                load.backoff_until.is_some_and(|until| now < until) || load.is_stalled(now)
+            });
+            if is_tried || is_avoided {
+                return None;
+            }
+            if known.is_cold(now) && !cold_allows(known, view, limits.cold, own, now) {
+                return None;
+            }
+            if has_named_limits && !limits.named.allows(known.lifetime(), now) {
+                return None;
+            }
+            Some(Candidate {
+                known,
+                is_leaving,
+                load: 0.0,
+                load_age: None,
+            })
         })
     }
 
--- /dev/null
+++ b/crates/shallottide_fleet/src/call_classes.rs
@@ -0,0 +1,205 @@
+//! Classes of calls, as a node learns them from the calls that it gets: which routes use a model,
+//! and which calls are repeated by callers that were refused.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use shallottide_types::id::{ModelId, ServiceId};
+
+use crate::admission::CallClass;
+use crate::catalog::Route;
+use crate::spread::Traffic;
+
+/// Time after which a route that got no call for a model no longer counts as using it.
+const ROUTE_MEMORY: Duration = Duration::from_secs(30);
+/// Deadlines kept for each route; the rarest is dropped first.
+const MAX_DEADLINES: usize = 16;
+/// Fraction of a route's calls that state the same deadline from which it counts as one that
+/// callers give to new calls; what is left of a deadline after a refusal is hardly ever the same.
+const MIN_NEW_FRACTION: f64 = 0.1;
+/// Calls after which counts of deadlines are halved, so that a change of callers is followed.
+const HALVING_CALLS: f64 = 200.0;
+
+/// Window over which calls are counted, in seconds.
+const ARRIVAL_WINDOW: f64 = 2.0;
+/// Time that a call stays at its engine before any has ended, and the least one, in seconds.
+const INITIAL_RESIDENCE: f64 = 1.0;
+const MIN_RESIDENCE: f64 = 0.1;
+/// Weight of the newest call in the moving average of that time.
+const RESIDENCE_WEIGHT: f64 = 0.05;
+
+/// A model of a service.
+pub type Kind = (ServiceId, ModelId);
+
+#[derive(Debug, Clone, Copy)]
+struct RouteUse {
+    priority: u8,
+    target_latency: Duration,
+    last_call: Instant,
+}
+
+/// How often callers of a route stated each deadline, in milliseconds.
+#[derive(Debug, Clone, Default)]
+struct Deadlines {
+    counts: BTreeMap<u64, f64>,
+    total: f64,
+}
+
+impl Deadlines {
+    fn record(&mut self, time_left: Duration) {
+        let ms = to_ms(time_left);
+        if self.total >= HALVING_CALLS {
+            self.total /= 2.0;
+            self.counts.values_mut().for_each(|count| *count /= 2.0);
+        }
+        self.total += 1.0;
+        *self.counts.entry(ms).or_default() += 1.0;
+        if self.counts.len() > MAX_DEADLINES {
+            let rarest = self.counts.iter().filter(|(known, _)| **known != ms);
+            let rarest = rarest.min_by(|a, b| a.1.total_cmp(b.1)).map(|(ms, _)| *ms);
+            rarest.and_then(|rarest| self.counts.remove(&rarest));
+        }
+    }
+
+    /// Returns how long ago a call with this much time left was first sent: zero for a new one.
+    fn elapsed(&self, time_left: Duration) -> Duration {
+        let ms = to_ms(time_left);
+        let is_new = |count: f64| count >= MIN_NEW_FRACTION * self.total;
+        let mut at_least = self.counts.range(ms..).filter(|(_, count)| is_new(**count));
+        let started = at_least.next().map_or(ms, |(started, _)| *started);
+        Duration::from_millis(started - ms)
+    }
+}
+
+/// Calls of one model at this node.
+#[derive(Debug, Clone, Copy)]
+struct KindTraffic {
+    /// Calls within the window, with exponentially falling weights.
+    calls: f64,
+    counted_at: Instant,
+    /// Moving average of the time that a call stays at its engine, in seconds.
+    residence: f64,
+}
+
+impl KindTraffic {
+    fn new(now: Instant) -> Self {
+        Self {
+            calls: 0.0,
+            counted_at: now,
+            residence: INITIAL_RESIDENCE,
+        }
+    }
+
+    fn calls_at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.counted_at);
+        self.calls * (-age.as_secs_f64() / ARRIVAL_WINDOW).exp()
+    }
+}
+
+/// What a node knows of the classes of its calls.
+#[derive(Debug, Clone, Default)]
+pub struct CallClasses {
+    traffic: BTreeMap<Kind, KindTraffic>,
+    routes: BTreeMap<Kind, BTreeMap<CompactString, RouteUse>>,
+    deadlines: BTreeMap<CompactString, Deadlines>,
+}
+
+impl CallClasses {
+    /// Records a caller's call to an engine; returns how long ago its caller first sent it.
+    pub fn record_call(
+        &mut self,
+        kind: &Kind,
+        route: &Route,
+        time_left: Duration,
+        now: Instant,
+    ) -> Duration {
+        let usage = RouteUse {
+            priority: route.priority,
+            target_latency: route.target_latency,
+            last_call: now,
+        };
+        let routes = self.routes.entry(kind.clone()).or_default();
+        routes.insert(route.name.clone(), usage);
+        let traffic = self.traffic.entry(kind.clone());
+        let traffic = traffic.or_insert_with(|| KindTraffic::new(now));
+        traffic.calls = traffic.calls_at(now) + 1.0;
+        traffic.counted_at = now;
+        let deadlines = self.deadlines.entry(route.name.clone()).or_default();
+        deadlines.record(time_left);
+        deadlines.elapsed(time_left)
+    }
+
+    /// Returns the class of a call that its caller first sent `elapsed` ago.
+    #[must_use]
+    pub fn classify(
+        &self,
+        kind: &Kind,
+        priority: u8,
+        target_latency: Duration,
+        elapsed: Duration,
+        is_begun: bool,
+    ) -> CallClass {
+        let more_urgent = self.routes.get(kind).map_or(0, |routes| {
+            let mut priorities: Vec<_> = routes.values().map(|usage| usage.priority).collect();
+            priorities.sort_unstable();
+            priorities.dedup();
+            priorities.into_iter().filter(|p| *p < priority).count()
+        });
+        CallClass {
+            time_left: target_latency
+                .checked_sub(elapsed)
+                .filter(|left| !left.is_zero()),
+            rank: u32::try_from(more_urgent).unwrap_or(u32::MAX),
+            is_begun,
+        }
+    }
+
+    /// Returns the tightest target latency of the routes that use a model, if any is known.
+    #[must_use]
+    pub fn tightest_target(&self, kind: &Kind) -> Option<Duration> {
+        let routes = self.routes.get(kind)?;
+        routes.values().map(|usage| usage.target_latency).min()
+    }
+
+    /// Records how long a call stayed at its engine.
+    pub fn record_residence(&mut self, kind: &Kind, time: Duration) {
+        if let Some(traffic) = self.traffic.get_mut(kind) {
+            let change = time.as_secs_f64() - traffic.residence;
+            traffic.residence += RESIDENCE_WEIGHT * change;
+        }
+    }
+
+    /// Estimates the calls of a model from all `nodes`, which get about as many as this one.
+    #[must_use]
+    pub fn traffic(&self, kind: &Kind, nodes: usize, now: Instant) -> Traffic {
+        let nodes = f64::from(u32::try_from(nodes).unwrap_or(u32::MAX));
+        self.traffic.get(kind).map_or(
+            Traffic {
+                arrivals_per_second: 0.0,
+                residence: INITIAL_RESIDENCE,
+            },
+            |traffic| Traffic {
+                arrivals_per_second: traffic.calls_at(now) / ARRIVAL_WINDOW * nodes,
+                residence: traffic.residence.max(MIN_RESIDENCE),
+            },
+        )
+    }
+
+    /// Forgets routes that got no call for a while.
+    pub fn expire(&mut self, now: Instant) {
+        for routes in self.routes.values_mut() {
+            routes.retain(|_, usage| now.saturating_duration_since(usage.last_call) < ROUTE_MEMORY);
+        }
+        self.routes.retain(|_, routes| !routes.is_empty());
+        self.traffic
+            .retain(|kind, _| self.routes.contains_key(kind));
+        let routes = &self.routes;
+        let is_used = |route: &CompactString| routes.values().any(|used| used.contains_key(route));
+        self.deadlines.retain(|route, _| is_used(route));
+    }
+}
+
+fn to_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -31,8 +31,11 @@
 
 pub mod access;
 pub mod adapter;
+pub mod admission;
 pub mod balance;
 pub mod byte_budget;
+pub mod call_classes;
+pub mod capacity;
 pub mod catalog;
 pub mod change_log;
 pub mod cold_gate;
@@ -48,6 +51,7 @@
 pub mod held_back_entries;
 pub mod lease_term;
 pub mod lease_validity;
+pub mod load_board;
 pub mod named_limits;
 pub mod node_entry;
 pub mod options;
@@ -64,7 +68,7 @@
 pub mod send_window;
 pub mod serve;
 mod service_links;
-
+pub mod spread;
 pub mod upstream;
 pub mod upstream_links;
 pub mod view;
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -25,6 +25,7 @@
 use super::stream_relay::{self, StreamRelay, StreamSource};
 use crate::adapter::CallHead;
 use crate::balance::{Choice, NoPlace};
+use crate::call_classes::CallClasses;
 use crate::catalog::{Catalog, Repeat, Route};
 use crate::event_stream::{EventSplitter, WholeEvents};
 use crate::request_digest::RequestDigest;
@@ -68,6 +69,8 @@
     pub(super) link_draw: u32,
     /// Set if a peer relayed the call to this node, which does not relay it again.
     pub(super) relayed_from: Option<RelayedGuard>,
+    /// When the caller first sent the call; earlier than its arrival if it was refused since.
+    pub(super) first_sent: Instant,
     pub(super) log: CallLog,
 }
 
@@ -138,6 +141,8 @@
             deadline: call.deadline,
             shared_parts: head.shared_parts,
             digest,
+            is_for_engine: head.model.is_some(),
+            prompt_tokens: head.prompt_tokens,
         }),
         route: Rc::new(call.route),
         tried: Vec::new(),
@@ -152,6 +157,7 @@
         tried_peers: Vec::new(),
         link_draw: rand::random(),
         relayed_from: None,
+        first_sent: call.first_sent,
         log,
     };
     call.run(head.resume_from).await
@@ -178,6 +184,8 @@
         urgency: head.priority.min(9),
         deadline: node.now() + head.time_left,
         shared_parts: head.shared_parts,
+        is_for_engine: head.model.is_some(),
+        prompt_tokens: 0,
     };
     let call = Call {
         node: node.clone(),
@@ -197,6 +205,7 @@
         tried_peers: Vec::new(),
         link_draw: rand::random(),
         relayed_from: Some(guard),
+        first_sent: node.now(),
         log,
     };
     Some(call.run(head.resume_from).await)
@@ -238,6 +247,8 @@
     queue_key: CompactString,
     domains: Option<BTreeSet<DomainId>>,
     deadline: Instant,
+    /// When the caller first sent the call; earlier than its arrival if it was refused since.
+    first_sent: Instant,
 }
 
 /// Finds the route, team and deadline of a request, and the size limit of its body in bytes.
@@ -275,6 +286,7 @@
             .and_then(|team| team.priority)
             .unwrap_or(route.priority),
         deadline: arrived_at + timeout,
+        first_sent: first_sent(&mut state.call_classes, &service, route, head, arrived_at),
         service,
     };
     let max_body_bytes = catalog.limits.body_bytes;
@@ -293,6 +305,22 @@
     Ok((resolved, max_body_bytes))
 }
 
+/// Returns when a caller first sent a call.
+fn first_sent(
+    classes: &mut CallClasses,
+    service: &ServiceId,
+    route: &Route,
+    head: &CallHead,
+    arrived_at: Instant,
+) -> Instant {
+    let (Some(model), Some(time_left)) = (&head.model, head.time_left) else {
+        return arrived_at;
+    };
+    let kind = (service.clone(), model.clone());
+    let elapsed = classes.record_call(&kind, route, time_left, arrived_at);
+    arrived_at.checked_sub(elapsed).unwrap_or(arrived_at)
+}
+
 /// Returns the failure domains in a route's regions, or `None` if the route allows all regions.
 fn allowed_domains(node: &Node, route: &Route) -> Option<BTreeSet<DomainId>> {
     let domains = node.options.domains.iter();
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -23,16 +23,20 @@
 use crate::adapter::{CallFormat, EngineFormat, Lease, Store};
 use crate::balance::LoadTracker;
 use crate::byte_budget::ByteBudget;
+use crate::call_classes::CallClasses;
+use crate::capacity::CapacityModel;
 use crate::cold_gate::ColdGate;
 use crate::cooldowns::Cooldowns;
 use crate::crash_evidence::CrashEvidence;
 use crate::departures::Departures;
 use crate::groups::{Demand, EngineCounts};
 use crate::lease_validity::LeaseValidity;
+use crate::load_board::LoadBoard;
 use crate::named_limits::NamedLimits;
 use crate::options::NodeOptions;
 use crate::relay_limit::RelayLimit;
 use crate::relay_targets::ServiceRelayTargets;
+use crate::report_targets::REPORT_FANOUT;
 use crate::retry_budget::RetryBudget;
 use crate::routes::RouteTable;
 use crate::upstream_links::UpstreamLinks;
@@ -85,6 +89,10 @@
     /// Version of the configuration that `routes` was built from.
     pub(super) routes_version: Option<u64>,
     pub(super) loads: LoadTracker,
+    /// Loads that engines stated in their answers; used where [`State::has_shared_samples`].
+    pub(super) board: LoadBoard,
+    pub(super) capacity: CapacityModel,
+    pub(super) call_classes: CallClasses,
     /// This node's own links to upstreams.
     pub(super) links: UpstreamLinks,
     /// Nodes to which calls are relayed while links are lost.
@@ -127,6 +135,12 @@
         self.view.nodes.len().max(self.peak_nodes).max(1)
     }
 
+    /// Returns whether nodes are too many for each to hear all others directly, so that they pass on
+    /// samples of engines' loads.
+    pub(super) fn has_shared_samples(&self) -> bool {
+        self.node_count() > REPORT_FANOUT + 1
+    }
+
     /// Rebuilds what is derived from the view.
     pub(super) fn refresh_derived(&mut self) {
         let version = self.view.catalog.as_ref().map(|catalog| catalog.version);
@@ -309,6 +323,8 @@
         let peers: BTreeSet<_> = view.nodes.values().map(|entry| entry.peers).collect();
         node.relay_connections.retain(|peer| peers.contains(peer));
         state.cooldowns.expire(now);
+        state.board.expire(now);
+        state.call_classes.expire(now);
         if !state.departures.is_empty() {
             let known = view.upstreams.values().map(KnownUpstream::lifetime);
             state.departures.retain(&known.collect(), now);
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -31,6 +31,7 @@
 use super::supervise::supervise;
 use crate::departures::DepartureReport;
 use crate::groups::DemandReport;
+use crate::load_board::LoadSampleReport;
 use crate::named_limits::LimitReport;
 use crate::quarantine::REPORT_INTERVAL;
 use crate::report_targets::report_targets;
@@ -62,9 +63,18 @@
 const LOAD_REPORT_VERSION: u8 = 2;
 /// Version of the format of named limits, which come over the same port.
 const LIMITS_VERSION: u8 = 4;
+/// Version of the format of load samples, which come over the same port.
+const SAMPLES_VERSION: u8 = 8;
 /// Version of the format of upstreams' departures, which come over the same port.
 const DEPARTURES_VERSION: u8 = 6;
 
+/// Newest samples of engines' loads that a node knows.
+#[derive(Debug, Serialize, Deserialize)]
+struct SampleMessage {
+    version: u8,
+    samples: Vec<LoadSampleReport>,
+}
+
 /// Load that a node reports to its peers; upstreams are identified by the hash of their id.
 #[derive(Debug, Serialize, Deserialize)]
 struct LoadReport {
@@ -320,8 +330,11 @@
         let limits = limits.iter().filter_map(encode_datagram);
         let departures = departure_messages(&node);
         let departures = departures.iter().filter_map(encode_datagram);
+        let samples = sample_message(&node);
+        let samples = samples.iter().filter_map(encode_datagram);
         let (load, peers) = load_report(&node);
         let messages = load.into_iter().chain(evidence).chain(limits);
+        let messages = messages.chain(samples);
         for message in messages.chain(departures) {
             for peer in &peers {
                 if let Err(error) = socket.send_to(&message, peer).await {
@@ -349,6 +362,19 @@
     messages.collect()
 }
 
+/// Returns the samples that are new since the last message; `None` if there are none.
+fn sample_message(node: &Node) -> Option<SampleMessage> {
+    let state = &mut *node.state.borrow_mut();
+    if !state.has_shared_samples() {
+        return None;
+    }
+    let samples = state.board.report(node.now());
+    (!samples.is_empty()).then_some(SampleMessage {
+        version: SAMPLES_VERSION,
+        samples,
+    })
+}
+
 fn departure_messages(node: &Node) -> Vec<DepartureMessage> {
     let reports = node.state.borrow().departures.reports(node.now());
     let messages = reports.into_iter().map(|departures| DepartureMessage {
@@ -440,6 +466,12 @@
                 node.metrics.count("departures", "reported");
             }
         }
+        SAMPLES_VERSION => {
+            let SampleMessage { samples, .. } = decode_datagram(bytes)?;
+            let state = &mut *node.state.borrow_mut();
+            let own = &node.options.node;
+            state.board.merge(&samples, own, node.now());
+        }
         _ => return None,
     }
     Some(())
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -47,6 +47,8 @@
     pub(super) deadline: Instant,
     pub(super) shared_parts: Vec<PromptPart>,
     pub(super) digest: RequestDigest,
+    pub(super) is_for_engine: bool,
+    pub(super) prompt_tokens: u32,
 }
 
 impl OutgoingRequest {
@@ -108,6 +110,7 @@
             state.loads.record_stream_end(&self.upstream);
         }
         state.loads.ended(&self.upstream);
+        state.board.ended(self.lifetime);
         drop(state);
         self.node.wake_waiting();
     }
@@ -196,10 +199,14 @@
         return Err(SendError::OutcomeUnknown("the answer was another call's"));
     }
     if let Some(load) = head.load {
-        node.state
-            .borrow_mut()
-            .loads
-            .record_reported_load(&upstream.id, load, now);
+        let state = &mut *node.state.borrow_mut();
+        state.loads.record_reported_load(&upstream.id, load, now);
+        if call.is_for_engine && head.verdict != Verdict::Misdirected {
+            let own = &node.options.node;
+            state
+                .board
+                .record_answer(choice.lifetime, load, None, own, now);
+        }
     }
     record_limit(node, &upstream.id, choice.lifetime, &head);
     record_cooldown(node, &upstream.id, choice.lifetime, &head);
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -372,6 +372,12 @@
             let (service, request) = (&self.call.service, &self.call.request);
             self.call.node.record_answer(&response, service, request);
             let now = self.call.node.now();
+            if let Some(model) = &self.call.model {
+                let kind = (service.clone(), model.clone());
+                let time = now.saturating_duration_since(response.sent_at);
+                let mut state = self.call.node.state.borrow_mut();
+                state.call_classes.record_residence(&kind, time);
+            }
             let pool = &self.call.node.pool;
             pool.release(
                 &response.in_flight.upstream,
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -9,7 +9,8 @@
 use super::call::Call;
 use super::node::{Node, State};
 use super::send::InFlightGuard;
-use crate::balance::{Choice, Need, NoPlace, SendLimits};
+use crate::balance::{Choice, Need, NoPlace, SampleInput, SendLimits};
+use crate::view::KnownUpstream;
 use crate::wait_queue::Ticket;
 
 /// Longest time in the wait queue, as a fraction of the route's target latency; a longer wait made
@@ -81,9 +82,14 @@
             cooldowns: &state.cooldowns,
             departures: &state.departures,
         };
-        let choice = state
-            .loads
-            .choose(&need, &state.view, limits, own, now, rand::random())?;
+        let choice = if self.model.is_some() && state.has_shared_samples() {
+            self.choose_by_samples(state, &need, limits, now)?
+        } else {
+            let draw = rand::random();
+            state
+                .loads
+                .choose(&need, &state.view, limits, own, now, draw)?
+        };
         if !node
             .pool
             .has_room(&choice.upstream, connection_share(state, &self.service))
@@ -91,12 +97,14 @@
             return Err(NoPlace::Full);
         }
         state.loads.started(&choice.upstream);
+        state.board.started(choice.lifetime);
         if choice.cold {
             state.cold.sent(&choice.upstream, now);
         }
         state.named_limits.sent(choice.lifetime, now);
         tracing::info!(
             call = %self.request.id, upstream = %choice.upstream, load = choice.load,
+            load_age_ms = choice.load_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             candidates = choice.candidates, cold = choice.cold, attempt = self.attempts + 1,
             entry_age_ms = u64::try_from(choice.entry_age.as_millis()).unwrap_or(u64::MAX),
             index = %state.view.index, "sent to upstream"
@@ -106,6 +114,44 @@
     }
 }
 
+impl Call {
+    /// Chooses an engine by the loads that engines stated in their answers.
+    fn choose_by_samples(
+        &self,
+        state: &State,
+        need: &Need<'_>,
+        limits: SendLimits<'_>,
+        now: Instant,
+    ) -> Result<Choice, NoPlace> {
+        let options = &self.node.options;
+        let kind = (self.service.clone(), self.model.clone().expect("a model"));
+        let elapsed = now.saturating_duration_since(self.first_sent);
+        let target = self.route.target_latency;
+        let class =
+            state
+                .call_classes
+                .classify(&kind, self.priority, target, elapsed, self.attempts > 0);
+        let tightest = state.call_classes.tightest_target(&kind).unwrap_or(target);
+        let on_time_load = |known: &KnownUpstream| {
+            let slots = known.upstream.slots;
+            state
+                .capacity
+                .on_time_load(known.lifetime(), slots, 600, tightest, now)
+        };
+        let input = SampleInput {
+            board: &state.board,
+            class,
+            traffic: state.call_classes.traffic(&kind, state.node_count(), now),
+            on_time_load: &on_time_load,
+        };
+        let own = (&options.node, &options.domain);
+        let draw = rand::random();
+        state
+            .loads
+            .choose_by_samples(need, &state.view, limits, own, &input, now, draw)
+    }
+}
+
 /// Returns how many connections to one upstream this node may have open; at least 1.
 pub(super) fn connection_share(state: &State, service: &ServiceId) -> u32 {
     let catalog = state.view.catalog.as_ref();
