--- a/crates/shallottide_fleet/src/capacity.rs
+++ b/crates/shallottide_fleet/src/capacity.rs
@@ -17,14 +17,10 @@
 
 use std::time::Duration;
 
-use shallottide_types::id::{ModelId, ServiceId};
-
+pub use crate::load_keys::Kind;
 pub use model::CapacityModel;
 pub use pace::Slowness;
 
-/// Engines that one curve describes: those of a service that serve a model.
-pub type Kind = (ServiceId, ModelId);
-
 /// One stream's time from the send to its first event.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FirstEventSample {
--- a/crates/shallottide_fleet/src/lib.rs
+++ b/crates/shallottide_fleet/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`feed_tree`]: which node of a failure domain each node gets changes from.
 //! - [`report_targets`]: which nodes get a load report.
 //! - [`routes`]: lookup of a request's route and team.
+//! - [`load_board`], [`spread`], [`admission`], [`call_classes`]: choice of an engine by the loads that engines
+//!   stated to any node, and how many calls are admitted.
 //! - [`balance`], [`cold_gate`], [`retry_budget`], [`wait_queue`]: choice of a request's upstream,
 //!   limits on requests, and the queue of waiting requests.
 //! - [`team_shares`], [`team_division`], [`team_usage_report`], [`team_weights`], [`water_level`]:
@@ -36,8 +38,10 @@
 
 pub mod access;
 pub mod adapter;
+pub mod admission;
 pub mod balance;
 pub mod byte_budget;
+pub mod call_classes;
 pub mod capacity;
 pub mod catalog;
 pub mod change_log;
@@ -55,6 +59,7 @@
 pub mod held_back_entries;
 pub mod lease_term;
 pub mod lease_validity;
+pub mod load_board;
 pub mod load_keys;
 pub mod named_limits;
 pub mod node_entry;
@@ -75,8 +80,8 @@
 pub mod send_window;
 pub mod serve;
 mod service_links;
+pub mod spread;
 pub mod stream_buffer;
-
 pub mod team_division;
 pub mod team_shares;
 pub mod team_usage_report;
--- a/crates/shallottide_fleet/src/serve/attempt.rs
+++ b/crates/shallottide_fleet/src/serve/attempt.rs
@@ -20,6 +20,7 @@
 use super::stream_relay::{self, NextEvents, StreamSource};
 use crate::balance::Choice;
 use crate::byte_budget::ByteBudget;
+use crate::capacity::FirstEventSample;
 use crate::catalog::Route;
 use crate::event_stream::EventSplitter;
 
@@ -130,7 +131,7 @@
                 return Err(reject_unsigned(&node, &request, &response.in_flight).into());
             }
             heard_at.set(node.now());
-            return Ok(wait_for_first_events(&node, &request, response).await?);
+            return Ok(wait_for_first_events(&node, &request, &service, response).await?);
         }
         read_response(&node, &request, &service, response).await
     }
@@ -139,6 +140,7 @@
 async fn wait_for_first_events(
     node: &Rc<Node>,
     request: &OutgoingRequest,
+    service: &ServiceId,
     mut response: UpstreamResponse,
 ) -> Result<CallResult, SendError> {
     let mut splitter = EventSplitter::default();
@@ -151,6 +153,7 @@
             let mut state = node.state.borrow_mut();
             state.loads.record_success(&upstream, took);
             drop(state);
+            record_first_event(node, request, service, &response, took);
             node.metrics.record_duration("first_event", took);
             response.in_flight.record_stream_start();
             let source = StreamSource::Upstream(Box::new(response));
@@ -171,6 +174,43 @@
     }
 }
 
+/// Learns an engine's capacity from a stream's time to its first event.
+fn record_first_event(
+    node: &Node,
+    request: &OutgoingRequest,
+    service: &ServiceId,
+    response: &UpstreamResponse,
+    took: Duration,
+) {
+    let (Some(model), Some(load)) = (&request.model, response.head.load) else {
+        return;
+    };
+    let InFlightGuard {
+        upstream, lifetime, ..
+    } = &response.in_flight;
+    let state = &mut *node.state.borrow_mut();
+    if !state.has_shared_samples() {
+        return;
+    }
+    let Some(known) = state.view.upstreams.get(upstream) else {
+        return;
+    };
+    let sample = FirstEventSample {
+        load: f64::from(load.running + load.waiting),
+        slots: known.upstream.slots,
+        prompt_tokens: request.prompt_tokens,
+        took,
+        is_other_domain: known.upstream.domain != node.options.domain,
+    };
+    let kind = (service.clone(), model.clone());
+    let ratio = state.capacity.record(&kind, *lifetime, &sample, node.now());
+    if let Some(ratio) = ratio {
+        state
+            .board
+            .record_slowness(*lifetime, ratio, &node.options.node);
+    }
+}
+
 /// Reads a response that is not a stream.
 async fn read_response(
     node: &Rc<Node>,
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -27,6 +27,7 @@
 use super::stream_relay::{self, StreamRelay, StreamSource};
 use crate::adapter::CallHead;
 use crate::balance::{Choice, NoPlace};
+use crate::call_classes::CallClasses;
 use crate::catalog::{Catalog, Repeat, Route};
 use crate::event_stream::{EventSplitter, WholeEvents};
 use crate::request_digest::RequestDigest;
@@ -37,6 +38,8 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Number of attempts that did not reach their upstream after which the call is refused.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
+/// Time since a call was first sent from which it counts as one that comes back after a refusal.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(100);
 /// Shortest and longest `retry-after` of a refusal.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
@@ -74,6 +77,14 @@
     pub(super) link_draw: u32,
     /// Set if a peer relayed the call to this node, which does not relay it again.
     pub(super) relayed_from: Option<RelayedGuard>,
+    /// When the caller first sent the call; earlier than its arrival if it was refused since.
+    pub(super) first_sent: Instant,
+    /// Whether the caller comes back after a refusal.
+    pub(super) is_returning: bool,
+    /// Time for which the call occupies a group of engines, in seconds.
+    pub(super) work: f64,
+    /// Whether it was decided that the call's team may use room, which is done once.
+    pub(super) has_share: bool,
     pub(super) log: CallLog,
 }
 
@@ -150,6 +161,8 @@
             deadline: call.deadline,
             shared_parts: head.shared_parts,
             digest,
+            model: head.model.clone(),
+            prompt_tokens: head.prompt_tokens,
         }),
         route: Rc::new(call.route),
         tried: Vec::new(),
@@ -164,6 +177,10 @@
         tried_peers: Vec::new(),
         link_draw: rand::random(),
         relayed_from: None,
+        first_sent: call.first_sent,
+        is_returning: call.first_sent + MIN_RETURN_TIME <= arrived_at,
+        work: call.work,
+        has_share: false,
         log,
     };
     call.run(head.resume_from).await
@@ -190,6 +207,8 @@
         urgency: head.priority.min(9),
         deadline: node.now() + head.time_left,
         shared_parts: head.shared_parts,
+        model: head.model.clone(),
+        prompt_tokens: 0,
     };
     let call = Call {
         node: node.clone(),
@@ -209,6 +228,10 @@
         tried_peers: Vec::new(),
         link_draw: rand::random(),
         relayed_from: Some(guard),
+        first_sent: node.now(),
+        is_returning: false,
+        work: 0.0,
+        has_share: true,
         log,
     };
     Some(call.run(head.resume_from).await)
@@ -265,6 +288,10 @@
     queue_key: CompactString,
     domains: Option<BTreeSet<DomainId>>,
     deadline: Instant,
+    /// When the caller first sent the call; earlier than its arrival if it was refused since.
+    first_sent: Instant,
+    /// Time for which the call occupies a group of engines, in seconds.
+    work: f64,
 }
 
 /// Finds the route, team and deadline of a request, and the size limit of its body in bytes.
@@ -293,7 +320,9 @@
     let service = choose_service(route, rand::random()).clone();
     let timeout = head.time_left.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let model = head.model.as_ref().map_or("", |model| model.as_str());
+    let work = record_demand(&mut state.demand, catalog, &service, head, arrived_at);
     let resolved = ResolvedCall {
+        work,
         queue_key: format_compact!("{service}/{model}"),
         domains: allowed_domains(node, route),
         route: route.clone(),
@@ -302,16 +331,10 @@
             .and_then(|team| team.priority)
             .unwrap_or(route.priority),
         deadline: arrived_at + timeout,
+        first_sent: first_sent(&mut state.call_classes, &service, route, head, arrived_at),
         service,
     };
     let max_body_bytes = catalog.limits.body_bytes;
-    record_demand(
-        &mut state.demand,
-        catalog,
-        &resolved.service,
-        head,
-        arrived_at,
-    );
     let budget = state
         .retry_budgets
         .entry(resolved.service.clone())
@@ -320,6 +343,22 @@
     Ok((resolved, max_body_bytes))
 }
 
+/// Returns when a caller first sent a call.
+fn first_sent(
+    classes: &mut CallClasses,
+    service: &ServiceId,
+    route: &Route,
+    head: &CallHead,
+    arrived_at: Instant,
+) -> Instant {
+    let (Some(model), Some(time_left)) = (&head.model, head.time_left) else {
+        return arrived_at;
+    };
+    let kind = (service.clone(), model.clone());
+    let elapsed = classes.record_call(&kind, route, time_left, arrived_at);
+    arrived_at.checked_sub(elapsed).unwrap_or(arrived_at)
+}
+
 /// Returns the failure domains in a route's regions, or `None` if the route allows all regions.
 fn allowed_domains(node: &Node, route: &Route) -> Option<BTreeSet<DomainId>> {
     let domains = node.options.domains.iter();
@@ -328,23 +367,26 @@
     (!route.regions.is_empty()).then_some(allowed)
 }
 
+/// Records the work that a call asks for; returns it, in seconds of a whole group.
 fn record_demand(
     demand: &mut crate::groups::Demand,
     catalog: &Catalog,
     service: &ServiceId,
     head: &CallHead,
     now: Instant,
-) {
+) -> f64 {
     let Some(model) = &head.model else {
-        return;
+        return 0.0;
     };
     let engine_and_model = catalog
         .engine(service)
         .and_then(|e| Some((e, e.model(model)?)));
-    if let Some((engine, facts)) = engine_and_model {
-        let work = engine.busy_time(facts, head.prompt_tokens, head.output_tokens);
-        demand.record_request(model, work, now);
-    }
+    let Some((engine, facts)) = engine_and_model else {
+        return 0.0;
+    };
+    let work = engine.busy_time(facts, head.prompt_tokens, head.output_tokens);
+    demand.record_request(model, work, now);
+    work.as_secs_f64()
 }
 
 impl Call {
@@ -668,7 +710,7 @@
         })
     }
 
-    fn refuse_without_upstream(&self, no_place: NoPlace) -> Refusal {
+    fn refuse_without_upstream(&mut self, no_place: NoPlace) -> Refusal {
         if self.may_have_run {
             let message = "the upstream did not answer, and no other can serve the call now";
             return Refusal::new(RefusalKind::UpstreamFailed, Ran::Unknown, message);
@@ -678,6 +720,10 @@
                 let message = "every upstream that could serve the call is full";
                 Refusal::new(RefusalKind::Overloaded, Ran::No, message)
             }
+            NoPlace::OverShare => {
+                let message = "every upstream that could serve the call is full, and its team has used its share";
+                Refusal::new(RefusalKind::Overloaded, Ran::No, message)
+            }
             NoPlace::CoolingDown(end) => {
                 let message = "every upstream that could serve the call asked for no requests now";
                 let refusal = Refusal::new(RefusalKind::Overloaded, Ran::No, message);
@@ -688,7 +734,9 @@
                 Refusal::new(RefusalKind::NoUpstream, Ran::No, message)
             }
         };
-        refusal.retry_after(self.retry_after())
+        let is_for_room = matches!(no_place, NoPlace::Full | NoPlace::OverShare);
+        let booked = is_for_room.then(|| self.book_return()).flatten();
+        refusal.retry_after(booked.unwrap_or_else(|| self.retry_after()))
     }
 
     /// Returns a `retry-after` with jitter that ends after `end`, or sooner if the caller does not wait so
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -23,18 +23,24 @@
 use crate::adapter::{CallFormat, EngineFormat, Lease, Store};
 use crate::balance::LoadTracker;
 use crate::byte_budget::ByteBudget;
+use crate::call_classes::CallClasses;
+use crate::capacity::CapacityModel;
 use crate::cold_gate::ColdGate;
 use crate::cooldowns::Cooldowns;
 use crate::crash_evidence::CrashEvidence;
 use crate::departures::Departures;
 use crate::groups::{Demand, EngineCounts};
 use crate::lease_validity::LeaseValidity;
+use crate::load_board::LoadBoard;
 use crate::named_limits::NamedLimits;
 use crate::options::NodeOptions;
 use crate::relay_limit::RelayLimit;
 use crate::relay_targets::ServiceRelayTargets;
+use crate::report_targets::REPORT_FANOUT;
 use crate::retry_budget::RetryBudget;
+use crate::return_schedule::ReturnSchedule;
 use crate::routes::RouteTable;
+use crate::team_shares::TeamShares;
 use crate::upstream_links::UpstreamLinks;
 use crate::view::{ClusterView, KnownUpstream};
 use crate::wait_queue::{Ticket, WaitQueue};
@@ -87,6 +93,11 @@
     /// Version of the configuration that `routes` was built from.
     pub(super) routes_version: Option<u64>,
     pub(super) loads: LoadTracker,
+    /// Loads that engines stated in their answers; used where [`State::has_shared_samples`].
+    pub(super) board: LoadBoard,
+    pub(super) capacity: CapacityModel,
+    pub(super) call_classes: CallClasses,
+    pub(super) returns: ReturnSchedule,
     /// This node's own links to upstreams.
     pub(super) links: UpstreamLinks,
     /// Nodes to which calls are relayed while links are lost.
@@ -129,6 +140,12 @@
         self.view.nodes.len().max(self.peak_nodes).max(1)
     }
 
+    /// Returns whether nodes are too many for each to hear all others directly, so that they pass on
+    /// samples of engines' loads.
+    pub(super) fn has_shared_samples(&self) -> bool {
+        self.node_count() > REPORT_FANOUT + 1
+    }
+
     /// Rebuilds what is derived from the view.
     pub(super) fn refresh_derived(&mut self) {
         let version = self.view.catalog.as_ref().map(|catalog| catalog.version);
@@ -149,6 +166,7 @@
     pub(super) platform: PlatformAdapter,
     pub(super) clock: Arc<dyn Clock>,
     pub(super) state: RefCell<State>,
+    pub(super) team_shares: RefCell<TeamShares>,
     pub(super) pool: ConnectionPool,
     pub(super) relay_connections: RelayConnections,
     /// Services of which no upstream answers this node any more, over new or kept connections.
@@ -219,6 +237,7 @@
         ..State::default()
     };
     let node = Rc::new(Node {
+        team_shares: TeamShares::new(options.node.clone()).into(),
         options,
         platform: platform(),
         clock,
@@ -316,6 +335,11 @@
         let peers: BTreeSet<_> = view.nodes.values().map(|entry| entry.peers).collect();
         node.relay_connections.retain(|peer| peers.contains(peer));
         state.cooldowns.expire(now);
+        state.board.expire(now);
+        state.call_classes.expire(now);
+        state.capacity.expire(now);
+        node.team_shares.borrow_mut().expire(now);
+        state.returns.expire(now);
         if !state.departures.is_empty() {
             let known = view.upstreams.values().map(KnownUpstream::lifetime);
             state.departures.retain(&known.collect(), now);
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -1,5 +1,6 @@
 //! Peer protocol: views for nodes that can't reach the store, deltas for followers, and load reports.
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,10 +32,12 @@
 use super::supervise::supervise;
 use crate::departures::DepartureReport;
 use crate::groups::DemandReport;
+use crate::load_board::{LoadBoard, LoadSampleReport};
 use crate::named_limits::LimitReport;
 use crate::quarantine::REPORT_INTERVAL;
 use crate::report_targets::report_targets;
-use crate::view::Snapshot;
+use crate::team_usage_report::TeamUsageReport;
+use crate::view::{KnownUpstream, Snapshot};
 
 /// Time without store contact after which a node fetches views from peers.
 const STORE_LOST_TIMEOUT: Duration = Duration::from_millis(600);
@@ -62,9 +65,32 @@
 const LOAD_REPORT_VERSION: u8 = 2;
 /// Version of the format of named limits, which come over the same port.
 const LIMITS_VERSION: u8 = 4;
+/// Version of the format of load samples, which come over the same port.
+const SAMPLES_VERSION: u8 = 8;
+/// Version of the format of teams' usage, which comes over the same port.
+const TEAMS_VERSION: u8 = 10;
+/// Peers that get a report of teams' usage, and reports of loads between two of them: shares need fewer
+/// reports than loads, and 24 teams take most of a datagram.
+const TEAM_FANOUT: usize = 4;
+const TEAM_REPORT_ROUNDS: u32 = 3;
 /// Version of the format of upstreams' departures, which come over the same port.
 const DEPARTURES_VERSION: u8 = 6;
 
+/// Usage of scarce models by teams, at one node.
+#[derive(Debug, Serialize, Deserialize)]
+struct TeamMessage {
+    version: u8,
+    node: NodeId,
+    usage: Vec<TeamUsageReport>,
+}
+
+/// Newest samples of engines' loads that a node knows.
+#[derive(Debug, Serialize, Deserialize)]
+struct SampleMessage {
+    version: u8,
+    samples: Vec<LoadSampleReport>,
+}
+
 /// Load that a node reports to its peers; upstreams are identified by the hash of their id.
 #[derive(Debug, Serialize, Deserialize)]
 struct LoadReport {
@@ -312,27 +338,44 @@
 }
 
 async fn send_load_reports(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut rounds = 0_u32;
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
+        rounds = rounds.wrapping_add(1);
         let evidence = quarantine::evaluate(&node);
         let evidence = evidence.iter().filter_map(encode_datagram);
         let limits = limit_messages(&node);
         let limits = limits.iter().filter_map(encode_datagram);
         let departures = departure_messages(&node);
         let departures = departures.iter().filter_map(encode_datagram);
+        let samples = sample_message(&node);
+        let samples = samples.iter().filter_map(encode_datagram);
         let (load, peers) = load_report(&node);
         let messages = load.into_iter().chain(evidence).chain(limits);
+        let messages = messages.chain(samples);
+        if rounds.is_multiple_of(TEAM_REPORT_ROUNDS)
+            && let Some(message) = team_message(&node).as_ref().and_then(encode_datagram)
+        {
+            let skipped = rounds as usize / TEAM_REPORT_ROUNDS as usize % 2 * TEAM_FANOUT;
+            for peer in peers.iter().skip(skipped).take(TEAM_FANOUT) {
+                send_report(&socket, &message, *peer).await;
+            }
+        }
         for message in messages.chain(departures) {
             for peer in &peers {
-                if let Err(error) = socket.send_to(&message, peer).await {
-                    // Not retried: later reports repeat what matters.
-                    tracing::debug!(%peer, %error, "could not send report");
-                }
+                send_report(&socket, &message, *peer).await;
             }
         }
     }
 }
 
+async fn send_report(socket: &UdpSocket, message: &[u8], peer: SocketAddr) {
+    if let Err(error) = socket.send_to(message, peer).await {
+        // Not retried: later reports repeat what matters.
+        tracing::debug!(%peer, %error, "could not send report");
+    }
+}
+
 /// Updates the node's shares of limits; returns the messages for peers.
 fn limit_messages(node: &Node) -> Vec<LimitMessage> {
     let now = node.now();
@@ -349,6 +392,57 @@
     messages.collect()
 }
 
+/// Takes in the samples of a peer, and what they show of engines' capacity.
+fn merge_samples(node: &Node, samples: &[LoadSampleReport]) {
+    let now = node.now();
+    let state = &mut *node.state.borrow_mut();
+    let slowness = state.board.merge(samples, &node.options.node, now);
+    if slowness.is_empty() {
+        return;
+    }
+    let mut lifetimes = BTreeMap::new();
+    for ((service, model), engines) in &state.view.serving {
+        let Some(model) = model else { continue };
+        let known = engines
+            .iter()
+            .filter_map(|id| state.view.upstreams.get(id))
+            .map(KnownUpstream::lifetime);
+        let kind = (service.clone(), model.clone());
+        lifetimes
+            .extend(known.map(|lifetime| (LoadBoard::key(lifetime), (lifetime, kind.clone()))));
+    }
+    for observed in slowness {
+        if let Some((lifetime, kind)) = lifetimes.get(&observed.key) {
+            state
+                .capacity
+                .record_peer(kind, *lifetime, observed.ratio, now);
+        }
+    }
+}
+
+/// Returns this node's usage of scarce models by teams; `None` while there is none.
+fn team_message(node: &Node) -> Option<TeamMessage> {
+    let usage = node.team_shares.borrow_mut().report(node.now());
+    (!usage.is_empty()).then(|| TeamMessage {
+        version: TEAMS_VERSION,
+        node: node.options.node.clone(),
+        usage,
+    })
+}
+
+/// Returns the samples that are new since the last message; `None` if there are none.
+fn sample_message(node: &Node) -> Option<SampleMessage> {
+    let state = &mut *node.state.borrow_mut();
+    if !state.has_shared_samples() {
+        return None;
+    }
+    let samples = state.board.report(node.now());
+    (!samples.is_empty()).then_some(SampleMessage {
+        version: SAMPLES_VERSION,
+        samples,
+    })
+}
+
 fn departure_messages(node: &Node) -> Vec<DepartureMessage> {
     let reports = node.state.borrow().departures.reports(node.now());
     let messages = reports.into_iter().map(|departures| DepartureMessage {
@@ -440,6 +534,17 @@
                 node.metrics.count("departures", "reported");
             }
         }
+        SAMPLES_VERSION => {
+            let SampleMessage { samples, .. } = decode_datagram(bytes)?;
+            merge_samples(node, &samples);
+        }
+        TEAMS_VERSION => {
+            let TeamMessage {
+                node: from, usage, ..
+            } = decode_datagram(bytes)?;
+            let now = node.now();
+            node.team_shares.borrow_mut().merge(&from, &usage, now);
+        }
         _ => return None,
     }
     Some(())
--- a/crates/shallottide_fleet/src/serve/send.rs
+++ b/crates/shallottide_fleet/src/serve/send.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use shallottide_types::id::{ServiceId, UpstreamId};
+use shallottide_types::id::{ModelId, ServiceId, UpstreamId};
 
 use super::connection::HttpError;
 use super::connection_pool::PooledConnection;
@@ -47,6 +47,9 @@
     pub(super) deadline: Instant,
     pub(super) shared_parts: Vec<PromptPart>,
     pub(super) digest: RequestDigest,
+    /// Set if the request is for an engine.
+    pub(super) model: Option<ModelId>,
+    pub(super) prompt_tokens: u32,
 }
 
 impl OutgoingRequest {
@@ -108,6 +111,7 @@
             state.loads.record_stream_end(&self.upstream);
         }
         state.loads.ended(&self.upstream);
+        state.board.ended(self.lifetime);
         drop(state);
         self.node.wake_waiting();
     }
@@ -196,10 +200,12 @@
         return Err(SendError::OutcomeUnknown("the answer was another call's"));
     }
     if let Some(load) = head.load {
-        node.state
-            .borrow_mut()
-            .loads
-            .record_reported_load(&upstream.id, load, now);
+        let state = &mut *node.state.borrow_mut();
+        state.loads.record_reported_load(&upstream.id, load, now);
+        if call.model.is_some() && head.verdict != Verdict::Misdirected {
+            let own = &node.options.node;
+            state.board.record_answer(choice.lifetime, load, own, now);
+        }
     }
     record_limit(node, &upstream.id, choice.lifetime, &head);
     record_cooldown(node, &upstream.id, choice.lifetime, &head);
