--- a/crates/shallottide_fleet/src/groups/controller/retiring_group.rs
+++ b/crates/shallottide_fleet/src/groups/controller/retiring_group.rs
@@ -205,8 +205,14 @@
                     .members
                     .extend(members.iter().map(|(&rank, id)| (rank, id.clone())));
             }
+            if self.options.large_deployment && group.reason.preempts() {
+                self.confirm_survivors(&group, view, now);
+            }
             if self.advance_retirement(&formation, &mut group, view, now) {
-                tracing::info!(%formation, reason = %group.reason, "group ended");
+                let took = group
+                    .retiring_since
+                    .map(|at| now.saturating_duration_since(at));
+                tracing::info!(%formation, reason = %group.reason, ?took, "group ended");
                 self.release(formation, &group.members, view, now);
             } else {
                 self.retiring.insert(formation, group);
@@ -214,6 +220,28 @@
         }
     }
 
+    /// Probes the members other than the head, and the engines without a group in their fabric
+    /// domain, so that they need no probe when the group has ended.
+    ///
+    /// The head is left out: it counts the order to leave, and a join by an earlier count is refused.
+    fn confirm_survivors(&mut self, group: &RetiringGroup, view: &ClusterView, now: Instant) {
+        let survivors = group.members.range(1..).map(|(_, id)| id);
+        let latest = survivors
+            .clone()
+            .find_map(|id| self.health.latest(id, view));
+        let fabric = latest.and_then(|member| member.fabric.clone());
+        let spares = view.upstreams.iter().filter(|(_, known)| {
+            known.upstream.membership.is_none()
+                && known.upstream.fabric.is_some()
+                && known.upstream.fabric == fabric
+                && known.upstream.domain == self.options.domain
+        });
+        let ids: Vec<_> = survivors.chain(spares.map(|(id, _)| id)).cloned().collect();
+        for id in ids {
+            self.confirm(&id, view, now);
+        }
+    }
+
     /// Sends the orders that are due to end a group; returns whether its head can no longer serve.
     fn advance_retirement(
         &mut self,
@@ -252,6 +280,14 @@
                         let order = Order::Close { formation, preempt };
                         group.close = Some(self.send(head, order, now));
                     }
+                    // The head's entry shows only later that it has closed.
+                    let has_closed = preempt
+                        && self.options.large_deployment
+                        && group.close.as_ref().is_some_and(is_accepted);
+                    if has_closed && is_due(group.head_leave.as_ref(), now) {
+                        let order = Order::Leave(formation.clone());
+                        group.head_leave = Some(self.send(head, order, now));
+                    }
                 }
             }
             // A head without an entry can't reach the store, so only a probe shows its state.
--- a/crates/shallottide_fleet/tests/supply.rs
+++ b/crates/shallottide_fleet/tests/supply.rs
@@ -417,3 +417,87 @@
     engines_of_trakiya: (2, 27), (12, 6), (0.32, 0.28);
     engines_of_stalwart: (3, 19), (8, 4), (0.30, 0.30);
 }
+
+/// Returns the time until as many large groups serve again as before one of them lost a member, while
+/// spares hold its weights and its head's streams stall.
+fn downtime(large_deployment: bool, seed: u64) -> Duration {
+    let options = ControllerOptions {
+        large_deployment,
+        ..options()
+    };
+    let mut engines = Engines::start_with(1, 9, catalog(1), options, Faults::default(), seed);
+    engines.omits_heartbeats = true;
+    engines.run(Duration::from_secs(20));
+    engines.traffic = true;
+    engines.run(Duration::from_secs(40));
+    let heads = engines.serving("large");
+    let lost = engines.members(&heads[0])[1].clone();
+    engines.kill(&lost);
+    let died_at = engines.elapsed();
+    while engines.serving("large").len() < heads.len() {
+        engines.run(Duration::from_millis(50));
+        engines.suspect_stalled();
+        let took = engines.elapsed().saturating_sub(died_at);
+        assert!(took < Duration::from_secs(30), "seed {seed}");
+    }
+    engines.elapsed().saturating_sub(died_at)
+}
+
+/// Guards against waits between the steps that find a dead member, end its group and form the next
+/// one. The simulated engines answer at once, and join in 1.6 s of this time.
+#[test]
+fn a_group_that_lost_a_member_serves_again_within_two_and_a_half_seconds() {
+    for seed in 0..6 {
+        let (before, now) = (downtime(false, seed), downtime(true, seed));
+        println!("seed {seed}: {before:?} before, {now:?} now");
+        assert!(now <= before, "seed {seed}: {now:?} after {before:?}");
+        assert!(now <= Duration::from_millis(2_500), "seed {seed}: {now:?}");
+    }
+}
+
+/// Nine engines form groups of four and two, and one is left. Guards against idle engines of which
+/// nobody can tell why, or that are counted twice.
+#[test]
+fn each_idle_engine_has_a_cause() {
+    let mut engines = Engines::start(1, 9, Faults::default(), 1);
+    engines.run(Duration::from_secs(20));
+    let counts = engines.controller.count_engines(&engines.view, engines.now);
+    assert_eq!(counts.values().sum::<usize>(), 9, "{counts:?}");
+    assert_eq!(counts.get("serving"), Some(&8), "{counts:?}");
+    assert_eq!(counts.get("too_few_in_fabric"), Some(&1), "{counts:?}");
+    engines.traffic = true;
+    engines.add(0);
+    engines.run(Duration::from_secs(2));
+    let counts = engines.controller.count_engines(&engines.view, engines.now);
+    assert_eq!(counts.get("staging"), Some(&1), "{counts:?}");
+}
+
+/// The simulated engines assert the controller's invariants. Guards against an engine that joins another
+/// group while its last one serves, as a large deployment ends groups without waiting for entries.
+#[test]
+fn invariants_hold_in_a_large_deployment() {
+    let faults = Faults {
+        late_orders: 0.3,
+        crashes: 0.008,
+        restarts: 0.01,
+        takeovers: 0.1,
+        partitions: 0.01,
+        stale_entries: 0.1,
+        controller_partitions: 0.05,
+    };
+    for seed in 0..24 {
+        println!("seed {seed}");
+        let options = ControllerOptions {
+            large_deployment: true,
+            ..options()
+        };
+        let mut engines = Engines::start_with(2, 10, catalog(1), options, faults, seed);
+        engines.run(Duration::from_secs(10));
+        engines.traffic = true;
+        for step in 0..12 {
+            engines.add(step % 2);
+            engines.suspect_stalled();
+            engines.run(Duration::from_secs(5));
+        }
+    }
+}
