--- a/crates/shallottide_fleet/src/groups.rs
+++ b/crates/shallottide_fleet/src/groups.rs
@@ -7,20 +7,24 @@
 mod controller;
 mod controller_options;
 mod demand;
+mod demand_forecast;
 mod formation_planner;
 mod load_rate_limiter;
 mod order;
+mod scarcity;
 
 pub use allocation::choose_groups;
 pub use controller::{Action, Controller, EngineCounts};
 pub use controller_options::ControllerOptions;
 pub use demand::{Demand, DemandReport};
+pub use demand_forecast::{MAX_REPORTED_MODELS, RECENT_DEMAND_VERSION, RecentDemandReport};
 pub use formation_planner::{
     Candidate, PlannedGroup, PlannedLoads, ServingGroup, Standing, Swap, Warmth, choose_loads,
     choose_stage, choose_swap,
 };
 pub use load_rate_limiter::LoadRateLimiter;
 pub use order::Order;
+pub use scarcity::{choose_early_swap, choose_scarce_stage, choose_valuable_loads, scarcest_first};
 
 use crate::upstream::{GroupState, Upstream};
 use crate::view::ClusterView;
