--- a/crates/shallottide_fleet/src/admission.rs
+++ b/crates/shallottide_fleet/src/admission.rs
@@ -13,6 +13,10 @@
 /// Fraction of the room that calls which can't be on time may use.
 const LATE_ROOM: f64 = 0.7;
 
+/// Fraction of the room that calls of a team above its share may use. They are refused first when
+/// room is short; refusing them outright left engines idle, as shares follow what was admitted.
+const OVER_SHARE_ROOM: f64 = 0.85;
+
 /// What admission knows of a call.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CallClass {
@@ -22,9 +26,18 @@
     pub rank: u32,
     /// Whether the call has been sent to an engine before; it goes on with what that one has begun.
     pub is_begun: bool,
+    /// Whether its team has used its share of room that is short.
+    pub is_over_share: bool,
 }
 
 impl CallClass {
+    /// Sets whether the call's team has used its share of room that is short.
+    #[must_use]
+    pub fn over_share(mut self, is_over_share: bool) -> Self {
+        self.is_over_share = is_over_share;
+        self
+    }
+
     /// Returns the load up to which engines are filled for the call.
     ///
     /// `on_time` is the load at which an engine still answers typical calls on time, `slots` how many
@@ -38,6 +51,9 @@
         if self.time_left.is_none() {
             room *= LATE_ROOM;
         }
+        if self.is_over_share {
+            room *= OVER_SHARE_ROOM;
+        }
         (on_time * room).max(1.0)
     }
 }
--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -85,8 +85,6 @@
     /// Every upstream that serves such a request and was not tried before asked for no requests for a
     /// time; with the earliest end.
     CoolingDown(Instant),
-    /// Room is short, and the request's team has used its share of it.
-    OverShare,
     /// No known upstream serves such a request, whatever its load.
     None,
 }
--- a/crates/shallottide_fleet/src/call_classes.rs
+++ b/crates/shallottide_fleet/src/call_classes.rs
@@ -143,6 +143,7 @@
                 .filter(|left| !left.is_zero()),
             rank: self.rank(kind, priority),
             is_begun,
+            is_over_share: false,
         }
     }
 
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -83,8 +83,8 @@
     pub(super) is_returning: bool,
     /// Time for which the call occupies a group of engines, in seconds.
     pub(super) work: f64,
-    /// Whether it was decided that the call's team may use room, which is done once.
-    pub(super) has_share: bool,
+    /// Whether the call's team has used its share of room that is short; `None` until it is decided.
+    pub(super) is_over_share: Option<bool>,
     pub(super) log: CallLog,
 }
 
@@ -180,7 +180,7 @@
         first_sent: call.first_sent,
         is_returning: call.first_sent + MIN_RETURN_TIME <= arrived_at,
         work: call.work,
-        has_share: false,
+        is_over_share: None,
         log,
     };
     call.run(head.resume_from).await
@@ -231,7 +231,7 @@
         first_sent: node.now(),
         is_returning: false,
         work: 0.0,
-        has_share: true,
+        is_over_share: Some(false),
         log,
     };
     Some(call.run(head.resume_from).await)
@@ -720,10 +720,6 @@
                 let message = "every upstream that could serve the call is full";
                 Refusal::new(RefusalKind::Overloaded, Ran::No, message)
             }
-            NoPlace::OverShare => {
-                let message = "every upstream that could serve the call is full, and its team has used its share";
-                Refusal::new(RefusalKind::Overloaded, Ran::No, message)
-            }
             NoPlace::CoolingDown(end) => {
                 let message = "every upstream that could serve the call asked for no requests now";
                 let refusal = Refusal::new(RefusalKind::Overloaded, Ran::No, message);
@@ -734,8 +730,9 @@
                 Refusal::new(RefusalKind::NoUpstream, Ran::No, message)
             }
         };
-        let is_for_room = matches!(no_place, NoPlace::Full | NoPlace::OverShare);
-        let booked = is_for_room.then(|| self.book_return()).flatten();
+        let booked = (no_place == NoPlace::Full)
+            .then(|| self.book_return())
+            .flatten();
         refusal.retry_after(booked.unwrap_or_else(|| self.retry_after()))
     }
 
--- a/crates/shallottide_fleet/src/serve/stream_relay.rs
+++ b/crates/shallottide_fleet/src/serve/stream_relay.rs
@@ -101,7 +101,7 @@
 impl From<NoPlace> for ResumeError {
     fn from(no_place: NoPlace) -> Self {
         match no_place {
-            NoPlace::Full | NoPlace::OverShare | NoPlace::CoolingDown(_) => Self::Full,
+            NoPlace::Full | NoPlace::CoolingDown(_) => Self::Full,
             NoPlace::None => Self::NoUpstream,
         }
     }
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -135,8 +135,8 @@
     /// Does not wait: each choice accounts for the calls of all nodes, and a second one for the same
     /// call would admit more of them than there is room for.
     fn select_engine(&mut self, kind: &Kind) -> Result<(Choice, InFlightGuard), NoPlace> {
-        if !std::mem::replace(&mut self.has_share, true) && !self.may_use_room(kind) {
-            return Err(NoPlace::OverShare);
+        if self.is_over_share.is_none() {
+            self.is_over_share = Some(self.has_used_share(kind));
         }
         let selected = self.try_select();
         let now = self.node.now();
@@ -156,8 +156,8 @@
         selected
     }
 
-    /// Decides whether the call's team may use room while it is short.
-    fn may_use_room(&self, kind: &Kind) -> bool {
+    /// Returns whether the call's team has used its share of room that is short.
+    fn has_used_share(&self, kind: &Kind) -> bool {
         let now = self.node.now();
         let team = self.request.team.as_deref();
         let state = &mut *self.node.state.borrow_mut();
@@ -182,7 +182,7 @@
                 "team has used its share"
             );
         }
-        decision.is_allowed
+        !decision.is_allowed
     }
 
     /// Books the time at which the caller of a refused call should return; `None` if calls of its kind
@@ -218,10 +218,10 @@
         );
         let target = self.route.target_latency;
         let elapsed = now.saturating_duration_since(self.first_sent);
-        let class =
-            state
-                .call_classes
-                .classify(&kind, self.priority, target, elapsed, self.attempts > 0);
+        let class = state
+            .call_classes
+            .classify(&kind, self.priority, target, elapsed, self.attempts > 0)
+            .over_share(self.is_over_share == Some(true));
         let tightest = state.call_classes.tightest_target(&kind).unwrap_or(target);
         let time_left = tightest.saturating_sub(CALLER_ALLOWANCE);
         let prompt = state.capacity.typical_prompt(&kind);
--- a/crates/shallottide_fleet/tests/support/mod.rs
+++ b/crates/shallottide_fleet/tests/support/mod.rs
@@ -20,8 +20,8 @@
     small_service,
 };
 pub(crate) use cut_simulation::play_cut;
-pub(crate) use first_events::{Fleet, SLOTS, kind, median};
 pub(crate) use engines::{Engines, Faults, options};
+pub(crate) use first_events::{Fleet, SLOTS, kind, median};
 pub(crate) use limited_upstreams::{LimitScenario, NodeFault, play_limits};
 pub(crate) use restored_store::RestoredDay;
 pub(crate) use sample::{
