Drop entries at once that are missing sooner than they can lapse

An outage shorter than two heartbeats takes no entry away, so the upstream removed it itself. Tests of load samples, spread and admission come with it.

--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -118,6 +118,8 @@
     pub class: CallClass,
     /// Calls of the model from all nodes.
     pub traffic: Traffic,
+    /// A uniform random number from 0 to 1.
+    pub draw: f64,
     /// Returns the load at which an engine still answers typical calls on time.
     pub on_time_load: &'a dyn Fn(&KnownUpstream) -> f64,
 }
@@ -446,8 +448,8 @@
 
     /// Chooses the engine of a request by the loads that engines stated in their answers.
     ///
-    /// Where an engine has no sample, the requests that nodes counted are taken as its load. `own` and `draw`
-    /// are as for [`Self::choose`].
+    /// Where an engine has no sample, the requests that nodes counted are taken as its load. `own` is
+    /// as for [`Self::choose`].
     ///
     /// # Errors
     /// [`NoPlace`] when there is none.
@@ -459,7 +461,6 @@
         own: (&NodeId, &DomainId),
         samples: &SampleInput<'_>,
         now: Instant,
-        draw: f64,
     ) -> Result<Choice, NoPlace> {
         let mut survey = Survey::default();
         let found = self.candidates(need, view, limits, own.0, now, &mut survey);
@@ -490,7 +491,7 @@
             .partition(|candidate| candidate.is_leaving);
         for list in [usable, leaving] {
             let targets: Vec<_> = list.iter().map(target).collect();
-            if let Some(index) = spread::choose(&targets, samples.traffic, draw) {
+            if let Some(index) = spread::choose(&targets, samples.traffic, samples.draw) {
                 return Ok(list[index].choice(list.len(), now));
             }
         }
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -50,6 +50,9 @@
 const BODY_MEMORY_DIVISOR: usize = 2;
 /// Part of the VM's memory that responses may use until their callers have read them, as a divisor.
 const RESPONSE_MEMORY_DIVISOR: usize = 8;
+/// Heartbeats that an upstream misses before its entry lapses, less one, as its last heartbeat may have
+/// been due when the store failed.
+const HEARTBEATS_BEFORE_LAPSE: u32 = 2;
 /// Housekeeping rounds between two log lines of figures.
 const SUMMARY_ROUNDS: u32 = 10;
 /// Interval at which state about removed upstreams, nodes and connections is dropped.
@@ -233,7 +236,10 @@
     let local = LocalSet::new();
     let body_budget = ByteBudget::new(options.memory / BODY_MEMORY_DIVISOR);
     let response_budget = ByteBudget::new(options.memory / RESPONSE_MEMORY_DIVISOR);
+    let mut view = ClusterView::default();
+    view.shortest_lapse = options.heartbeat * HEARTBEATS_BEFORE_LAPSE;
     let state = State {
+        view,
         departures: Departures::new(options.drain),
         ..State::default()
     };
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -242,13 +242,13 @@
             board: &state.board,
             class,
             traffic: state.call_classes.traffic(&kind, state.node_count(), now),
+            draw: rand::random(),
             on_time_load: &on_time_load,
         };
         let own = (&options.node, &options.domain);
-        let draw = rand::random();
         state
             .loads
-            .choose_by_samples(need, &state.view, limits, own, &input, now, draw)
+            .choose_by_samples(need, &state.view, limits, own, &input, now)
     }
 }
 
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -128,6 +128,9 @@
     pub last_store_failure: Option<Instant>,
     /// Whether the last call to the store failed.
     pub store_lost: bool,
+    /// Time without a heartbeat after which an entry may lapse at the earliest; an entry that is missing
+    /// sooner was removed by its upstream.
+    pub shortest_lapse: Duration,
     /// Increases with each change that affects routing.
     pub generation: u64,
     /// Recent changes, for followers of this node.
@@ -392,10 +395,12 @@
             self.generation += 1;
         }
         let may_return = self.is_grace_period(now);
+        let is_restored = self.unconfirmed.is_pending(now);
         let Some(known) = self.upstreams.get_mut(id) else {
             return;
         };
-        if may_return && !known.upstream.draining {
+        let is_lapse = now.saturating_duration_since(known.seen) >= self.shortest_lapse;
+        if may_return && (is_lapse || is_restored) && !known.upstream.draining {
             known.lapsed_at = Some(now);
             tracing::info!(upstream = %id, "upstream entry removed while the store was failing: kept for the grace period");
             return;
--- /dev/null
+++ b/crates/shallottide_fleet/tests/admission.rs
@@ -0,0 +1,230 @@
+//! Admission and spread of calls over engines whose loads are known late.
+
+mod support;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, RngExt, SeedableRng};
+use shallottide_fleet::admission::CallClass;
+use shallottide_fleet::call_classes::CallClasses;
+use shallottide_fleet::load_keys::Kind;
+use shallottide_fleet::spread::{self, Target, Traffic};
+use std::time::Instant;
+use support::{catalog, id, ms};
+
+const ENGINES: usize = 18;
+const SLOTS: u32 = 34;
+/// Load at which an engine answers four of five calls on time.
+const ON_TIME: f64 = 24.0;
+/// Load from which it answers none on time.
+const TOO_LATE: f64 = 40.0;
+/// Steps of the loop in a second.
+const STEPS: u32 = 50;
+/// Age of the loads by which nodes choose, in steps; at most.
+const MAX_AGE: usize = 22;
+/// Steps from a send to the answer that tells of it.
+const MIN_AGE: usize = 5;
+
+fn class(time_left: Option<Duration>) -> CallClass {
+    CallClass {
+        time_left,
+        rank: 0,
+        is_begun: false,
+        is_over_share: false,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    new: u32,
+    on_time: u32,
+    late: u32,
+    highest: u32,
+}
+
+/// How a node chooses: by the loads that it knows with their age in steps, or not at all.
+type Choose = fn(&[(u32, u32)], Option<Duration>, f64, &mut StdRng) -> Option<usize>;
+
+fn spread_over(
+    known: &[(u32, u32)],
+    time_left: Option<Duration>,
+    arrivals: f64,
+    rng: &mut StdRng,
+) -> Option<usize> {
+    let target = |(load, age): &(u32, u32)| Target {
+        load: f64::from(*load),
+        limit: class(time_left).limit(ON_TIME, SLOTS),
+        age: f64::from(*age) / f64::from(STEPS),
+        penalty: 0.0,
+    };
+    let targets: Vec<_> = known.iter().map(target).collect();
+    let traffic = Traffic {
+        arrivals_per_second: arrivals,
+        residence: 0.9,
+    };
+    spread::choose(&targets, traffic, rng.random())
+}
+
+fn least_loaded(
+    known: &[(u32, u32)],
+    _: Option<Duration>,
+    _: f64,
+    _: &mut StdRng,
+) -> Option<usize> {
+    let free = known
+        .iter()
+        .enumerate()
+        .filter(|(_, (load, _))| *load < SLOTS);
+    free.min_by_key(|(_, (load, _))| *load)
+        .map(|(index, _)| index)
+}
+
+/// Plays calls of all nodes for 8 s; callers that are refused come back once, within 2 s, and are late.
+fn play(arrivals: impl Fn(u32) -> f64, choose: Choose, seed: u64) -> Outcome {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut engines = [0_u32; ENGINES];
+    let mut past = VecDeque::from([engines]);
+    let mut returning: Vec<u32> = Vec::new();
+    let mut outcome = Outcome::default();
+    for step in 0..8 * STEPS {
+        let rate = arrivals(step);
+        let fresh = poisson(rate / f64::from(STEPS), &mut rng);
+        let back = returning.extract_if(.., |due| *due <= step).count();
+        let back = u32::try_from(back).expect("few");
+        outcome.new += fresh;
+        for call in 0..fresh + back {
+            let time_left = (call < fresh).then_some(ms(230));
+            let known: Vec<_> = (0..ENGINES)
+                .map(|engine| {
+                    let age = rng.random_range(MIN_AGE..MAX_AGE).min(past.len() - 1);
+                    (past[age][engine], u32::try_from(age).expect("small"))
+                })
+                .collect();
+            match choose(&known, time_left, rate, &mut rng) {
+                Some(engine) => {
+                    engines[engine] += 1;
+                    outcome.highest = outcome.highest.max(engines[engine]);
+                    let chance =
+                        0.8 * (TOO_LATE - f64::from(engines[engine])) / (TOO_LATE - ON_TIME);
+                    let is_on_time = time_left.is_some() && rng.random::<f64>() < chance;
+                    outcome.on_time += u32::from(is_on_time);
+                    outcome.late += u32::from(!is_on_time);
+                }
+                None if time_left.is_some() => {
+                    returning.push(step + rng.random_range(STEPS / 4..2 * STEPS));
+                }
+                None => {}
+            }
+        }
+        for load in &mut engines {
+            let running = (*load).min(SLOTS);
+            let residence = 0.35 + 0.025 * f64::from(running);
+            let ended = f64::from(running) / residence / f64::from(STEPS);
+            *load -= poisson(ended, &mut rng).min(*load);
+        }
+        past.push_front(engines);
+        past.truncate(MAX_AGE);
+    }
+    outcome
+}
+
+fn poisson(mean: f64, rng: &mut impl Rng) -> u32 {
+    let (limit, mut product, mut count) = ((-mean).exp(), rng.random::<f64>(), 0);
+    while product > limit {
+        product *= rng.random::<f64>();
+        count += 1;
+    }
+    count
+}
+
+/// Nodes that all send to the engine that looks least loaded overfill it before they hear of it, though
+/// there is room for every call.
+#[test]
+fn nodes_with_old_loads_do_not_overfill_engines() {
+    for seed in 0..3 {
+        let spread = play(|_| 300.0, spread_over, seed);
+        let herd = play(|_| 300.0, least_loaded, seed);
+        assert!(spread.on_time * 20 >= spread.new * 19, "{spread:?}");
+        assert!(herd.on_time < spread.on_time, "{herd:?}");
+        assert!(spread.highest <= SLOTS, "{spread:?}");
+    }
+}
+
+/// Callers that compete for too little room: engines filled to their slots answer everyone late.
+#[test]
+fn overload_leaves_most_of_the_room_to_calls_on_time() {
+    for seed in 0..3 {
+        let admitted = play(|_| 600.0, spread_over, seed);
+        let unlimited = play(|_| 600.0, least_loaded, seed);
+        assert!(admitted.on_time > 2 * admitted.late, "{admitted:?}");
+        assert!(admitted.on_time > 2 * unlimited.on_time, "{unlimited:?}");
+    }
+}
+
+/// A burst of twice the room must not leave engines overfilled when it is over.
+#[test]
+fn calls_are_on_time_again_after_a_burst() {
+    let rate = |step| if step < 3 * STEPS { 650.0 } else { 280.0 };
+    for seed in 0..3 {
+        let outcome = play(rate, spread_over, seed);
+        let after = 5.0 * 280.0;
+        assert!(
+            f64::from(outcome.on_time) > 0.9 * after + 3.0 * 300.0,
+            "{outcome:?}"
+        );
+    }
+}
+
+/// Late calls, less urgent routes and teams above their share leave room to others; calls that an engine
+/// has begun are not given up for want of room.
+#[test]
+fn classes_leave_room_to_those_before_them() {
+    let limit = |class: CallClass| class.limit(20.0, 34);
+    let new = limit(class(Some(ms(200))));
+    assert!((new - 20.0).abs() < 0.01);
+    let late = limit(class(None));
+    let less_urgent = limit(CallClass {
+        rank: 1,
+        ..class(Some(ms(200)))
+    });
+    let over_share = limit(class(Some(ms(200))).over_share(true));
+    assert!(late < less_urgent && less_urgent < new && over_share < new);
+    assert!(
+        (limit(CallClass {
+            is_begun: true,
+            ..class(None)
+        }) - 34.0)
+            .abs()
+            < 0.01
+    );
+    assert!(class(None).limit(0.5, 34) >= 1.0);
+}
+
+/// A caller that comes back states what is left of its deadline. Callers with a shorter deadline are new
+/// all the same.
+#[test]
+fn calls_that_come_back_are_told_by_their_deadlines() {
+    let now = Instant::now();
+    let mut classes = CallClasses::default();
+    let kind: Kind = (id("engines"), id("large"));
+    let route = catalog(1).routes[0].clone();
+    let mut elapsed = Duration::ZERO;
+    for (number, time_left) in (0..40).zip([6_000, 2_500].into_iter().cycle()) {
+        elapsed = classes.record_call(&kind, &route, ms(time_left), now + ms(number));
+    }
+    assert_eq!(elapsed, Duration::ZERO);
+    let later = now + ms(100);
+    assert_eq!(
+        classes.record_call(&kind, &route, ms(5_200), later),
+        ms(800)
+    );
+    assert_eq!(
+        classes.record_call(&kind, &route, ms(2_100), later),
+        ms(400)
+    );
+    let traffic = classes.traffic(&kind, 80, later);
+    let expected = 42.0 / 2.0 * 80.0;
+    assert!((traffic.arrivals_per_second / expected - 1.0).abs() < 0.1);
+}
--- a/crates/shallottide_fleet/tests/view.rs
+++ b/crates/shallottide_fleet/tests/view.rs
@@ -131,6 +131,33 @@
     assert!(!view.upstreams.contains_key(&id("a")));
 }
 
+/// Regression test: a node whose store calls failed for a second kept an upstream that had left, and sent it
+/// requests 3.1 s after it had left. An outage shorter than a lapse takes no entry away.
+#[test]
+fn entry_missing_sooner_than_it_can_lapse_is_dropped_at_once() {
+    let now = Instant::now();
+    let mut view = view_of([plain_upstream("a", "booking", "zone-a")], now);
+    view.shortest_lapse = Duration::from_millis(2_400);
+    let listed_at = now + Duration::from_millis(1_100);
+    view.store_failed(listed_at);
+    view.replace(StoreIndex(9), Vec::new(), listed_at);
+    assert!(!view.upstreams.contains_key(&id("a")));
+}
+
+/// An outage long enough for entries to lapse leaves upstreams in use until they can have written again.
+#[test]
+fn entry_missing_after_a_long_outage_is_kept_for_the_grace_period() {
+    let now = Instant::now();
+    let mut view = view_of([plain_upstream("a", "booking", "zone-a")], now);
+    view.shortest_lapse = Duration::from_millis(2_400);
+    let listed_at = now + Duration::from_millis(4_500);
+    view.store_failed(listed_at);
+    view.replace(StoreIndex(9), Vec::new(), listed_at);
+    assert!(view.upstreams.contains_key(&id("a")));
+    view.expire(listed_at + LAPSE_GRACE);
+    assert!(!view.upstreams.contains_key(&id("a")));
+}
+
 #[test]
 fn lapsed_entry_that_returns_stays() {
     let now = Instant::now();
