--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -40,6 +40,8 @@
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 /// Time since a call was first sent from which it counts as one that comes back after a refusal.
 const MIN_RETURN_TIME: Duration = Duration::from_millis(100);
+/// Steps of urgency that a late call is put back, so that it comes after less urgent calls on time.
+const LATE_URGENCY_STEP: u8 = 3;
 /// Shortest and longest `retry-after` of a refusal.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_200));
@@ -145,6 +147,7 @@
         }
     };
     log.route = call.route.name.clone();
+    let is_returning = call.first_sent + MIN_RETURN_TIME <= arrived_at;
     let digest = RequestDigest::new(&parts.method, &parts.uri, call.team.as_deref(), &body);
     let call = Call {
         node: node.clone(),
@@ -157,7 +160,7 @@
             headers: parts.headers,
             body,
             team: call.team,
-            urgency: call.priority.min(9),
+            urgency: urgency(node, call.priority, is_returning),
             deadline: call.deadline,
             shared_parts: head.shared_parts,
             digest,
@@ -178,7 +181,7 @@
         link_draw: rand::random(),
         relayed_from: None,
         first_sent: call.first_sent,
-        is_returning: call.first_sent + MIN_RETURN_TIME <= arrived_at,
+        is_returning,
         work: call.work,
         is_over_share: None,
         log,
@@ -186,6 +189,15 @@
     call.run(head.resume_from).await
 }
 
+/// Returns the urgency that is stated to upstreams, from 0 (first) to 9.
+///
+/// Calls that come back after a refusal are late; engines run those first that can be on time.
+fn urgency(node: &Node, priority: u8, is_returning: bool) -> u8 {
+    let is_put_back = is_returning && node.state.borrow().has_shared_samples();
+    let step = if is_put_back { LATE_URGENCY_STEP } else { 0 };
+    priority.saturating_add(step).min(9)
+}
+
 /// Handles a call that a peer relayed; returns `None` if it is not valid.
 pub(super) async fn handle_relayed(
     node: &Rc<Node>,
--- a/crates/shallottide_fleet/src/serve/metrics.rs
+++ b/crates/shallottide_fleet/src/serve/metrics.rs
@@ -3,17 +3,17 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compact_str::CompactString;
 use hdrhistogram::Histogram;
 use http::Response;
 use http_body_util::Full;
-use shallottide_types::id::ServiceId;
+use shallottide_types::id::{ModelId, ServiceId};
 
 use super::logs;
-use super::node::Node;
+use super::node::{Node, State};
 use crate::byte_budget::ByteBudget;
 use crate::upstream_links::LinkState;
 
@@ -170,6 +170,13 @@
         let labels = format!("{{service=\"{}\",model=\"{model}\"}}", key.0);
         line("serving", &labels, upstreams.len().to_string());
     }
+    for (model, load) in sampled_loads(&state, now) {
+        let labels = format!("{{model=\"{model}\"}}");
+        line("sampled_engines", &labels, load.engines.to_string());
+        line("sampled_load", &labels, format!("{:.1}", load.load));
+        line("on_time_load", &labels, format!("{:.1}", load.on_time));
+        line("sample_age_ms", &labels, format!("{:.0}", load.age_ms));
+    }
     for (domain, counts) in &state.engine_counts {
         for (doing, engines) in counts {
             let labels = format!("{{domain=\"{domain}\",doing=\"{doing}\"}}");
@@ -178,3 +185,41 @@
     }
     Response::new(Full::new(Bytes::from(text)))
 }
+
+/// Engines of one model with a sample of their load; sums over them, and the mean age.
+#[derive(Debug, Default)]
+struct SampledLoad {
+    engines: u32,
+    load: f64,
+    on_time: f64,
+    age_ms: f64,
+}
+
+/// Sums up the loads that engines stated, and the loads at which they are expected to be on time, by model.
+fn sampled_loads(state: &State, now: Instant) -> BTreeMap<ModelId, SampledLoad> {
+    let mut loads: BTreeMap<ModelId, SampledLoad> = BTreeMap::new();
+    for ((service, model), engines) in &state.view.serving {
+        let Some(model) = model else { continue };
+        let kind = (service.clone(), model.clone());
+        let Some(target) = state.call_classes.tightest_target(&kind) else {
+            continue;
+        };
+        let prompt = state.capacity.typical_prompt(&kind);
+        for known in engines.iter().filter_map(|id| state.view.upstreams.get(id)) {
+            let Some(estimate) = state.board.estimate(known.lifetime(), now) else {
+                continue;
+            };
+            let slots = known.upstream.slots;
+            let lifetime = known.lifetime();
+            let capacity = &state.capacity;
+            let sum = loads.entry(model.clone()).or_default();
+            sum.on_time +=
+                capacity.on_time_load(&kind, lifetime, slots, prompt, false, target, now);
+            sum.load += estimate.load;
+            sum.engines += 1;
+            let age_ms = estimate.age.as_secs_f64() * 1_000.0;
+            sum.age_ms += (age_ms - sum.age_ms) / f64::from(sum.engines);
+        }
+    }
+    loads
+}
--- a/crates/shallottide_fleet/src/serve/peers.rs
+++ b/crates/shallottide_fleet/src/serve/peers.rs
@@ -31,7 +31,7 @@
 use super::response_body::ResponseBody;
 use super::supervise::supervise;
 use crate::departures::DepartureReport;
-use crate::groups::DemandReport;
+use crate::groups::{DemandReport, RECENT_DEMAND_VERSION};
 use crate::load_board::{LoadBoard, LoadSampleReport};
 use crate::named_limits::LimitReport;
 use crate::quarantine::REPORT_INTERVAL;
@@ -67,12 +67,13 @@
 const LIMITS_VERSION: u8 = 4;
 /// Version of the format of load samples, which come over the same port.
 const SAMPLES_VERSION: u8 = 8;
+/// Reports of loads for each report of teams' usage and of recent demand, which change more slowly.
+const SLOW_REPORT_ROUNDS: u32 = 3;
 /// Version of the format of teams' usage, which comes over the same port.
 const TEAMS_VERSION: u8 = 10;
-/// Peers that get a report of teams' usage, and reports of loads between two of them: shares need fewer
-/// reports than loads, and 24 teams take most of a datagram.
+/// Peers that get a report of teams' usage; 24 teams take most of a datagram.
 const TEAM_FANOUT: usize = 4;
-const TEAM_REPORT_ROUNDS: u32 = 3;
+
 /// Version of the format of upstreams' departures, which come over the same port.
 const DEPARTURES_VERSION: u8 = 6;
 
@@ -353,14 +354,19 @@
         let (load, peers) = load_report(&node);
         let messages = load.into_iter().chain(evidence).chain(limits);
         let messages = messages.chain(samples);
-        if rounds.is_multiple_of(TEAM_REPORT_ROUNDS)
-            && let Some(message) = team_message(&node).as_ref().and_then(encode_datagram)
-        {
-            let skipped = rounds as usize / TEAM_REPORT_ROUNDS as usize % 2 * TEAM_FANOUT;
-            for peer in peers.iter().skip(skipped).take(TEAM_FANOUT) {
-                send_report(&socket, &message, *peer).await;
+        if rounds.is_multiple_of(SLOW_REPORT_ROUNDS) {
+            let skipped = rounds as usize / SLOW_REPORT_ROUNDS as usize % 2 * TEAM_FANOUT;
+            if let Some(message) = team_message(&node).as_ref().and_then(encode_datagram) {
+                for peer in peers.iter().skip(skipped).take(TEAM_FANOUT) {
+                    send_report(&socket, &message, *peer).await;
+                }
             }
         }
+        let demand = rounds
+            .is_multiple_of(SLOW_REPORT_ROUNDS)
+            .then(|| recent_demand(&node))
+            .flatten();
+        let messages = messages.chain(demand);
         for message in messages.chain(departures) {
             for peer in &peers {
                 send_report(&socket, &message, *peer).await;
@@ -430,6 +436,15 @@
     })
 }
 
+/// Returns the message with what this node received and refused recently.
+fn recent_demand(node: &Node) -> Option<Vec<u8>> {
+    let state = &mut *node.state.borrow_mut();
+    if !state.has_shared_samples() {
+        return None;
+    }
+    encode_datagram(&state.demand.recent_report(&node.options.node, node.now()))
+}
+
 /// Returns the samples that are new since the last message; `None` if there are none.
 fn sample_message(node: &Node) -> Option<SampleMessage> {
     let state = &mut *node.state.borrow_mut();
@@ -538,6 +553,11 @@
             let SampleMessage { samples, .. } = decode_datagram(bytes)?;
             merge_samples(node, &samples);
         }
+        RECENT_DEMAND_VERSION => {
+            let report = decode_datagram(bytes)?;
+            let now = node.now();
+            node.state.borrow_mut().demand.merge(report, now);
+        }
         TEAMS_VERSION => {
             let TeamMessage {
                 node: from, usage, ..
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -190,8 +190,10 @@
     pub(super) fn book_return(&mut self) -> Option<Duration> {
         let kind = self.sampled_kind()?;
         let now = self.node.now();
+        let work = Duration::from_secs_f64(self.work);
         let state = &mut *self.node.state.borrow_mut();
         state.returns.record_refused(&kind, now);
+        state.demand.record_refused(&kind.1, work, now);
         let time_left = self.request.deadline.saturating_duration_since(now);
         let rank = state.call_classes.rank(&kind, self.priority);
         let draw = rand::random();
