--- a/crates/shallottide_fleet/src/capacity.rs
+++ b/crates/shallottide_fleet/src/capacity.rs
@@ -1,8 +1,8 @@
 //! Learned capacity: how the time to an engine's first event depends on its load and on the prompt,
 //! and up to which load calls are still on time.
 //!
-//! A sample's time is explained as the product of its kind's [`curve`] of load and prompt, the
-//! kind's [`level`] (all of its engines at once), the [`pace`] of the engine's lifetime and this
+//! A sample's time is explained as the product of its kind's `curve` of load and prompt, the
+//! kind's `level` (all of its engines at once), the `pace` of the engine's lifetime and this
 //! node's own bias (for example a slow link). The curve changes within a minute, level and pace
 //! within about a second. Nodes send each other the part that the curve and the own bias do not
 //! explain.
