--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -11,7 +11,7 @@
 use crate::cooldowns::Cooldowns;
 use crate::crash_evidence::Lifetime;
 use crate::departures::Departures;
-use crate::load_board::{LoadBoard, LoadEstimate};
+use crate::load_board::{LoadBoard, LoadEstimate, MAX_SAMPLE_AGE};
 use crate::named_limits::NamedLimits;
 use crate::spread::{self, Target, Traffic};
 use crate::view::{ClusterView, KnownUpstream};
@@ -34,16 +34,16 @@
 /// Time without an event on any of an upstream's streams after which it gets no new requests; all
 /// streams of a batch progress together, at least a few times a second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(280);
-/// Time without an answer of a busy engine, at any node, after which it gets no new requests; a busy
-/// engine answers many times in it.
-const UNRESPONSIVE_AGE: Duration = Duration::from_millis(800);
-/// Load from which an engine counts as busy.
-const MIN_BUSY_LOAD: f64 = 4.0;
+/// Answers that are expected of an engine, from all nodes, within a silence after which it gets no new
+/// requests: it has lost a member, or stands still for another reason.
+const EXPECTED_ANSWERS: f64 = 6.0;
+/// Shortest such silence; samples are passed on within half of it.
+const MIN_SILENCE: Duration = Duration::from_millis(800);
 /// Least on-time load of the fastest engine of a model that limits are based on, as a fraction of its
 /// slots.
 const MIN_BEST_FILL: f64 = 0.5;
-/// Time until nodes hear of the first requests at an idle engine.
-const NEW_ENGINE_AGE: Duration = Duration::from_millis(400);
+/// Mean age of peers' counts of requests, which stand for the load of an engine without a sample.
+const COUNT_AGE: Duration = Duration::from_millis(400);
 /// First back-off from a failing upstream; doubles with each failure in a row.
 const MIN_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest back-off from a failing upstream.
@@ -448,8 +448,8 @@
 
     /// Chooses the engine of a request by the loads that engines stated in their answers.
     ///
-    /// Where an engine has no sample, the requests that nodes counted are taken as its load. `own` is
-    /// as for [`Self::choose`].
+    /// Where an engine has no sample, the requests that nodes counted are taken as its load. An engine that
+    /// should have answered by now gets none. `own` is as for [`Self::choose`].
     ///
     /// # Errors
     /// [`NoPlace`] when there is none.
@@ -466,7 +466,7 @@
         let found = self.candidates(need, view, limits, own.0, now, &mut survey);
         let mut answering: Vec<_> = found
             .filter_map(|candidate| {
-                let (load, age) = self.sampled_load(candidate.known, samples.board, now)?;
+                let (load, age) = self.sampled_load(candidate.known, samples, now)?;
                 let load_age = Some(age);
                 let on_time_load = (samples.on_time_load)(candidate.known);
                 Some(Candidate {
@@ -502,16 +502,21 @@
     fn sampled_load(
         &self,
         known: &KnownUpstream,
-        board: &LoadBoard,
+        samples: &SampleInput<'_>,
         now: Instant,
     ) -> Option<(f64, Duration)> {
-        let Some(LoadEstimate { load, age }) = board.estimate(known.lifetime(), now) else {
-            // Requests that no answer tells of wait at an engine that is new or has lost a member.
-            let is_idle = self.estimate(&known.upstream.id, now) < 1.0;
-            return is_idle.then_some((0.0, NEW_ENGINE_AGE));
+        let longest_silence = |load: f64| {
+            let expected =
+                EXPECTED_ANSWERS * samples.traffic.residence / load.max(f64::MIN_POSITIVE);
+            expected.max(MIN_SILENCE.as_secs_f64())
         };
-        let is_answering = age < UNRESPONSIVE_AGE || load < MIN_BUSY_LOAD;
-        is_answering.then_some((load, age))
+        if let Some(LoadEstimate { load, age }) = samples.board.estimate(known.lifetime(), now) {
+            let is_answering = age.as_secs_f64() < longest_silence(load);
+            return is_answering.then_some((load, age));
+        }
+        let counted = self.estimate(&known.upstream.id, now);
+        let is_answering = MAX_SAMPLE_AGE.as_secs_f64() < longest_silence(counted);
+        is_answering.then_some((counted, COUNT_AGE))
     }
 
     /// Returns what speaks against an engine besides its load, as a fraction of its limit.
--- a/crates/shallottide_fleet/tests/admission.rs
+++ b/crates/shallottide_fleet/tests/admission.rs
@@ -2,17 +2,26 @@
 
 mod support;
 
-use std::collections::VecDeque;
-use std::time::Duration;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
+use shallottide_fleet::ClusterView;
+use shallottide_fleet::adapter::ReportedLoad;
 use shallottide_fleet::admission::CallClass;
+use shallottide_fleet::balance::{LoadTracker, Need, SampleInput, SendLimits};
 use shallottide_fleet::call_classes::CallClasses;
+use shallottide_fleet::cold_gate::ColdGate;
+use shallottide_fleet::cooldowns::Cooldowns;
+use shallottide_fleet::departures::Departures;
+use shallottide_fleet::load_board::LoadBoard;
 use shallottide_fleet::load_keys::Kind;
+use shallottide_fleet::named_limits::NamedLimits;
 use shallottide_fleet::spread::{self, Target, Traffic};
-use std::time::Instant;
-use support::{catalog, id, ms};
+use shallottide_fleet::upstream::GroupState;
+use shallottide_types::id::UpstreamId;
+use support::{catalog, id, member, ms, view_of};
 
 const ENGINES: usize = 18;
 const SLOTS: u32 = 34;
@@ -228,3 +237,96 @@
     let expected = 42.0 / 2.0 * 80.0;
     assert!((traffic.arrivals_per_second / expected - 1.0).abs() < 0.1);
 }
+
+/// Two heads, `a` with a sample of `load` running requests that is `age` old, and `b` without any.
+struct TwoEngines {
+    loads: LoadTracker,
+    board: LoadBoard,
+    view: ClusterView,
+    now: Instant,
+}
+
+impl TwoEngines {
+    fn new(load: u32, age: Duration) -> Self {
+        let heard_at = Instant::now();
+        let heads = ["a", "b"].into_iter().zip(1..);
+        let heads = heads.map(|(name, epoch)| member(name, epoch, 0, GroupState::Open, "small"));
+        let view = view_of(heads, heard_at);
+        let mut board = LoadBoard::default();
+        let answered = ReportedLoad {
+            running: load,
+            waiting: 0,
+        };
+        let lifetime = view.upstreams[&id("a")].lifetime();
+        board.record_answer(lifetime, answered, &id("node-1"), heard_at);
+        Self {
+            loads: LoadTracker::default(),
+            board,
+            view,
+            now: heard_at + age,
+        }
+    }
+
+    /// Returns which heads 40 calls may go to; `residence` is the time that one stays, in seconds.
+    fn chosen(&self, residence: f64) -> BTreeSet<UpstreamId> {
+        let (service, model) = (id("engines"), id("small"));
+        let need = Need {
+            service: &service,
+            model: Some(&model),
+            domains: None,
+            tried: &[],
+            queue: 0,
+        };
+        let limits = SendLimits {
+            cold: &ColdGate::default(),
+            named: &NamedLimits::default(),
+            cooldowns: &Cooldowns::default(),
+            departures: &Departures::new(Duration::from_secs(2)),
+        };
+        let own = (id("node-1"), id("zone-a"));
+        let choose = |draw: u32| {
+            let input = SampleInput {
+                board: &self.board,
+                class: class(Some(ms(200))),
+                traffic: Traffic {
+                    arrivals_per_second: 5.0,
+                    residence,
+                },
+                draw: f64::from(draw) / 40.0,
+                on_time_load: &|known| f64::from(known.upstream.slots),
+            };
+            let own = (&own.0, &own.1);
+            let chosen = self
+                .loads
+                .choose_by_samples(&need, &self.view, limits, own, &input, self.now);
+            chosen.map(|choice| choice.upstream).ok()
+        };
+        (0..40).filter_map(choose).collect()
+    }
+}
+
+/// A head whose group has lost a member accepts calls and answers none; it must not look idle once its
+/// last sample is old.
+#[test]
+fn busy_engine_that_stopped_answering_gets_no_calls() {
+    let mut engines = TwoEngines::new(6, ms(1_300));
+    assert_eq!(engines.chosen(1.0), BTreeSet::from([id("b")]));
+    engines.now += ms(700);
+    for _ in 0..6 {
+        engines.loads.started(&id("a"));
+    }
+    assert_eq!(engines.chosen(1.0), BTreeSet::from([id("b")]));
+}
+
+/// Engines that run a few long calls answer rarely; that is no sign of a fault, and there is room.
+#[test]
+fn engines_with_long_calls_are_used_though_they_answer_rarely() {
+    let mut engines = TwoEngines::new(3, ms(4_000));
+    for _ in 0..3 {
+        engines.loads.started(&id("a"));
+        engines.loads.started(&id("b"));
+    }
+    assert_eq!(engines.chosen(30.0), BTreeSet::from([id("a"), id("b")]));
+    engines.now = engines.now.checked_sub(ms(2_800)).expect("a time");
+    assert_eq!(engines.chosen(30.0), BTreeSet::from([id("a"), id("b")]));
+}
