--- a/crates/shallottide_fleet/src/call_classes.rs
+++ b/crates/shallottide_fleet/src/call_classes.rs
@@ -21,8 +21,10 @@
 /// Calls after which counts of deadlines are halved, so that a change of callers is followed.
 const HALVING_CALLS: f64 = 200.0;
 
-/// Window over which calls are counted, in seconds.
-const ARRIVAL_WINDOW: f64 = 2.0;
+/// Window over which calls and refusals are counted, in seconds.
+const COUNT_WINDOW: f64 = 2.0;
+/// Largest part of the calls that counts as refused.
+const MAX_REFUSED: f64 = 0.8;
 /// Time that a call stays at its engine before any has ended, and the least one, in seconds.
 const INITIAL_RESIDENCE: f64 = 1.0;
 const MIN_RESIDENCE: f64 = 0.1;
@@ -74,6 +76,8 @@
 struct KindTraffic {
     /// Calls within the window, with exponentially falling weights.
     calls: f64,
+    /// Those of `calls` that were refused for want of room.
+    refused: f64,
     counted_at: Instant,
     /// Moving average of the time that a call stays at its engine, in seconds.
     residence: f64,
@@ -83,14 +87,24 @@
     fn new(now: Instant) -> Self {
         Self {
             calls: 0.0,
+            refused: 0.0,
             counted_at: now,
             residence: INITIAL_RESIDENCE,
         }
     }
 
-    fn calls_at(&self, now: Instant) -> f64 {
+    /// Lets the counts fall to the present.
+    fn advance(&mut self, now: Instant) {
         let age = now.saturating_duration_since(self.counted_at);
-        self.calls * (-age.as_secs_f64() / ARRIVAL_WINDOW).exp()
+        let kept = (-age.as_secs_f64() / COUNT_WINDOW).exp();
+        self.calls *= kept;
+        self.refused *= kept;
+        self.counted_at = now;
+    }
+
+    fn refused_fraction(&self) -> f64 {
+        // One more call that was admitted, so that the first refusals of an idle node count little.
+        (self.refused / (self.calls + 1.0)).min(MAX_REFUSED)
     }
 }
 
@@ -120,8 +134,8 @@
         routes.insert(route.name.clone(), usage);
         let traffic = self.traffic.entry(kind.clone());
         let traffic = traffic.or_insert_with(|| KindTraffic::new(now));
-        traffic.calls = traffic.calls_at(now) + 1.0;
-        traffic.counted_at = now;
+        traffic.advance(now);
+        traffic.calls += 1.0;
         let deadlines = self.deadlines.entry(route.name.clone()).or_default();
         deadlines.record(time_left);
         deadlines.elapsed(time_left)
@@ -173,20 +187,22 @@
         }
     }
 
-    /// Estimates the calls of a model from all `nodes`, which get about as many as this one.
+    /// Records that a call was refused for want of room.
+    pub fn record_refused(&mut self, kind: &Kind, now: Instant) {
+        if let Some(traffic) = self.traffic.get_mut(kind) {
+            traffic.advance(now);
+            traffic.refused += 1.0;
+        }
+    }
+
+    /// Returns what this node's calls of a model tell of those of all nodes.
     #[must_use]
-    pub fn traffic(&self, kind: &Kind, nodes: usize, now: Instant) -> Traffic {
-        let nodes = f64::from(u32::try_from(nodes).unwrap_or(u32::MAX));
-        self.traffic.get(kind).map_or(
-            Traffic {
-                arrivals_per_second: 0.0,
-                residence: INITIAL_RESIDENCE,
-            },
-            |traffic| Traffic {
-                arrivals_per_second: traffic.calls_at(now) / ARRIVAL_WINDOW * nodes,
-                residence: traffic.residence.max(MIN_RESIDENCE),
-            },
-        )
+    pub fn traffic(&self, kind: &Kind) -> Traffic {
+        let known = self.traffic.get(kind);
+        Traffic {
+            residence: known.map_or(INITIAL_RESIDENCE, |t| t.residence.max(MIN_RESIDENCE)),
+            refused: known.map_or(0.0, KindTraffic::refused_fraction),
+        }
     }
 
     /// Forgets routes that got no call for a while.
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -150,7 +150,10 @@
                 }
                 shares.record_admitted(kind, self.request.team.as_deref(), self.work, now);
             }
-            Err(NoPlace::Full) => shares.record_refused_for_room(kind, now),
+            Err(NoPlace::Full) => {
+                state.call_classes.record_refused(kind, now);
+                shares.record_refused_for_room(kind, now);
+            }
             Err(_) => {}
         }
         selected
@@ -243,7 +246,7 @@
         let input = SampleInput {
             board: &state.board,
             class,
-            traffic: state.call_classes.traffic(&kind, state.node_count(), now),
+            traffic: state.call_classes.traffic(&kind),
             draw: rand::random(),
             on_time_load: &on_time_load,
         };
--- a/crates/shallottide_fleet/src/spread.rs
+++ b/crates/shallottide_fleet/src/spread.rs
@@ -26,12 +26,22 @@
 }
 
 /// Requests of all nodes for upstreams of one kind.
+///
+/// The rate at which they arrive is taken from the loads of all upstreams: nodes get very uneven parts of
+/// them, so that a node's own rate times the nodes is several times too high at the busiest.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Traffic {
-    /// Requests that arrive each second.
-    pub arrivals_per_second: f64,
     /// Time that a request stays at an upstream, in seconds; above 0.
     pub residence: f64,
+    /// Part of the requests that is turned away, from 0 to below 1.
+    pub refused: f64,
+}
+
+impl Traffic {
+    /// Returns the requests that arrive each second while upstreams hold `load` requests.
+    fn arrivals_per_second(&self, load: f64) -> f64 {
+        load / self.residence / (1.0 - self.refused)
+    }
 }
 
 impl Target {
@@ -48,7 +58,8 @@
 pub fn choose(targets: &[Target], traffic: Traffic, draw: f64) -> Option<usize> {
     let count = f64::from(u32::try_from(targets.len()).unwrap_or(u32::MAX));
     let mean_age = targets.iter().map(|target| target.age).sum::<f64>() / count.max(1.0);
-    let arrivals = traffic.arrivals_per_second * (mean_age + EFFECT_DELAY);
+    let load = targets.iter().map(|target| target.load).sum();
+    let arrivals = traffic.arrivals_per_second(load) * (mean_age + EFFECT_DELAY);
     let remaining: Vec<_> = targets.iter().map(|t| t.remaining(traffic)).collect();
     let rooms = targets
         .iter()
