--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -13,7 +13,7 @@
 use crate::departures::Departures;
 use crate::load_board::{LoadBoard, LoadEstimate, MAX_SAMPLE_AGE};
 use crate::named_limits::NamedLimits;
-use crate::spread::{self, Target, Traffic};
+use crate::spread::{self, Target};
 use crate::view::{ClusterView, KnownUpstream};
 
 /// Age up to which a peer's report of its requests counts.
@@ -116,8 +116,8 @@
     pub board: &'a LoadBoard,
     /// The call.
     pub class: CallClass,
-    /// Calls of the model from all nodes.
-    pub traffic: Traffic,
+    /// Time that a call of the model stays at an engine, in seconds; above 0.
+    pub residence: f64,
     /// A uniform random number from 0 to 1.
     pub draw: f64,
     /// Returns the load at which an engine still answers typical calls on time.
@@ -491,7 +491,7 @@
             .partition(|candidate| candidate.is_leaving);
         for list in [usable, leaving] {
             let targets: Vec<_> = list.iter().map(target).collect();
-            if let Some(index) = spread::choose(&targets, samples.traffic, samples.draw) {
+            if let Some(index) = spread::choose(&targets, samples.residence, samples.draw) {
                 return Ok(list[index].choice(list.len(), now));
             }
         }
@@ -506,8 +506,7 @@
         now: Instant,
     ) -> Option<(f64, Duration)> {
         let longest_silence = |load: f64| {
-            let expected =
-                EXPECTED_ANSWERS * samples.traffic.residence / load.max(f64::MIN_POSITIVE);
+            let expected = EXPECTED_ANSWERS * samples.residence / load.max(f64::MIN_POSITIVE);
             expected.max(MIN_SILENCE.as_secs_f64())
         };
         if let Some(LoadEstimate { load, age }) = samples.board.estimate(known.lifetime(), now) {
--- a/crates/shallottide_fleet/src/call_classes.rs
+++ b/crates/shallottide_fleet/src/call_classes.rs
@@ -9,7 +9,6 @@
 use crate::admission::CallClass;
 use crate::catalog::Route;
 use crate::load_keys::Kind;
-use crate::spread::Traffic;
 
 /// Time after which a route that got no call for a model no longer counts as using it.
 const ROUTE_MEMORY: Duration = Duration::from_secs(30);
@@ -21,10 +20,6 @@
 /// Calls after which counts of deadlines are halved, so that a change of callers is followed.
 const HALVING_CALLS: f64 = 200.0;
 
-/// Window over which calls and refusals are counted, in seconds.
-const COUNT_WINDOW: f64 = 2.0;
-/// Largest part of the calls that counts as refused.
-const MAX_REFUSED: f64 = 0.8;
 /// Time that a call stays at its engine before any has ended, and the least one, in seconds.
 const INITIAL_RESIDENCE: f64 = 1.0;
 const MIN_RESIDENCE: f64 = 0.1;
@@ -71,47 +66,11 @@
     }
 }
 
-/// Calls of one model at this node.
-#[derive(Debug, Clone, Copy)]
-struct KindTraffic {
-    /// Calls within the window, with exponentially falling weights.
-    calls: f64,
-    /// Those of `calls` that were refused for want of room.
-    refused: f64,
-    counted_at: Instant,
-    /// Moving average of the time that a call stays at its engine, in seconds.
-    residence: f64,
-}
-
-impl KindTraffic {
-    fn new(now: Instant) -> Self {
-        Self {
-            calls: 0.0,
-            refused: 0.0,
-            counted_at: now,
-            residence: INITIAL_RESIDENCE,
-        }
-    }
-
-    /// Lets the counts fall to the present.
-    fn advance(&mut self, now: Instant) {
-        let age = now.saturating_duration_since(self.counted_at);
-        let kept = (-age.as_secs_f64() / COUNT_WINDOW).exp();
-        self.calls *= kept;
-        self.refused *= kept;
-        self.counted_at = now;
-    }
-
-    fn refused_fraction(&self) -> f64 {
-        // One more call that was admitted, so that the first refusals of an idle node count little.
-        (self.refused / (self.calls + 1.0)).min(MAX_REFUSED)
-    }
-}
-
 /// What a node knows of the classes of its calls.
 #[derive(Debug, Clone, Default)]
 pub struct CallClasses {
-    traffic: BTreeMap<Kind, KindTraffic>,
+    /// Moving average of the time that a call stays at its engine, in seconds.
+    residence: BTreeMap<Kind, f64>,
     routes: BTreeMap<Kind, BTreeMap<CompactString, RouteUse>>,
     deadlines: BTreeMap<CompactString, Deadlines>,
 }
@@ -132,10 +91,6 @@
         };
         let routes = self.routes.entry(kind.clone()).or_default();
         routes.insert(route.name.clone(), usage);
-        let traffic = self.traffic.entry(kind.clone());
-        let traffic = traffic.or_insert_with(|| KindTraffic::new(now));
-        traffic.advance(now);
-        traffic.calls += 1.0;
         let deadlines = self.deadlines.entry(route.name.clone()).or_default();
         deadlines.record(time_left);
         deadlines.elapsed(time_left)
@@ -181,28 +136,16 @@
 
     /// Records how long a call stayed at its engine.
     pub fn record_residence(&mut self, kind: &Kind, time: Duration) {
-        if let Some(traffic) = self.traffic.get_mut(kind) {
-            let change = time.as_secs_f64() - traffic.residence;
-            traffic.residence += RESIDENCE_WEIGHT * change;
-        }
+        let residence = self.residence.entry(kind.clone());
+        let residence = residence.or_insert(INITIAL_RESIDENCE);
+        *residence += RESIDENCE_WEIGHT * (time.as_secs_f64() - *residence);
     }
 
-    /// Records that a call was refused for want of room.
-    pub fn record_refused(&mut self, kind: &Kind, now: Instant) {
-        if let Some(traffic) = self.traffic.get_mut(kind) {
-            traffic.advance(now);
-            traffic.refused += 1.0;
-        }
-    }
-
-    /// Returns what this node's calls of a model tell of those of all nodes.
+    /// Returns how long a call of a model stays at its engine, in seconds.
     #[must_use]
-    pub fn traffic(&self, kind: &Kind) -> Traffic {
-        let known = self.traffic.get(kind);
-        Traffic {
-            residence: known.map_or(INITIAL_RESIDENCE, |t| t.residence.max(MIN_RESIDENCE)),
-            refused: known.map_or(0.0, KindTraffic::refused_fraction),
-        }
+    pub fn residence(&self, kind: &Kind) -> f64 {
+        let known = self.residence.get(kind).copied();
+        known.unwrap_or(INITIAL_RESIDENCE).max(MIN_RESIDENCE)
     }
 
     /// Forgets routes that got no call for a while.
@@ -211,7 +154,7 @@
             routes.retain(|_, usage| now.saturating_duration_since(usage.last_call) < ROUTE_MEMORY);
         }
         self.routes.retain(|_, routes| !routes.is_empty());
-        self.traffic
+        self.residence
             .retain(|kind, _| self.routes.contains_key(kind));
         let routes = &self.routes;
         let is_used = |route: &CompactString| routes.values().any(|used| used.contains_key(route));
--- a/crates/shallottide_fleet/src/serve/upstream_selection.rs
+++ b/crates/shallottide_fleet/src/serve/upstream_selection.rs
@@ -150,10 +150,7 @@
                 }
                 shares.record_admitted(kind, self.request.team.as_deref(), self.work, now);
             }
-            Err(NoPlace::Full) => {
-                state.call_classes.record_refused(kind, now);
-                shares.record_refused_for_room(kind, now);
-            }
+            Err(NoPlace::Full) => shares.record_refused_for_room(kind, now),
             Err(_) => {}
         }
         selected
@@ -246,7 +243,7 @@
         let input = SampleInput {
             board: &state.board,
             class,
-            traffic: state.call_classes.traffic(&kind),
+            residence: state.call_classes.residence(&kind),
             draw: rand::random(),
             on_time_load: &on_time_load,
         };
--- a/crates/shallottide_fleet/src/spread.rs
+++ b/crates/shallottide_fleet/src/spread.rs
@@ -9,6 +9,10 @@
 //! No upstream is left out for being above its limit: if those few that are below it got all
 //! requests, they would be overfilled before the next samples arrive.
 
+/// Requests that arrive for each that ends, while there may be too many. Neither a node's own rate times the
+/// nodes, which get very uneven parts of the requests, nor the part that it refuses tells better: both made
+/// nodes refuse requests while there was room.
+const ARRIVALS_PER_END: f64 = 1.2;
 /// Time from a choice until the upstream's next answer can tell of it, in seconds.
 const EFFECT_DELAY: f64 = 0.1;
 
@@ -25,42 +29,24 @@
     pub penalty: f64,
 }
 
-/// Requests of all nodes for upstreams of one kind.
-///
-/// The rate at which they arrive is taken from the loads of all upstreams: nodes get very uneven parts of
-/// them, so that a node's own rate times the nodes is several times too high at the busiest.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Traffic {
-    /// Time that a request stays at an upstream, in seconds; above 0.
-    pub residence: f64,
-    /// Part of the requests that is turned away, from 0 to below 1.
-    pub refused: f64,
-}
-
-impl Traffic {
-    /// Returns the requests that arrive each second while upstreams hold `load` requests.
-    fn arrivals_per_second(&self, load: f64) -> f64 {
-        load / self.residence / (1.0 - self.refused)
-    }
-}
-
 impl Target {
     /// Returns the requests of `load` that have not ended by the time of the next samples.
-    fn remaining(&self, traffic: Traffic) -> f64 {
-        self.load * (1.0 - (self.age + EFFECT_DELAY) / traffic.residence).max(0.0)
+    fn remaining(&self, residence: f64) -> f64 {
+        self.load * (1.0 - (self.age + EFFECT_DELAY) / residence).max(0.0)
     }
 }
 
-/// Chooses a target; `draw` is a uniform random number from 0 to 1.
+/// Chooses a target; `residence` is the time that a request stays at an upstream, in seconds and above 0,
+/// and `draw` a uniform random number from 0 to 1.
 ///
 /// Returns `None` when there is no room, or not enough for all that arrives.
 #[must_use]
-pub fn choose(targets: &[Target], traffic: Traffic, draw: f64) -> Option<usize> {
+pub fn choose(targets: &[Target], residence: f64, draw: f64) -> Option<usize> {
     let count = f64::from(u32::try_from(targets.len()).unwrap_or(u32::MAX));
     let mean_age = targets.iter().map(|target| target.age).sum::<f64>() / count.max(1.0);
-    let load = targets.iter().map(|target| target.load).sum();
-    let arrivals = traffic.arrivals_per_second(load) * (mean_age + EFFECT_DELAY);
-    let remaining: Vec<_> = targets.iter().map(|t| t.remaining(traffic)).collect();
+    let load: f64 = targets.iter().map(|target| target.load).sum();
+    let arrivals = ARRIVALS_PER_END * load / residence * (mean_age + EFFECT_DELAY);
+    let remaining: Vec<_> = targets.iter().map(|t| t.remaining(residence)).collect();
     let rooms = targets
         .iter()
         .zip(&remaining)
