--- a/crates/shallottide_fleet/tests/capacity.rs
+++ b/crates/shallottide_fleet/tests/capacity.rs
@@ -109,7 +109,7 @@
         );
         let others = (4..24).map(|engine| fleet.on_time_load(engine, TARGET));
         let mean = others.sum::<f64>() / 20.0;
-        assert!(mean > 12.0, "on-time load {mean}");
+        assert!(mean > 15.0, "on-time load {mean}");
     });
 }
 
@@ -122,7 +122,7 @@
         fleet.run(3.0);
         assert_accurate(fleet, 3..4, 18.0, 0.35);
         let healthy = fleet.on_time_load(3, TARGET);
-        assert!(healthy > 4.0, "on-time load {healthy}");
+        assert!(healthy > 8.0, "on-time load {healthy}");
         assert!(fleet.on_time_load(2, TARGET) < 2.0);
     });
 }
@@ -144,7 +144,7 @@
             fleet.slow.fill(|_| 1.0);
             fleet.run(2.0);
             let limits: Vec<_> = (0..24).map(|i| fleet.on_time_load(i, TARGET)).collect();
-            let recovered = limits.iter().filter(|limit| **limit > 5.0).count();
+            let recovered = limits.iter().filter(|limit| **limit > 10.0).count();
             assert!(recovered >= 20, "on-time loads {limits:.0?}");
         }
     });
@@ -168,7 +168,7 @@
         assert_accurate(&fleet, 0..12, 18.0, 0.3);
         fleet.slow.fill(|_| 3.0);
         fleet.run(4.0);
-        assert_accurate(&fleet, 0..12, 18.0, 0.7);
+        assert_accurate(&fleet, 0..12, 18.0, 0.5);
     }
 }
 
