--- a/crates/shallottide_fleet/src/report_targets.rs
+++ b/crates/shallottide_fleet/src/report_targets.rs
@@ -12,6 +12,10 @@
 /// Number of peers, chosen at random, that receive each report.
 pub const REPORT_FANOUT: usize = 8;
 
+/// Nodes up to which each hears nearly all others within the time for which a report counts, so that their
+/// counts of requests are complete.
+pub const MAX_DIRECT_NODES: usize = 3 * REPORT_FANOUT;
+
 /// Returns the peer interfaces of random nodes, and of the controllers that must act on `suspects`.
 ///
 /// With hundreds of nodes, a controller would hear of a suspected group head by chance only.
--- a/crates/shallottide_fleet/src/serve/controller_task.rs
+++ b/crates/shallottide_fleet/src/serve/controller_task.rs
@@ -18,7 +18,7 @@
 use crate::domain_claims::{ClaimInput, ClaimPolicy, fencing_token};
 use crate::groups::{Action, Controller, ControllerOptions, Order};
 use crate::lease_validity::boot_time;
-use crate::report_targets::REPORT_FANOUT;
+use crate::report_targets::MAX_DIRECT_NODES;
 use crate::upstream::Upstream;
 use crate::upstream_links::{ConnectionFailure, LinkState};
 use crate::view::{Change, ClusterView, ControllerClaim};
@@ -158,7 +158,7 @@
 
 /// Returns whether one node's reports do not reach all other nodes.
 fn is_large(view: &ClusterView) -> bool {
-    view.nodes.len() > REPORT_FANOUT + 1
+    view.nodes.len() > MAX_DIRECT_NODES
 }
 
 fn tick(node: &Rc<Node>, all: &Controllers) {
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -36,7 +36,7 @@
 use crate::options::NodeOptions;
 use crate::relay_limit::RelayLimit;
 use crate::relay_targets::ServiceRelayTargets;
-use crate::report_targets::REPORT_FANOUT;
+use crate::report_targets::MAX_DIRECT_NODES;
 use crate::retry_budget::RetryBudget;
 use crate::return_schedule::ReturnSchedule;
 use crate::routes::RouteTable;
@@ -147,7 +147,7 @@
     /// Returns whether nodes are too many for each to hear all others directly, so that they pass on
     /// samples of engines' loads.
     pub(super) fn has_shared_samples(&self) -> bool {
-        self.node_count() > REPORT_FANOUT + 1
+        self.node_count() > MAX_DIRECT_NODES
     }
 
     /// Rebuilds what is derived from the view.
