--- a/crates/shallottide_fleet/src/admission.rs
+++ b/crates/shallottide_fleet/src/admission.rs
@@ -24,7 +24,7 @@
     pub time_left: Option<Duration>,
     /// Number of more urgent priorities among the routes that use the same model.
     pub rank: u32,
-    /// Whether the call has been sent to an engine before; it goes on with what that one has begun.
+    /// Whether the call has been sent to an engine before, as a retry or a resumed stream has.
     pub is_begun: bool,
     /// Whether its team has used its share of room that is short.
     pub is_over_share: bool,
--- a/crates/shallottide_fleet/src/balance.rs
+++ b/crates/shallottide_fleet/src/balance.rs
@@ -35,7 +35,7 @@
 /// streams of a batch progress together, at least a few times a second.
 const STALL_TIMEOUT: Duration = Duration::from_millis(280);
 /// Answers that are expected of an engine, from all nodes, within a silence after which it gets no new
-/// requests: it has lost a member, or stands still for another reason.
+/// requests: its group has probably lost a member.
 const EXPECTED_ANSWERS: f64 = 6.0;
 /// Shortest such silence; samples are passed on within half of it.
 const MIN_SILENCE: Duration = Duration::from_millis(800);
--- a/crates/shallottide_fleet/src/spread.rs
+++ b/crates/shallottide_fleet/src/spread.rs
@@ -13,7 +13,7 @@
 /// nodes, which get very uneven parts of the requests, nor the part that it refuses tells better: both made
 /// nodes refuse requests while there was room.
 const ARRIVALS_PER_END: f64 = 1.2;
-/// Time from a choice until the upstream's next answer can tell of it, in seconds.
+/// Time from a choice until an answer of the upstream includes the request in its load, in seconds.
 const EFFECT_DELAY: f64 = 0.1;
 
 /// An upstream that can take a request.
--- a/crates/shallottide_fleet/src/team_division.rs
+++ b/crates/shallottide_fleet/src/team_division.rs
@@ -8,7 +8,7 @@
 use crate::water_level::{TeamDemand, served_fractions};
 
 /// Capacity that is divided, as a multiple of what was admitted. Above 1, as teams that are cut would
-/// otherwise leave capacity unused that nobody notices.
+/// otherwise leave capacity unused without a sign of it.
 const HEADROOM: f64 = 1.1;
 /// Increase of this multiple for each unit by which the fraction refused for want of capacity is below
 /// the one that the headroom causes while capacity is used up.
--- a/crates/shallottide_fleet/tests/admission.rs
+++ b/crates/shallottide_fleet/tests/admission.rs
@@ -33,7 +33,7 @@
 const STEPS: u32 = 50;
 /// Age of the loads by which nodes choose, in steps; at most.
 const MAX_AGE: usize = 22;
-/// Steps from a send to the answer that tells of it.
+/// Steps from a send to the first answer whose load includes it.
 const MIN_AGE: usize = 5;
 
 fn class(time_left: Option<Duration>) -> CallClass {
@@ -204,7 +204,7 @@
 /// A caller that comes back states what is left of its deadline. Callers with a shorter deadline are new
 /// all the same.
 #[test]
-fn calls_that_come_back_are_told_by_their_deadlines() {
+fn returning_calls_are_recognized_by_their_deadlines() {
     let now = Instant::now();
     let mut classes = CallClasses::default();
     let kind: Kind = (id("engines"), id("large"));
--- a/crates/shallottide_fleet/tests/capacity.rs
+++ b/crates/shallottide_fleet/tests/capacity.rs
@@ -195,7 +195,7 @@
 
 /// Long prompts are taken for slow engines, or get the same limit as short ones.
 #[test]
-fn prompt_sizes_are_told_apart() {
+fn longer_prompts_have_lower_limits() {
     play(|fleet| {
         let times = [500, 2_100].map(|prompt| {
             let all = (0..24).map(|i| fleet.accuracy(i, 18.0, prompt) * median(18.0, prompt));
--- a/crates/shallottide_fleet/tests/supply.rs
+++ b/crates/shallottide_fleet/tests/supply.rs
@@ -456,7 +456,7 @@
 }
 
 /// Nine engines form groups of four and two, and one is left. Guards against idle engines of which
-/// nobody can tell why, or that are counted twice.
+/// no cause is shown, or that are counted twice.
 #[test]
 fn each_idle_engine_has_a_cause() {
     let mut engines = Engines::start(1, 9, Faults::default(), 1);
