Claim domains under leases that the store grants for longer than asked for

A node claimed under a lease of at most 1.8 s only, and compared the time that was granted. By the same comparison a held lease never served its node's duties, and it took another: 20 leases in 4 s for two nodes, each a write. Nothing in log or metrics told this from a claim that was lost or not due; 'claim withheld' and its counter do now, and 'lease acquired' has both times.

A lease keeps the time that was asked for, which decides whether a node may claim under it. Its holder relies on it for the shorter of the two times. After a restore of the store, other nodes wait for just that time, so no second holder can act whatever was granted; a dead holder's domain moves when the store ends the lease. No lease is renewed more than ten times a second.

--- a/crates/shallottide_fleet/src/adapter.rs
+++ b/crates/shallottide_fleet/src/adapter.rs
@@ -66,10 +66,23 @@
     pub id: u64,
     /// The store's era in which it was granted; later ones give its id out again.
     pub era: StoreEra,
-    /// Time to live, which the store counts from the arrival of the latest renewal.
+    /// Time to live that was asked for.
+    pub asked: Duration,
+    /// Time to live that the store granted, which it counts from the arrival of the latest renewal;
+    /// shorter or longer than what was asked for.
     pub ttl: Duration,
 }
 
+impl Lease {
+    /// Returns how long its holder relies on it after a renewal.
+    ///
+    /// Never longer than asked for: other nodes know that time, but not the one that was granted.
+    #[must_use]
+    pub fn term(&self) -> Duration {
+        self.ttl.min(self.asked)
+    }
+}
+
 /// The platform's store, with decoded entries.
 pub trait Store {
     /// Lists all entries, in a state not older than the call.
--- a/crates/shallottide_fleet/src/domain_claims.rs
+++ b/crates/shallottide_fleet/src/domain_claims.rs
@@ -6,6 +6,7 @@
 //! all in a record that names the era.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -13,7 +14,7 @@
 
 use crate::adapter::Lease;
 use crate::feed_tree::duty_rank;
-use crate::lease_term::{longest_claim_ttl, may_claim_under};
+use crate::lease_term::{is_duty_term, longest_claim_term};
 use crate::lease_validity::LeaseValidity;
 use crate::node_entry::NodeEntry;
 use crate::options::NodeOptions;
@@ -75,14 +76,25 @@
         self.validity.may_act(claim.era(), self.boot_time)
     }
 
-    /// Returns whether the node has a lease in the view's era under which it may claim.
-    fn can_claim(&self) -> bool {
+    /// Returns why the node may not claim any domain now, if it may not.
+    fn obstacle(&self) -> Option<ClaimObstacle> {
         let era = self.view.index.era();
-        let lease = self.lease.filter(|lease| lease.era == era);
-        self.reaches_engines
-            && lease.is_some_and(|lease| may_claim_under(lease.ttl, self.options))
-            && self.validity.may_act(era, self.boot_time)
-            && !self.view.store_lost
+        if !self.reaches_engines {
+            return Some(ClaimObstacle::NoEngines);
+        }
+        if self.view.store_lost {
+            return Some(ClaimObstacle::StoreLost);
+        }
+        let Some(lease) = self.lease else {
+            return Some(ClaimObstacle::NoLease);
+        };
+        if lease.era != era {
+            return Some(ClaimObstacle::EarlierEra);
+        }
+        if !is_duty_term(lease.asked, self.options) {
+            return Some(ClaimObstacle::PlainLease);
+        }
+        (!self.validity.may_act(era, self.boot_time)).then_some(ClaimObstacle::LeaseNotValid)
     }
 
     /// Returns how long to wait before claiming a domain.
@@ -107,6 +119,36 @@
     }
 }
 
+/// Why a node may not claim a domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimObstacle {
+    /// It reaches no engines.
+    NoEngines,
+    /// It does not reach the store.
+    StoreLost,
+    /// It has no lease.
+    NoLease,
+    /// Its lease is of an earlier era of the store.
+    EarlierEra,
+    /// It asked for a lease of a node without a duty.
+    PlainLease,
+    /// Its lease may end before an order arrives: it was renewed too long ago, or granted for too short.
+    LeaseNotValid,
+}
+
+impl fmt::Display for ClaimObstacle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoEngines => "no_engines",
+            Self::StoreLost => "store_lost",
+            Self::NoLease => "no_lease",
+            Self::EarlierEra => "earlier_era",
+            Self::PlainLease => "plain_lease",
+            Self::LeaseNotValid => "lease_not_valid",
+        })
+    }
+}
+
 /// What a node does with its claims now.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ClaimDecisions {
@@ -116,6 +158,8 @@
     pub due: Vec<(DomainId, Option<StoreIndex>)>,
     /// Whether to open claims to all nodes in the view's era.
     pub opens_claims: bool,
+    /// A domain that the node would claim now, and why it may not.
+    pub withheld: Option<(DomainId, ClaimObstacle)>,
 }
 
 /// Decides on a node's claims.
@@ -147,7 +191,8 @@
         self.era = Some((era, known_since));
         let is_new = input.first_start && !self.saw_restore;
         let is_open = input.view.open_claims.is_some_and(|open| open.era == era);
-        let can_claim = input.can_claim();
+        let obstacle = input.obstacle();
+        let can_claim = obstacle.is_none();
         if !is_open && can_claim {
             decisions.opens_claims = self.opens_claims(known_since, is_new, input);
         }
@@ -190,8 +235,12 @@
             }
             let since = *self.unclaimed.entry(domain.clone()).or_insert(input.now);
             let waited = input.now.saturating_duration_since(since);
-            if can_claim && waited >= input.claim_delay(domain) {
-                decisions.due.push((domain.clone(), None));
+            if waited < input.claim_delay(domain) {
+                continue;
+            }
+            match obstacle {
+                None => decisions.due.push((domain.clone(), None)),
+                Some(obstacle) => decisions.withheld = Some((domain.clone(), obstacle)),
             }
         }
         for (domain, _) in &decisions.due {
@@ -204,7 +253,7 @@
     fn opens_claims(&mut self, known_since: Instant, is_new: bool, input: &ClaimInput<'_>) -> bool {
         let mut wait = input.claim_delay(&input.options.domain);
         if !is_new {
-            wait += longest_claim_ttl(input.options);
+            wait += longest_claim_term(input.options);
         }
         let since = |at: Instant| input.now.saturating_duration_since(at);
         let is_due = since(known_since) >= wait
--- a/crates/shallottide_fleet/src/lease_term.rs
+++ b/crates/shallottide_fleet/src/lease_term.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use crate::adapter::Lease;
 use crate::feed_tree::duty_rank;
 use crate::options::NodeOptions;
 use crate::view::ClusterView;
@@ -15,6 +16,10 @@
 pub const PLAIN_TTL: Duration = Duration::from_secs(6);
 /// Nodes of a failure domain that come next for its duty.
 pub const DUTY_CANDIDATES: usize = 4;
+/// Renewals in the time for which the holder relies on its lease.
+const RENEWALS_PER_TERM: u32 = 4;
+/// Shortest time between two renewals, whatever the store grants.
+const MIN_RENEWAL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Returns the lease time that a node needs now.
 #[must_use]
@@ -27,22 +32,34 @@
     ttl.max(options.min_lease)
 }
 
-/// Returns whether a lease is short enough to claim a duty under it.
+/// Returns whether a lease that is asked for this time is one under which to claim a duty.
+///
+/// A store that grants longer leases delays the takeover of a dead node's duties, but a domain that
+/// nobody may claim would have no controller at all.
 #[must_use]
-pub fn may_claim_under(ttl: Duration, options: &NodeOptions) -> bool {
-    ttl <= longest_claim_ttl(options)
+pub fn is_duty_term(asked: Duration, options: &NodeOptions) -> bool {
+    asked <= longest_claim_term(options)
 }
 
-/// Returns the longest lease under which a node claims a duty.
+/// Returns the longest time for which a node acts on a claim after a renewal of its lease, whatever the
+/// store granted.
 #[must_use]
-pub fn longest_claim_ttl(options: &NodeOptions) -> Duration {
+pub fn longest_claim_term(options: &NodeOptions) -> Duration {
     DUTY_TTL.max(options.min_lease)
 }
 
-/// Returns whether a lease that was granted for `granted` serves where `needed` is asked for.
+/// Returns whether a lease serves where one is needed for `needed`.
+///
+/// Compares what was asked for: a store that grants another time would do so again.
 #[must_use]
-pub fn fits(granted: Duration, needed: Duration, options: &NodeOptions) -> bool {
-    may_claim_under(granted, options) == may_claim_under(needed, options)
+pub fn fits(lease: &Lease, needed: Duration, options: &NodeOptions) -> bool {
+    is_duty_term(lease.asked, options) == is_duty_term(needed, options)
+}
+
+/// Returns the time between two renewals of a lease.
+#[must_use]
+pub fn renewal_interval(lease: &Lease) -> Duration {
+    (lease.term() / RENEWALS_PER_TERM).max(MIN_RENEWAL_INTERVAL)
 }
 
 fn has_duty(view: &ClusterView, options: &NodeOptions) -> bool {
--- a/crates/shallottide_fleet/src/lease_validity.rs
+++ b/crates/shallottide_fleet/src/lease_validity.rs
@@ -5,6 +5,8 @@
 
 use shallottide_types::id::StoreEra;
 
+use crate::adapter::Lease;
+
 /// Time before the end of the lease at which a node stops acting; covers the transit of an order.
 const MARGIN: Duration = Duration::from_millis(300);
 
@@ -19,11 +21,14 @@
 }
 
 impl LeaseValidity {
-    /// Records a renewal that was sent at `sent` and confirmed.
-    pub fn renewed(&mut self, era: StoreEra, sent: Duration, ttl: Duration) {
+    /// Records a grant or renewal that was sent at `sent` and confirmed.
+    ///
+    /// The lease counts for [`Lease::term`]: after a restore, other nodes wait no longer than that until
+    /// they claim.
+    pub fn renewed(&mut self, lease: &Lease, sent: Duration) {
         self.valid_until.retain(|_, until| *until > sent);
-        let until = self.valid_until.entry(era).or_default();
-        *until = (*until).max(sent + ttl);
+        let until = self.valid_until.entry(lease.era).or_default();
+        *until = (*until).max(sent + lease.term());
     }
 
     /// Records that the lease of an era has ended.
@@ -31,6 +36,12 @@
         self.valid_until.remove(&era);
     }
 
+    /// Returns whether a lease is too short for its holder to act under it at all.
+    #[must_use]
+    pub fn is_too_short(lease: &Lease) -> bool {
+        lease.term() <= MARGIN
+    }
+
     /// Returns whether the holder may still act on claims that it made in an era.
     #[must_use]
     pub fn may_act(&self, era: StoreEra, now: Duration) -> bool {
--- a/crates/shallottide_fleet/src/serve/controller_task.rs
+++ b/crates/shallottide_fleet/src/serve/controller_task.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::ToCompactString;
 use http::Request;
 use http_body_util::Full;
 use shallottide_types::id::{DomainId, StoreEra, StoreIndex};
@@ -15,7 +16,7 @@
 use super::links::LinkWait;
 use super::node::Node;
 use crate::adapter::{EngineCall, EngineReport, OrderOutcome};
-use crate::domain_claims::{ClaimInput, ClaimPolicy, fencing_token};
+use crate::domain_claims::{ClaimInput, ClaimObstacle, ClaimPolicy, fencing_token};
 use crate::groups::{Action, Controller, ControllerOptions, Order};
 use crate::lease_validity::boot_time;
 use crate::report_targets::MAX_DIRECT_NODES;
@@ -43,6 +44,7 @@
 pub(super) async fn run(node: Rc<Node>) {
     let controllers = Controllers::default();
     let mut policy = ClaimPolicy::default();
+    let mut withheld = None;
     loop {
         let is_busy = controllers.borrow().values().any(Controller::is_busy);
         let pause = if is_busy {
@@ -56,14 +58,40 @@
             controllers.borrow_mut().clear();
             continue;
         }
-        claim_domains(&node, &controllers, &mut policy).await;
+        let now_withheld = claim_domains(&node, &controllers, &mut policy).await;
+        if now_withheld != withheld {
+            log_withheld(&node, now_withheld.as_ref());
+            withheld = now_withheld;
+        }
         tick(&node, &controllers);
         tokio::time::sleep(BUSY_INTERVAL).await;
     }
 }
 
-/// Claims domains as the policy decides, and drops controllers whose claim is lost.
-async fn claim_domains(node: &Rc<Node>, controllers: &Controllers, policy: &mut ClaimPolicy) {
+/// Logs that a domain has no claim because this node may not claim it, or that this is over.
+fn log_withheld(node: &Node, withheld: Option<&(DomainId, ClaimObstacle)>) {
+    let Some((domain, obstacle)) = withheld else {
+        tracing::info!("no claim withheld any more");
+        return;
+    };
+    let state = node.state.borrow();
+    let lease = state.held_lease;
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    node.metrics
+        .count("claims_withheld", &obstacle.to_compact_string());
+    tracing::info!(
+        %domain, why = %obstacle, asked_ms = lease.map(|lease| millis(lease.asked)),
+        ttl_ms = lease.map(|lease| millis(lease.ttl)), index = %state.view.index, "claim withheld"
+    );
+}
+
+/// Claims domains as the policy decides, and drops controllers whose claim is lost. Returns a domain that
+/// this node would claim, and why it may not.
+async fn claim_domains(
+    node: &Rc<Node>,
+    controllers: &Controllers,
+    policy: &mut ClaimPolicy,
+) -> Option<(DomainId, ClaimObstacle)> {
     let (decisions, opened) = {
         let state = node.state.borrow();
         let held = controllers.borrow();
@@ -97,7 +125,7 @@
     for (domain, replaces) in decisions.due {
         let lease = node.state.borrow().held_lease;
         let Some(lease) = lease else {
-            return;
+            break;
         };
         let request =
             node.platform
@@ -110,6 +138,7 @@
             Err(_) => tracing::warn!(%domain, "claiming domain timed out"),
         }
     }
+    decisions.withheld
 }
 
 /// Opens claims to all nodes, as the leases of earlier eras have ended.
--- a/crates/shallottide_fleet/src/serve/metrics.rs
+++ b/crates/shallottide_fleet/src/serve/metrics.rs
@@ -159,6 +159,10 @@
         "",
         store_age.map_or("NaN".into(), |ms| ms.to_string()),
     );
+    let lease = state.held_lease;
+    let millis = |time: Option<Duration>| time.unwrap_or_default().as_millis().to_string();
+    line("lease_asked_ms", "", millis(lease.map(|lease| lease.asked)));
+    line("lease_ttl_ms", "", millis(lease.map(|lease| lease.ttl)));
     line(
         "upstream_connections_opened",
         "",
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -6,8 +6,8 @@
 use super::delta_feed::DeltaFollower;
 use super::node::Node;
 use crate::adapter::{Changes, Lease, StoreError};
-use crate::lease_term::{fits, lease_ttl, may_claim_under};
-use crate::lease_validity::boot_time;
+use crate::lease_term::{fits, is_duty_term, lease_ttl, renewal_interval};
+use crate::lease_validity::{LeaseValidity, boot_time};
 use crate::watch_pause::watch_pause;
 
 /// Longest wait for changes in one watch call.
@@ -19,8 +19,6 @@
 /// First and longest back-off after a failed call.
 const BACKOFF_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(900));
-/// Renewals per lease time.
-const RENEWALS_PER_TTL: u32 = 4;
 /// Timeout of a renewal, and of each call that acquires a lease.
 const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a lost lease is acquired again.
@@ -175,8 +173,7 @@
         let sent_at = boot_time();
         let ttl = lease_ttl(&node.state.borrow().view, &node.options);
         let is_kept = |held: &Lease| {
-            is_of_current_era(&node, *held)
-                && (fits(held.ttl, ttl, &node.options) || has_claim(&node))
+            is_of_current_era(&node, *held) && (fits(held, ttl, &node.options) || has_claim(&node))
         };
         let result = match lease.filter(is_kept) {
             None => acquire_lease(&node, ttl).await,
@@ -207,7 +204,7 @@
 fn rejoin_delay(node: &Node) -> Duration {
     let state = node.state.borrow();
     let ttl = lease_ttl(&state.view, &node.options);
-    if may_claim_under(ttl, &node.options) {
+    if is_duty_term(ttl, &node.options) {
         return Duration::ZERO;
     }
     let nodes = u32::try_from(state.node_count()).unwrap_or(u32::MAX);
@@ -242,7 +239,7 @@
     let Some(lease) = lease else {
         return tokio::time::sleep(LEASE_RETRY_DELAY).await;
     };
-    let mut left = lease.ttl / RENEWALS_PER_TTL;
+    let mut left = renewal_interval(&lease);
     if is_failed {
         left = left.min(LEASE_CHECK_INTERVAL);
     }
@@ -254,7 +251,7 @@
             return;
         }
         let needed = lease_ttl(&node.state.borrow().view, &node.options);
-        if needed < lease.ttl && !fits(lease.ttl, needed, &node.options) && !has_claim(node) {
+        if needed < lease.asked && !fits(&lease, needed, &node.options) && !has_claim(node) {
             return;
         }
     }
@@ -275,6 +272,25 @@
     }
 }
 
+fn log_lease(lease: &Lease) {
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let (ttl_ms, asked_ms) = (millis(lease.ttl), millis(lease.asked));
+    tracing::info!(lease = lease.id, ttl_ms, asked_ms, "lease acquired");
+    if LeaseValidity::is_too_short(lease) {
+        tracing::warn!(
+            ttl_ms,
+            asked_ms,
+            "lease too short: this node can claim no domain under it"
+        );
+    } else if lease.ttl > lease.asked {
+        tracing::warn!(
+            ttl_ms,
+            asked_ms,
+            "lease longer than asked for: what this node claims stays claimed for so long if it dies"
+        );
+    }
+}
+
 /// Records the result of acquiring or renewing a lease; returns the lease that is held now.
 fn record_lease_result(
     node: &Node,
@@ -288,10 +304,9 @@
             if held.is_none_or(|held| (held.era, held.id) != (renewed.era, renewed.id)) {
                 // The validity of an earlier lease says nothing of this one.
                 state.lease_watch.ended(renewed.era);
-                let ttl_ms = u64::try_from(renewed.ttl.as_millis()).unwrap_or(u64::MAX);
-                tracing::info!(lease = renewed.id, ttl_ms, "lease acquired");
+                log_lease(&renewed);
             }
-            state.lease_watch.renewed(renewed.era, sent_at, renewed.ttl);
+            state.lease_watch.renewed(&renewed, sent_at);
             Some(renewed)
         }
         Err(error) => {
--- a/crates/shallottide_fleet/tests/bounds.rs
+++ b/crates/shallottide_fleet/tests/bounds.rs
@@ -98,12 +98,12 @@
     let second = Duration::from_secs(1);
     let era = StoreEra(1);
     assert!(!lease.may_act(era, second));
-    lease.renewed(era, second, 2 * second);
+    lease.renewed(&support::lease(1, 2 * second, 2 * second), second);
     assert!(lease.may_act(era, 2 * second));
     // The lease counts from when the renewal was sent, and an order takes time to arrive.
     assert!(!lease.may_act(era, Duration::from_millis(2_800)));
     // A lease that a restored store has lost still keeps others from claiming until its time is over.
-    lease.renewed(StoreEra(2), 2 * second, 2 * second);
+    lease.renewed(&support::lease(2, 2 * second, 2 * second), 2 * second);
     assert!(lease.may_act(era, 2 * second));
     lease.ended(era);
     assert!(!lease.may_act(era, second));
--- a/crates/shallottide_fleet/tests/domain_claims.rs
+++ b/crates/shallottide_fleet/tests/domain_claims.rs
@@ -6,7 +6,6 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use shallottide_fleet::adapter::Lease;
 use shallottide_fleet::domain_claims::{
     ClaimDecisions, ClaimInput, ClaimPolicy, OpenClaims, fencing_token,
 };
@@ -16,7 +15,7 @@
 use shallottide_fleet::{ClusterView, NodeOptions};
 use shallottide_types::cases;
 use shallottide_types::id::{DomainId, StoreEra, StoreIndex};
-use support::{ClaimDay, catalog, claim_nodes, id, node_options};
+use support::{ClaimDay, GrantedTime, catalog, claim_nodes, id, lease, node_options};
 
 fn at(era: u64, revision: u64) -> StoreIndex {
     StoreIndex::new(StoreEra(era), revision)
@@ -83,8 +82,11 @@
     view.replace(at(2, 30), changes, start);
     let boot_time = Duration::from_secs(100);
     let mut validity = LeaseValidity::default();
-    validity.renewed(StoreEra(1), boot_time, known.earlier_lease);
-    validity.renewed(StoreEra(2), boot_time, DUTY_TTL);
+    validity.renewed(
+        &lease(1, known.earlier_lease, known.earlier_lease),
+        boot_time,
+    );
+    validity.renewed(&lease(2, DUTY_TTL, DUTY_TTL), boot_time);
     let held = known.held.map(|claim| (id::<DomainId>("zone-a"), claim));
     let mut policy = ClaimPolicy::default();
     let held = held.into_iter().collect();
@@ -94,11 +96,7 @@
             options: &options,
             view: &view,
             held: &held,
-            lease: Some(Lease {
-                id: 7,
-                era: StoreEra(2),
-                ttl: DUTY_TTL,
-            }),
+            lease: Some(lease(2, DUTY_TTL, DUTY_TTL)),
             validity: &validity,
             first_start: false,
             reaches_engines: known.reaches_engines,
@@ -161,7 +159,7 @@
 /// domains that stay without a controller, on days with restores, cuts, and all nodes killed.
 fn claims_exclude_each_other(nodes: usize, seeds: Range<u64>, length: Duration) {
     for seed in seeds {
-        ClaimDay::play(claim_nodes(nodes), seed, length);
+        ClaimDay::play(claim_nodes(nodes), seed, length, GrantedTime::AsAsked);
     }
 }
 
@@ -172,3 +170,25 @@
     claims_of_forty_nodes: 40, 0..5, Duration::from_mins(2);
     claims_of_four_hundred_nodes: 400, 0..1, Duration::from_secs(40);
 }
+
+/// Guards against domains without a controller, and against two controllers at a time, because the store
+/// grants leases for another time than was asked for; and against a new lease where one is held.
+fn domains_are_claimed_whatever_the_store_grants(
+    granted: GrantedTime,
+    seeds: Range<u64>,
+    length: Duration,
+) {
+    for seed in seeds {
+        ClaimDay::play(claim_nodes(7), seed, length, granted);
+    }
+}
+
+cases! {
+    domains_are_claimed_whatever_the_store_grants;
+    leases_in_whole_seconds: GrantedTime::WholeSeconds, 0..40, Duration::from_mins(2);
+    leases_of_two_seconds: GrantedTime::AtLeast(Duration::from_secs(2)), 0..40, Duration::from_mins(2);
+    leases_of_ten_seconds: GrantedTime::AtLeast(Duration::from_secs(10)), 0..40, Duration::from_mins(2);
+    leases_of_ten_minutes: GrantedTime::AtLeast(Duration::from_mins(10)), 0..2, Duration::from_mins(3);
+    leases_of_half_the_time: GrantedTime::Share(50), 0..40, Duration::from_mins(2);
+    leases_of_a_time_that_differs_at_each_renewal: GrantedTime::Varying(60, 300), 0..40, Duration::from_mins(2);
+}
--- a/crates/shallottide_fleet/tests/lease_term.rs
+++ b/crates/shallottide_fleet/tests/lease_term.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use shallottide_fleet::lease_term::{
-    DUTY_CANDIDATES, DUTY_TTL, PLAIN_TTL, fits, lease_ttl, may_claim_under,
+    DUTY_CANDIDATES, DUTY_TTL, PLAIN_TTL, fits, is_duty_term, lease_ttl, renewal_interval,
 };
+use shallottide_fleet::lease_validity::LeaseValidity;
 use shallottide_fleet::view::{Change, ControllerClaim};
 use shallottide_fleet::{ClusterView, NodeEntry, NodeOptions};
 use shallottide_types::cases;
 use shallottide_types::id::{DomainId, NodeId, StoreIndex};
-use support::{id, node_options};
+use support::{id, lease, node_options};
 
 fn domain(number: usize, domains: usize) -> DomainId {
     id(&format!("zone-{}", number % domains))
@@ -83,16 +84,53 @@
 }
 
 #[test]
-fn a_duty_is_claimed_under_a_short_lease_only() {
+fn a_duty_is_claimed_under_a_lease_that_was_asked_for_it_only() {
     let options = options(1, 1);
-    assert!(may_claim_under(DUTY_TTL, &options));
-    assert!(!may_claim_under(PLAIN_TTL, &options));
+    assert!(is_duty_term(DUTY_TTL, &options));
+    assert!(!is_duty_term(PLAIN_TTL, &options));
     // The store grants no lease below its own minimum.
+    let least = Duration::from_secs(3);
     let slow_store = NodeOptions {
-        min_lease: Duration::from_secs(3),
+        min_lease: least,
         ..options
     };
-    assert!(may_claim_under(Duration::from_secs(3), &slow_store));
-    assert!(fits(Duration::from_secs(3), DUTY_TTL, &slow_store));
-    assert!(!fits(PLAIN_TTL, DUTY_TTL, &slow_store));
+    assert!(is_duty_term(least, &slow_store));
+    assert!(fits(&lease(1, least, least), DUTY_TTL, &slow_store));
+    assert!(!fits(
+        &lease(1, PLAIN_TTL, PLAIN_TTL),
+        DUTY_TTL,
+        &slow_store
+    ));
+}
+
+/// Guards against a node that acquires lease after lease, acts for longer than others wait for it, or
+/// renews too late, because the store grants another time than was asked for.
+fn lease_serves_as_asked_for(asked: Duration, ttl: Duration, term: Duration) {
+    let (options, lease) = (options(1, 1), lease(1, asked, ttl));
+    for needed in [DUTY_TTL, PLAIN_TTL] {
+        assert_eq!(fits(&lease, needed, &options), needed == asked);
+    }
+    let sent = Duration::from_secs(100);
+    let mut validity = LeaseValidity::default();
+    validity.renewed(&lease, sent);
+    assert!(!validity.may_act(lease.era, sent + term));
+    let last = sent + term.saturating_sub(Duration::from_millis(301));
+    assert_eq!(
+        validity.may_act(lease.era, last),
+        !LeaseValidity::is_too_short(&lease)
+    );
+    assert!(renewal_interval(&lease) <= (term / 3).max(Duration::from_millis(100)));
+    assert!(renewal_interval(&lease) >= Duration::from_millis(100));
+}
+
+cases! {
+    lease_serves_as_asked_for;
+    duty_lease_as_asked_for: DUTY_TTL, DUTY_TTL, DUTY_TTL;
+    duty_lease_in_whole_seconds: DUTY_TTL, Duration::from_secs(2), DUTY_TTL;
+    duty_lease_of_ten_minutes: DUTY_TTL, Duration::from_mins(10), DUTY_TTL;
+    duty_lease_for_less: DUTY_TTL, Duration::from_secs(1), Duration::from_secs(1);
+    duty_lease_too_short_to_act: DUTY_TTL, Duration::from_millis(200), Duration::from_millis(200);
+    duty_lease_without_time: DUTY_TTL, Duration::ZERO, Duration::ZERO;
+    plain_lease_of_ten_minutes: PLAIN_TTL, Duration::from_mins(10), PLAIN_TTL;
+    plain_lease_for_as_long_as_a_duty: PLAIN_TTL, DUTY_TTL, DUTY_TTL;
 }
--- a/crates/shallottide_fleet/tests/support/claim_store.rs
+++ b/crates/shallottide_fleet/tests/support/claim_store.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use shallottide_fleet::adapter::Lease;
 use shallottide_fleet::domain_claims::{ClaimInput, ClaimPolicy, OpenClaims, fencing_token};
-use shallottide_fleet::lease_term::lease_ttl;
+use shallottide_fleet::lease_term::{PLAIN_TTL, fits, lease_ttl, renewal_interval};
 use shallottide_fleet::lease_validity::LeaseValidity;
 use shallottide_fleet::view::{Change, ControllerClaim};
 use shallottide_fleet::{ClusterView, NodeOptions};
@@ -23,6 +23,43 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(8);
 const DOMAINS: usize = 3;
 
+/// How long the store lets a lease run that was asked for some time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum GrantedTime {
+    AsAsked,
+    /// Rounded up to whole seconds.
+    WholeSeconds,
+    AtLeast(Duration),
+    /// A share of what was asked for, in percent.
+    Share(u32),
+    /// Between these shares, another one at each grant and renewal.
+    Varying(u32, u32),
+}
+
+impl GrantedTime {
+    fn apply(self, asked: Duration, rng: &mut StdRng) -> Duration {
+        match self {
+            Self::AsAsked => asked,
+            Self::WholeSeconds => {
+                let more = u64::from(asked.subsec_nanos() > 0);
+                Duration::from_secs(asked.as_secs() + more)
+            }
+            Self::AtLeast(least) => asked.max(least),
+            Self::Share(percent) => asked * percent / 100,
+            Self::Varying(least, most) => asked * rng.random_range(least..=most) / 100,
+        }
+    }
+
+    /// Returns the longest time that the store grants.
+    fn longest(self) -> Duration {
+        match self {
+            Self::AtLeast(least) => least.max(PLAIN_TTL),
+            Self::Varying(_, most) => PLAIN_TTL * most.max(100) / 100,
+            Self::AsAsked | Self::WholeSeconds | Self::Share(_) => PLAIN_TTL,
+        }
+    }
+}
+
 /// An entry of the store with the lease that it depends on; 0 for none.
 #[derive(Clone)]
 struct Item {
@@ -59,21 +96,22 @@
         }
     }
 
-    fn grant(&mut self, ttl: Duration, now: Instant) -> Lease {
+    fn grant(&mut self, asked: Duration, ttl: Duration, now: Instant) -> Lease {
         self.revision += 1;
         // Ids are given out again after a restore.
         self.leases.insert(self.revision, (now + ttl, ttl));
         Lease {
             id: self.revision,
             era: self.era,
+            asked,
             ttl,
         }
     }
 
-    fn renew(&mut self, lease: Lease, now: Instant) -> bool {
-        let held = self.leases.get_mut(&lease.id);
-        let is_renewed = held.map(|(end, ttl)| *end = now + *ttl).is_some();
-        is_renewed && lease.era == self.era
+    fn renew(&mut self, lease: Lease, ttl: Duration, now: Instant) -> Option<Lease> {
+        let held = self.leases.get_mut(&lease.id)?;
+        *held = (now + ttl, ttl);
+        (lease.era == self.era).then_some(Lease { ttl, ..lease })
     }
 
     fn claim(
@@ -123,6 +161,8 @@
     cut_until: Instant,
     renew_at: Instant,
     is_down_until: Instant,
+    /// When it last acquired a lease.
+    acquired_at: Instant,
 }
 
 impl Claimant {
@@ -137,6 +177,7 @@
             cut_until: now,
             renew_at: now,
             is_down_until: now,
+            acquired_at: now,
         }
     }
 
@@ -172,11 +213,18 @@
     last_actors: BTreeMap<DomainId, Actor>,
     disturbed_at: Instant,
     calm_from: Duration,
+    granted: GrantedTime,
 }
 
 impl ClaimDay {
-    /// Plays a day of `length`, the last part of which is calm.
-    pub(crate) fn play(options: Vec<NodeOptions>, seed: u64, length: Duration) {
+    /// Plays a day of `length` before a calm part in which every domain gets a controller.
+    pub(crate) fn play(
+        options: Vec<NodeOptions>,
+        seed: u64,
+        length: Duration,
+        granted: GrantedTime,
+    ) {
+        let length = length + granted.longest().saturating_sub(PLAIN_TTL) * 2;
         let start = Instant::now();
         let mut day = Self {
             rng: StdRng::seed_from_u64(seed),
@@ -192,7 +240,8 @@
                 .collect(),
             last_actors: BTreeMap::new(),
             disturbed_at: start,
-            calm_from: length.saturating_sub(RECOVERY_TIME * 2),
+            calm_from: length.saturating_sub(recovery_time(granted) * 2),
+            granted,
         };
         while day.boot() < length {
             day.now += TICK;
@@ -277,7 +326,13 @@
                 node.view.replace(index, self.store.listing(), now);
             }
             node.view.expire(now);
-            renew(node, &mut self.store, now, boot);
+            renew(
+                node,
+                &mut self.store,
+                (now, boot),
+                self.granted,
+                &mut self.rng,
+            );
         }
         let decisions = node.policy.decide(&ClaimInput {
             options: &node.options,
@@ -366,12 +421,19 @@
                 self.seed
             );
         }
-        let is_calm = self.now.duration_since(self.disturbed_at) > RECOVERY_TIME
+        let recovery_time = recovery_time(self.granted);
+        let is_calm = self.now.duration_since(self.disturbed_at) > recovery_time
             && self
                 .nodes
                 .iter()
-                .all(|node| self.now > node.cut_until + RECOVERY_TIME)
+                .all(|node| self.now > node.cut_until + recovery_time)
             && self.up_at.is_none();
+        let acquires = |node: &Claimant| node.acquired_at == self.now;
+        assert!(
+            !is_calm || !self.nodes.iter().any(acquires),
+            "seed {}, {boot:?}: a lease was acquired although one was held",
+            self.seed
+        );
         assert!(
             !is_calm || actors.len() == DOMAINS,
             "seed {}, {boot:?}: only {:?} have a controller",
@@ -382,26 +444,47 @@
     }
 }
 
+/// Returns the time after the last disturbance until every domain must have a controller that acts: a
+/// dead node's claim holds for as long as the store lets its lease run.
+fn recovery_time(granted: GrantedTime) -> Duration {
+    RECOVERY_TIME + granted.longest().saturating_sub(PLAIN_TTL)
+}
+
 /// Renews a node's lease, or acquires one and writes the node's entry under it.
-fn renew(node: &mut Claimant, store: &mut SimStore, now: Instant, boot: Duration) {
+fn renew(
+    node: &mut Claimant,
+    store: &mut SimStore,
+    (now, boot): (Instant, Duration),
+    granted: GrantedTime,
+    rng: &mut StdRng,
+) {
+    let needed = lease_ttl(&node.view, &node.options);
     if let Some(lease) = node.lease {
-        if now < node.renew_at && lease.era >= node.view.index.era() {
+        let is_kept =
+            fits(&lease, needed, &node.options) || node.view.is_controller(&node.options.node);
+        let is_current = lease.era >= node.view.index.era();
+        if is_kept && is_current && now < node.renew_at {
             return;
         }
-        node.renew_at = now + lease.ttl / 4;
-        if store.renew(lease, now) {
-            node.validity.renewed(lease.era, boot, lease.ttl);
-            return;
-        }
-        if store.era == lease.era {
-            node.validity.ended(lease.era);
+        if is_kept && is_current {
+            node.renew_at = now + renewal_interval(&lease);
+            let ttl = granted.apply(lease.asked, rng);
+            if let Some(renewed) = store.renew(lease, ttl, now) {
+                node.validity.renewed(&renewed, boot);
+                node.lease = Some(renewed);
+                return;
+            }
+            if store.era == lease.era {
+                node.validity.ended(lease.era);
+            }
+            node.lease = None;
         }
-        node.lease = None;
     }
-    let lease = store.grant(lease_ttl(&node.view, &node.options), now);
+    let lease = store.grant(needed, granted.apply(needed, rng), now);
+    node.acquired_at = now;
     node.validity.ended(lease.era);
-    node.validity.renewed(lease.era, boot, lease.ttl);
-    node.renew_at = now + lease.ttl / 4;
+    node.validity.renewed(&lease, boot);
+    node.renew_at = now + renewal_interval(&lease);
     node.lease = Some(lease);
     let change = Change::Node(node.options.node.clone(), Some(node.options.entry()));
     let item = Item {
--- a/crates/shallottide_fleet/tests/support/mod.rs
+++ b/crates/shallottide_fleet/tests/support/mod.rs
@@ -13,7 +13,7 @@
 mod sample;
 mod sim_seeds;
 
-pub(crate) use claim_store::{ClaimDay, claim_nodes};
+pub(crate) use claim_store::{ClaimDay, GrantedTime, claim_nodes};
 pub(crate) use crashing_parts::{Disturbance, Scenario, Simulation};
 pub(crate) use cut_scenario::{
     CutOutcome, CutScenario, LinkFailure, SimConnectionFailure, SimService, large_service, ms,
@@ -25,6 +25,6 @@
 pub(crate) use limited_upstreams::{LimitScenario, NodeFault, play_limits};
 pub(crate) use restored_store::RestoredDay;
 pub(crate) use sample::{
-    catalog, engine_upstream, id, member, node_options, plain_upstream, view_of,
+    catalog, engine_upstream, id, lease, member, node_options, plain_upstream, view_of,
 };
 pub(crate) use sim_seeds::sim_seeds;
--- a/crates/shallottide_fleet/tests/support/sample.rs
+++ b/crates/shallottide_fleet/tests/support/sample.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use shallottide_fleet::access::Access;
+use shallottide_fleet::adapter::Lease;
 use shallottide_fleet::catalog::{
     CallerLimits, Catalog, EngineFacts, ModelFacts, Repeat, Route, Service, Split, Team,
 };
@@ -13,6 +14,7 @@
 use shallottide_fleet::upstream::{Formation, GroupState, Membership, Upstream};
 use shallottide_fleet::view::Change;
 use shallottide_fleet::{ClusterView, NodeOptions};
+use shallottide_types::id::StoreEra;
 
 /// Reads an id that is known to be valid.
 pub(crate) fn id<T: FromStr<Err: Debug>>(text: &str) -> T {
@@ -181,3 +183,13 @@
         min_lease: Duration::from_secs(1),
     }
 }
+
+/// Returns a lease of an era.
+pub(crate) fn lease(era: u64, asked: Duration, ttl: Duration) -> Lease {
+    Lease {
+        id: 7,
+        era: StoreEra(era),
+        asked,
+        ttl,
+    }
+}
