Void claims that were made under an earlier lease

Two nodes could act as controllers of one domain: a process that was stopped or cut off for longer than its lease acquired the next one and went on with its controllers, until its view showed that the claims were gone; after a restore of the store in that moment, even for good.

How long a node may act was kept for each era of the store, so that a new lease made all claims of the era valid again. It is kept with the lease now: claims that the node knew when it acquired the lease are void, their controllers end and the domains are claimed anew. A claim whose lease ended while the answer was under way is not used.

--- a/crates/shallottide_fleet/src/domain_claims.rs
+++ b/crates/shallottide_fleet/src/domain_claims.rs
@@ -71,9 +71,9 @@
 }
 
 impl ClaimInput<'_> {
-    /// Returns whether the node may act under a claim, as its lease of that era still holds.
+    /// Returns whether the node may act under a claim, as the lease that it was made under still holds.
     fn may_act(&self, claim: StoreIndex) -> bool {
-        self.validity.may_act(claim.era(), self.boot_time)
+        self.validity.may_act(claim, self.boot_time)
     }
 
     /// Returns why the node may not claim any domain now, if it may not.
@@ -94,7 +94,7 @@
         if !is_duty_term(lease.asked, self.options) {
             return Some(ClaimObstacle::PlainLease);
         }
-        (!self.validity.may_act(era, self.boot_time)).then_some(ClaimObstacle::LeaseNotValid)
+        (!self.validity.holds(era, self.boot_time)).then_some(ClaimObstacle::LeaseNotValid)
     }
 
     /// Returns how long to wait before claiming a domain.
@@ -199,7 +199,8 @@
         for domain in input.options.domains.keys() {
             let claim = input.view.controllers.get(domain);
             let held = input.held.get(domain).copied();
-            if held.is_some() && !input.reaches_engines {
+            let is_void = held.is_some_and(|held| input.validity.is_void(held));
+            if is_void || (held.is_some() && !input.reaches_engines) {
                 decisions.lost.push(domain.clone());
                 continue;
             }
--- a/crates/shallottide_fleet/src/serve/controller_task.rs
+++ b/crates/shallottide_fleet/src/serve/controller_task.rs
@@ -132,7 +132,12 @@
                 .store
                 .claim_controller(lease, &domain, &node.options.node, replaces);
         match tokio::time::timeout(ORDER_TIMEOUT, request).await {
-            Ok(Ok(Some(since))) => start_controller(node, controllers, domain, since),
+            Ok(Ok(Some(since))) if node.state.borrow().holds_lease(&lease) => {
+                start_controller(node, controllers, domain, since);
+            }
+            Ok(Ok(Some(claim))) => {
+                tracing::info!(%domain, %claim, "claim not used: its lease has ended meanwhile");
+            }
             Ok(Ok(None)) => tracing::info!(%domain, "domain already claimed by another node"),
             Ok(Err(error)) => tracing::warn!(%domain, %error, "could not claim domain"),
             Err(_) => tracing::warn!(%domain, "claiming domain timed out"),
@@ -166,7 +171,7 @@
     let mut controllers = controllers.borrow_mut();
     if let Some(controller) = controllers.get_mut(&domain) {
         let earlier = controller.claim();
-        let is_exclusive = state.lease_watch.may_act(earlier.era(), boot_time());
+        let is_exclusive = state.lease_watch.may_act(earlier, boot_time());
         if earlier.era() < since.era() && is_exclusive {
             tracing::info!(%domain, claim = %since, %earlier, "controller goes on under a new claim");
             controller.continue_under(since);
@@ -222,9 +227,7 @@
             .controllers
             .get(domain)
             .is_some_and(|claim| claim.since == controller.claim());
-        let may_act = state
-            .lease_watch
-            .may_act(controller.claim().era(), boot_time());
+        let may_act = state.lease_watch.may_act(controller.claim(), boot_time());
         if !is_held || !may_act || state.view.index < controller.claim() {
             continue;
         }
@@ -295,7 +298,7 @@
     // Last check before sending: the lease may have expired while this process was suspended.
     let may_act = {
         let state = node.state.borrow();
-        state.lease_watch.may_act(claim.era(), boot_time())
+        state.lease_watch.may_act(claim, boot_time())
     };
     if !may_act {
         return OrderOutcome::Refused;
--- a/crates/shallottide_fleet/src/serve/node.rs
+++ b/crates/shallottide_fleet/src/serve/node.rs
@@ -144,6 +144,12 @@
         self.view.nodes.len().max(self.peak_nodes).max(1)
     }
 
+    /// Returns whether a lease is the one that this node holds.
+    pub(super) fn holds_lease(&self, lease: &Lease) -> bool {
+        let held = self.held_lease.map(|held| (held.era, held.id));
+        held == Some((lease.era, lease.id))
+    }
+
     /// Returns whether nodes are too many for each to hear all others directly, so that they pass on
     /// samples of engines' loads.
     pub(super) fn has_shared_samples(&self) -> bool {
--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -301,12 +301,13 @@
     let mut state = node.state.borrow_mut();
     let lease = match result {
         Ok(renewed) => {
-            if held.is_none_or(|held| (held.era, held.id) != (renewed.era, renewed.id)) {
-                // The validity of an earlier lease says nothing of this one.
-                state.lease_watch.ended(renewed.era);
+            if held.is_some_and(|held| (held.era, held.id) == (renewed.era, renewed.id)) {
+                state.lease_watch.renewed(&renewed, sent_at);
+            } else {
                 log_lease(&renewed);
+                let known = state.view.last_position(&node.options.node);
+                state.lease_watch.acquired(&renewed, known, sent_at);
             }
-            state.lease_watch.renewed(&renewed, sent_at);
             Some(renewed)
         }
         Err(error) => {
--- a/crates/shallottide_fleet/src/view.rs
+++ b/crates/shallottide_fleet/src/view.rs
@@ -185,6 +185,16 @@
         }
     }
 
+    /// Returns the last position in the store that a node knows, which its own claims are ahead of
+    /// until the view has caught up.
+    #[must_use]
+    pub fn last_position(&self, node: &NodeId) -> StoreIndex {
+        let claims = self.controllers.values();
+        let own = claims.filter(|claim| claim.holder == *node);
+        own.map(|claim| claim.since)
+            .fold(self.index, StoreIndex::max)
+    }
+
     /// Returns whether a node is the controller of any domain.
     #[must_use]
     pub fn is_controller(&self, node: &NodeId) -> bool {
--- a/crates/shallottide_fleet/tests/bounds.rs
+++ b/crates/shallottide_fleet/tests/bounds.rs
@@ -9,7 +9,7 @@
 use shallottide_fleet::retry_budget::{RepeatBound, RetryBudget};
 use shallottide_fleet::watch_pause::watch_pause;
 use shallottide_types::cases;
-use shallottide_types::id::{NodeId, StoreEra};
+use shallottide_types::id::{NodeId, StoreEra, StoreIndex};
 use support::id;
 
 const LIMIT: RepeatBound = RepeatBound {
@@ -97,17 +97,35 @@
     let mut lease = LeaseValidity::default();
     let second = Duration::from_secs(1);
     let era = StoreEra(1);
-    assert!(!lease.may_act(era, second));
+    let claim = StoreIndex::new(era, 8);
+    assert!(!lease.may_act(claim, second));
     lease.renewed(&support::lease(1, 2 * second, 2 * second), second);
-    assert!(lease.may_act(era, 2 * second));
+    assert!(lease.may_act(claim, 2 * second));
     // The lease counts from when the renewal was sent, and an order takes time to arrive.
-    assert!(!lease.may_act(era, Duration::from_millis(2_800)));
+    assert!(!lease.may_act(claim, Duration::from_millis(2_800)));
     // A lease that a restored store has lost still keeps others from claiming until its time is over.
     lease.renewed(&support::lease(2, 2 * second, 2 * second), 2 * second);
-    assert!(lease.may_act(era, 2 * second));
+    assert!(lease.may_act(claim, 2 * second));
     lease.ended(era);
-    assert!(!lease.may_act(era, second));
-    assert!(lease.may_act(StoreEra(2), 2 * second));
+    assert!(!lease.may_act(claim, second));
+    assert!(lease.may_act(StoreIndex::new(StoreEra(2), 3), 2 * second));
+}
+
+/// Guards against a process that was stopped, has lost its lease and acts on its claims under the next one.
+#[test]
+fn claims_under_an_ended_lease_are_void_under_the_next() {
+    let (second, era) = (Duration::from_secs(1), StoreEra(1));
+    let [earlier, later] = [8, 12].map(|revision| StoreIndex::new(era, revision));
+    let lease = support::lease(1, second, second);
+    let mut validity = LeaseValidity::default();
+    validity.acquired(&lease, StoreIndex::new(era, 5), second);
+    assert!(validity.may_act(earlier, second));
+    validity.acquired(&lease, StoreIndex::new(era, 10), 9 * second);
+    assert!(!validity.may_act(earlier, 9 * second) && validity.is_void(earlier));
+    assert!(validity.may_act(later, 9 * second) && !validity.is_void(later));
+    // A renewal after the lease had run out here, but not in the store.
+    validity.renewed(&lease, 20 * second);
+    assert!(!validity.may_act(earlier, 20 * second) && validity.may_act(later, 20 * second));
 }
 
 /// The calls for changes per second over all nodes stay within the limit, and so does the pause
--- a/crates/shallottide_fleet/tests/lease_term.rs
+++ b/crates/shallottide_fleet/tests/lease_term.rs
@@ -113,10 +113,10 @@
     let sent = Duration::from_secs(100);
     let mut validity = LeaseValidity::default();
     validity.renewed(&lease, sent);
-    assert!(!validity.may_act(lease.era, sent + term));
+    assert!(!validity.holds(lease.era, sent + term));
     let last = sent + term.saturating_sub(Duration::from_millis(301));
     assert_eq!(
-        validity.may_act(lease.era, last),
+        validity.holds(lease.era, last),
         !LeaseValidity::is_too_short(&lease)
     );
     assert!(renewal_interval(&lease) <= (term / 3).max(Duration::from_millis(100)));
--- a/crates/shallottide_fleet/tests/support/claim_store.rs
+++ b/crates/shallottide_fleet/tests/support/claim_store.rs
@@ -161,6 +161,10 @@
     cut_until: Instant,
     renew_at: Instant,
     is_down_until: Instant,
+    /// Until when its process is stopped; it goes on as if no time had passed.
+    stopped_until: Instant,
+    /// From when it hears of changes in the store again.
+    follows_from: Instant,
     /// When it last acquired a lease.
     acquired_at: Instant,
 }
@@ -177,6 +181,8 @@
             cut_until: now,
             renew_at: now,
             is_down_until: now,
+            stopped_until: now,
+            follows_from: now,
             acquired_at: now,
         }
     }
@@ -187,7 +193,7 @@
         held.filter(move |(domain, claim)| {
             let known = self.view.controllers.get(*domain);
             known.is_some_and(|known| known.since == *claim)
-                && self.validity.may_act(claim.era(), boot)
+                && self.validity.may_act(*claim, boot)
                 && self.view.index >= *claim
         })
     }
@@ -294,6 +300,13 @@
             self.nodes[number].cut_until = now + self.millis(300..9_000);
             self.disturbed_at = now;
         }
+        if self.rng.random_range(0..40) == 0 {
+            let number = self.rng.random_range(0..self.nodes.len());
+            let stopped_until = now + self.millis(300..12_000);
+            self.nodes[number].stopped_until = stopped_until;
+            self.nodes[number].follows_from = stopped_until + self.millis(0..1_000);
+            self.disturbed_at = now;
+        }
         let kills = match self.rng.random_range(0..300) {
             0 => self.nodes.len(),
             1..10 => 1 + self.nodes.len() / 8,
@@ -316,13 +329,14 @@
         let is_first = boot < Duration::from_secs(2);
         let node = &mut self.nodes[number];
         let is_cut = now < node.cut_until || self.up_at.is_some();
-        if now < node.is_down_until {
+        if now < node.is_down_until.max(node.stopped_until) {
             return;
         }
         node.view.store_lost = is_cut;
         if !is_cut {
             let index = self.store.index();
-            if index != node.view.index || node.view.catalog.is_none() {
+            let is_changed = index != node.view.index || node.view.catalog.is_none();
+            if is_changed && now >= node.follows_from {
                 node.view.replace(index, self.store.listing(), now);
             }
             node.view.expire(now);
@@ -369,7 +383,7 @@
             };
             let earlier = node.held.insert(domain.clone(), claim);
             let goes_on = earlier.filter(|earlier| {
-                earlier.era() < claim.era() && node.validity.may_act(earlier.era(), boot)
+                earlier.era() < claim.era() && node.validity.may_act(*earlier, boot)
             });
             if let (Some(earlier), Some(actor)) = (goes_on, self.last_actors.get(&domain)) {
                 let is_alone = actor.node == number || actor.token < fencing_token(earlier);
@@ -393,7 +407,7 @@
         let boot = self.boot();
         let mut actors: BTreeMap<DomainId, Actor> = BTreeMap::new();
         for (number, node) in self.nodes.iter().enumerate() {
-            if self.now < node.is_down_until {
+            if self.now < node.is_down_until.max(node.stopped_until) {
                 continue;
             }
             for (domain, claim) in node.acting(boot) {
@@ -426,7 +440,7 @@
             && self
                 .nodes
                 .iter()
-                .all(|node| self.now > node.cut_until + recovery_time)
+                .all(|node| self.now > node.cut_until.max(node.follows_from) + recovery_time)
             && self.up_at.is_none();
         let acquires = |node: &Claimant| node.acquired_at == self.now;
         assert!(
@@ -482,8 +496,8 @@
     }
     let lease = store.grant(needed, granted.apply(needed, rng), now);
     node.acquired_at = now;
-    node.validity.ended(lease.era);
-    node.validity.renewed(&lease, boot);
+    let known = node.view.last_position(&node.options.node);
+    node.validity.acquired(&lease, known, boot);
     node.renew_at = now + renewal_interval(&lease);
     node.lease = Some(lease);
     let change = Change::Node(node.options.node.clone(), Some(node.options.entry()));
