Clear the suspicion of a request that has completed

A sound request that was in flight at two crashes was refused at the next one, for two minutes, although it had been answered in between: the record that one more crash puts it at fault, made for restarts of all nodes, was not compared with its completions. It is now; such a request needs three crashes again.

suspected_request_that_has_completed_needs_three_more_crashes failed before (found at fault at the first crash after its answer).

--- a/crates/shallottide_fleet/src/crash_evidence.rs
+++ b/crates/shallottide_fleet/src/crash_evidence.rs
@@ -538,7 +538,14 @@
         suspected: &BTreeMap<TriggerKey, Instant>,
     ) -> Vec<Culprit> {
         let suspects = self.suspects(known);
-        let requests = request_culprits(&suspects, suspected);
+        // One that has completed since is as good as any other.
+        let is_open = |(key, at): &(&TriggerKey, &Instant)| {
+            let last = self.completions.get(*key);
+            last.is_none_or(|last| last < *at)
+        };
+        let suspected = suspected.iter().filter(is_open);
+        let suspected = suspected.map(|(key, at)| (key, *at)).collect();
+        let requests = request_culprits(&suspects, &suspected);
         if requests.is_empty() {
             self.part_culprit(&suspects).into_iter().collect()
         } else {
@@ -735,7 +742,7 @@
 /// Returns the requests that are at fault: those that no other request explains.
 fn request_culprits(
     suspects: &BTreeMap<TriggerKey, Suspect>,
-    suspected: &BTreeMap<TriggerKey, Instant>,
+    suspected: &BTreeMap<&TriggerKey, Instant>,
 ) -> Vec<Culprit> {
     let requests = || suspects.iter().filter(|(key, _)| key.trigger.is_request());
     let mut culprits = Vec::new();
--- a/crates/shallottide_fleet/tests/quarantine.rs
+++ b/crates/shallottide_fleet/tests/quarantine.rs
@@ -310,3 +310,46 @@
     let trials = trials_after(CrashTrigger::Part(PromptPart(7)), u32::MAX);
     assert!(trial_delay(trials) >= trial_delay(u32::MAX));
 }
+
+/// Guards against a sound request that is refused for a crash beside it, as it had two others before it
+/// completed.
+#[test]
+fn suspected_request_that_has_completed_needs_three_more_crashes() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let (service, digest): (ServiceId, _) = (id("booking"), RequestDigest(7));
+    let mut crashes = CrashEvidence::default();
+    let mut quarantine = Quarantine::default();
+    let mut end = |born: u64, seconds: u64, completes: bool| {
+        let request = EndedRequest {
+            id: &format!("r{born}"),
+            digest,
+            parts: &[],
+            service: &service,
+            lifetime: Lifetime::new(&id("u"), born),
+        };
+        if completes {
+            crashes.record_completion(request, at(seconds), at(seconds));
+        } else {
+            let interrupted = InterruptedRequest {
+                request,
+                upstream: &id("u"),
+                sent_at: at(seconds),
+                written: Duration::ZERO,
+            };
+            crashes.record_interruption(&interrupted, at(seconds));
+        }
+        if crashes.is_suspect(&service, digest) {
+            let key = TriggerKey {
+                service: service.clone(),
+                trigger: CrashTrigger::Request(digest),
+            };
+            quarantine.apply_suspected(key, true, at(seconds));
+        }
+        quarantine.evaluate(&mut crashes, 1, at(seconds)).len()
+    };
+    assert_eq!(end(1, 0, false) + end(2, 4, false), 0);
+    assert_eq!(end(3, 8, true), 0);
+    assert_eq!(end(3, 12, false) + end(4, 16, false), 0);
+    assert_eq!(end(5, 20, false), 1);
+}
