Write a node's entry again under the lease of a write without an answer

A write without an answer counted as not done, and its lease was dropped. When the store carried the write out later, it tied the entry to that lease, which nobody renewed; nothing compared the view with the node's own entry.

The node keeps the lease and repeats the write under it, and writes an entry again that the view lacks two seconds after it was confirmed. A domain is still claimed only once the entry is confirmed.

--- a/crates/shallottide_fleet/src/serve/store_sync.rs
+++ b/crates/shallottide_fleet/src/serve/store_sync.rs
@@ -1,7 +1,9 @@
 //! Keeps the view in sync with the platform's store, and keeps this node's lease.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use shallottide_types::id::StoreIndex;
 
 use super::delta_feed::DeltaFollower;
 use super::node::Node;
@@ -23,6 +25,8 @@
 const LEASE_CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a lost lease is acquired again.
 const LEASE_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time within which a node learns of its own entry; one that is missing later is written again.
+const ENTRY_DELAY: Duration = Duration::from_secs(2);
 /// Time over which nodes spread the writes of their entries after a restore, for each node; two
 /// writes each stay within half of the writes that a store allows.
 const REJOIN_SPREAD_PER_NODE: Duration = Duration::from_millis(10);
@@ -159,6 +163,7 @@
 pub(super) async fn keep_lease(node: Rc<Node>) {
     let store = &node.platform.store;
     let mut lease: Option<Lease> = None;
+    let mut entry = OwnEntry::default();
     loop {
         if lease.is_some_and(|held| !is_of_current_era(&node, held)) {
             tokio::time::sleep(rejoin_delay(&node)).await;
@@ -176,14 +181,27 @@
             is_of_current_era(&node, *held) && (fits(held, ttl, &node.options) || has_claim(&node))
         };
         let result = match lease.filter(is_kept) {
-            None => acquire_lease(&node, ttl).await,
+            None => with_timeout(LEASE_CALL_TIMEOUT, store.grant(ttl)).await,
             Some(held) => with_timeout(LEASE_CALL_TIMEOUT, store.renew(held)).await,
         };
-        let is_failed = result.is_err();
+        let mut is_failed = result.is_err();
         if result == Err(StoreError::Restored) {
             tokio::time::sleep(rejoin_delay(&node)).await;
         }
         lease = record_lease_result(&node, lease, sent_at, result);
+        if let Some(held) = lease
+            && entry.is_due(&node, &held)
+        {
+            let result = entry.write(&node, held).await;
+            is_failed |= result.is_err();
+            if let Err(error) = result
+                && matches!(error, StoreError::LeaseEnded | StoreError::Restored)
+            {
+                lease = record_lease_result(&node, lease, sent_at, Err(error));
+            }
+        }
+        // Other nodes must know one that claims a duty.
+        node.state.borrow_mut().held_lease = lease.filter(|held| entry.is_under(held));
         wait_for_renewal(&node, lease, is_failed).await;
         if node.is_stopping() {
             if let Some(held) = lease {
@@ -224,14 +242,72 @@
     node.has_lost_engines() && has_claim(node)
 }
 
-/// Acquires a lease and writes this node's entry under it.
-async fn acquire_lease(node: &Node, ttl: Duration) -> Result<Lease, StoreError> {
-    let store = &node.platform.store;
-    let granted = with_timeout(LEASE_CALL_TIMEOUT, store.grant(ttl)).await?;
-    let entry = node.options.entry();
-    let written = store.put_node(granted, &node.options.node, &entry);
-    with_timeout(LEASE_CALL_TIMEOUT, written).await?;
-    Ok(granted)
+/// This node's entry, as far as it was written.
+///
+/// A write without an answer may be carried out seconds later and tie the entry to the lease that it was
+/// sent under. It is repeated under the same lease, so that the entry lives as long as that. One that ties
+/// the entry to the lease of an earlier process shows in the view when that lease ends.
+#[derive(Default)]
+struct OwnEntry {
+    written: Option<EntryWrite>,
+}
+
+/// A write that the store has confirmed.
+#[derive(Clone, Copy)]
+struct EntryWrite {
+    lease: Lease,
+    at: Instant,
+    /// The last position that the node knew then.
+    known: StoreIndex,
+}
+
+impl OwnEntry {
+    /// Returns whether the entry was written under a lease.
+    fn is_under(&self, held: &Lease) -> bool {
+        let lease = self.written.map(|write| (write.lease.era, write.lease.id));
+        lease == Some((held.era, held.id))
+    }
+
+    /// Returns whether the entry must be written under the lease that is held.
+    fn is_due(&self, node: &Node, held: &Lease) -> bool {
+        let Some(write) = self.written.filter(|_| self.is_under(held)) else {
+            return true;
+        };
+        let view = &node.state.borrow().view;
+        let is_known = view.nodes.get(&node.options.node) == Some(&node.options.entry());
+        let is_current = !view.store_lost && view.index.era() == held.era;
+        let is_later = view.index > write.known
+            && node.now().saturating_duration_since(write.at) >= ENTRY_DELAY;
+        !is_known && is_current && is_later
+    }
+
+    async fn write(&mut self, node: &Node, held: Lease) -> Result<(), StoreError> {
+        let is_again = self.is_under(&held);
+        let entry = node.options.entry();
+        let store = &node.platform.store;
+        let write = store.put_node(held, &node.options.node, &entry);
+        let result = with_timeout(LEASE_CALL_TIMEOUT, write).await;
+        match &result {
+            Ok(()) => {
+                self.written = Some(EntryWrite {
+                    lease: held,
+                    at: node.now(),
+                    known: node.state.borrow().view.index,
+                });
+            }
+            Err(error) => {
+                node.metrics.count("store_failures", "entry");
+                tracing::warn!(lease = held.id, %error, "could not write this node's entry");
+            }
+        }
+        if is_again {
+            tracing::info!(
+                lease = held.id,
+                "this node's entry was missing: written again"
+            );
+        }
+        result
+    }
 }
 
 /// Waits until the lease is due for renewal, or no longer fits this node's duties.
@@ -299,7 +375,7 @@
     result: Result<Lease, StoreError>,
 ) -> Option<Lease> {
     let mut state = node.state.borrow_mut();
-    let lease = match result {
+    match result {
         Ok(renewed) => {
             if held.is_some_and(|held| (held.era, held.id) == (renewed.era, renewed.id)) {
                 state.lease_watch.renewed(&renewed, sent_at);
@@ -322,7 +398,5 @@
             // A lease that was lost in a restore still keeps others from its holder's claims.
             held.filter(|_| !is_lost && error != StoreError::Restored)
         }
-    };
-    state.held_lease = lease;
-    lease
+    }
 }
