Count requests at upstreams that end without closing their connections

Evidence of crashes came from connections that were closed or reset only. A silent upstream was a stall, and an attempt that was given up, for another upstream or at the end of the caller's time, left no trace.

Both are now interruptions whose fault is unclear, like those of small services whose upstreams all end: they count when the store shows the upstream in its next lifetime, and are dropped if the same one goes on answering.

--- a/crates/shallottide_fleet/src/serve/attempt.rs
+++ b/crates/shallottide_fleet/src/serve/attempt.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use http::{Response, StatusCode};
-use shallottide_types::id::{ServiceId, UpstreamId};
+use shallottide_types::id::ServiceId;
 
 use super::call::{Call, CallResult};
 use super::connection::{BodyLimits, HttpError, read_body};
@@ -102,7 +102,8 @@
         Silence::new(SilenceWatch {
             node: self.node.clone(),
             request: self.request.clone(),
-            upstream: self.choice.upstream.clone(),
+            choice: self.choice.clone(),
+            began_at: self.node.now(),
             heard_at: self.heard_at.clone(),
             timeout: self.route.target_latency * SILENCE_FACTOR,
             is_stream: self.route.streaming,
@@ -116,6 +117,13 @@
     }
 
     async fn wait_for_response(self) -> Result<CallResult, AttemptError> {
+        let mut unanswered = Unanswered::new(&self);
+        let result = self.exchange().await;
+        unanswered.is_over = true;
+        result
+    }
+
+    async fn exchange(self) -> Result<CallResult, AttemptError> {
         let Self {
             node,
             request,
@@ -138,6 +146,39 @@
     }
 }
 
+/// Records, when dropped, that an attempt was given up without an answer.
+struct Unanswered {
+    node: Rc<Node>,
+    request: Rc<OutgoingRequest>,
+    choice: Choice,
+    sent_at: Instant,
+    is_over: bool,
+}
+
+impl Unanswered {
+    fn new(attempt: &Attempt) -> Self {
+        Self {
+            node: attempt.node.clone(),
+            request: attempt.request.clone(),
+            choice: attempt.choice.clone(),
+            sent_at: attempt.node.now(),
+            is_over: false,
+        }
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if !self.is_over {
+            let Choice {
+                upstream, lifetime, ..
+            } = &self.choice;
+            let (node, request) = (&self.node, &self.request);
+            node.record_unanswered(upstream, *lifetime, self.sent_at, request);
+        }
+    }
+}
+
 async fn wait_for_first_events(
     node: &Rc<Node>,
     request: &OutgoingRequest,
@@ -310,7 +351,8 @@
 struct SilenceWatch {
     node: Rc<Node>,
     request: Rc<OutgoingRequest>,
-    upstream: UpstreamId,
+    choice: Choice,
+    began_at: Instant,
     heard_at: Rc<Cell<Instant>>,
     timeout: Duration,
     is_stream: bool,
@@ -332,7 +374,9 @@
             }
             tokio::time::sleep(STALL_POLL_INTERVAL.min(silent_at - now)).await;
             let state = self.node.state.borrow();
-            let is_stalled = state.loads.is_stalled(&self.upstream, self.node.now());
+            let is_stalled = state
+                .loads
+                .is_stalled(&self.choice.upstream, self.node.now());
             stalled_polls = if is_stalled { stalled_polls + 1 } else { 0 };
             if stalled_polls >= STALLED_POLLS {
                 break;
@@ -341,9 +385,14 @@
     }
 
     fn record(&self) {
-        let (call, upstream) = (&self.request.id, &self.upstream);
-        tracing::info!(%call, %upstream, "upstream is silent");
-        self.node.record_stall(&self.upstream);
+        let Choice {
+            upstream, lifetime, ..
+        } = &self.choice;
+        tracing::info!(call = %self.request.id, %upstream, "upstream is silent");
+        self.node.record_stall(upstream);
+        // It may have ended without closing its connections.
+        self.node
+            .record_unanswered(upstream, *lifetime, self.began_at, &self.request);
     }
 }
 
--- a/crates/shallottide_fleet/src/serve/call.rs
+++ b/crates/shallottide_fleet/src/serve/call.rs
@@ -517,7 +517,6 @@
         resume_from: Option<u64>,
     ) -> Option<CallResult> {
         let mut attempts = FuturesUnordered::new();
-        let mut unanswered = vec![(selected.0.clone(), self.node.now())];
         let attempt = self.begin_attempt(selected, resume_from);
         let mut silence = self.watch_silence(&attempt);
         attempts.push(attempt.run());
@@ -530,7 +529,6 @@
                 biased;
                 ended = attempts.next() => {
                     let (choice, result) = ended?;
-                    unanswered.retain(|(other, _)| other.upstream != choice.upstream);
                     let error = match result {
                         Ok(result) => {
                             self.log.upstream = Some(choice.upstream);
@@ -552,10 +550,6 @@
                     if self.may_repeat() && self.take_retry() {
                         // No upstream will answer; a peer gets the call.
                         self.may_have_run = true;
-                        for (choice, sent_at) in &unanswered {
-                            let Choice { upstream, lifetime, .. } = choice;
-                            node.record_unanswered(upstream, *lifetime, *sent_at, &self.request);
-                        }
                         return None;
                     }
                 }
@@ -566,7 +560,6 @@
                     }
                     silence.record();
                     if let Some(selected) = self.select_replacement().await {
-                        unanswered.push((selected.0.clone(), node.now()));
                         let attempt = self.begin_attempt(selected, resume_from);
                         silence = self.watch_silence(&attempt);
                         attempts.push(attempt.run());
