Take links for sound only once a connection to a restarted upstream succeeds

A node whose links to a small service are cut would have sent its calls over them again when an upstream of the service started again meanwhile, until the next failures showed the loss. The restarted upstream is probed at once, and the connection decides.

links_are_sound_once_upstreams_start_again asks for both sides: a refused connection leaves the links lost (failed before), one that is accepted ends the loss without a ramp.

--- a/crates/shallottide_fleet/src/crash_evidence.rs
+++ b/crates/shallottide_fleet/src/crash_evidence.rs
@@ -410,7 +410,7 @@
             self.recent
                 .retain(|_, other| at.saturating_duration_since(*other) < MAX_WAIT);
         }
-        if self.recent.len() < MAX_RECENT {
+        if self.recent.len() < MAX_RECENT || self.recent.contains_key(&digest) {
             self.recent.insert(digest, at);
         }
     }
--- a/crates/shallottide_fleet/src/service_links.rs
+++ b/crates/shallottide_fleet/src/service_links.rs
@@ -141,6 +141,11 @@
     phase: Phase,
     /// When the first evidence of the current loss began; `None` while the phase is `Up`.
     lost_from: Option<Instant>,
+    /// Whether so many upstreams have started again since that the others would not make a loss: the next
+    /// connection ends it.
+    is_excused: bool,
+    /// Whether such a connection has been established, until this is reported.
+    was_sound: bool,
     /// The current inquiry; only while the phase is `Up`.
     inquiry: Option<Inquiry>,
     /// Evidence that began earlier does not count: a connection was established, or this process
@@ -202,7 +207,9 @@
         link.silent_since = link.silent_since.map(|_| now);
         self.evidence_from = self.evidence_from.max(Some(now));
         self.inquiry = self.inquiry.take().and_then(|i| i.connected(now));
-        if let Phase::Lost { interrupted, .. } = self.phase {
+        if self.is_excused {
+            self.end_loss(now);
+        } else if let Phase::Lost { interrupted, .. } = self.phase {
             let (since, pause) = if let Some(elapsed) = interrupted {
                 // Only a connection that is opened some time after the failure shows whose fault it was.
                 (now.checked_sub(elapsed).unwrap_or(now), READ_DELAY)
@@ -401,20 +408,23 @@
         if matches!(self.phase, Phase::Returning { .. }) && self.state(now) == LinkState::Up {
             self.phase = Phase::Up;
             self.lost_from = None;
+            self.is_excused = false;
         }
     }
 
     /// Compares the lifetimes of upstreams with those from before while the links are lost or return.
     ///
     /// Upstreams that have started again ended themselves. If too few others fail to take the links for
-    /// lost, they never were, and get all calls at once. Returns whether they are taken for sound now.
+    /// lost, and one can be reached now, the links never were lost and get all calls at once. Returns whether
+    /// that was found since the last call.
     pub(crate) fn observe_lifetimes(
         &mut self,
         lifetime: impl Fn(&UpstreamId) -> Option<Lifetime>,
         now: Instant,
     ) -> bool {
+        let was_sound = std::mem::take(&mut self.was_sound);
         let Some(lost_from) = self.lost_from else {
-            return false;
+            return was_sound;
         };
         let mut has_restarted = false;
         for (id, link) in &mut self.upstreams {
@@ -427,21 +437,26 @@
                 has_restarted = true;
             }
         }
-        if !has_restarted {
-            return false;
-        }
-        if self.are_enough(&self.filter(|link| link.is_failing(lost_from))) {
-            if let Phase::Lost { next_probe, .. } = &mut self.phase {
+        if has_restarted {
+            self.is_excused = !self.are_enough(&self.filter(|link| link.is_failing(lost_from)));
+            if let Phase::Lost { next_probe, .. } | Phase::Returning { next_probe, .. } =
+                &mut self.phase
+            {
                 *next_probe = now;
             }
-            return false;
         }
+        was_sound
+    }
+
+    /// Takes the links for sound, as the upstreams had ended themselves.
+    fn end_loss(&mut self, now: Instant) {
         self.phase = Phase::Up;
         self.lost_from = None;
+        self.is_excused = false;
+        self.was_sound = true;
         self.returned = None;
         self.relapses = 0;
         self.evidence_from = Some(now);
-        true
     }
 
     /// Returns whether a failure interrupted the return of the links, and it is not known yet whether they
@@ -493,6 +508,7 @@
             .returned
             .is_none_or(|at| now.saturating_duration_since(at) >= CALM_TIME);
         self.relapses = if is_calm { 0 } else { self.relapses + 1 };
+        self.is_excused = false;
         self.lost_from = Some(self.inquiry.take().map_or(now, |inquiry| inquiry.since));
         for link in self.upstreams.values_mut() {
             link.lifetime = None;
--- a/crates/shallottide_fleet/tests/upstream_links.rs
+++ b/crates/shallottide_fleet/tests/upstream_links.rs
@@ -367,18 +367,23 @@
 
 /// Guards against calls that are refused, or held back for seconds, while upstreams are up again that had all
 /// ended; and against a cut that counts as over because some upstreams start again meanwhile.
-fn links_are_sound_once_upstreams_start_again(restarts: u64, state: LinkState, own_share: usize) {
+fn links_are_sound_once_upstreams_start_again(restarts: u64, state: LinkState) {
     let mut links = OneService::lost();
     links.observe_restarts(restarts);
-    assert_eq!((links.state(), links.own_share()), (state, own_share));
+    // A node whose links are cut still reaches none.
+    links.refuse(0);
+    assert_eq!((links.state(), links.own_share()), (LinkState::Lost, 0));
+    links.connect(0);
+    assert_eq!(links.state(), state);
+    assert_eq!(links.own_share() == 100, state == LinkState::Up);
 }
 
 cases! {
     links_are_sound_once_upstreams_start_again;
-    no_upstream_has_started_again: 0, LinkState::Lost, 0;
-    two_of_five_have_started_again: 2, LinkState::Lost, 0;
-    three_of_five_have_started_again: 3, LinkState::Up, 100;
-    all_five_have_started_again: 5, LinkState::Up, 100;
+    no_upstream_has_started_again: 0, LinkState::Returning;
+    two_of_five_have_started_again: 2, LinkState::Returning;
+    three_of_five_have_started_again: 3, LinkState::Up;
+    all_five_have_started_again: 5, LinkState::Up;
 }
 
 /// Guards against crashes that are not counted because the links were returning: another upstream shows
