--- a/crates/shallottide_fleet/src/lease_term.rs
+++ b/crates/shallottide_fleet/src/lease_term.rs
@@ -34,8 +34,8 @@
 
 /// Returns whether a lease that is asked for this time is one under which to claim a duty.
 ///
-/// A store that grants longer leases delays the takeover of a dead node's duties, but a domain that
-/// nobody may claim would have no controller at all.
+/// The time that was granted does not matter: a longer lease delays the takeover of a dead node's duties, but
+/// without any claim a domain has no controller.
 #[must_use]
 pub fn is_duty_term(asked: Duration, options: &NodeOptions) -> bool {
     asked <= longest_claim_term(options)
--- a/crates/shallottide_fleet/tests/quarantine.rs
+++ b/crates/shallottide_fleet/tests/quarantine.rs
@@ -196,6 +196,22 @@
     request_that_ends_six_upstreams_while_links_are_cut: small_service(7, 6, Disturbance::LinksCut);
 }
 
+/// Some of the sound requests are the same, and may be in flight at the same crashes.
+fn beside_equal_requests(scenario: Scenario) -> Scenario {
+    Scenario {
+        repeated: 0.3,
+        ..scenario
+    }
+}
+
+cases! {
+    request_is_stopped_and_sound_requests_go_on;
+    equal_requests_beside_one_that_ends_the_only_upstream: beside_equal_requests(small_service(7, 1, Disturbance::None));
+    equal_requests_beside_one_that_ends_both_upstreams: beside_equal_requests(small_service(7, 2, Disturbance::None));
+    equal_requests_beside_one_that_ends_three_upstreams: beside_equal_requests(small_service(7, 3, Disturbance::None));
+    equal_requests_beside_one_that_ends_twelve_upstreams: beside_equal_requests(small_service(7, 12, Disturbance::None));
+}
+
 /// Guards against sound requests that are held at fault because the links of their nodes were cut, also
 /// while upstreams end.
 fn cut_links_blame_no_request(nodes: usize, upstreams: usize, disturbance: Disturbance) {
--- a/crates/shallottide_fleet/tests/support/claim_store.rs
+++ b/crates/shallottide_fleet/tests/support/claim_store.rs
@@ -161,7 +161,7 @@
     cut_until: Instant,
     renew_at: Instant,
     is_down_until: Instant,
-    /// Until when its process is stopped; it goes on as if no time had passed.
+    /// Until when its process is suspended; its state is unchanged when it resumes.
     stopped_until: Instant,
     /// From when it hears of changes in the store again.
     follows_from: Instant,
