--- /dev/null
+++ b/review/standins-3/src/server.rs
@@ -0,0 +1,180 @@
+//! Stand-in of a server of a plain service.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::http::{Connection, Head};
+use crate::record::Record;
+use crate::store::Store;
+
+/// Requests beyond the slots that wait; the next one is shed.
+const QUEUE: usize = 24;
+
+/// A request that reached a server, and how it ended there.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub id: String,
+    pub at: Instant,
+    pub is_answered: bool,
+}
+
+/// What a server is.
+#[derive(Debug, Clone)]
+pub struct ServerSheet {
+    pub id: String,
+    pub service: &'static str,
+    pub zone: &'static str,
+    pub slots: usize,
+    pub work: Duration,
+}
+
+/// A running server; ends when it is told to.
+pub struct Server {
+    pub sheet: ServerSheet,
+    pub address: SocketAddr,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    task: JoinHandle<()>,
+    born: u128,
+}
+
+struct Shared {
+    sheet: ServerSheet,
+    places: Semaphore,
+    queue: Semaphore,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+    record: Record,
+}
+
+impl Server {
+    pub async fn start(sheet: ServerSheet, record: &Record) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
+        let shared = Arc::new(Shared {
+            places: Semaphore::new(sheet.slots),
+            queue: Semaphore::new(sheet.slots + QUEUE),
+            sheet: sheet.clone(),
+            arrivals: arrivals.clone(),
+            record: record.clone(),
+        });
+        let task = tokio::spawn(async move {
+            // Dropped with the task: all connections close when the server ends.
+            let mut connections = JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let shared = shared.clone();
+                connections.spawn(async move { serve(&shared, stream).await });
+            }
+        });
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        Ok(Self {
+            sheet,
+            address,
+            arrivals,
+            task,
+            born: born.map_or(0, |time| time.as_millis()),
+        })
+    }
+
+    /// Returns the key of its entry in the store.
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.sheet.id)
+    }
+
+    /// Returns its entry. Check-ins change only `seq`, so the entry stays as it is.
+    pub fn entry(&self) -> Value {
+        json!({
+            "service": self.sheet.service, "address": self.address.to_string(),
+            "zone": self.sheet.zone, "version": "v1", "slots": self.sheet.slots, "state": "ready",
+            "cold_left_ms": 0, "seq": 1, "born": u64::try_from(self.born).unwrap_or(0),
+        })
+    }
+
+    pub fn register(&self, store: &Store) -> Instant {
+        store.put(&self.key(), &self.entry())
+    }
+
+    /// Returns the requests that have reached it.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().expect("no panic while locked").clone()
+    }
+
+    /// Ends it: it closes its listener and all connections.
+    pub fn end(&self) {
+        self.task.abort();
+    }
+}
+
+async fn serve(shared: &Shared, stream: TcpStream) {
+    let mut connection = Connection::new(stream);
+    while let Ok(Some(head)) = connection.read_head().await {
+        if connection.read_body(&head).await.is_err() {
+            return;
+        }
+        let (status, headers, body) = respond(shared, &head).await;
+        let id = head.header("request-id").unwrap_or_default();
+        let is_full = status == 503;
+        let headers = format!(
+            "Request-Id: {id}\r\nInstance-Id: {}\r\nServer-Load: {},{},{}\r\nKeep-Alive: timeout=5\r\n{headers}",
+            shared.sheet.id,
+            shared.sheet.slots - shared.places.available_permits(),
+            usize::from(is_full),
+            shared.sheet.slots,
+        );
+        let start = format!("HTTP/1.1 {status} Server");
+        if connection
+            .write(&start, &headers, body.as_bytes())
+            .await
+            .is_err()
+        {
+            return;
+        }
+        let mut arrivals = shared.arrivals.lock().expect("no panic while locked");
+        if let Some(arrival) = arrivals.iter_mut().rev().find(|arrival| arrival.id == id) {
+            arrival.is_answered = true;
+        }
+    }
+}
+
+async fn respond(shared: &Shared, head: &Head) -> (u16, String, String) {
+    let expected = head.header("expect-instance");
+    if expected.is_some_and(|expected| expected != shared.sheet.id) {
+        return (421, String::new(), String::new());
+    }
+    if head.word(1).starts_with("/healthz") {
+        return (200, String::new(), String::new());
+    }
+    let Some(id) = head.header("request-id").map(String::from) else {
+        return (400, "Not-Run: 1\r\n".into(), String::new());
+    };
+    let Ok(_waiting) = shared.queue.try_acquire() else {
+        return (503, "Not-Run: 1\r\n".into(), String::new());
+    };
+    let at = Instant::now();
+    shared
+        .arrivals
+        .lock()
+        .expect("no panic while locked")
+        .push(Arrival {
+            id: id.clone(),
+            at,
+            is_answered: false,
+        });
+    let server = &shared.sheet.id;
+    shared
+        .record
+        .line_at(at, &format!("server {server} got {id}"));
+    let _place = shared.places.acquire().await.expect("never closed");
+    shared.record.line(&format!("server {server} runs {id}"));
+    tokio::time::sleep(shared.sheet.work).await;
+    (
+        200,
+        format!("Server-Stamp: {server}.{id}\r\n"),
+        format!("ran {id} at {server}\n"),
+    )
+}
