--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -8,6 +8,9 @@
 
 use crate::http::Connection;
 
+pub const HOST: &str = "depot.example";
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+
 /// Time that clients allow a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -50,7 +53,6 @@
 #[derive(Debug, Clone)]
 pub struct Answer {
     pub status: u16,
-    pub stamp: Option<String>,
     /// `Retry-After`; zero if it is missing.
     pub retry_after: Duration,
     pub body: Vec<u8>,
@@ -91,7 +93,6 @@
         let body = connection.read_body(&head).await?;
         Ok::<_, std::io::Error>(Answer {
             status: head.status(),
-            stamp: head.header("server-stamp").map(String::from),
             retry_after: read_retry_after(head.header("retry-after")),
             body,
         })
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -86,7 +86,6 @@
     pub id: String,
     pub at: Instant,
     pub is_crashing: bool,
-    pub machine: Option<SocketAddr>,
 }
 
 #[derive(Default)]
@@ -220,9 +219,9 @@
         let (fleet, own) = (self.clone(), id.to_string());
         let task = tokio::spawn(async move {
             let mut connections = JoinSet::new();
-            while let Ok((stream, from)) = listener.accept().await {
+            while let Ok((stream, _)) = listener.accept().await {
                 let (fleet, own) = (fleet.clone(), own.clone());
-                connections.spawn(async move { fleet.serve(&own, stream, from).await });
+                connections.spawn(async move { fleet.serve(&own, stream).await });
             }
         });
         {
@@ -304,7 +303,7 @@
         });
     }
 
-    async fn serve(&self, id: &str, stream: TcpStream, from: SocketAddr) {
+    async fn serve(&self, id: &str, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(Some(head)) = connection.read_head().await {
             let Ok(body) = connection.read_body(&head).await else {
@@ -328,7 +327,7 @@
                 self.write(&mut connection, &head, 200, "", &json!({}))
                     .await
             } else {
-                self.run(id, &mut connection, &head, from).await
+                self.run(id, &mut connection, &head).await
             };
             if written.is_err() {
                 return;
@@ -524,13 +523,7 @@
         self.publish(id);
     }
 
-    async fn run(
-        &self,
-        id: &str,
-        connection: &mut Connection,
-        head: &Head,
-        from: SocketAddr,
-    ) -> std::io::Result<()> {
+    async fn run(&self, id: &str, connection: &mut Connection, head: &Head) -> std::io::Result<()> {
         let request = head.header("request-id").unwrap_or_default().to_string();
         let stage = {
             let state = self.state();
@@ -561,7 +554,6 @@
                 id: request.clone(),
                 at: Instant::now(),
                 is_crashing,
-                machine: Some(from),
             });
             let engine = state.engines.get_mut(id);
             engine.map_or(0, |engine| {
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -6,14 +6,13 @@
 
 mod client;
 mod engine;
-mod gone;
 mod http;
 mod node;
+mod outage;
 mod poison;
 mod record;
 mod server;
 mod store;
-mod traffic;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -50,7 +49,7 @@
     runtime.block_on(async {
         let played = async {
             match case {
-                "gone" => gone::play(run).await,
+                "outage" => outage::play(run.clone()).await,
                 "poison" => poison::play(run.clone()).await,
                 other => Err(format!("there is no case {other}").into()),
             }
--- a/review/standins-3/src/node.rs
+++ b/review/standins-3/src/node.rs
@@ -1,7 +1,7 @@
 //! An entry process, started as the deploy file starts it.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -27,7 +27,6 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     child: Child,
-    output: PathBuf,
 }
 
 /// Where entry processes are started.
@@ -107,7 +106,6 @@
             front: at(8227),
             ready: at(8220),
             child,
-            output,
         })
     }
 }
@@ -126,22 +124,6 @@
         }
         false
     }
-
-    /// Sends a signal by name.
-    pub fn signal(&self, name: &str) -> bool {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill")
-            .args([&format!("-{name}"), &pid])
-            .status();
-        status.is_ok_and(|status| status.success())
-    }
-
-    /// Returns the lines that the process has written and that contain a text.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let output = std::fs::read_to_string(&self.output).unwrap_or_default();
-        let lines = output.lines().filter(|line| line.contains(text));
-        lines.map(String::from).collect()
-    }
 }
 
 impl Drop for Node {
--- a/review/standins-3/src/poison.rs
+++ b/review/standins-3/src/poison.rs
@@ -5,11 +5,10 @@
 
 use serde_json::{Value, json};
 
-use crate::client::{Answer, Request, Unanswered, exchange};
+use crate::client::{Answer, HOST, KEY, Request, Unanswered, exchange};
 use crate::engine::{Fleet, GROUP_SIZE, MODEL, SERVICE, SLOTS};
 use crate::node::{Machines, Node, ZONES};
 use crate::store::Store;
-use crate::traffic::{HOST, KEY};
 use crate::{Outcome, Run, Verdict};
 
 /// `stability_window_ms` of the sheets.
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -1,7 +1,8 @@
 //! Stand-in of a server of a plain service.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
@@ -16,14 +17,6 @@
 /// Requests beyond the slots that wait; the next one is shed.
 const QUEUE: usize = 24;
 
-/// A request that reached a server, and how it ended there.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    pub id: String,
-    pub at: Instant,
-    pub is_answered: bool,
-}
-
 /// What a server is.
 #[derive(Debug, Clone)]
 pub struct ServerSheet {
@@ -38,29 +31,38 @@
 pub struct Server {
     pub sheet: ServerSheet,
     pub address: SocketAddr,
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
     task: JoinHandle<()>,
+    is_silent: Arc<AtomicBool>,
     born: u128,
 }
 
 struct Shared {
+    is_silent: Arc<AtomicBool>,
     sheet: ServerSheet,
     places: Semaphore,
     queue: Semaphore,
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
     record: Record,
 }
 
 impl Server {
     pub async fn start(sheet: ServerSheet, record: &Record) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at("127.0.0.1:0", sheet, record).await
+    }
+
+    /// Starts a server at an address.
+    pub async fn start_at(
+        address: &str,
+        sheet: ServerSheet,
+        record: &Record,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
+        let is_silent: Arc<AtomicBool> = Arc::default();
         let shared = Arc::new(Shared {
+            is_silent: is_silent.clone(),
             places: Semaphore::new(sheet.slots),
             queue: Semaphore::new(sheet.slots + QUEUE),
             sheet: sheet.clone(),
-            arrivals: arrivals.clone(),
             record: record.clone(),
         });
         let task = tokio::spawn(async move {
@@ -75,8 +77,8 @@
         Ok(Self {
             sheet,
             address,
-            arrivals,
             task,
+            is_silent,
             born: born.map_or(0, |time| time.as_millis()),
         })
     }
@@ -99,9 +101,9 @@
         store.put(&self.key(), &self.entry())
     }
 
-    /// Returns the requests that have reached it.
-    pub fn arrivals(&self) -> Vec<Arrival> {
-        self.arrivals.lock().expect("no panic while locked").clone()
+    /// Makes it silent: it neither answers nor closes anything until it ends.
+    pub fn fall_silent(&self) {
+        self.is_silent.store(true, Ordering::SeqCst);
     }
 
     /// Ends it: it closes its listener and all connections.
@@ -117,6 +119,9 @@
             return;
         }
         let (status, headers, body) = respond(shared, &head).await;
+        if shared.is_silent.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
         let id = head.header("request-id").unwrap_or_default();
         let is_full = status == 503;
         let headers = format!(
@@ -134,10 +139,6 @@
         {
             return;
         }
-        let mut arrivals = shared.arrivals.lock().expect("no panic while locked");
-        if let Some(arrival) = arrivals.iter_mut().rev().find(|arrival| arrival.id == id) {
-            arrival.is_answered = true;
-        }
     }
 }
 
@@ -156,15 +157,6 @@
         return (503, "Not-Run: 1\r\n".into(), String::new());
     };
     let at = Instant::now();
-    shared
-        .arrivals
-        .lock()
-        .expect("no panic while locked")
-        .push(Arrival {
-            id: id.clone(),
-            at,
-            is_answered: false,
-        });
     let server = &shared.sheet.id;
     shared
         .record
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -39,8 +39,6 @@
     state: Arc<Mutex<State>>,
     /// Counts the changes.
     changed: watch::Sender<u64>,
-    /// Counts how often the waiting watches were cut.
-    cuts: watch::Sender<u64>,
 }
 
 impl Store {
@@ -50,7 +48,6 @@
             address: listener.local_addr()?,
             state: Arc::default(),
             changed: watch::Sender::new(0),
-            cuts: watch::Sender::new(0),
         };
         store.state().rev = 1;
         let accepting = store.clone();
@@ -87,18 +84,6 @@
         acknowledged
     }
 
-    /// Returns the keys with a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.state();
-        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
-        keys.cloned().collect()
-    }
-
-    /// Cuts the watches that are waiting: their connections are closed without an answer.
-    pub fn cut_watches(&self) {
-        self.cuts.send_modify(|count| *count += 1);
-    }
-
     async fn expire_leases(self) {
         loop {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -156,7 +141,7 @@
         let after = number("after").unwrap_or(0);
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
         let end = tokio::time::Instant::now() + wait;
-        let (mut changed, mut cuts) = (self.changed.subscribe(), self.cuts.subscribe());
+        let mut changed = self.changed.subscribe();
         loop {
             changed.borrow_and_update();
             {
@@ -174,7 +159,6 @@
             tokio::select! {
                 _ = changed.changed() => {}
                 () = tokio::time::sleep_until(end) => {}
-                _ = cuts.changed() => return None,
             }
         }
     }
