--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -67,6 +67,8 @@
     Ended(String),
     /// The client's time was over.
     TimedOut,
+    /// Status 101, which it had not asked for, and no answer until the end of the connection or of its time.
+    Switched(Duration),
 }
 
 /// Sends a request over a new connection.
@@ -81,14 +83,21 @@
     };
     let mut connection = Connection::new(stream);
     let began = Instant::now();
+    let mut interim = Vec::new();
     let answer = async {
         let start = format!("{} {} HTTP/1.1", request.method, request.path);
         connection
             .write(&start, &request.headers, &request.body)
             .await?;
-        let head = connection.read_head().await?;
-        let Some(head) = head else {
-            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        let head = loop {
+            let Some(head) = connection.read_head().await? else {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            };
+            if head.status() >= 200 {
+                break head;
+            }
+            // No final answer: a client goes on reading.
+            interim.push(head.status());
         };
         let body = connection.read_body(&head).await?;
         Ok::<_, std::io::Error>(Answer {
@@ -98,8 +107,11 @@
         })
     };
     let left = limit.saturating_sub(began.elapsed());
-    match tokio::time::timeout(left, answer).await {
+    let outcome = tokio::time::timeout(left, answer).await;
+    let has_switched = interim.contains(&101);
+    match outcome {
         Ok(Ok(answer)) => Ok(answer),
+        _ if has_switched => Err(Unanswered::Switched(began.elapsed())),
         Ok(Err(error)) => Err(Unanswered::Ended(error.to_string())),
         Err(_) => Err(Unanswered::TimedOut),
     }
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -12,6 +12,7 @@
 mod poison;
 mod record;
 mod server;
+mod spoiled;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -51,6 +52,7 @@
             match case {
                 "outage" => outage::play(run.clone()).await,
                 "poison" => poison::play(run.clone()).await,
+                "spoiled" => spoiled::play(run.clone()).await,
                 other => Err(format!("there is no case {other}").into()),
             }
         };
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
@@ -33,11 +34,14 @@
     pub address: SocketAddr,
     task: JoinHandle<()>,
     is_silent: Arc<AtomicBool>,
+    spoiled_every: Arc<AtomicUsize>,
     born: u128,
 }
 
 struct Shared {
     is_silent: Arc<AtomicBool>,
+    spoiled_every: Arc<AtomicUsize>,
+    answers: AtomicUsize,
     sheet: ServerSheet,
     places: Semaphore,
     queue: Semaphore,
@@ -58,8 +62,11 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let is_silent: Arc<AtomicBool> = Arc::default();
+        let spoiled_every: Arc<AtomicUsize> = Arc::default();
         let shared = Arc::new(Shared {
             is_silent: is_silent.clone(),
+            spoiled_every: spoiled_every.clone(),
+            answers: AtomicUsize::new(0),
             places: Semaphore::new(sheet.slots),
             queue: Semaphore::new(sheet.slots + QUEUE),
             sheet: sheet.clone(),
@@ -79,6 +86,7 @@
             address,
             task,
             is_silent,
+            spoiled_every,
             born: born.map_or(0, |time| time.as_millis()),
         })
     }
@@ -106,6 +114,11 @@
         self.is_silent.store(true, Ordering::SeqCst);
     }
 
+    /// Makes it send bytes that are no answer in place of every so many answers.
+    pub fn spoil_answers(&self, every: usize) {
+        self.spoiled_every.store(every, Ordering::SeqCst);
+    }
+
     /// Ends it: it closes its listener and all connections.
     pub fn end(&self) {
         self.task.abort();
@@ -119,6 +132,21 @@
             return;
         }
         let (status, headers, body) = respond(shared, &head).await;
+        let every = shared.spoiled_every.load(Ordering::SeqCst);
+        let is_spoiled = every > 0 && status == 200 && {
+            shared.answers.fetch_add(1, Ordering::SeqCst) % every == every - 1
+        };
+        if is_spoiled {
+            let id = head.header("request-id").unwrap_or_default();
+            let server = &shared.sheet.id;
+            let text = format!("server {server} has run {id} and sends 101 in place of its answer");
+            shared.record.line(&text);
+            let bytes = format!("HTTP/1.1 101 Switching Protocols\r\nRequest-Id: {id}\r\n\r\n");
+            if connection.stream.write_all(bytes.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         if shared.is_silent.load(Ordering::SeqCst) {
             std::future::pending::<()>().await;
         }
