--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -105,6 +105,8 @@
     record: Record,
     /// The part of a prompt that crashes servers.
     crashing_part: &'static str,
+    /// What ends each line of an event.
+    line_end: &'static str,
 }
 
 fn now_ms() -> u64 {
@@ -160,9 +162,15 @@
             store: store.clone(),
             record: record.clone(),
             crashing_part,
+            line_end: "\n",
         }
     }
 
+    /// Makes the lines of events end otherwise.
+    pub fn with_line_end(self, line_end: &'static str) -> Self {
+        Self { line_end, ..self }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no panic while locked")
     }
@@ -602,7 +610,8 @@
         connection.stream.write_all(head.as_bytes()).await?;
         for number in 1..=EVENTS {
             self.wait_for_members(id).await?;
-            let event = format!("id: {number}\ndata: {request} piece {number}\n\n");
+            let end = self.line_end;
+            let event = format!("id: {number}{end}data: {request} piece {number}{end}{end}");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             connection.stream.write_all(chunk.as_bytes()).await?;
             tokio::time::sleep(EVENT_PAUSE).await;
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod engine;
 mod http;
+mod lines;
 mod node;
 mod outage;
 mod poison;
@@ -52,6 +53,7 @@
             match case {
                 "outage" => outage::play(run.clone()).await,
                 "poison" => poison::play(run.clone()).await,
+                "lines" => lines::play(run.clone()).await,
                 "spoiled" => spoiled::play(run.clone()).await,
                 other => Err(format!("there is no case {other}").into()),
             }
--- a/review/standins-3/src/poison.rs
+++ b/review/standins-3/src/poison.rs
@@ -29,33 +29,38 @@
 /// `Deadline-Ms` of the sheet.
 const BUDGET: Duration = Duration::from_millis(8_000);
 
-fn config() -> Value {
+/// Returns the service of the model servers, as the site file has it, with one model.
+pub fn engine_service() -> Value {
     let delays: Vec<_> = [("jkpg", "vmo"), ("jkpg", "hlm"), ("vmo", "hlm")]
         .into_iter()
         .map(|(from, to)| json!({"from": from, "target_version": to, "delay_ms": 3.4}))
         .collect();
+    json!({
+        "name": SERVICE, "health_path": "/healthz", "max_conns": 308, "protocol": "h1", "tls": false,
+        "cold_start_s": 3.0, "cold_per_s": 26.0,
+        "engine": {
+            "slots": SLOTS, "kv_tokens": 1_860_000, "kv_bytes": 96256, "link_mbps": 400000.0,
+            "stride": 5,
+            "models": [{"name": MODEL, "size": GROUP_SIZE, "share": 1.0, "pace": 0.6,
+                        "load_s": 12.0, "warm_s": 1.1}],
+            "step_ms": 7.8, "per_seq_ms": 0.0947, "context_per_k": 0.0096, "read_per_s": 45900.0,
+            "pairs_per_m": 0.433, "chunk": 2048, "report_lag_ms": 200.0, "loads_per_s": 5.0,
+            "loads_at_once": 7, "delays": delays, "usual": {"prompt": 979, "answer": 154}, "keeps": 1,
+            "far_x": 3.0, "form_ms": 300.0}})
+}
+
+/// Returns the route to the model servers.
+pub fn report_route() -> Value {
+    json!({"name": "r-report", "hostname": HOST, "prefix": "/report/", "kind": "streaming",
+           "timeout_ms": 8000, "target_latency_ms": 400, "priority": 1, "service": SERVICE,
+           "max_attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 300})
+}
+
+fn config() -> Value {
     json!({
         "version": 7,
-        "routes": [
-            {"name": "r-report", "hostname": HOST, "prefix": "/report/", "kind": "streaming",
-             "timeout_ms": 8000, "target_latency_ms": 400, "priority": 1, "service": SERVICE,
-             "max_attempts": 2, "public": false, "sticky": true, "resumable": true,
-             "gap_aim_ms": 300},
-        ],
-        "services": [
-            {"name": SERVICE, "health_path": "/healthz", "max_conns": 308, "protocol": "h1",
-             "tls": false, "cold_start_s": 3.0, "cold_per_s": 26.0,
-             "engine": {
-                "slots": SLOTS, "kv_tokens": 1_860_000, "kv_bytes": 96256, "link_mbps": 400000.0,
-                "stride": 5,
-                "models": [{"name": MODEL, "size": GROUP_SIZE, "share": 1.0, "pace": 0.6,
-                            "load_s": 12.0, "warm_s": 1.1}],
-                "step_ms": 7.8, "per_seq_ms": 0.0947, "context_per_k": 0.0096,
-                "read_per_s": 45900.0, "pairs_per_m": 0.433, "chunk": 2048,
-                "report_lag_ms": 200.0, "loads_per_s": 5.0, "loads_at_once": 7, "delays": delays,
-                "usual": {"prompt": 979, "answer": 154}, "keeps": 1, "far_x": 3.0,
-                "form_ms": 300.0}},
-        ],
+        "routes": [report_route()],
+        "services": [engine_service()],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "hule930", "api_keys": [KEY], "priority": 1}],
