--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -27,6 +27,8 @@
 const FIRST_EVENT: Duration = Duration::from_millis(110);
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
 const EVENTS: usize = 5;
+/// Time for which a server that starts during traffic is cold.
+const COLD: Duration = Duration::from_secs(3);
 /// Time from a crash until the server is back: some seconds.
 const DOWN: Duration = Duration::from_secs(3);
 
@@ -77,6 +79,7 @@
     loaded: Option<String>,
     staged: Vec<String>,
     running: usize,
+    cold_until: Option<Instant>,
     task: Option<AbortHandle>,
 }
 
@@ -144,7 +147,11 @@
         value["version"] = json!("v1");
         value["slots"] = json!(SLOTS);
         value["state"] = json!("ready");
-        value["cold_left_ms"] = json!(0);
+        let now = Instant::now();
+        let cold = self
+            .cold_until
+            .map(|until| until.saturating_duration_since(now));
+        value["cold_left_ms"] = json!(cold.unwrap_or_default().as_millis());
         value["seq"] = json!(self.checkins);
         value
     }
@@ -216,6 +223,7 @@
             loaded: None,
             staged: Vec::new(),
             running: 0,
+            cold_until: None,
             task: None,
         };
         self.state().engines.insert(id.into(), engine);
@@ -234,9 +242,11 @@
         });
         {
             let mut state = self.state();
+            let has_traffic = state.has_traffic;
             let Some(engine) = state.engines.get_mut(id) else {
                 return;
             };
+            engine.cold_until = has_traffic.then(|| Instant::now() + COLD);
             engine.born = now_ms();
             engine.is_up = true;
             engine.life += 1;
@@ -249,6 +259,7 @@
             engine.task = Some(task.abort_handle());
         }
         self.publish(id);
+        self.later(id, COLD, |_| {});
     }
 
     /// Writes an engine's entry, as it does after each change.
--- a/review/standins-3/src/lines.rs
+++ b/review/standins-3/src/lines.rs
@@ -19,7 +19,6 @@
 const CALM: Duration = Duration::from_secs(5);
 const PLAYED: Duration = Duration::from_secs(20);
 const ENGINES_PER_ZONE: usize = 6;
-const MACHINES: usize = 8;
 /// Requests on later routes from which the rule counts.
 const MIN_LATER: usize = 20;
 /// A part that no prompt has: nothing crashes here.
@@ -183,18 +182,8 @@
         root: &run.root,
         folder: &run.temporary,
         store: &store,
-        store_at: None,
-        bootstrap: true,
     };
-    let mut nodes = Vec::new();
-    for index in 0..MACHINES {
-        nodes.push(machines.start(ZONES[index % ZONES.len()], index + 1)?);
-    }
-    for node in &nodes {
-        if !node.wait_until_ready(Duration::from_secs(10)).await {
-            return Err(format!("{} is not ready", node.name).into());
-        }
-    }
+    let nodes = machines.start_all().await?;
     let expected = ENGINES_PER_ZONE / GROUP_SIZE * ZONES.len();
     let end = Instant::now() + Duration::from_secs(25);
     while fleet.open_groups() < expected {
--- a/review/standins-3/src/node.rs
+++ b/review/standins-3/src/node.rs
@@ -21,11 +21,14 @@
 
 pub const ZONES: [&str; 3] = ["jkpg", "vmo", "hlm"];
 
+/// Machines, as on the sheet: three, three and two in the zones.
+const MACHINES: usize = 8;
+
 /// A running entry process; killed when dropped.
 pub struct Node {
     pub name: String,
     pub front: SocketAddr,
-    pub ready: SocketAddr,
+    ready: SocketAddr,
     child: Child,
 }
 
@@ -36,9 +39,6 @@
     /// Folder for settings files and outputs.
     pub folder: &'a Path,
     pub store: &'a Store,
-    /// Address at which each process finds the store; that of the store if not set.
-    pub store_at: Option<SocketAddr>,
-    pub bootstrap: bool,
 }
 
 /// Returns an address of this run on the loopback network.
@@ -52,11 +52,25 @@
 }
 
 impl Machines<'_> {
+    /// Starts the processes of all machines, and waits until they are ready.
+    pub async fn start_all(&self) -> Result<Vec<Node>, Box<dyn std::error::Error>> {
+        let mut nodes = Vec::new();
+        for index in 0..MACHINES {
+            nodes.push(self.start(ZONES[index % ZONES.len()], index + 1)?);
+        }
+        for node in &nodes {
+            if !node.wait_until_ready(Duration::from_secs(10)).await {
+                return Err(format!("{} is not ready", node.name).into());
+            }
+        }
+        Ok(nodes)
+    }
+
     /// Starts the process of one machine.
-    pub fn start(&self, zone: &str, number: usize) -> std::io::Result<Node> {
+    fn start(&self, zone: &str, number: usize) -> std::io::Result<Node> {
         let ip = loopback(number);
         let name = format!("front-{zone}-{number}");
-        let store = self.store_at.unwrap_or(self.store.address);
+        let store = self.store.address;
         let zones = ZONES
             .map(|zone| format!("zones.{zone}=se-south\n"))
             .concat();
@@ -64,7 +78,7 @@
             "node={name}\nrole=entry\nmachine_class=front\nserves=front,control\nip={ip}\n\
              zone={zone}\nregion=se-south\n{zones}listen.front={ip}:8227\n\
              listen.ready={ip}:8220\nlisten.control={ip}:8229\nport_range=7340,7355\n\
-             seeds={}:8229,{}:8229,{}:8229\nbootstrap={}\nbear_loss=false\n\
+             seeds={}:8229,{}:8229,{}:8229\nbootstrap=true\nbear_loss=false\n\
              limits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\nlimits.fds=4100\n\
              limits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\nentry=vip\n\
              heartbeat_ms=1200\n\
@@ -76,7 +90,6 @@
             loopback(1),
             loopback(2),
             loopback(3),
-            self.bootstrap,
         );
         let boot = self.folder.join(format!("{name}.conf"));
         std::fs::write(&boot, text)?;
@@ -112,7 +125,7 @@
 
 impl Node {
     /// Waits until the process says that it is ready; returns whether it is.
-    pub async fn wait_until_ready(&self, limit: Duration) -> bool {
+    async fn wait_until_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
         while Instant::now() < end {
             let request = Request::get("/readyz", "node");
--- a/review/standins-3/src/outage.rs
+++ b/review/standins-3/src/outage.rs
@@ -23,8 +23,6 @@
 const AFTERWARDS: Duration = Duration::from_secs(20);
 /// `Deadline-Ms` of the sheet.
 const BUDGET: Duration = Duration::from_millis(4_000);
-/// Machines, as on the sheet.
-const MACHINES: usize = 8;
 /// Requests on later routes from which the rule counts.
 const MIN_LATER: usize = 20;
 
@@ -190,18 +188,8 @@
         root: &run.root,
         folder: &run.temporary,
         store: &store,
-        store_at: None,
-        bootstrap: true,
     };
-    let mut nodes = Vec::new();
-    for index in 0..MACHINES {
-        nodes.push(machines.start(ZONES[index % ZONES.len()], index + 1)?);
-    }
-    for node in &nodes {
-        if !node.wait_until_ready(Duration::from_secs(10)).await {
-            return Err(format!("{} is not ready", node.name).into());
-        }
-    }
+    let nodes = machines.start_all().await?;
     let clients = Clients {
         machines: Arc::new(nodes.iter().map(|n| (n.name.clone(), n.front)).collect()),
         run: run.clone(),
--- a/review/standins-3/src/poison.rs
+++ b/review/standins-3/src/poison.rs
@@ -7,7 +7,7 @@
 
 use crate::client::{Answer, HOST, KEY, Request, Unanswered, exchange};
 use crate::engine::{Fleet, GROUP_SIZE, MODEL, SERVICE, SLOTS};
-use crate::node::{Machines, Node, ZONES};
+use crate::node::{Machines, ZONES};
 use crate::store::Store;
 use crate::{Outcome, Run, Verdict};
 
@@ -19,9 +19,9 @@
 /// Engines of each zone; each zone is one domain of the fabric.
 const ENGINES_PER_ZONE: usize = 10;
 const CRASHING_PART: &str = "0badc0de";
-/// The rate of the kind of request, and the share of it that crashes servers.
-const PER_SECOND: f64 = 21.9;
-const CRASHING_SHARE: f64 = 0.03;
+/// The rate of all requests to the model servers, and of those with the part: 0.03 of `wash-report`.
+const PER_SECOND: f64 = 21.9 + 120.0 + 20.9;
+const CRASHING_PER_SECOND: f64 = 0.03 * 21.9;
 const CALM: Duration = Duration::from_secs(6);
 const POISONED: Duration = Duration::from_secs(20);
 /// Pause of a client before its retry where no answer asks for a longer one.
@@ -157,19 +157,6 @@
     }
 }
 
-async fn start_nodes(machines: &Machines<'_>) -> Result<Vec<Node>, Box<dyn std::error::Error>> {
-    let mut nodes = Vec::new();
-    for (index, zone) in ZONES.into_iter().enumerate() {
-        nodes.push(machines.start(zone, index + 1)?);
-    }
-    for node in &nodes {
-        if !node.wait_until_ready(Duration::from_secs(10)).await {
-            return Err(format!("{} is not ready", node.name).into());
-        }
-    }
-    Ok(nodes)
-}
-
 pub async fn play(run: Arc<Run>) -> Outcome {
     let store = Store::start().await?;
     store.put("op/config", &config());
@@ -184,10 +171,8 @@
         root: &run.root,
         folder: &run.temporary,
         store: &store,
-        store_at: None,
-        bootstrap: true,
     };
-    let nodes = start_nodes(&machines).await?;
+    let nodes = machines.start_all().await?;
     let expected = ENGINES_PER_ZONE / GROUP_SIZE * ZONES.len();
     let end = Instant::now() + Duration::from_secs(25);
     while fleet.open_groups() < expected {
@@ -211,7 +196,7 @@
         number += 1;
         let mut is_crashing = false;
         if run.has_trouble && began.elapsed() >= CALM {
-            due += CRASHING_SHARE;
+            due += CRASHING_PER_SECOND / PER_SECOND;
             is_crashing = due >= 1.0;
             due -= f64::from(u8::from(is_crashing));
         }
--- a/review/standins-3/src/spoiled.rs
+++ b/review/standins-3/src/spoiled.rs
@@ -132,18 +132,8 @@
         root: &run.root,
         folder: &run.temporary,
         store: &store,
-        store_at: None,
-        bootstrap: true,
     };
-    let mut nodes = Vec::new();
-    for (index, zone) in ZONES.into_iter().enumerate() {
-        nodes.push(machines.start(zone, index + 1)?);
-    }
-    for node in &nodes {
-        if !node.wait_until_ready(Duration::from_secs(10)).await {
-            return Err(format!("{} is not ready", node.name).into());
-        }
-    }
+    let nodes = machines.start_all().await?;
     let clients = Clients {
         machines: Arc::new(nodes.iter().map(|n| (n.name.clone(), n.front)).collect()),
         run: run.clone(),
