--- a/review/standins-3/src/outage.rs
+++ b/review/standins-3/src/outage.rs
@@ -19,6 +19,8 @@
 const DOWN: Duration = Duration::from_millis(4_500);
 /// Three check-in intervals, after which the entry of a silent server is removed.
 const LAPSE: Duration = Duration::from_millis(3_600);
+/// Times that this happens; the first does for most runs.
+const OUTAGES: usize = 3;
 const CALM: Duration = Duration::from_secs(8);
 const AFTERWARDS: Duration = Duration::from_secs(20);
 /// `Deadline-Ms` of the sheet.
@@ -206,21 +208,26 @@
     tokio::time::sleep(STABLE).await;
     tokio::spawn(clients.clone().send_steadily(Kind::Click));
     tokio::time::sleep(CALM).await;
-    if run.has_trouble {
-        run.record.line("the zone's servers go dark");
-        for server in &servers {
-            server.go_dark();
-        }
-        tokio::time::sleep(LAPSE).await;
-        for server in &servers {
-            store.remove(&server.key());
+    for round in 1..=OUTAGES {
+        if run.has_trouble {
+            run.record.line("the zone's servers go dark");
+            for server in &servers {
+                server.go_dark();
+            }
+            tokio::time::sleep(LAPSE).await;
+            for server in &servers {
+                store.remove(&server.key());
+            }
+            tokio::time::sleep(DOWN.saturating_sub(LAPSE)).await;
+            for server in &servers {
+                server.end();
+            }
+            servers = start_servers(3 * round, &run, &store).await?;
+            run.record.line("the zone's servers are back");
         }
-        tokio::time::sleep(DOWN.saturating_sub(LAPSE)).await;
-        for server in &servers {
-            server.end();
+        if round < OUTAGES {
+            tokio::time::sleep(CALM).await;
         }
-        servers = start_servers(3, &run, &store).await?;
-        run.record.line("the zone's servers are back");
     }
     let steady = Instant::now() + STABLE;
     tokio::time::sleep(STABLE + AFTERWARDS).await;
